Kernel, protocol and interfaces of the first skeleton

The kernel (clock, verdict, errors, invariants, lock order, workers, registry, logs, metrics), the gRPC protocol with its generated code, and the headers that the parts are written against: HTTP, RPC, platform, settings, fleet configuration, manifest.

--- /dev/null
+++ b/include/siskindeal/metrics.h
@@ -0,0 +1,35 @@
+#pragma once
+// Prometheus metrics of the process. Names begin with "siskindeal_" and end
+// with their unit.
+
+#include <map>
+#include <string>
+
+namespace siskindeal {
+
+using MetricLabels = std::map<std::string, std::string>;
+
+// Adds to a counter, which is made when first named. Labels must have few
+// values: a service, a reason, a verdict; never a request.
+void
+CountMetric(const std::string& aName,
+            const MetricLabels& aLabels = {},
+            double aAmount = 1);
+
+// Sets a gauge, which is made when first named.
+void
+SetMetric(const std::string& aName,
+          double aValue,
+          const MetricLabels& aLabels = {});
+
+// Records a duration in seconds in a histogram of 1 ms to 60 s.
+void
+ObserveSeconds(const std::string& aName,
+               double aSeconds,
+               const MetricLabels& aLabels = {});
+
+// The process's metrics in the Prometheus text format.
+std::string
+MetricsText();
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,10 @@
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+int
+main(int aArgc, char** aArgv)
+{
+  std::cout << "siskindeal " SISKINDEAL_VERSION "\n";
+  return 0;
+}
