--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -103,6 +103,7 @@
   std::string m_policy = "swarm";
   double m_timeWeight = 0.5; // 1: only time counts; 0: only origin bytes count
   std::uint32_t m_mostOutOfService = 1; // VMs of a service at once, by change
+  std::string m_storeUrl;               // weight store, for manifests
 };
 
 // [drain]
