Settings from TOML, every key checked against one table

Cause: a mistyped key or a duration without its unit must not start a process. Change: one table a kind of file holds section, key, member, bounds and help; the reader fills from it and lists every problem with file, line and what was expected; DescribeSettings gives the same table to the manual. Conclusion: roles and the client can read their files.

--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -177,6 +177,30 @@
   DrainSettings m_drain;
 };
 
+// The operators' client: what [client] and [auth] of its file say.
+struct ClientSettings
+{
+  std::vector<Address> m_entries; // HTTP addresses, tried in this order
+  std::chrono::milliseconds m_timeout{ 10000 };
+  AuthSettings m_auth;
+};
+
+// One key as the manual lists it.
+struct SettingDescription
+{
+  std::string m_section;
+  std::string m_key;
+  std::string m_type;    // with its unit
+  std::string m_default; // empty: none
+  std::string m_help;
+  bool m_required = false;
+  std::string m_usedBy; // "entry", "agent", "client", with ", " between
+};
+
+// Every key there is, in the manual's order.
+std::vector<SettingDescription>
+DescribeSettings();
+
 // A settings file that is refused. The message holds file, line and what was
 // expected, one problem a line.
 class SettingsError : public std::runtime_error
@@ -190,5 +214,7 @@
 ReadEntrySettings(const std::string& aFile);
 AgentSettings
 ReadAgentSettings(const std::string& aFile);
+ClientSettings
+ReadClientSettings(const std::string& aFile);
 
 } // namespace siskindeal
--- /dev/null
+++ b/src/settings/describe.cpp
@@ -0,0 +1,134 @@
+#include "settings/schema_p.h"
+
+#include "settings/values_p.h"
+#include "siskindeal/overloaded.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+std::string
+NumberText(double aNumber)
+{
+  std::string text = std::to_string(aNumber);
+  text.erase(text.find_last_not_of('0') + 1);
+  return text.back() == '.' ? text + "0" : text;
+}
+
+std::string
+ListText(const std::vector<Address>& aAddresses)
+{
+  std::string text;
+  for (const Address& address : aAddresses) {
+    text += (text.empty() ? "\"" : ", \"") + address.ToString() + "\"";
+  }
+  return "[" + text + "]";
+}
+
+std::string
+Quoted(const std::string& aText)
+{
+  return aText.empty() ? "" : "\"" + aText + "\"";
+}
+
+} // namespace
+
+std::string
+TypeText(const Setting& aSetting)
+{
+  return std::visit(
+    Overloaded{
+      [](std::string*) { return std::string("text"); },
+      [](std::uint32_t*) { return std::string("whole number"); },
+      [](std::uint64_t*) { return std::string("whole number"); },
+      [](double*) { return std::string("number"); },
+      [](bool*) { return std::string("true or false"); },
+      [](std::chrono::milliseconds*) { return std::string("duration"); },
+      [](Address*) { return std::string("address"); },
+      [](std::vector<Address>*) { return std::string("list of addresses"); },
+      [](UpstreamSettings::Kind*) {
+        return std::string("\"model\" or \"plain\"");
+      },
+      [](const UrlField&) { return std::string("URL"); },
+      [](const BytesField&) { return std::string("bytes"); },
+      [](const WordField& aField) {
+        std::string text;
+        for (const std::string_view word : aField.m_words) {
+          text += (text.empty() ? "\"" : ", \"") + std::string(word) + "\"";
+        }
+        return "one of " + text;
+      },
+      [](const SecretsField&) { return std::string("table of texts"); },
+    },
+    aSetting.m_field);
+}
+
+std::string
+ValueText(const Setting& aSetting)
+{
+  return std::visit(
+    Overloaded{
+      [](const std::string* aValue) { return Quoted(*aValue); },
+      [](const std::uint32_t* aValue) { return std::to_string(*aValue); },
+      [](const std::uint64_t* aValue) { return std::to_string(*aValue); },
+      [](const double* aValue) { return NumberText(*aValue); },
+      [](const bool* aValue) {
+        return std::string(*aValue ? "true" : "false");
+      },
+      [](const std::chrono::milliseconds* aValue) {
+        return Quoted(DurationText(*aValue));
+      },
+      [](const Address* aValue) {
+        return aValue->m_host.empty() ? "" : Quoted(aValue->ToString());
+      },
+      [](const std::vector<Address>* aValue) { return ListText(*aValue); },
+      [](const UpstreamSettings::Kind* aValue) {
+        return std::string(
+          *aValue == UpstreamSettings::Kind::Model ? "\"model\"" : "\"plain\"");
+      },
+      [](const UrlField& aField) { return Quoted(*aField.m_value); },
+      [](const BytesField& aField) {
+        return Quoted(ByteSizeText(*aField.m_value));
+      },
+      [](const WordField& aField) { return Quoted(*aField.m_value); },
+      [](const SecretsField&) { return std::string(); },
+    },
+    aSetting.m_field);
+}
+
+std::vector<SettingDescription>
+DescribeSettings()
+{
+  EntrySettings entry;
+  AgentSettings agent;
+  ClientSettings client;
+  std::vector<SettingDescription> descriptions;
+  const auto add = [&](const SettingTable& aTable, const std::string& aUser) {
+    for (const Setting& setting : aTable) {
+      const auto known = std::find_if(
+        descriptions.begin(), descriptions.end(), [&](const auto& aOther) {
+          return aOther.m_section == setting.m_section &&
+                 aOther.m_key == setting.m_key;
+        });
+      if (known != descriptions.end()) {
+        known->m_usedBy += ", " + aUser;
+        continue;
+      }
+      descriptions.push_back({ std::string(setting.m_section),
+                               std::string(setting.m_key),
+                               TypeText(setting),
+                               ValueText(setting),
+                               std::string(setting.m_help),
+                               setting.m_need == Need::Required,
+                               aUser });
+    }
+  };
+  add(TableOf(entry), "entry");
+  add(TableOf(agent), "agent");
+  add(TableOf(client), "client");
+  return descriptions;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/settings/reader.cpp
@@ -0,0 +1,404 @@
+#include "settings/reader_p.h"
+
+#include "settings/values_p.h"
+#include "siskindeal/overloaded.h"
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <sstream>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::size_t kLargestFileBytes = 1 << 20;
+constexpr std::size_t kShortestSecret = 16; // characters
+
+std::string
+TypeName(const toml::node& aNode)
+{
+  std::ostringstream text;
+  text << aNode.type();
+  return text.str();
+}
+
+std::invalid_argument
+WrongType(const std::string& aExpected, const toml::node& aNode)
+{
+  std::ostringstream text;
+  text << "expected " << aExpected << ", got " << TypeName(aNode);
+  if (aNode.is_value() && !aNode.is_string()) {
+    text << " " << toml::node_view<const toml::node>(aNode);
+  }
+  return std::invalid_argument(text.str());
+}
+
+std::string
+TextOf(const toml::node& aNode, const std::string& aExpected)
+{
+  const auto* text = aNode.as_string();
+  if (text == nullptr) {
+    throw WrongType(aExpected, aNode);
+  }
+  return text->get();
+}
+
+void
+CheckBounds(double aValue,
+            const Bounds& aBounds,
+            const std::function<std::string(double)>& aText)
+{
+  if (aValue < aBounds.m_least || aValue > aBounds.m_most) {
+    throw std::invalid_argument("expected " + aText(aBounds.m_least) + " to " +
+                                aText(aBounds.m_most) + ", got " +
+                                aText(aValue));
+  }
+}
+
+std::string
+PlainNumber(double aValue)
+{
+  std::ostringstream text;
+  text.precision(15);
+  text << aValue;
+  return text.str();
+}
+
+std::int64_t
+WholeNumber(const toml::node& aNode, const Bounds& aBounds)
+{
+  const auto* number = aNode.as_integer();
+  if (number == nullptr) {
+    throw WrongType("a whole number", aNode);
+  }
+  CheckBounds(static_cast<double>(number->get()), aBounds, PlainNumber);
+  return number->get();
+}
+
+double
+Number(const toml::node& aNode, const Bounds& aBounds)
+{
+  if (!aNode.is_number()) {
+    throw WrongType("a number", aNode);
+  }
+  const double value = aNode.value<double>().value_or(0);
+  if (!(value == value)) {
+    throw std::invalid_argument("expected a number, got nan");
+  }
+  CheckBounds(value, aBounds, PlainNumber);
+  return value;
+}
+
+std::chrono::milliseconds
+Duration(const toml::node& aNode, const Bounds& aBounds)
+{
+  const auto value = ParseDuration(
+    TextOf(aNode, "a duration with its unit such as \"500ms\" or \"10s\""));
+  CheckBounds(static_cast<double>(value.count()), aBounds, [](double aMs) {
+    return "\"" +
+           DurationText(
+             std::chrono::milliseconds(static_cast<std::int64_t>(aMs))) +
+           "\"";
+  });
+  return value;
+}
+
+std::uint64_t
+Bytes(const toml::node& aNode, const Bounds& aBounds)
+{
+  if (const auto* number = aNode.as_integer()) {
+    CheckBounds(static_cast<double>(number->get()), aBounds, PlainNumber);
+    return static_cast<std::uint64_t>(number->get());
+  }
+  const auto value =
+    ParseByteSize(TextOf(aNode, "a size such as \"1MiB\", or whole bytes"));
+  CheckBounds(static_cast<double>(value), aBounds, PlainNumber);
+  return value;
+}
+
+std::vector<Address>
+Addresses(const toml::node& aNode)
+{
+  const auto* list = aNode.as_array();
+  if (list == nullptr) {
+    throw WrongType("a list of addresses such as [\"10.0.0.1:7100\"]", aNode);
+  }
+  std::vector<Address> addresses;
+  for (const toml::node& element : *list) {
+    const Address address =
+      ParseAddress(TextOf(element, "an address such as \"10.0.0.1:7100\""));
+    if (address.m_port == 0) {
+      throw std::invalid_argument("expected a port to connect to, got \"" +
+                                  address.ToString() + "\"");
+    }
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+std::map<std::string, std::string>
+Secrets(const toml::node& aNode)
+{
+  const auto* table = aNode.as_table();
+  if (table == nullptr) {
+    throw WrongType("a table of names to secrets", aNode);
+  }
+  std::map<std::string, std::string> secrets;
+  for (const auto& [name, value] : *table) {
+    const std::string secret = TextOf(value, "a secret as text");
+    if (secret.size() < kShortestSecret) {
+      throw std::invalid_argument(
+        "expected secrets of at least " + std::to_string(kShortestSecret) +
+        " characters; that of \"" + std::string(name.str()) + "\" has " +
+        std::to_string(secret.size()));
+    }
+    if (name.str().empty() || name.str().find(':') != std::string_view::npos) {
+      throw std::invalid_argument("expected a key name without \":\", got \"" +
+                                  std::string(name.str()) + "\"");
+    }
+    secrets.emplace(name.str(), secret);
+  }
+  return secrets;
+}
+
+std::string
+Word(const toml::node& aNode, const WordField& aField, const Setting& aSetting)
+{
+  std::string text = TextOf(aNode, TypeText(aSetting));
+  if (std::find(aField.m_words.begin(), aField.m_words.end(), text) ==
+      aField.m_words.end()) {
+    throw std::invalid_argument("expected " + TypeText(aSetting) + ", got \"" +
+                                text + "\"");
+  }
+  return text;
+}
+
+UpstreamSettings::Kind
+Kind(const toml::node& aNode)
+{
+  const std::string text = TextOf(aNode, "\"model\" or \"plain\"");
+  if (text == "model") {
+    return UpstreamSettings::Kind::Model;
+  }
+  if (text == "plain") {
+    return UpstreamSettings::Kind::Plain;
+  }
+  throw std::invalid_argument("expected \"model\" or \"plain\", got \"" + text +
+                              "\"");
+}
+
+std::string
+NonEmpty(const toml::node& aNode)
+{
+  std::string text = TextOf(aNode, "text");
+  if (text.empty()) {
+    throw std::invalid_argument("expected text, got \"\"");
+  }
+  return text;
+}
+
+std::string
+Url(const toml::node& aNode)
+{
+  std::string text = TextOf(aNode, "a URL such as \"http://10.0.0.1:8000\"");
+  CheckUrl(text);
+  return text;
+}
+
+bool
+Flag(const toml::node& aNode)
+{
+  const auto* flag = aNode.as_boolean();
+  if (flag == nullptr) {
+    throw WrongType("true or false", aNode);
+  }
+  return flag->get();
+}
+
+std::string
+Joined(const std::set<std::string_view>& aNames)
+{
+  std::string text;
+  for (const std::string_view name : aNames) {
+    text += (text.empty() ? "" : ", ") + std::string(name);
+  }
+  return text;
+}
+
+int
+LineOfNode(const toml::node& aNode)
+{
+  return static_cast<int>(aNode.source().begin.line);
+}
+
+std::string
+ReadFile(const std::string& aFile)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  std::string text;
+  if (stream) {
+    text.assign(std::istreambuf_iterator<char>(stream), {});
+  }
+  if (!stream || stream.bad()) {
+    throw SettingsError(aFile + ": can't be read");
+  }
+  if (text.size() > kLargestFileBytes) {
+    throw SettingsError(aFile + ": expected at most 1 MiB");
+  }
+  return text;
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(const std::string& aFile)
+  : m_file(aFile)
+{
+  const std::string text = ReadFile(aFile);
+  try {
+    m_root = toml::parse(text, aFile);
+  } catch (const toml::parse_error& error) {
+    throw SettingsError(aFile + ":" +
+                        std::to_string(error.source().begin.line) +
+                        ": not TOML: " + std::string(error.description()));
+  }
+}
+
+void
+SettingsReader::Fill(const SettingTable& aTable, std::string_view aRole)
+{
+  RefuseUnknown(aTable, aRole);
+  for (const Setting& setting : aTable) {
+    const auto* section = m_root.get_as<toml::table>(setting.m_section);
+    const auto* node = section ? section->get(setting.m_key) : nullptr;
+    if (node == nullptr) {
+      if (setting.m_need == Need::Required) {
+        Refuse(setting.m_section,
+               setting.m_key,
+               "missing; expected " + TypeText(setting) + ": " +
+                 std::string(setting.m_help));
+      }
+      continue;
+    }
+    try {
+      Set(setting, *node);
+    } catch (const std::invalid_argument& problem) {
+      Refuse(setting.m_section, setting.m_key, problem.what());
+    }
+  }
+}
+
+void
+SettingsReader::RefuseUnknown(const SettingTable& aTable,
+                              std::string_view aRole)
+{
+  std::map<std::string_view, std::set<std::string_view>> known;
+  std::set<std::string_view> sections;
+  for (const Setting& setting : aTable) {
+    known[setting.m_section].insert(setting.m_key);
+    sections.insert(setting.m_section);
+  }
+  for (const auto& [name, node] : m_root) {
+    const std::string section(name.str());
+    const auto keys = known.find(section);
+    if (keys == known.end()) {
+      m_problems.emplace_back(LineOfNode(node),
+                              "[" + section + "]: unknown; sections of " +
+                                std::string(aRole) + " settings are " +
+                                Joined(sections));
+      continue;
+    }
+    const auto* table = node.as_table();
+    if (table == nullptr) {
+      m_problems.emplace_back(LineOfNode(node),
+                              "[" + section + "]: expected a section, got " +
+                                TypeName(node));
+      continue;
+    }
+    for (const auto& [key, value] : *table) {
+      if (keys->second.count(key.str()) == 0) {
+        m_problems.emplace_back(static_cast<int>(key.source().begin.line),
+                                "[" + section + "] " + std::string(key.str()) +
+                                  ": unknown key; keys of [" + section +
+                                  "] are " + Joined(keys->second));
+      }
+    }
+  }
+}
+
+void
+SettingsReader::Set(const Setting& aSetting, const toml::node& aNode)
+{
+  const Bounds& bounds = aSetting.m_bounds;
+  std::visit(
+    Overloaded{
+      [&](std::string* aValue) { *aValue = NonEmpty(aNode); },
+      [&](std::uint32_t* aValue) {
+        *aValue = static_cast<std::uint32_t>(WholeNumber(aNode, bounds));
+      },
+      [&](std::uint64_t* aValue) {
+        *aValue = static_cast<std::uint64_t>(WholeNumber(aNode, bounds));
+      },
+      [&](double* aValue) { *aValue = Number(aNode, bounds); },
+      [&](bool* aValue) { *aValue = Flag(aNode); },
+      [&](std::chrono::milliseconds* aValue) {
+        *aValue = Duration(aNode, bounds);
+      },
+      [&](Address* aValue) {
+        *aValue =
+          ParseAddress(TextOf(aNode, "an address such as \"10.0.0.1:7100\""));
+      },
+      [&](std::vector<Address>* aValue) { *aValue = Addresses(aNode); },
+      [&](UpstreamSettings::Kind* aValue) { *aValue = Kind(aNode); },
+      [&](const UrlField& aField) { *aField.m_value = Url(aNode); },
+      [&](const BytesField& aField) { *aField.m_value = Bytes(aNode, bounds); },
+      [&](const WordField& aField) {
+        *aField.m_value = Word(aNode, aField, aSetting);
+      },
+      [&](const SecretsField& aField) { *aField.m_value = Secrets(aNode); },
+    },
+    aSetting.m_field);
+}
+
+int
+SettingsReader::LineOf(std::string_view aSection, std::string_view aKey) const
+{
+  const auto* section = m_root.get_as<toml::table>(aSection);
+  if (section == nullptr) {
+    return 1;
+  }
+  const auto* node = section->get(aKey);
+  return LineOfNode(node ? *node : *section);
+}
+
+void
+SettingsReader::Refuse(std::string_view aSection,
+                       std::string_view aKey,
+                       const std::string& aProblem)
+{
+  m_problems.emplace_back(LineOf(aSection, aKey),
+                          "[" + std::string(aSection) + "] " +
+                            std::string(aKey) + ": " + aProblem);
+}
+
+void
+SettingsReader::Finish() const
+{
+  if (m_problems.empty()) {
+    return;
+  }
+  auto sorted = m_problems;
+  std::stable_sort(
+    sorted.begin(), sorted.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  std::string text;
+  for (const auto& [line, problem] : sorted) {
+    text += (text.empty() ? "" : "\n") + m_file + ":" + std::to_string(line) +
+            ": " + problem;
+  }
+  throw SettingsError(text);
+}
+
+} // namespace siskindeal
