--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -316,14 +316,25 @@
                                 TypeName(node));
       continue;
     }
-    for (const auto& [key, value] : *table) {
-      if (keys->second.count(key.str()) == 0) {
-        m_problems.emplace_back(static_cast<int>(key.source().begin.line),
-                                "[" + section + "] " + std::string(key.str()) +
-                                  ": unknown key; keys of [" + section +
-                                  "] are " + Joined(keys->second));
-      }
+    RefuseUnknownKeys(section, *table, keys->second);
+  }
+}
+
+void
+SettingsReader::RefuseUnknownKeys(std::string_view aSection,
+                                  const toml::table& aTable,
+                                  const std::set<std::string_view>& aKnown)
+{
+  const std::string section = "[" + std::string(aSection) + "]";
+  for (const auto& [key, value] : aTable) {
+    if (aKnown.count(key.str()) != 0) {
+      continue;
     }
+    std::string problem = section;
+    problem.append(" ").append(key.str()).append(": unknown key; keys of ");
+    problem.append(section).append(" are ").append(Joined(aKnown));
+    m_problems.emplace_back(static_cast<int>(key.source().begin.line),
+                            std::move(problem));
   }
 }
 
--- a/src/settings/reader_p.h
+++ b/src/settings/reader_p.h
@@ -5,6 +5,8 @@
 
 #include <toml++/toml.h>
 
+#include <set>
+
 namespace siskindeal {
 
 // One TOML file being read. Problems are gathered until Finish.
@@ -29,6 +31,9 @@
 
 private:
   void RefuseUnknown(const SettingTable& aTable, std::string_view aRole);
+  void RefuseUnknownKeys(std::string_view aSection,
+                         const toml::table& aTable,
+                         const std::set<std::string_view>& aKnown);
   void Set(const Setting& aSetting, const toml::node& aNode);
   int LineOf(std::string_view aSection, std::string_view aKey) const;
 
