gRPC between the processes: signed calls, and a client that knows what wasn't sent

A call only begins on a connected channel, so a call to nobody is provably not sent; a lost one is 'unknown'. Signatures are HMACs by a shared key; any listed key is accepted, so that keys rotate.

--- /dev/null
+++ b/tests/rpc_test.cpp
@@ -0,0 +1,184 @@
+#include "siskindeal/rpc.h"
+
+#include <absl/synchronization/notification.h>
+#include <gtest/gtest.h>
+
+#include <mutex>
+#include <vector>
+
+namespace siskindeal {
+namespace {
+
+constexpr std::chrono::seconds kHangGuard{ 20 };
+
+// Answers Run with its body in two pieces; "hang" keeps the call open until it
+// is cancelled, "crossed" stamps a foreign attempt first.
+class EchoHandler : public NodeHandler
+{
+public:
+  wire::GreetReply OnGreet(const wire::GreetRequest&) override
+  {
+    wire::GreetReply reply;
+    reply.set_vm("agent-1");
+    return reply;
+  }
+  void OnExchange(const wire::ExchangeRequest& aRequest,
+                  Done<wire::ExchangeReply> aDone) override
+  {
+    wire::ExchangeReply reply;
+    reply.set_number(aRequest.number() + 1);
+    aDone(reply);
+  }
+  void OnRun(const wire::RunRequest& aRequest,
+             std::shared_ptr<RunSink> aSink) override
+  {
+    if (aRequest.body() == "hang") {
+      aSink->OnCancel([this, aSink] {
+        aSink->Finish();
+        m_cancelled.Notify();
+      });
+      return;
+    }
+    wire::RunEvent event;
+    event.mutable_started()->set_status(200);
+    aSink->Send(event);
+    event.set_body("first ");
+    aSink->Send(event);
+    event.set_body("second");
+    aSink->Send(event);
+    event.mutable_finished()->set_body_bytes(12);
+    aSink->Send(event);
+    aSink->Finish();
+  }
+  void OnCancel(const wire::CancelRequest&,
+                Done<wire::CancelReply> aDone) override
+  {
+    aDone({});
+  }
+  void OnOrder(const wire::OrderRequest&, Done<wire::OrderReply> aDone) override
+  {
+    aDone({});
+  }
+  void OnChunk(const wire::ChunkRequest&, Done<wire::ChunkReply> aDone) override
+  {
+    aDone({});
+  }
+  void OnHave(const wire::HaveRequest&, Done<wire::HaveReply> aDone) override
+  {
+    aDone({});
+  }
+  std::string StateJson() override { return "{}"; }
+
+  absl::Notification m_cancelled;
+};
+
+AuthSettings
+Keys(const std::string& aActive)
+{
+  return { aActive, { { "old", "secret-1" }, { "new", "secret-2" } } };
+}
+
+RpcStatus
+ExchangeOnce(NodeClient& aClient, const std::string& aAddress)
+{
+  absl::Notification done;
+  RpcStatus result;
+  wire::ExchangeRequest request;
+  request.set_number(41);
+  aClient.Exchange(aAddress,
+                   request,
+                   kHangGuard,
+                   [&](RpcStatus aStatus, wire::ExchangeReply aReply) {
+                     result = aStatus;
+                     if (aStatus.m_outcome == RpcOutcome::Ok) {
+                       EXPECT_EQ(aReply.number(), 42U);
+                     }
+                     done.Notify();
+                   });
+  done.WaitForNotification();
+  return result;
+}
+
+TEST(Rpc, SignedCallsPassWithAnyListedKeyAndOthersAreRefused)
+{
+  EchoHandler handler;
+  NodeServer server({ "127.0.0.1", 0 }, Keys("new"), handler);
+  const auto address = "127.0.0.1:" + std::to_string(server.Port());
+  struct Case
+  {
+    AuthSettings m_auth;
+    RpcOutcome m_outcome;
+  };
+  const std::vector<Case> cases = {
+    { Keys("new"), RpcOutcome::Ok },
+    { Keys("old"), RpcOutcome::Ok },
+    { {}, RpcOutcome::Refused },
+    { { "new", { { "new", "guessed" } } }, RpcOutcome::Refused },
+    { { "gone", { { "gone", "secret-1" } } }, RpcOutcome::Refused },
+  };
+  for (const auto& item : cases) {
+    NodeClient client(item.m_auth, "entry-1");
+    EXPECT_EQ(ExchangeOnce(client, address).m_outcome, item.m_outcome);
+  }
+}
+
+TEST(Rpc, CallToNobodyIsProvablyNotSent)
+{
+  EchoHandler handler;
+  std::string address;
+  {
+    NodeServer server({ "127.0.0.1", 0 }, {}, handler);
+    address = "127.0.0.1:" + std::to_string(server.Port());
+  }
+  NodeClient client({}, "entry-1");
+  EXPECT_EQ(ExchangeOnce(client, address).m_outcome, RpcOutcome::NotSent);
+}
+
+TEST(Rpc, RunDeliversEventsInOrderAndCancelReachesTheAgent)
+{
+  EchoHandler handler;
+  NodeServer server({ "127.0.0.1", 0 }, {}, handler);
+  const auto address = "127.0.0.1:" + std::to_string(server.Port());
+  NodeClient client({}, "entry-1");
+  wire::RunRequest request;
+  request.set_request_id("r1");
+  request.set_attempt(2);
+  std::string body;
+  bool finished = false;
+  absl::Notification ended;
+  const auto call = client.Run(
+    address,
+    request,
+    kHangGuard,
+    [&](wire::RunEvent aEvent) {
+      body += aEvent.body();
+      finished = aEvent.has_finished();
+    },
+    [&](RpcStatus aStatus) {
+      EXPECT_EQ(aStatus.m_outcome, RpcOutcome::Ok);
+      ended.Notify();
+    });
+  ended.WaitForNotification();
+  EXPECT_EQ(body, "first second");
+  EXPECT_TRUE(finished);
+
+  request.set_body("hang");
+  absl::Notification cancelled;
+  const auto hanging = client.Run(
+    address,
+    request,
+    kHangGuard,
+    [](wire::RunEvent) {},
+    [&](RpcStatus aStatus) {
+      EXPECT_EQ(aStatus.m_outcome, RpcOutcome::Unknown);
+      cancelled.Notify();
+    });
+  while (ExchangeOnce(client, address).m_outcome != RpcOutcome::Ok) {
+  }
+  hanging->Cancel();
+  cancelled.WaitForNotification();
+  handler.m_cancelled.WaitForNotification();
+}
+
+} // namespace
+} // namespace siskindeal
