Settings: no claims.shards

Cause: agents that disagree on the number of shards would put one key into two records and run it twice. Change: it is the constant kClaimShards.

--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -363,17 +363,9 @@
     { "claims",
       "commit_period",
       &aClaims.m_commitPeriod,
-      "claims gathered for one write to the platform",
+      "least time between two writes of a shard; claims are gathered meanwhile",
       Need::Optional,
       kDuration },
-    { "claims",
-      "shards",
-      &aClaims.m_shards,
-      "segments that the keys of a service are divided among; the same on "
-      "every "
-      "agent of the service",
-      Need::Optional,
-      { 1, 1024 } },
   };
 }
 
