--- a/src/admission/queue.cpp
+++ b/src/admission/queue.cpp
@@ -114,14 +114,15 @@
   if (m_waiting == 0) {
     return;
   }
-  for (auto& [name, team] : m_teams) {
+  for (auto& entry : m_teams) {
+    auto& team = entry.second;
     std::erase_if(team.m_waiting, [&](const Waiter& aWaiting) {
       if (aNow < aWaiting.m_latestStart) {
         return false;
       }
       aChanges.m_refuse.push_back(
         { aWaiting.m_request.m_id,
-          Refusal(name, team.m_weight, "no runner was free in time") });
+          Refusal(entry.first, team.m_weight, "no runner was free in time") });
       --m_waiting;
       return true;
     });
