Membership, configuration and the exchange of deltas

Cause: every process has to know who is there and what is in force, with the platform slow or down and without each of them reading it. Change: ParseFleetConfig; ObjectCache, which only goes forward, and a watcher that lists, watches and lists again after a compaction; MembershipTable, which concludes liveness from who hears whom, so that no heartbeat is relayed and an isolated place shows as one; Exchange, which sends deltas by acknowledged number and repairs by comparing digests; NodeSync, which drives them for both roles.

--- /dev/null
+++ b/src/config/object_cache.cpp
@@ -0,0 +1,82 @@
+#include "config/object_cache_p.h"
+
+#include "siskindeal/digest.h"
+#include "siskindeal/invariant.h"
+
+#include <set>
+
+namespace siskindeal {
+
+namespace {
+
+std::uint64_t
+HashOf(const PlatformObject& aObject)
+{
+  return StableHash(aObject.m_key,
+                    aObject.m_version * 2 + (aObject.m_deleted ? 1 : 0));
+}
+
+} // namespace
+
+bool
+ObjectCache::Apply(const PlatformObject& aObject,
+                   const std::string& aFrom,
+                   std::uint64_t aChangedAt)
+{
+  if (aObject.m_version == 0) {
+    return false;
+  }
+  auto& entry = m_entries[aObject.m_key];
+  if (aObject.m_version <= entry.m_object.m_version) {
+    return false;
+  }
+  SISKINDEAL_INVARIANT(entry.m_changedAt < aChangedAt,
+                       "a change is counted after the one it replaces");
+  if (entry.m_object.m_version != 0) {
+    m_digest ^= HashOf(entry.m_object);
+  }
+  entry = { aObject, aChangedAt, aFrom.empty(), aFrom };
+  m_digest ^= HashOf(aObject);
+  return true;
+}
+
+std::map<std::string, std::uint64_t>
+ObjectCache::Held(std::string_view aPrefix) const
+{
+  std::map<std::string, std::uint64_t> held;
+  for (auto found = m_entries.lower_bound(std::string(aPrefix));
+       found != m_entries.end() &&
+       std::string_view(found->first).substr(0, aPrefix.size()) == aPrefix;
+       ++found) {
+    if (!found->second.m_object.m_deleted) {
+      held[found->first] = found->second.m_object.m_version;
+    }
+  }
+  return held;
+}
+
+std::vector<PlatformObject>
+ObjectCache::Absent(const std::map<std::string, std::uint64_t>& aHeld,
+                    const std::vector<PlatformObject>& aListed)
+{
+  std::set<std::string> listed;
+  for (const auto& object : aListed) {
+    listed.insert(object.m_key);
+  }
+  std::vector<PlatformObject> absent;
+  for (const auto& [key, version] : aHeld) {
+    if (listed.count(key) == 0) {
+      absent.push_back({ key, version + 1, {}, {}, true });
+    }
+  }
+  return absent;
+}
+
+const ObjectCache::Entry*
+ObjectCache::Find(const std::string& aKey) const
+{
+  const auto found = m_entries.find(aKey);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/config/object_watcher.cpp
@@ -0,0 +1,158 @@
+#include "config/object_watcher_p.h"
+
+#include "config/object_cache_p.h"
+
+#include "siskindeal/metrics.h"
+
+#include <utility>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::milliseconds kWatchWait{ 20000 };
+constexpr std::chrono::milliseconds kLeastRetry{ 100 };
+constexpr std::chrono::milliseconds kMostRetry{ 3000 };
+
+} // namespace
+
+ObjectWatcher::ObjectWatcher(Platform& aPlatform,
+                             std::string aPrefix,
+                             std::uint64_t aSeed,
+                             Hooks aHooks)
+  : m_platform(aPlatform)
+  , m_prefix(std::move(aPrefix))
+  , m_hooks(std::move(aHooks))
+  , m_random(aSeed)
+  , m_backoff(kLeastRetry, kMostRetry)
+{
+}
+
+void
+ObjectWatcher::Tick(MonotonicTime aNow, bool aWatching)
+{
+  std::optional<std::uint64_t> revision;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_now = aNow;
+    if (m_watching && !aWatching) {
+      m_revision.reset(); // what happens until it watches again isn't missed
+    }
+    m_watching = aWatching;
+    if (!aWatching || m_out || m_stopped || aNow < m_notBefore) {
+      return;
+    }
+    m_out = true;
+    revision = m_revision;
+  }
+  if (revision) {
+    Watch(*revision);
+  } else {
+    List();
+  }
+}
+
+void
+ObjectWatcher::List()
+{
+  m_platform.List(PlatformUse::Config,
+                  m_prefix,
+                  [self = shared_from_this(),
+                   held = m_hooks.m_held()](const PlatformChanges& aChanges) {
+                    self->OnList(held, aChanges);
+                  });
+}
+
+void
+ObjectWatcher::Watch(std::uint64_t aAfter)
+{
+  m_platform.Watch(
+    PlatformUse::Config,
+    m_prefix,
+    aAfter,
+    kWatchWait,
+    [self = shared_from_this()](const PlatformChanges& aChanges) {
+      self->OnWatch(aChanges);
+    });
+}
+
+void
+ObjectWatcher::OnList(const std::map<std::string, std::uint64_t>& aHeld,
+                      const PlatformChanges& aChanges)
+{
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_out = false;
+    if (m_stopped) {
+      return;
+    }
+    if (aChanges.m_outcome != PlatformOutcome::Ok) {
+      return Fail();
+    }
+    m_failing = false;
+    m_backoff.Reset();
+    if (m_watching) {
+      m_revision = aChanges.m_revision;
+    }
+  }
+  auto objects = ObjectCache::Absent(aHeld, aChanges.m_objects);
+  objects.insert(
+    objects.end(), aChanges.m_objects.begin(), aChanges.m_objects.end());
+  m_hooks.m_onObjects(objects);
+}
+
+void
+ObjectWatcher::OnWatch(const PlatformChanges& aChanges)
+{
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_out = false;
+    if (m_stopped) {
+      return;
+    }
+    if (aChanges.m_outcome == PlatformOutcome::Compacted) {
+      CountMetric("siskindeal_watch_compacted_total");
+      m_revision.reset();
+      return;
+    }
+    if (aChanges.m_outcome != PlatformOutcome::Ok) {
+      return Fail();
+    }
+    m_failing = false;
+    m_backoff.Reset();
+    if (m_revision && aChanges.m_revision > *m_revision) {
+      m_revision = aChanges.m_revision;
+    }
+  }
+  m_hooks.m_onObjects(aChanges.m_objects);
+}
+
+void
+ObjectWatcher::Fail()
+{
+  m_failing = true;
+  m_notBefore = m_now + m_backoff.Next(m_random);
+}
+
+bool
+ObjectWatcher::Failing() const
+{
+  const absl::MutexLock lock(&m_mutex);
+  return m_failing;
+}
+
+bool
+ObjectWatcher::Listed() const
+{
+  const absl::MutexLock lock(&m_mutex);
+  return m_revision.has_value();
+}
+
+void
+ObjectWatcher::Stop()
+{
+  const absl::MutexLock lock(&m_mutex);
+  m_stopped = true;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/membership/membership_table.cpp
@@ -0,0 +1,250 @@
+#include "membership/membership_table_p.h"
+
+#include "siskindeal/digest.h"
+#include "siskindeal/invariant.h"
+
+#include <deque>
+#include <utility>
+
+namespace siskindeal {
+
+namespace {
+
+// The platform's list is seconds behind: a VM that it doesn't name yet may be
+// new.
+constexpr std::chrono::seconds kListLag{ 10 };
+
+std::pair<std::uint64_t, std::uint64_t>
+Age(const wire::NodeRecord& aRecord)
+{
+  return { aRecord.incarnation(), aRecord.sequence() };
+}
+
+void
+CopyLoad(const wire::NodeRecord& aFrom, wire::NodeRecord& aTo)
+{
+  aTo.set_load_sequence(aFrom.load_sequence());
+  *aTo.mutable_load() = aFrom.load();
+  *aTo.mutable_cache_events() = aFrom.cache_events();
+  *aTo.mutable_progress() = aFrom.progress();
+}
+
+} // namespace
+
+MembershipTable::MembershipTable(std::string aOwnVm,
+                                 std::chrono::milliseconds aUnreachable)
+  : m_ownVm(std::move(aOwnVm))
+  , m_unreachable(aUnreachable)
+{
+}
+
+void
+MembershipTable::SetOwn(const wire::NodeRecord& aRecord,
+                        std::uint64_t aChangedAt)
+{
+  auto& row = m_rows[m_ownVm];
+  SISKINDEAL_INVARIANT(Age(aRecord) >= Age(row.m_record),
+                       "a process's own record never goes back");
+  if (Age(aRecord) != Age(row.m_record)) {
+    row.m_changedAt = aChangedAt;
+  }
+  row.m_loadChangedAt = aChangedAt;
+  row.m_record = aRecord;
+  row.m_direct = true;
+  row.m_liveness = aRecord.liveness();
+}
+
+bool
+MembershipTable::Merge(const wire::NodeRecord& aRecord,
+                       const std::string& aFrom,
+                       std::uint64_t aChangedAt,
+                       MonotonicTime aNow)
+{
+  if (aRecord.vm() == m_ownVm || aRecord.vm().empty()) {
+    return false;
+  }
+  if (aRecord.load_only()) {
+    const auto found = m_rows.find(aRecord.vm());
+    if (found == m_rows.end() || Age(found->second.m_record) != Age(aRecord) ||
+        aRecord.load_sequence() <= found->second.m_record.load_sequence()) {
+      return false;
+    }
+    CopyLoad(aRecord, found->second.m_record);
+    found->second.m_loadChangedAt = aChangedAt;
+    found->second.m_loadReceivedAt = aNow;
+    return true;
+  }
+  auto& row = m_rows[aRecord.vm()];
+  const bool newer = Age(aRecord) > Age(row.m_record);
+  const bool newerLoad = Age(aRecord) == Age(row.m_record) &&
+                         aRecord.load_sequence() > row.m_record.load_sequence();
+  if (!newer && !newerLoad) {
+    row.m_direct |= Age(aRecord) == Age(row.m_record) && aFrom == aRecord.vm();
+    return false;
+  }
+  row.m_record = aRecord;
+  row.m_loadChangedAt = aChangedAt;
+  row.m_loadReceivedAt = aNow;
+  row.m_direct = aFrom == aRecord.vm();
+  row.m_from = aFrom;
+  if (newer) {
+    row.m_changedAt = aChangedAt;
+  }
+  return true;
+}
+
+void
+MembershipTable::Heard(const std::string& aVm, MonotonicTime aNow)
+{
+  const auto found = m_rows.find(aVm);
+  if (found != m_rows.end()) {
+    found->second.m_heardAt = aNow;
+  }
+}
+
+void
+MembershipTable::SetListed(std::map<std::string, bool> aLeavingByVm,
+                           MonotonicTime aNow)
+{
+  m_hasList = true;
+  m_listed = std::move(aLeavingByVm);
+  for (const auto& [vm, row] : m_rows) {
+    if (m_listed.count(vm) != 0) {
+      m_unlistedSince.erase(vm);
+    } else {
+      m_unlistedSince.emplace(vm, aNow);
+    }
+  }
+}
+
+bool
+MembershipTable::IsHeard(const NodeRow& aRow, MonotonicTime aNow) const
+{
+  return aRow.m_heardAt && aNow - *aRow.m_heardAt <= m_unreachable;
+}
+
+// Follows who hears whom from the own process on, through entries: a process is
+// reachable if a reachable entry hears it.
+std::unordered_set<std::string_view>
+MembershipTable::Reachable(MonotonicTime aNow) const
+{
+  std::unordered_set<std::string_view> reachable{ m_ownVm };
+  std::deque<std::string_view> open;
+  for (const auto& [vm, row] : m_rows) {
+    if (vm != m_ownVm && IsHeard(row, aNow) && reachable.insert(vm).second) {
+      open.push_back(vm);
+    }
+  }
+  while (!open.empty()) {
+    const auto found = m_rows.find(std::string(open.front()));
+    open.pop_front();
+    if (found == m_rows.end() ||
+        found->second.m_record.role() != wire::ROLE_ENTRY) {
+      continue;
+    }
+    for (const auto& vm : found->second.m_record.hears()) {
+      if (reachable.insert(vm).second) {
+        open.push_back(vm);
+      }
+    }
+  }
+  return reachable;
+}
+
+wire::Liveness
+MembershipTable::Conclude(const std::string& aVm,
+                          NodeRow& aRow,
+                          bool aReachable,
+                          MonotonicTime aNow) const
+{
+  const auto listed = m_listed.find(aVm);
+  const bool leaving = aRow.m_record.liveness() == wire::LIVENESS_LEAVING ||
+                       (listed != m_listed.end() && listed->second);
+  if (aReachable) {
+    aRow.m_unreachableSince.reset();
+    return leaving ? wire::LIVENESS_LEAVING : wire::LIVENESS_ALIVE;
+  }
+  if (!aRow.m_unreachableSince) {
+    aRow.m_unreachableSince = aNow;
+  }
+  if (aRow.m_record.liveness() == wire::LIVENESS_LEAVING &&
+      aNow - *aRow.m_unreachableSince >= m_unreachable) {
+    return wire::LIVENESS_GONE;
+  }
+  const auto unlisted = m_unlistedSince.find(aVm);
+  const bool dropped = unlisted != m_unlistedSince.end() &&
+                       aNow - unlisted->second >= kListLag &&
+                       aNow - *aRow.m_unreachableSince >= kListLag;
+  return dropped ? wire::LIVENESS_GONE : wire::LIVENESS_UNREACHABLE;
+}
+
+bool
+MembershipTable::Judge(MonotonicTime aNow)
+{
+  const auto reachable = Reachable(aNow);
+  bool changed = false;
+  for (auto& [vm, row] : m_rows) {
+    if (vm == m_ownVm) {
+      continue;
+    }
+    const auto concluded = Conclude(vm, row, reachable.count(vm) != 0, aNow);
+    changed |= concluded != row.m_liveness;
+    row.m_liveness = concluded;
+  }
+  return changed;
+}
+
+std::vector<std::string>
+MembershipTable::Hears(MonotonicTime aNow) const
+{
+  std::vector<std::string> hears;
+  for (const auto& [vm, row] : m_rows) {
+    if (vm != m_ownVm && IsHeard(row, aNow)) {
+      hears.push_back(vm);
+    }
+  }
+  return hears;
+}
+
+std::set<std::string>
+MembershipTable::UnreachablePlaces() const
+{
+  std::set<std::string> reached;
+  std::set<std::string> unreachable;
+  for (const auto& [vm, row] : m_rows) {
+    const auto& place = row.m_record.place();
+    if (row.m_liveness == wire::LIVENESS_UNREACHABLE) {
+      unreachable.insert(place);
+    } else if (row.m_liveness != wire::LIVENESS_GONE) {
+      reached.insert(place);
+    }
+  }
+  for (const auto& place : reached) {
+    unreachable.erase(place);
+  }
+  return unreachable;
+}
+
+const NodeRow*
+MembershipTable::Find(const std::string& aVm) const
+{
+  const auto found = m_rows.find(aVm);
+  return found == m_rows.end() ? nullptr : &found->second;
+}
+
+std::uint64_t
+MembershipTable::Digest() const
+{
+  std::uint64_t digest = 0;
+  for (const auto& [vm, row] : m_rows) {
+    if (row.m_liveness != wire::LIVENESS_GONE) {
+      digest ^=
+        StableHash(vm,
+                   StableHash(std::to_string(row.m_record.incarnation()),
+                              row.m_record.sequence()));
+    }
+  }
+  return digest;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/membership/node_sync_impl.cpp
@@ -0,0 +1,478 @@
+#include "membership/node_sync_p.h"
+
+#include "membership/vm_list_p.h"
+
+#include "siskindeal/digest.h"
+#include "siskindeal/error.h"
+#include "siskindeal/invariant.h"
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{ 100 };
+constexpr std::chrono::milliseconds kExchangeTimeout{ 1000 };
+constexpr std::chrono::milliseconds kVmListPeriod{ 5000 };
+constexpr std::chrono::milliseconds kFailingAfter{ 3000 };
+// How long an entry that gave up reading the platform leaves it to others.
+constexpr std::chrono::milliseconds kFailingFor{ 30000 };
+
+constexpr std::array<const char*, 4> kWatchedPrefixes{
+  kConfigPrefix,
+  kTargetPrefix,
+  kCataloguePrefix,
+  kQuarantinePrefix,
+};
+
+std::uint64_t
+StartedAt(const Clock& aClock)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      aClock.WallNow().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+NodeSync::Impl::Impl(const NodeSettings& aNode,
+                     const MembershipSettings& aSettings,
+                     wire::Role aRole,
+                     const std::string& aAddress,
+                     NodeClient& aClient,
+                     Platform& aPlatform,
+                     WorkerPool& aPool,
+                     const Clock& aClock,
+                     NodeSyncHooks aHooks)
+  : m_role(aRole)
+  , m_client(aClient)
+  , m_platform(aPlatform)
+  , m_pool(aPool)
+  , m_clock(aClock)
+  , m_hooks(std::move(aHooks))
+  , m_exchange(aNode,
+               aSettings,
+               aRole,
+               aAddress,
+               StartedAt(aClock),
+               StableHash(NewId()))
+  , m_view(std::make_shared<FleetView>())
+{
+}
+
+void
+NodeSync::Impl::Start()
+{
+  if (m_role == wire::ROLE_ENTRY) {
+    for (const auto* prefix : kWatchedPrefixes) {
+      m_watchers.push_back(MakeWatcher(prefix));
+    }
+  }
+  TickAgain();
+}
+
+void
+NodeSync::Impl::Stop()
+{
+  for (const auto& watcher : m_watchers) {
+    watcher->Stop();
+  }
+  m_gate.Close();
+}
+
+void
+NodeSync::Impl::TickSoon()
+{
+  m_pool.Post([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Tick();
+    }
+  });
+}
+
+void
+NodeSync::Impl::OnExchange(const wire::ExchangeRequest& aRequest,
+                           const NodeHandler::Done<wire::ExchangeReply>& aDone)
+{
+  wire::ExchangeReply reply;
+  Exchange::News news;
+  {
+    const OrderedLock lock(m_mutex);
+    reply = m_exchange.OnRequest(aRequest, m_clock.Now(), news);
+    TakeNews(std::move(news));
+  }
+  aDone(std::move(reply));
+  Notify();
+}
+
+void
+NodeSync::Impl::Learned(const std::vector<PlatformObject>& aObjects)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    Exchange::News news;
+    news.m_objects = m_exchange.ApplyDirect(aObjects);
+    if (news.m_objects.empty()) {
+      return;
+    }
+    TakeNews(std::move(news));
+  }
+  Notify();
+  TickSoon();
+}
+
+void
+NodeSync::Impl::Spread(const wire::Suspicion& aSuspicion,
+                       std::chrono::milliseconds aLongest,
+                       std::function<void(bool)> aDone)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    m_exchange.ApplySuspicion(aSuspicion);
+    m_spreads.push_back(
+      { m_exchange.Number(), m_clock.Now() + aLongest, std::move(aDone) });
+  }
+  TickSoon();
+}
+
+void
+NodeSync::Impl::Leave()
+{
+  {
+    const OrderedLock lock(m_mutex);
+    m_exchange.Leave();
+  }
+  TickSoon();
+}
+
+std::shared_ptr<const FleetView>
+NodeSync::Impl::View()
+{
+  const OrderedLock lock(m_mutex);
+  return m_view;
+}
+
+std::shared_ptr<const FleetConfig>
+NodeSync::Impl::Config()
+{
+  const OrderedLock lock(m_mutex);
+  return m_config;
+}
+
+std::map<std::string, PlatformObject>
+NodeSync::Impl::Objects(const std::string& aPrefix)
+{
+  const OrderedLock lock(m_mutex);
+  std::map<std::string, PlatformObject> objects;
+  for (const auto& [key, version] : m_exchange.Objects().Held(aPrefix)) {
+    objects[key] = m_exchange.Objects().Find(key)->m_object;
+  }
+  return objects;
+}
+
+std::shared_ptr<ObjectWatcher>
+NodeSync::Impl::MakeWatcher(const std::string& aPrefix)
+{
+  ObjectWatcher::Hooks hooks;
+  hooks.m_held = [weak = weak_from_this(), aPrefix] {
+    const auto self = weak.lock();
+    if (!self) {
+      return std::map<std::string, std::uint64_t>();
+    }
+    const OrderedLock lock(self->m_mutex);
+    return self->m_exchange.Objects().Held(aPrefix);
+  };
+  hooks.m_onObjects = [weak = weak_from_this()](const auto& aObjects) {
+    if (const auto self = weak.lock()) {
+      self->Learned(aObjects);
+    }
+  };
+  return std::make_shared<ObjectWatcher>(
+    m_platform, aPrefix, StableHash(NewId()), std::move(hooks));
+}
+
+void
+NodeSync::Impl::TickAgain()
+{
+  Tick();
+  m_pool.PostAfter(kTick, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->TickAgain();
+    }
+  });
+}
+
+void
+NodeSync::Impl::Tick()
+{
+  if (!m_gate.Enter()) {
+    return;
+  }
+  auto own = m_hooks.m_ownRecord ? m_hooks.m_ownRecord() : wire::NodeRecord();
+  auto usage =
+    m_hooks.m_ownUsage ? m_hooks.m_ownUsage() : std::vector<wire::TeamUsage>();
+  m_gate.Leave();
+  const auto now = m_clock.Now();
+  std::vector<Exchange::Due> calls;
+  bool watch = false;
+  {
+    const OrderedLock lock(m_mutex);
+    own.set_config_version(m_config ? m_config->m_version : 0);
+    m_exchange.SetPlatformFailing(PlatformFailing(now));
+    m_exchange.SetOwn(std::move(own), std::move(usage), now);
+    Exchange::News news;
+    news.m_nodes = m_exchange.Judge(now);
+    TakeNews(std::move(news));
+    calls = m_exchange.Tick(now);
+    watch = m_exchange.ShouldWatch();
+    TakeSpreads(now);
+  }
+  for (auto& call : calls) {
+    Call(std::move(call));
+  }
+  for (const auto& watcher : m_watchers) {
+    watcher->Tick(now, watch);
+  }
+  if (watch) {
+    ReadVms(now);
+  }
+  Notify();
+}
+
+void
+NodeSync::Impl::Call(Exchange::Due aCall)
+{
+  const auto call = std::make_shared<Exchange::Due>(std::move(aCall));
+  m_client.Exchange(
+    call->m_address,
+    call->m_request,
+    kExchangeTimeout,
+    [weak = weak_from_this(), call](const RpcStatus& aStatus,
+                                    wire::ExchangeReply aReply) {
+      if (const auto self = weak.lock()) {
+        self->m_pool.Post([self, call, aStatus, reply = std::move(aReply)] {
+          self->OnCalled(*call, aStatus, reply);
+        });
+      }
+    });
+}
+
+void
+NodeSync::Impl::OnCalled(const Exchange::Due& aCall,
+                         const RpcStatus& aStatus,
+                         const wire::ExchangeReply& aReply)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    const auto now = m_clock.Now();
+    if (aStatus.m_outcome != RpcOutcome::Ok) {
+      CountMetric("siskindeal_exchange_failures_total");
+      m_exchange.OnFailure(aCall, now);
+      return;
+    }
+    Exchange::News news;
+    m_exchange.OnReply(aCall, aReply, now, news);
+    TakeNews(std::move(news));
+    TakeSpreads(now);
+  }
+  Notify();
+}
+
+void
+NodeSync::Impl::ReadVms(MonotonicTime aNow)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    if (aNow < m_nextVms) {
+      return;
+    }
+    m_nextVms = aNow + kVmListPeriod;
+  }
+  m_platform.Vms([weak = weak_from_this()](const VmList& aList) {
+    const auto self = weak.lock();
+    if (self && aList.m_outcome == PlatformOutcome::Ok) {
+      self->OnVms(aList.m_vms);
+    }
+  });
+}
+
+void
+NodeSync::Impl::OnVms(const std::vector<VmListing>& aVms)
+{
+  PlatformObject list{ kVmListKey, 1, VmListToJson(aVms), {}, false };
+  {
+    const OrderedLock lock(m_mutex);
+    if (const auto* held = m_exchange.Objects().Find(kVmListKey)) {
+      if (held->m_object.m_value == list.m_value) {
+        return;
+      }
+      list.m_version = held->m_object.m_version + 1;
+    }
+  }
+  Learned({ list });
+}
+
+bool
+NodeSync::Impl::PlatformFailing(MonotonicTime aNow)
+{
+  const bool failing =
+    std::any_of(m_watchers.begin(), m_watchers.end(), [](const auto& aOne) {
+      return aOne->Failing();
+    });
+  if (!failing) {
+    m_failingSince.reset();
+    return aNow < m_failingUntil;
+  }
+  if (!m_failingSince) {
+    m_failingSince = aNow;
+  }
+  if (aNow - *m_failingSince < kFailingAfter) {
+    return false;
+  }
+  m_failingUntil = aNow + kFailingFor;
+  return true;
+}
+
+void
+NodeSync::Impl::TakeNews(Exchange::News aNews)
+{
+  for (const auto& object : aNews.m_objects) {
+    TakeObject(object);
+  }
+  for (const auto& suspicion : aNews.m_suspicions) {
+    if (m_hooks.m_onSuspicion) {
+      m_notices.emplace_back(
+        [this, suspicion] { m_hooks.m_onSuspicion(suspicion); });
+    }
+  }
+  if (!aNews.m_usageFrom.empty() && m_hooks.m_onUsage) {
+    m_notices.emplace_back([this, news = aNews] {
+      m_hooks.m_onUsage(news.m_usageFrom, news.m_usage);
+    });
+  }
+  if (aNews.m_nodes) {
+    m_exchange.Judge(m_clock.Now());
+    m_view = MakeView();
+    if (m_hooks.m_onNodes) {
+      m_notices.emplace_back(
+        [this, view = m_view] { m_hooks.m_onNodes(view); });
+    }
+  }
+}
+
+void
+NodeSync::Impl::TakeObject(const PlatformObject& aObject)
+{
+  if (aObject.m_key == kVmListKey) {
+    try {
+      m_exchange.SetListed(VmListFromJson(aObject.m_value), m_clock.Now());
+    } catch (const std::exception& malformed) {
+      Log(LogLevel::Warning,
+          "vm_list_malformed",
+          { { "what", malformed.what() } });
+    }
+    return;
+  }
+  if (aObject.m_key == kConfigKey && !aObject.m_deleted) {
+    TakeConfig(aObject);
+  }
+  if (m_hooks.m_onObject) {
+    m_notices.emplace_back([this, aObject] { m_hooks.m_onObject(aObject); });
+  }
+}
+
+void
+NodeSync::Impl::TakeConfig(const PlatformObject& aObject)
+{
+  try {
+    auto config = std::make_shared<FleetConfig>(
+      ParseFleetConfig(aObject.m_value, aObject.m_version));
+    SISKINDEAL_INVARIANT(!m_config || config->m_version > m_config->m_version,
+                         "the configuration in force never reverts");
+    m_config = std::move(config);
+  } catch (const Error& refused) {
+    CountMetric("siskindeal_config_refused_total");
+    Log(LogLevel::Error,
+        "config_refused",
+        { { "version", aObject.m_version }, { "what", refused.what() } });
+    return;
+  }
+  SetMetric("siskindeal_config_version",
+            static_cast<double>(m_config->m_version));
+  if (m_hooks.m_onConfig) {
+    m_notices.emplace_back(
+      [this, config = m_config] { m_hooks.m_onConfig(config); });
+  }
+}
+
+std::shared_ptr<const FleetView>
+NodeSync::Impl::MakeView()
+{
+  auto view = std::make_shared<FleetView>();
+  for (const auto& [vm, row] : m_exchange.Table().Rows()) {
+    if (row.m_liveness == wire::LIVENESS_GONE) {
+      continue;
+    }
+    auto& node = view->m_nodes[vm];
+    node.m_record = row.m_record;
+    node.m_record.set_liveness(row.m_liveness);
+    node.m_receivedAt = row.m_loadReceivedAt;
+  }
+  view->m_unreachablePlaces = m_exchange.Table().UnreachablePlaces();
+  return view;
+}
+
+void
+NodeSync::Impl::TakeSpreads(MonotonicTime aNow)
+{
+  for (auto spread = m_spreads.begin(); spread != m_spreads.end();) {
+    const bool all = m_exchange.Acknowledged(spread->m_number);
+    if (!all && aNow < spread->m_until) {
+      ++spread;
+      continue;
+    }
+    m_notices.emplace_back([done = spread->m_done, all] { done(all); });
+    spread = m_spreads.erase(spread);
+  }
+}
+
+void
+NodeSync::Impl::Notify()
+{
+  while (true) {
+    std::function<void()> notice;
+    {
+      const OrderedLock lock(m_mutex);
+      if (m_notifying || m_notices.empty()) {
+        return;
+      }
+      m_notifying = true;
+      notice = std::move(m_notices.front());
+      m_notices.pop_front();
+    }
+    if (m_gate.Enter()) {
+      RunNotice(notice);
+      m_gate.Leave();
+    }
+    const OrderedLock lock(m_mutex);
+    m_notifying = false;
+  }
+}
+
+void
+NodeSync::Impl::RunNotice(const std::function<void()>& aNotice)
+{
+  try {
+    aNotice();
+  } catch (const std::exception& failure) {
+    Log(LogLevel::Error, "hook_failed", { { "what", failure.what() } });
+  }
+}
+
+} // namespace siskindeal
