HTTP server and client

Every role speaks HTTP to callers, upstreams, the platform and operators, and nothing implemented include/siskindeal/http.h.

The server suspends a connection while its request waits, streams through a content reader, and refuses bodies, headers, connections and malformed targets itself as "not run". The HTTP library doesn't poll suspended connections, so a small watcher notices callers that hang up while they wait.

libcurl repeats a request by itself when a kept connection dies before the answer: the test saw the server receive an unsafe request twice. A pre-request check now refuses the second sending; the same test then counts one.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -115,15 +115,15 @@
 {
   std::string m_method = "GET";
   std::string m_url;
-  HttpHeaders m_headers;
-  std::string m_body;
+  HttpHeaders m_headers{};
+  std::string m_body{};
   std::chrono::milliseconds m_timeout{ 30000 };
   std::chrono::milliseconds m_connectTimeout{ 1000 };
   // Called on the client's thread as answer bytes come; then m_body of the
   // reply stays empty. Returning false cancels. Only for 2xx answers.
-  std::function<bool(std::string_view)> m_onBytes;
+  std::function<bool(std::string_view)> m_onBytes{};
   // Called once the status and headers of the answer are known.
-  std::function<void(int, const HttpHeaders&)> m_onHeaders;
+  std::function<void(int, const HttpHeaders&)> m_onHeaders{};
 };
 
 struct HttpReply
--- /dev/null
+++ b/src/http/client_call.cpp
@@ -0,0 +1,246 @@
+#include "http/client_call_p.h"
+
+#include "siskindeal/log.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+
+#include <utility>
+
+namespace siskindeal {
+
+namespace {
+
+// Kept connections that were idle for longer are closed rather than reused, so
+// that a server's idle timeout doesn't meet a request.
+constexpr long kReuseSeconds = 20;
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+std::string_view
+Trim(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+} // namespace
+
+ClientCall::ClientCall(HttpClientRequest aRequest, HttpClient::Done aDone)
+  : m_request(std::move(aRequest))
+  , m_done(std::move(aDone))
+{
+}
+
+ClientCall::~ClientCall()
+{
+  curl_slist_free_all(m_headers);
+}
+
+void
+ClientCall::Prepare(CURL* aEasy)
+{
+  m_easy = aEasy;
+  curl_easy_reset(aEasy);
+  curl_easy_setopt(aEasy, CURLOPT_URL, m_request.m_url.c_str());
+  curl_easy_setopt(aEasy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(aEasy, CURLOPT_PROXY, "");
+  curl_easy_setopt(aEasy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_MAXAGE_CONN, kReuseSeconds);
+  curl_easy_setopt(
+    aEasy, CURLOPT_TIMEOUT_MS, static_cast<long>(m_request.m_timeout.count()));
+  curl_easy_setopt(aEasy,
+                   CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(m_request.m_connectTimeout.count()));
+  curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(aEasy, CURLOPT_PRIVATE, this);
+  for (const auto& [name, value] : m_request.m_headers) {
+    auto line = name;
+    line += value.empty() ? ";" : ": " + value;
+    m_headers = curl_slist_append(m_headers, line.c_str());
+  }
+  m_headers = curl_slist_append(m_headers, "expect:");
+  if (m_request.m_headers.count("content-type") == 0) {
+    m_headers = curl_slist_append(m_headers, "content-type:");
+  }
+  curl_easy_setopt(aEasy, CURLOPT_HTTPHEADER, m_headers);
+  SetMethod();
+}
+
+bool
+ClientCall::IsSafe() const
+{
+  return m_request.m_method == "GET" || m_request.m_method == "HEAD";
+}
+
+void
+ClientCall::SetMethod()
+{
+  if (m_request.m_method == "HEAD") {
+    curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (!IsSafe()) {
+    curl_easy_setopt(m_easy, CURLOPT_PREREQFUNCTION, &OnConnected);
+    curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
+  }
+  if (!IsSafe() || !m_request.m_body.empty()) {
+    curl_easy_setopt(m_easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(m_easy,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(m_request.m_body.size()));
+    curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.m_body.data());
+  }
+  curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, m_request.m_method.c_str());
+}
+
+// libcurl sends a request again by itself when a kept connection dies before
+// the answer; an unsafe one that was sent must not be.
+int
+ClientCall::OnConnected(void* aSelf, char*, char*, int, int)
+{
+  return static_cast<ClientCall*>(aSelf)->WasSent() ? CURL_PREREQFUNC_ABORT
+                                                    : CURL_PREREQFUNC_OK;
+}
+
+std::size_t
+ClientCall::OnHeader(char* aBytes,
+                     std::size_t aSize,
+                     std::size_t aCount,
+                     void* aSelf)
+{
+  static_cast<ClientCall*>(aSelf)->AddHeaderLine({ aBytes, aSize * aCount });
+  return aSize * aCount;
+}
+
+std::size_t
+ClientCall::OnBody(char* aBytes,
+                   std::size_t aSize,
+                   std::size_t aCount,
+                   void* aSelf)
+{
+  const auto size = aSize * aCount;
+  return static_cast<ClientCall*>(aSelf)->AddBody({ aBytes, size }) ? size : 0;
+}
+
+void
+ClientCall::AddHeaderLine(std::string_view aLine)
+{
+  constexpr int kFirstFinalStatus = 200;
+  if (aLine.substr(0, 5) == "HTTP/") {
+    m_reply.m_headers.clear();
+    long status = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+    m_reply.m_status = static_cast<int>(status);
+    return;
+  }
+  const auto line = Trim(aLine);
+  if (line.empty()) {
+    if (m_reply.m_status >= kFirstFinalStatus && m_request.m_onHeaders) {
+      m_request.m_onHeaders(m_reply.m_status, m_reply.m_headers);
+    }
+    return;
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return;
+  }
+  const auto name = absl::AsciiStrToLower(std::string(line.substr(0, colon)));
+  const std::string value(Trim(line.substr(colon + 1)));
+  const auto [place, added] = m_reply.m_headers.emplace(name, value);
+  if (!added) {
+    place->second += ", " + value;
+  }
+}
+
+bool
+ClientCall::AddBody(std::string_view aBytes)
+{
+  if (m_request.m_onBytes && IsSuccess(m_reply.m_status)) {
+    m_refusedByCaller = !m_request.m_onBytes(aBytes);
+    return !m_refusedByCaller;
+  }
+  m_reply.m_body.append(aBytes);
+  return true;
+}
+
+bool
+ClientCall::WasSent() const
+{
+  long headerBytes = 0;
+  curl_off_t bodyBytes = 0;
+  curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &headerBytes);
+  curl_easy_getinfo(m_easy, CURLINFO_SIZE_UPLOAD_T, &bodyBytes);
+  return headerBytes > 0 || bodyBytes > 0;
+}
+
+// Whether the answer said how it ends: one that ends with its connection may
+// have been cut.
+bool
+ClientCall::HasEndMarker() const
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  const auto& headers = m_reply.m_headers;
+  return m_request.m_method == "HEAD" || m_reply.m_status == kNoContent ||
+         m_reply.m_status == kNotModified ||
+         headers.count("content-length") != 0 ||
+         headers.count("transfer-encoding") != 0;
+}
+
+HttpOutcome
+ClientCall::OutcomeOf(CURLcode aCode) const
+{
+  if (aCode == CURLE_OK) {
+    return HasEndMarker() ? HttpOutcome::Answered : HttpOutcome::SentNoReply;
+  }
+  if (m_refusedByCaller) {
+    return HttpOutcome::Cancelled;
+  }
+  return WasSent() ? HttpOutcome::SentNoReply : HttpOutcome::NotSent;
+}
+
+void
+ClientCall::Finish(CURLcode aCode)
+{
+  m_reply.m_outcome = OutcomeOf(aCode);
+  if (aCode != CURLE_OK) {
+    m_reply.m_error = curl_easy_strerror(aCode);
+  } else if (m_reply.m_outcome != HttpOutcome::Answered) {
+    m_reply.m_error = "answer without a length or an end marker";
+  }
+  Report();
+}
+
+void
+ClientCall::FinishCancelled()
+{
+  const bool sent = m_easy != nullptr && WasSent();
+  m_reply.m_outcome = sent ? HttpOutcome::Cancelled : HttpOutcome::NotSent;
+  m_reply.m_error = "cancelled";
+  Report();
+}
+
+void
+ClientCall::Report()
+{
+  const auto done = std::exchange(m_done, nullptr);
+  try {
+    done(std::move(m_reply));
+  } catch (const std::exception& failure) {
+    Log(LogLevel::Error, "callback_failed", { { "what", failure.what() } });
+  }
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,508 @@
+#include "siskindeal/error.h"
+#include "siskindeal/http.h"
+#include "support/raw_socket.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace siskindeal {
+namespace {
+
+using std::chrono::milliseconds;
+constexpr auto kGuard = std::chrono::seconds(20);
+
+HttpServerLimits
+SmallLimits()
+{
+  HttpServerLimits limits;
+  limits.m_bodyBytes = 1000;
+  limits.m_headerBytes = 2000;
+  return limits;
+}
+
+std::string
+Url(const HttpServer& aServer, const std::string& aPath)
+{
+  return "http://127.0.0.1:" + std::to_string(aServer.Port()) + aPath;
+}
+
+void
+Echo(HttpRequest aRequest, const std::shared_ptr<HttpResponder>& aResponder)
+{
+  aResponder->Respond(
+    200, { { "x-path", aRequest.m_path } }, std::move(aRequest.m_body));
+}
+
+template<typename Condition>
+void
+Await(Condition aCondition)
+{
+  const auto end = std::chrono::steady_clock::now() + kGuard;
+  while (!aCondition()) {
+    ASSERT_LT(std::chrono::steady_clock::now(), end);
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+}
+
+TEST(HttpServer, RefusesWhatIsMalformedOrTooLargeAsNotRun)
+{
+  struct Case
+  {
+    std::string m_name;
+    std::string m_bytes;
+    int m_status;
+    std::string m_reason;
+  };
+  const std::string host = "Host: a\r\n";
+  const Case cases[] = {
+    { "escape", "GET /%zz HTTP/1.1\r\n" + host + "\r\n", 400, "bad_request" },
+    { "cut escape",
+      "GET /%4 HTTP/1.1\r\n" + host + "\r\n",
+      400,
+      "bad_request" },
+    { "null", "GET /a%00b HTTP/1.1\r\n" + host + "\r\n", 400, "bad_request" },
+    { "query",
+      "GET /a?x=%0d HTTP/1.1\r\n" + host + "\r\n",
+      400,
+      "bad_request" },
+    { "relative", "GET a HTTP/1.1\r\n" + host + "\r\n", 400, "bad_request" },
+    { "no host", "GET / HTTP/1.1\r\n\r\n", 400, "bad_request" },
+    { "two lengths",
+      "POST / HTTP/1.1\r\n" + host +
+        "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      400,
+      "bad_request" },
+    { "length and chunks",
+      "POST / HTTP/1.1\r\n" + host +
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      400,
+      "bad_request" },
+    { "encoding",
+      "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip\r\n\r\n",
+      400,
+      "bad_request" },
+    { "long body",
+      "POST / HTTP/1.1\r\n" + host + "Content-Length: 1001\r\n\r\n" +
+        std::string(1001, 'a'),
+      413,
+      "too_large" },
+    { "huge body",
+      "POST / HTTP/1.1\r\n" + host + "Content-Length: 99999999999\r\n\r\n",
+      413,
+      "too_large" },
+    { "long chunks",
+      "POST / HTTP/1.1\r\n" + host +
+        "Transfer-Encoding: chunked\r\n\r\n258\r\n" + std::string(600, 'a') +
+        "\r\n258\r\n" + std::string(600, 'a') + "\r\n0\r\n\r\n",
+      413,
+      "too_large" },
+    { "long header",
+      "GET / HTTP/1.1\r\n" + host + "X-A: " + std::string(2000, 'a') +
+        "\r\n\r\n",
+      431,
+      "too_large" },
+    { "long target",
+      "GET /" + std::string(2000, 'a') + " HTTP/1.1\r\n" + host + "\r\n",
+      431,
+      "too_large" },
+  };
+  std::atomic<int> handled{ 0 };
+  const HttpServer server(
+    "127.0.0.1", 0, SmallLimits(), [&](HttpRequest aRequest, auto aResponder) {
+      ++handled;
+      Echo(std::move(aRequest), aResponder);
+    });
+  for (const auto& test : cases) {
+    SCOPED_TRACE(test.m_name);
+    RawSocket socket(server.Port());
+    socket.Send(test.m_bytes);
+    const auto answer = socket.ReadAll();
+    ASSERT_GT(answer.size(), 12U);
+    EXPECT_EQ(answer.substr(9, 3), std::to_string(test.m_status)) << answer;
+    EXPECT_NE(answer.find("x-siskindeal-verdict: not run\r\n"),
+              std::string::npos);
+    const auto body = answer.find("\r\n\r\n");
+    ASSERT_NE(body, std::string::npos);
+    const auto error = nlohmann::json::parse(answer.substr(body + 4))["error"];
+    EXPECT_EQ(error["reason"], test.m_reason);
+    EXPECT_EQ(error["verdict"], "not run");
+    EXPECT_TRUE(error.contains("retry_after_ms"));
+  }
+  EXPECT_EQ(handled, 0);
+}
+
+TEST(HttpServer, SurvivesBytesThatAreNotHttp)
+{
+  std::atomic<int> handled{ 0 };
+  const HttpServer server(
+    "127.0.0.1", 0, SmallLimits(), [&](HttpRequest aRequest, auto aResponder) {
+      ++handled;
+      Echo(std::move(aRequest), aResponder);
+    });
+  std::mt19937 random(7);
+  for (int i = 0; i < 100; ++i) {
+    std::string bytes(random() % 400, ' ');
+    for (auto& byte : bytes) {
+      byte = static_cast<char>(random());
+    }
+    RawSocket socket(server.Port());
+    socket.Send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: x" + bytes);
+    socket.Close();
+  }
+  EXPECT_EQ(handled, 0);
+  HttpClient client;
+  EXPECT_EQ(client.Fetch({ "GET", Url(server, "/") }).m_status, 200);
+}
+
+TEST(HttpServer, RefusesConnectionsOverTheLimitUntilOneCloses)
+{
+  auto limits = SmallLimits();
+  limits.m_connections = 2;
+  const HttpServer server("127.0.0.1", 0, limits, Echo);
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  RawSocket first(server.Port());
+  RawSocket second(server.Port());
+  for (auto* socket : { &first, &second }) {
+    socket->Send(request);
+    EXPECT_EQ(socket->ReadUntil("\r\n\r\n").substr(9, 3), "200");
+  }
+  RawSocket third(server.Port());
+  third.Send(request);
+  const auto refusal = third.ReadAll();
+  EXPECT_EQ(refusal.substr(9, 3), "503");
+  EXPECT_NE(refusal.find("retry-after: 1\r\n"), std::string::npos);
+  EXPECT_NE(refusal.find("\"overloaded\""), std::string::npos);
+  first.Close();
+  Await([&] {
+    RawSocket again(server.Port());
+    again.Send(request);
+    return again.ReadUntil("\r\n\r\n").substr(9, 3) == "200";
+  });
+}
+
+TEST(HttpServer, HandsOverDecodedPathQueryHeadersAndBody)
+{
+  HttpRequest seen;
+  const HttpServer server(
+    "127.0.0.1", 0, SmallLimits(), [&](HttpRequest aRequest, auto aResponder) {
+      seen = aRequest;
+      Echo(std::move(aRequest), aResponder);
+    });
+  HttpClient client;
+  const auto reply = client.Fetch({ "PUT",
+                                    Url(server, "/a%20b/c+d?x=1%262&y=a+b&z"),
+                                    { { "x-team", "Pro Shop" } },
+                                    "body" });
+  EXPECT_EQ(reply.m_outcome, HttpOutcome::Answered);
+  EXPECT_EQ(reply.m_body, "body");
+  EXPECT_EQ(reply.m_headers.at("x-path"), "/a b/c+d");
+  EXPECT_EQ(seen.m_method, "PUT");
+  EXPECT_EQ(seen.m_query,
+            (HttpHeaders{ { "x", "1&2" }, { "y", "a b" }, { "z", "" } }));
+  EXPECT_EQ(seen.m_headers.at("x-team"), "Pro Shop");
+}
+
+TEST(HttpServer, StreamsAsWrittenAndMarksTheEnd)
+{
+  for (const bool whole : { true, false }) {
+    std::promise<std::shared_ptr<HttpResponder>> arrived;
+    const HttpServer server(
+      "127.0.0.1", 0, SmallLimits(), [&](const HttpRequest&, auto aResponder) {
+        arrived.set_value(aResponder);
+      });
+    HttpClient client;
+    std::mutex mutex;
+    std::string received;
+    std::promise<HttpReply> ended;
+    HttpClientRequest request{ "POST", Url(server, "/"), {}, "x" };
+    request.m_onBytes = [&](std::string_view aBytes) {
+      const std::lock_guard lock(mutex);
+      received += aBytes;
+      return true;
+    };
+    client.Start(request,
+                 [&](const HttpReply& aReply) { ended.set_value(aReply); });
+    const auto responder = arrived.get_future().get();
+    responder->BeginStream(200, { { "content-type", "text/event-stream" } });
+    std::string sent;
+    for (int i = 0; i < 50; ++i) {
+      sent += "data: " + std::to_string(i) + "\n\n";
+      EXPECT_TRUE(responder->Write("data: " + std::to_string(i) + "\n\n"));
+      // Each piece is on its way before the next is written.
+      Await([&] {
+        const std::lock_guard lock(mutex);
+        return received == sent;
+      });
+    }
+    whole ? responder->EndStream() : responder->Abort();
+    const auto reply = ended.get_future().get();
+    EXPECT_EQ(reply.m_outcome,
+              whole ? HttpOutcome::Answered : HttpOutcome::SentNoReply);
+    EXPECT_EQ(received, sent);
+    Await([&] { return server.InFlight() == 0; });
+  }
+}
+
+TEST(HttpServer, ReportsAHangUpOnce)
+{
+  for (const bool streaming : { true, false }) {
+    std::promise<std::shared_ptr<HttpResponder>> arrived;
+    const HttpServer server(
+      "127.0.0.1", 0, SmallLimits(), [&](const HttpRequest&, auto aResponder) {
+        arrived.set_value(aResponder);
+      });
+    RawSocket socket(server.Port());
+    socket.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    auto responder = arrived.get_future().get();
+    std::atomic<int> hangUps{ 0 };
+    responder->OnHangUp([&] { ++hangUps; });
+    if (streaming) {
+      responder->BeginStream(200, {});
+      responder->Write("a");
+      socket.ReadUntil("a\r\n");
+    }
+    EXPECT_EQ(hangUps, 0);
+    socket.Close();
+    Await([&] { return hangUps == 1; });
+    responder->OnHangUp([&] { ++hangUps; });
+    EXPECT_EQ(hangUps, 2);
+    EXPECT_FALSE(responder->Write("b"));
+    responder.reset();
+    Await([&] { return server.InFlight() == 0; });
+    EXPECT_EQ(hangUps, 2);
+  }
+}
+
+TEST(HttpServer, AnswersForAHandlerThatThrowsOrDropsItsResponder)
+{
+  const HttpServer server("127.0.0.1",
+                          0,
+                          SmallLimits(),
+                          [](const HttpRequest& aRequest, const auto&) {
+                            if (aRequest.m_path == "/refuse") {
+                              throw Error(Reason::Draining,
+                                          Verdict::NotRun,
+                                          "leaving",
+                                          milliseconds(1500));
+                            }
+                            if (aRequest.m_path == "/throw") {
+                              throw std::runtime_error("expected by the test");
+                            }
+                          });
+  HttpClient client;
+  struct Case
+  {
+    std::string m_path;
+    int m_status;
+    std::string m_verdict;
+  };
+  for (const auto& test : { Case{ "/refuse", 503, "not run" },
+                            Case{ "/throw", 500, "may have run" },
+                            Case{ "/drop", 500, "may have run" } }) {
+    SCOPED_TRACE(test.m_path);
+    const auto reply = client.Fetch({ "GET", Url(server, test.m_path) });
+    EXPECT_EQ(reply.m_status, test.m_status);
+    EXPECT_EQ(reply.m_headers.at(std::string(kVerdictHeader)), test.m_verdict);
+    EXPECT_EQ(reply.m_headers.count("retry-after"), test.m_path == "/refuse");
+  }
+}
+
+TEST(HttpServer, DrainsAndCanBeDestroyedWithRequestsWaiting)
+{
+  std::promise<std::shared_ptr<HttpResponder>> first;
+  std::promise<std::shared_ptr<HttpResponder>> second;
+  std::atomic<int> number{ 0 };
+  auto server = std::make_unique<HttpServer>(
+    "127.0.0.1", 0, SmallLimits(), [&](const HttpRequest&, auto aResponder) {
+      (number++ == 0 ? first : second).set_value(aResponder);
+    });
+  const auto url = Url(*server, "/");
+  HttpClient client;
+  std::promise<HttpReply> answered;
+  std::promise<HttpReply> cut;
+  client.Start({ "GET", url },
+               [&](auto aReply) { answered.set_value(aReply); });
+  const auto responder = first.get_future().get();
+  client.Start({ "GET", url }, [&](auto aReply) { cut.set_value(aReply); });
+  const auto waiting = second.get_future().get();
+  EXPECT_EQ(server->InFlight(), 2U);
+  server->StopListening();
+  EXPECT_EQ(HttpClient().Fetch({ "GET", url }).m_outcome, HttpOutcome::NotSent);
+  responder->Respond(200, {}, "late");
+  EXPECT_EQ(answered.get_future().get().m_body, "late");
+  server.reset();
+  EXPECT_EQ(cut.get_future().get().m_outcome, HttpOutcome::SentNoReply);
+  waiting->Respond(200, {}, "too late");
+  EXPECT_FALSE(waiting->Write("x"));
+}
+
+TEST(HttpServer, RefusesAnAddressThatIsTaken)
+{
+  const HttpServer server("127.0.0.1", 0, SmallLimits(), Echo);
+  EXPECT_THROW(HttpServer("127.0.0.1", server.Port(), SmallLimits(), Echo),
+               Error);
+  EXPECT_THROW(HttpServer("nowhere", 0, SmallLimits(), Echo), Error);
+}
+
+TEST(HttpClient, TellsHowFarARequestGot)
+{
+  struct Case
+  {
+    std::string m_name;
+    std::string m_answer; // then the connection is closed
+    HttpOutcome m_outcome;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const Case cases[] = {
+    { "whole", ok + "Content-Length: 2\r\n\r\nab", HttpOutcome::Answered },
+    { "empty", ok + "Content-Length: 0\r\n\r\n", HttpOutcome::Answered },
+    { "chunks",
+      ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+      HttpOutcome::Answered },
+    { "nothing", "", HttpOutcome::SentNoReply },
+    { "half a status", "HTTP/1.1 2", HttpOutcome::SentNoReply },
+    { "half the headers", ok + "Content-Le", HttpOutcome::SentNoReply },
+    { "short", ok + "Content-Length: 3\r\n\r\nab", HttpOutcome::SentNoReply },
+    { "no end marker",
+      ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+      HttpOutcome::SentNoReply },
+    { "bad chunk",
+      ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+      HttpOutcome::SentNoReply },
+    { "until close", ok + "\r\nab", HttpOutcome::SentNoReply },
+    { "not http", "220 mail\r\n", HttpOutcome::SentNoReply },
+  };
+  HttpClient client;
+  for (const auto& test : cases) {
+    SCOPED_TRACE(test.m_name);
+    RawServer server([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("body");
+      aSocket.Send(test.m_answer);
+    });
+    const auto reply =
+      client.Fetch({ "POST",
+                     "http://127.0.0.1:" + std::to_string(server.Port()) + "/",
+                     {},
+                     "body" });
+    EXPECT_EQ(reply.m_outcome, test.m_outcome) << reply.m_error;
+    EXPECT_EQ(reply.m_error.empty(), test.m_outcome == HttpOutcome::Answered);
+  }
+  for (const auto& url :
+       { "http://127.0.0.1:" + std::to_string(UnusedPort()) + "/",
+         std::string("ftp://127.0.0.1/"),
+         std::string("::"),
+         std::string() }) {
+    SCOPED_TRACE(url);
+    EXPECT_EQ(client.Fetch({ "POST", url, {}, "body" }).m_outcome,
+              HttpOutcome::NotSent);
+  }
+}
+
+TEST(HttpClient, NeverSendsAnUnsafeRequestTwice)
+{
+  // The first request of a connection is answered; the connection then dies
+  // under the second, after it was read.
+  for (const std::string body : { "body", "" }) {
+    for (const std::string method : { "POST", "PUT", "DELETE" }) {
+      SCOPED_TRACE(method);
+      SCOPED_TRACE(body);
+      std::atomic<int> received{ 0 };
+      RawServer server([&](RawSocket& aSocket, int) {
+        // A connection that carries nothing is no request.
+        if (aSocket.ReadUntil("\r\n\r\n" + body).empty()) {
+          return;
+        }
+        ++received;
+        aSocket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        if (!aSocket.ReadUntil("\r\n\r\n" + body).empty()) {
+          ++received;
+        }
+        aSocket.Reset();
+      });
+      HttpClient client;
+      const auto url =
+        "http://127.0.0.1:" + std::to_string(server.Port()) + "/";
+      EXPECT_EQ(client.Fetch({ method, url, {}, body }).m_outcome,
+                HttpOutcome::Answered);
+      EXPECT_EQ(client.Fetch({ method, url, {}, body }).m_outcome,
+                HttpOutcome::SentNoReply);
+      EXPECT_EQ(received, 2);
+    }
+  }
+}
+
+TEST(HttpClient, CancelsAndTimesOut)
+{
+  std::promise<void> arrived;
+  std::vector<std::shared_ptr<HttpResponder>> kept;
+  std::atomic<int> hangUps{ 0 };
+  HttpServerLimits limits;
+  limits.m_threads = 1;
+  const HttpServer server(
+    "127.0.0.1", 0, limits, [&](const HttpRequest&, auto aResponder) {
+      kept.push_back(aResponder);
+      aResponder->OnHangUp([&] { ++hangUps; });
+      if (kept.size() == 1) {
+        arrived.set_value();
+      }
+    });
+  std::promise<HttpReply> cancelled;
+  std::shared_ptr<HttpCall> call;
+  {
+    HttpClient client;
+    call = client.Start({ "POST", Url(server, "/"), {}, "x" },
+                        [&](auto aReply) { cancelled.set_value(aReply); });
+    arrived.get_future().wait();
+    call->Cancel();
+    EXPECT_EQ(cancelled.get_future().get().m_outcome, HttpOutcome::Cancelled);
+    HttpClientRequest slow{ "POST", Url(server, "/"), {}, "x" };
+    slow.m_timeout = milliseconds(50);
+    EXPECT_EQ(client.Fetch(slow).m_outcome, HttpOutcome::SentNoReply);
+    call->Cancel();
+  }
+  call->Cancel();
+  Await([&] { return hangUps == 2; });
+}
+
+TEST(HttpClient, AnswersEveryCallWhenDestroyed)
+{
+  const HttpServer server("127.0.0.1", 0, SmallLimits(), Echo);
+  std::atomic<int> answers{ 0 };
+  constexpr int kCalls = 200;
+  {
+    HttpClient client;
+    for (int i = 0; i < kCalls; ++i) {
+      client.Start({ "POST", Url(server, "/"), {}, "x" },
+                   [&](const HttpReply&) { ++answers; });
+    }
+  }
+  EXPECT_EQ(answers, kCalls);
+}
+
+TEST(Http, CarriesManyConcurrentRequestsToTheirOwnCallers)
+{
+  const HttpServer server("127.0.0.1", 0, HttpServerLimits(), Echo);
+  HttpClient client;
+  std::vector<std::future<HttpReply>> replies;
+  constexpr int kCalls = 2000;
+  for (int i = 0; i < kCalls; ++i) {
+    const auto promise = std::make_shared<std::promise<HttpReply>>();
+    replies.push_back(promise->get_future());
+    client.Start({ "POST", Url(server, "/"), {}, std::to_string(i) },
+                 [promise](auto aReply) { promise->set_value(aReply); });
+    if (i % 50 == 49) {
+      replies.back().wait();
+    }
+  }
+  for (int i = 0; i < kCalls; ++i) {
+    EXPECT_EQ(replies[i].get().m_body, std::to_string(i));
+  }
+}
+
+} // namespace
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/raw_socket.cpp
@@ -0,0 +1,173 @@
+#include "support/raw_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr timeval kReadGuard{ 10, 0 };
+
+void
+Check(bool aHolds, const char* aWhat)
+{
+  if (!aHolds) {
+    throw std::system_error(errno, std::generic_category(), aWhat);
+  }
+}
+
+sockaddr_in
+Loopback(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+int
+Bind()
+{
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto address = Loopback(0);
+  Check(bind(listener,
+             reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) == 0,
+        "bind");
+  return listener;
+}
+
+std::uint16_t
+BoundPort(int aSocket)
+{
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(aSocket, reinterpret_cast<sockaddr*>(&address), &length);
+  return ntohs(address.sin_port);
+}
+
+} // namespace
+
+RawSocket::RawSocket(std::uint16_t aPort)
+  : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  const auto address = Loopback(aPort);
+  Check(connect(m_socket,
+                reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) == 0,
+        "connect");
+}
+
+RawSocket
+RawSocket::Adopt(int aSocket)
+{
+  return RawSocket(Adopted{ aSocket });
+}
+
+RawSocket::~RawSocket()
+{
+  Close();
+}
+
+RawSocket::RawSocket(RawSocket&& aOther) noexcept
+  : m_socket(std::exchange(aOther.m_socket, -1))
+{
+}
+
+void
+RawSocket::Send(std::string_view aBytes)
+{
+  while (!aBytes.empty()) {
+    const auto sent =
+      send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    if (sent <= 0) {
+      return;
+    }
+    aBytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+}
+
+std::string
+RawSocket::ReadUntil(std::string_view aMark)
+{
+  setsockopt(
+    m_socket, SOL_SOCKET, SO_RCVTIMEO, &kReadGuard, sizeof(kReadGuard));
+  std::string text;
+  std::array<char, 4096> bytes{};
+  while (aMark.empty() || text.find(aMark) == std::string::npos) {
+    const auto size = recv(m_socket, bytes.data(), bytes.size(), 0);
+    if (size <= 0) {
+      break;
+    }
+    text.append(bytes.data(), static_cast<std::size_t>(size));
+  }
+  return text;
+}
+
+std::string
+RawSocket::ReadAll()
+{
+  return ReadUntil("");
+}
+
+void
+RawSocket::Close()
+{
+  if (m_socket >= 0) {
+    close(std::exchange(m_socket, -1));
+  }
+}
+
+void
+RawSocket::Reset()
+{
+  const linger hard{ 1, 0 };
+  setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+  Close();
+}
+
+RawServer::RawServer(Play aPlay)
+  : m_listener(Bind())
+  , m_port(BoundPort(m_listener))
+  , m_play(std::move(aPlay))
+{
+  constexpr int kBacklog = 16;
+  Check(listen(m_listener, kBacklog) == 0, "listen");
+  m_thread = std::thread([this] {
+    for (int number = 0;; ++number) {
+      const int accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (accepted < 0) {
+        return;
+      }
+      auto connection = RawSocket::Adopt(accepted);
+      m_play(connection, number);
+    }
+  });
+}
+
+RawServer::~RawServer()
+{
+  shutdown(m_listener, SHUT_RDWR);
+  m_thread.join();
+  close(m_listener);
+}
+
+std::uint16_t
+UnusedPort()
+{
+  const int listener = Bind();
+  const auto port = BoundPort(listener);
+  close(listener);
+  return port;
+}
+
+} // namespace siskindeal
