HTTP server: no aborts at the stop, and streams are watched for hang-ups

It is stopped only once no connection is left. - A stream begun before its handler returned wasn't watched for hang-ups.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,13 +1,8 @@
+#include "http/listener_p.h"
 #include "http/session_p.h"
 #include "siskindeal/http.h"
 
-#include <netdb.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <cerrno>
-#include <cstring>
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -15,69 +10,15 @@
 
 namespace {
 
-constexpr int kBacklog = 1024;
 // Connections over the limit that are still told so, a thread.
 constexpr std::size_t kRefusableConnections = 64;
 // The library parses headers, and sends, within this much memory a connection.
 constexpr std::size_t kLeastConnectionMemory = 64 << 10;
 
-using SessionHolder = std::shared_ptr<HttpSession>;
-
-struct SocketCloser
-{
-  int m_socket = -1;
-  ~SocketCloser()
-  {
-    if (m_socket >= 0) {
-      close(m_socket);
-    }
-  }
-};
-
-[[noreturn]] void
-RefuseAddress(const std::string& aHost, std::uint16_t aPort, const char* aWhy)
-{
-  throw Error(Reason::Unavailable,
-              Verdict::NotRun,
-              "can't listen on " + aHost + " port " + std::to_string(aPort) +
-                ": " + aWhy);
-}
-
-int
-Listen(const std::string& aHost, std::uint16_t aPort)
-{
-  addrinfo hints{};
-  hints.ai_flags = AI_NUMERICHOST | AI_PASSIVE;
-  hints.ai_socktype = SOCK_STREAM;
-  addrinfo* found = nullptr;
-  const auto port = std::to_string(aPort);
-  const int failure = getaddrinfo(aHost.c_str(), port.c_str(), &hints, &found);
-  if (failure != 0) {
-    RefuseAddress(aHost, aPort, gai_strerror(failure));
-  }
-  const std::unique_ptr<addrinfo, decltype(&freeaddrinfo)> address(
-    found, &freeaddrinfo);
-  SocketCloser closer{ socket(
-    address->ai_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0) };
-  const int on = 1;
-  setsockopt(closer.m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (bind(closer.m_socket, address->ai_addr, address->ai_addrlen) != 0 ||
-      listen(closer.m_socket, kBacklog) != 0) {
-    RefuseAddress(aHost, aPort, std::strerror(errno));
-  }
-  return std::exchange(closer.m_socket, -1);
-}
+constexpr std::chrono::seconds kLongestClose{ 5 };
+constexpr std::chrono::milliseconds kClosePoll{ 1 };
 
-std::uint16_t
-BoundPort(int aSocket)
-{
-  sockaddr_storage address{};
-  socklen_t length = sizeof(address);
-  getsockname(aSocket, reinterpret_cast<sockaddr*>(&address), &length);
-  return ntohs(address.ss_family == AF_INET6
-                 ? reinterpret_cast<sockaddr_in6*>(&address)->sin6_port
-                 : reinterpret_cast<sockaddr_in*>(&address)->sin_port);
-}
+using SessionHolder = std::shared_ptr<HttpSession>;
 
 void*
 OnTarget(void* aState, const char* aTarget, MHD_Connection*)
@@ -116,16 +57,21 @@
 
 void
 OnConnection(void* aState,
-             MHD_Connection*,
+             MHD_Connection* aConnection,
              void**,
              MHD_ConnectionNotificationCode aCode)
 {
   auto& state = *static_cast<std::shared_ptr<HttpServerState>*>(aState);
+  const int socket =
+    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+  const OrderedLock lock(state->m_mutex);
   if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
-    ++state->m_connections;
+    state->m_sockets.insert(socket);
   } else {
-    --state->m_connections;
+    state->m_sockets.erase(socket);
   }
+  state->m_connections = state->m_sockets.size();
 }
 
 } // namespace
@@ -138,16 +84,22 @@
        const HttpServerLimits& aLimits,
        HttpHandler aHandler)
     : m_state(std::make_shared<HttpServerState>())
+    , m_listener(aHost, aPort)
   {
     m_state->m_limits = aLimits;
     m_state->m_handler = std::move(aHandler);
-    SocketCloser closer{ Listen(aHost, aPort) };
-    m_port = BoundPort(closer.m_socket);
-    Start(closer.m_socket);
+    StartDaemon();
     if (m_daemon == nullptr) {
-      RefuseAddress(aHost, aPort, "the HTTP library refused to start");
+      throw Error(Reason::Unavailable,
+                  Verdict::NotRun,
+                  "the HTTP library refused to start");
     }
-    closer.m_socket = -1;
+    m_listener.Start([this](const AcceptedSocket& aAccepted) {
+      MHD_add_connection(m_daemon,
+                         aAccepted.m_socket,
+                         reinterpret_cast<const sockaddr*>(&aAccepted.m_peer),
+                         aAccepted.m_peerLength);
+    });
   }
 
   ~Impl()
@@ -157,6 +109,7 @@
     for (const auto& session : Sessions()) {
       session->CloseForStop();
     }
+    CloseConnections();
     MHD_stop_daemon(m_daemon);
     m_state->m_watcher.Stop();
   }
@@ -166,20 +119,16 @@
 
   void StopListening()
   {
-    if (m_state->m_draining.exchange(true)) {
-      return;
-    }
-    const int listener = MHD_quiesce_daemon(m_daemon);
-    if (listener >= 0) {
-      close(listener);
+    if (!m_state->m_draining.exchange(true)) {
+      m_listener.Stop();
     }
   }
 
-  std::uint16_t Port() const { return m_port; }
+  std::uint16_t Port() const { return m_listener.Port(); }
   std::size_t InFlight() const { return m_state->m_inFlight.load(); }
 
 private:
-  void Start(int aListener)
+  void StartDaemon()
   {
     const auto& limits = m_state->m_limits;
     const auto threads =
@@ -189,7 +138,6 @@
     const auto memory =
       std::max(kLeastConnectionMemory, limits.m_headerBytes * 4);
     std::vector<MHD_OptionItem> options = {
-      { MHD_OPTION_LISTEN_SOCKET, aListener, nullptr },
       { MHD_OPTION_CONNECTION_LIMIT, connections, nullptr },
       { MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         static_cast<std::intptr_t>(memory),
@@ -209,16 +157,17 @@
       options.push_back({ MHD_OPTION_THREAD_POOL_SIZE, threads, nullptr });
     }
     options.push_back({ MHD_OPTION_END, 0, nullptr });
-    m_daemon =
-      MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
-                       0,
-                       nullptr,
-                       nullptr,
-                       &OnAccess,
-                       nullptr,
-                       MHD_OPTION_ARRAY,
-                       options.data(),
-                       MHD_OPTION_END);
+    m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD |
+                                  MHD_ALLOW_SUSPEND_RESUME |
+                                  MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC,
+                                0,
+                                nullptr,
+                                nullptr,
+                                &OnAccess,
+                                nullptr,
+                                MHD_OPTION_ARRAY,
+                                options.data(),
+                                MHD_OPTION_END);
   }
 
   std::vector<std::shared_ptr<HttpSession>> Sessions()
@@ -227,9 +176,28 @@
     return { m_state->m_sessions.begin(), m_state->m_sessions.end() };
   }
 
+  // A malformed request that arrives while the library stops makes it use a
+  // response it doesn't have; so it is stopped without connections.
+  void CloseConnections()
+  {
+    {
+      const OrderedLock lock(m_state->m_mutex);
+      for (const int socket : m_state->m_sockets) {
+        shutdown(socket, SHUT_RDWR);
+      }
+    }
+    const auto end = std::chrono::steady_clock::now() + kLongestClose;
+    while (m_state->m_connections > 0 &&
+           std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(kClosePoll);
+    }
+  }
+
   std::shared_ptr<HttpServerState> m_state;
   MHD_Daemon* m_daemon = nullptr;
-  std::uint16_t m_port = 0;
+  // The library's own quiesce call races with its threads, which then abort; so
+  // connections are accepted here and handed over.
+  Listener m_listener;
 };
 
 HttpServer::HttpServer(const std::string& aHost,
--- a/src/http/session_answer.cpp
+++ b/src/http/session_answer.cpp
@@ -99,35 +99,31 @@
 MHD_Result
 HttpSession::SendOrSuspend(MHD_Connection* aConnection)
 {
-  bool watched = m_watch != 0;
+  if (m_watch == 0 && !IsAnswered()) {
+    m_watch = m_state->m_watcher.Watch(
+      Socket(aConnection),
+      [self = shared_from_this()] { self->ReportHangUp(); });
+  }
   MHD_Response* response = nullptr;
   int status = 0;
-  while (response == nullptr) {
-    {
-      const OrderedLock lock(m_mutex);
-      if (m_stage == Stage::Aborted) {
-        return MHD_NO;
-      }
-      if (m_stage == Stage::Streaming || m_stage == Stage::Ended) {
-        response = MakeStream();
-      } else if (m_stage == Stage::Answered) {
-        response = std::exchange(m_response, nullptr);
-      }
-      status = m_status;
-      if (response == nullptr && m_state->m_stopping) {
-        return MHD_NO;
-      }
-      if (response == nullptr && watched) {
-        m_suspended = true;
-        MHD_suspend_connection(aConnection);
-        return MHD_YES;
-      }
+  {
+    const OrderedLock lock(m_mutex);
+    if (m_stage == Stage::Aborted) {
+      return MHD_NO;
     }
+    if (m_stage == Stage::Streaming || m_stage == Stage::Ended) {
+      response = MakeStream();
+    } else if (m_stage == Stage::Answered) {
+      response = std::exchange(m_response, nullptr);
+    }
+    status = m_status;
     if (response == nullptr) {
-      m_watch = m_state->m_watcher.Watch(
-        Socket(aConnection),
-        [self = shared_from_this()] { self->ReportHangUp(); });
-      watched = true;
+      if (m_state->m_stopping) {
+        return MHD_NO;
+      }
+      m_suspended = true;
+      MHD_suspend_connection(aConnection);
+      return MHD_YES;
     }
   }
   if (m_state->m_draining) {
@@ -138,6 +134,13 @@
   return result;
 }
 
+bool
+HttpSession::IsAnswered() const
+{
+  const OrderedLock lock(m_mutex);
+  return m_stage == Stage::Answered || m_stage == Stage::Ended;
+}
+
 MHD_Response*
 HttpSession::MakeStream()
 {
--- a/src/http/session_p.h
+++ b/src/http/session_p.h
@@ -33,6 +33,7 @@
   OrderedMutex m_mutex{ LockLevel::Transport };
   absl::flat_hash_set<std::shared_ptr<HttpSession>> m_sessions
     ABSL_GUARDED_BY(m_mutex);
+  absl::flat_hash_set<int> m_sockets ABSL_GUARDED_BY(m_mutex);
 };
 
 class HttpSession : public std::enable_shared_from_this<HttpSession>
@@ -93,6 +94,7 @@
   MHD_Result Refuse(MHD_Connection* aConnection, const Error& aError);
   MHD_Response* MakeStream() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void CheckHeaders(MHD_Connection* aConnection, const std::string& aVersion);
+  bool IsAnswered() const;
   void ReportHangUp();
   void Wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   ssize_t Read(char* aBuffer, std::size_t aMost);
