Stand-ins for the platform, the weight store, engines and services

Tests, benchmarks and the demo need the systems that siskindeal talks to. Each is a class that listens on a free port and takes faults by direct call or over POST /standin/faults; the program standin runs one as a process.

--- /dev/null
+++ b/examples/standin/engine.h
@@ -0,0 +1,146 @@
+#pragma once
+// A stand-in for a model engine: batches continuously, streams tokens, keeps
+// staged weights and loads them on order. Each token of an answer names the
+// content of the weights that made it, so that mixed weights show.
+
+#include "standin/stand_in.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+
+namespace siskindeal::standin {
+
+struct EngineOptions
+{
+  StandInOptions m_standIn;
+  int m_slots = 16;
+  int m_mostWaiting = 64;
+  std::chrono::milliseconds m_prefill{ 10 }; // not for a cached prefix
+  std::chrono::milliseconds m_token{ 2 };
+  std::chrono::milliseconds m_loadTime{ 50 }; // of loading weights
+  std::chrono::milliseconds m_reportLag{ 500 };
+  std::chrono::milliseconds m_eventLag{ 500 };
+  int m_eventGap = 7;                // every how many-th event is lost
+  std::size_t m_cachedPrefixes = 64; // in its limited memory
+  std::uint64_t m_linkBytesPerSecond =
+    0; // staging, and requests; 0: not shaped
+  bool m_checksFencing = true;
+};
+
+struct EngineCounts
+{
+  std::uint64_t m_answers = 0;
+  std::uint64_t m_cancelled = 0;
+  std::uint64_t m_cacheHits = 0;
+  std::uint64_t m_staleOrders = 0;
+  std::uint64_t m_linkBytes = 0;
+  int m_mostRunning = 0;
+};
+
+// The text an engine answers with aTokens tokens to aPrompt from weights whose
+// bytes have the SHA-256 aContent.
+std::string
+ExpectedText(const std::string& aContent,
+             const std::string& aPrompt,
+             int aTokens);
+
+class EngineStandIn final : public StandIn
+{
+public:
+  explicit EngineStandIn(EngineOptions aOptions);
+  ~EngineStandIn() override;
+
+  EngineCounts Counts();
+  // Manifest digest to SHA-256 of the bytes loaded under it.
+  std::map<std::string, std::string> Loaded();
+  // As a new VM has it: for tests that need no rollout.
+  void SetLoaded(const std::string& aDigest, const std::string& aContent);
+  // Executions by the text of the last message.
+  std::map<std::string, int> Executions();
+
+protected:
+  void Handle(HttpRequest aRequest, const Responder& aResponder) override;
+  void OnCrash() override;
+
+private:
+  struct Chat
+  {
+    std::uint64_t m_number = 0;
+    std::string m_id;
+    std::int64_t m_priority = 0;
+    Responder m_responder;
+    std::string m_digest;
+    std::string m_content;
+    std::string m_model;
+    std::string m_prompt;
+    std::string m_prefixHash;
+    bool m_stream = false;
+    int m_tokens = 0;
+    int m_sent = 0;
+  };
+  using ChatPointer = std::shared_ptr<Chat>;
+  struct LoadReport
+  {
+    Time m_time;
+    int m_running = 0;
+    int m_waiting = 0;
+  };
+  struct CacheEvent
+  {
+    Time m_time;
+    std::uint64_t m_sequence = 0;
+    std::string m_prefixHash;
+    bool m_evicted = false;
+  };
+
+  // engine_chat.cpp
+  void HandleChat(const HttpRequest& aRequest, const Responder& aResponder);
+  void Enqueue(const ChatPointer& aChat);
+  void Cancel(std::uint64_t aNumber);
+  void StartNext();
+  void Step(const ChatPointer& aChat);
+  void FinishChat(const ChatPointer& aChat);
+  bool TouchPrefix(const std::string& aHash)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  void AddEvent(const std::string& aHash, bool aEvicted)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  void Report() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  void HandleLoad(const Responder& aResponder);
+  void HandleEvents(const HttpRequest& aRequest, const Responder& aResponder);
+  void HandleCancel(const HttpRequest& aRequest, const Responder& aResponder);
+  void HandleKv(const HttpRequest& aRequest, const Responder& aResponder);
+
+  // engine_weights.cpp
+  void HandleStaging(const HttpRequest& aRequest,
+                     const std::string& aPath,
+                     const Responder& aResponder);
+  void HandleOrder(const HttpRequest& aRequest, const Responder& aResponder);
+  void Load(const nlohmann::json& aOrder, const Responder& aResponder);
+  void AnswerLoaded(const Responder& aResponder, const std::string& aContent);
+  void HandleState(const Responder& aResponder);
+  void HandleAdmin(const HttpRequest& aRequest, const Responder& aResponder);
+
+  const EngineOptions m_options;
+  const std::shared_ptr<Link> m_link;
+  absl::Mutex m_mutex;
+  std::uint64_t m_lastNumber ABSL_GUARDED_BY(m_mutex) = 0;
+  std::map<std::uint64_t, ChatPointer> m_running ABSL_GUARDED_BY(m_mutex);
+  std::list<ChatPointer> m_waiting ABSL_GUARDED_BY(m_mutex);
+  std::deque<LoadReport> m_reports ABSL_GUARDED_BY(m_mutex);
+  std::list<std::string> m_prefixes ABSL_GUARDED_BY(m_mutex); // newest first
+  std::deque<CacheEvent> m_events ABSL_GUARDED_BY(m_mutex);
+  std::uint64_t m_lastEvent ABSL_GUARDED_BY(m_mutex) = 0;
+  std::map<std::string, std::string> m_sessions ABSL_GUARDED_BY(m_mutex);
+  std::map<std::string, std::map<std::uint64_t, std::string>> m_staged
+    ABSL_GUARDED_BY(m_mutex);
+  std::map<std::string, std::string> m_loaded ABSL_GUARDED_BY(m_mutex);
+  std::string m_newest ABSL_GUARDED_BY(m_mutex);
+  std::uint64_t m_fencingToken ABSL_GUARDED_BY(m_mutex) = 0;
+  std::map<std::string, int> m_executions ABSL_GUARDED_BY(m_mutex);
+  EngineCounts m_counts ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace siskindeal::standin
--- /dev/null
+++ b/examples/standin/main.cpp
@@ -0,0 +1,115 @@
+// The stand-ins as programs, for the demo and for tests over real processes.
+
+#include "standin/engine.h"
+#include "standin/platform.h"
+#include "standin/service.h"
+#include "standin/store.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <functional>
+#include <iostream>
+
+namespace {
+
+using namespace siskindeal::standin;
+
+void
+AddOptions(cxxopts::Options& aOptions)
+{
+  auto add = aOptions.add_options();
+  add("role",
+      "platform, store, engine or service",
+      cxxopts::value<std::string>());
+  add("host", "IP", cxxopts::value<std::string>()->default_value("127.0.0.1"));
+  add(
+    "port", "0 picks one", cxxopts::value<std::uint16_t>()->default_value("0"));
+  add("directory",
+      "store: where files to publish are",
+      cxxopts::value<std::string>()->default_value("."));
+  add("rate",
+      "store, engine: bytes a second of the link; 0: not shaped",
+      cxxopts::value<std::uint64_t>()->default_value("0"));
+  add("slots", "engine", cxxopts::value<int>()->default_value("16"));
+  add("token-ms", "engine", cxxopts::value<int>()->default_value("2"));
+  add("ignores-fencing", "engine: takes orders with old fencing numbers");
+  add("work-ms",
+      "service: of a request",
+      cxxopts::value<int>()->default_value("1"));
+  add("vm-lag-ms", "platform", cxxopts::value<int>()->default_value("2000"));
+  aOptions.parse_positional("role");
+}
+
+StandInOptions
+Common(const cxxopts::ParseResult& aParsed)
+{
+  StandInOptions options;
+  options.m_host = aParsed["host"].as<std::string>();
+  options.m_port = aParsed["port"].as<std::uint16_t>();
+  options.m_exitOnCrash = true;
+  return options;
+}
+
+std::unique_ptr<StandIn>
+Make(const cxxopts::ParseResult& aParsed)
+{
+  const auto millis = [&](const char* aName) {
+    return std::chrono::milliseconds(aParsed[aName].as<int>());
+  };
+  const auto role = aParsed["role"].as<std::string>();
+  if (role == "platform") {
+    PlatformOptions options;
+    options.m_standIn = Common(aParsed);
+    options.m_vmLag = millis("vm-lag-ms");
+    return std::make_unique<PlatformStandIn>(options);
+  }
+  if (role == "store") {
+    StoreOptions options;
+    options.m_standIn = Common(aParsed);
+    options.m_directory = aParsed["directory"].as<std::string>();
+    options.m_bytesPerSecond = aParsed["rate"].as<std::uint64_t>();
+    return std::make_unique<StoreStandIn>(options);
+  }
+  if (role == "engine") {
+    EngineOptions options;
+    options.m_standIn = Common(aParsed);
+    options.m_slots = aParsed["slots"].as<int>();
+    options.m_token = millis("token-ms");
+    options.m_linkBytesPerSecond = aParsed["rate"].as<std::uint64_t>();
+    options.m_checksFencing = aParsed.count("ignores-fencing") == 0;
+    return std::make_unique<EngineStandIn>(options);
+  }
+  if (role == "service") {
+    ServiceOptions options;
+    options.m_standIn = Common(aParsed);
+    options.m_work = millis("work-ms");
+    return std::make_unique<ServiceStandIn>(options);
+  }
+  throw std::invalid_argument("no role \"" + role + "\"");
+}
+
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  try {
+    cxxopts::Options options("standin", "Stands in for what siskindeal uses.");
+    AddOptions(options);
+    const auto parsed = options.parse(aArgc, aArgv);
+    const auto standIn = Make(parsed);
+    std::cout << "listening on " << standIn->Port() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return 0;
+  } catch (const std::exception& failure) {
+    std::cerr << "standin: " << failure.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/examples/standin/platform.cpp
@@ -0,0 +1,387 @@
+#include "standin/platform.h"
+
+#include "siskindeal/digest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace siskindeal::standin {
+
+namespace {
+
+constexpr std::size_t kValueBytes = 1 << 20;
+constexpr std::chrono::milliseconds kRetryAfter{ 100 };
+constexpr std::chrono::milliseconds kLongestWatch{ 60000 };
+
+bool
+HasPrefix(const std::string& aText, const std::string& aPrefix)
+{
+  return aText.rfind(aPrefix, 0) == 0;
+}
+
+} // namespace
+
+PlatformStandIn::PlatformStandIn(PlatformOptions aOptions)
+  : StandIn(aOptions.m_standIn)
+  , m_options(std::move(aOptions))
+{
+  Start();
+}
+
+PlatformStandIn::~PlatformStandIn()
+{
+  Stop();
+}
+
+void
+PlatformStandIn::Handle(HttpRequest aRequest, const Responder& aResponder)
+{
+  if (After(aRequest.m_path, "/standin/")) {
+    HandleAdmin(aRequest, aResponder);
+    return;
+  }
+  if (!Afford(aRequest.m_method != "GET")) {
+    AnswerRetry(aResponder, 429, kRetryAfter);
+    return;
+  }
+  if (const auto key = After(aRequest.m_path, "/v1/objects/")) {
+    HandleObject(aRequest, *key, aResponder);
+  } else if (aRequest.m_path == "/v1/objects") {
+    List(aRequest, aResponder);
+  } else if (aRequest.m_path == "/v1/watch") {
+    Watch(aRequest, aResponder);
+  } else if (aRequest.m_path == "/v1/vms") {
+    ListVms(aResponder);
+  } else {
+    AnswerError(aResponder, 404, "not_found");
+  }
+}
+
+bool
+PlatformStandIn::Afford(bool aWrite)
+{
+  const absl::MutexLock lock(&m_mutex);
+  const double rate =
+    aWrite ? m_options.m_writesPerSecond : m_options.m_readsPerSecond;
+  auto& bucket = aWrite ? m_writes : m_reads;
+  const auto now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> passed = now - bucket.m_filled;
+  bucket.m_tokens = std::min(rate, bucket.m_tokens + passed.count() * rate);
+  bucket.m_filled = now;
+  if (bucket.m_tokens < 1) {
+    ++m_counts.m_refused;
+    return false;
+  }
+  bucket.m_tokens -= 1;
+  ++(aWrite ? m_counts.m_writes : m_counts.m_reads);
+  return true;
+}
+
+nlohmann::json
+PlatformStandIn::ToJson(const std::string& aKey, const Object& aObject)
+{
+  return { { "key", aKey },
+           { "version", aObject.m_version },
+           { "value", aObject.m_value },
+           { "change_id", aObject.m_changeId },
+           { "deleted", aObject.m_deleted } };
+}
+
+void
+PlatformStandIn::HandleObject(const HttpRequest& aRequest,
+                              const std::string& aKey,
+                              const Responder& aResponder)
+{
+  if (aRequest.m_method != "GET") {
+    Write(aRequest, aKey, aResponder);
+    return;
+  }
+  nlohmann::json found;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    const auto object = m_objects.find(aKey);
+    if (object != m_objects.end() && !object->second.m_deleted) {
+      found = ToJson(aKey, object->second);
+    }
+  }
+  if (found.is_null()) {
+    AnswerError(aResponder, 404, "not_found");
+  } else {
+    Answer(aResponder, 200, found);
+  }
+}
+
+void
+PlatformStandIn::Write(const HttpRequest& aRequest,
+                       const std::string& aKey,
+                       const Responder& aResponder)
+{
+  const bool deletes = aRequest.m_method == "DELETE";
+  const auto changeId = Text(aRequest.m_headers, "x-change-id");
+  if (aRequest.m_query.count("expect") == 0 || changeId.empty() ||
+      (!deletes && aRequest.m_method != "PUT")) {
+    AnswerError(aResponder, 400, "bad_request");
+    return;
+  }
+  if (aRequest.m_body.size() > kValueBytes) {
+    AnswerError(aResponder, 413, "too_large");
+    return;
+  }
+  const auto expected = Number(aRequest.m_query, "expect", ~std::uint64_t{ 0 });
+  Object object;
+  bool conflict = false;
+  bool missing = false;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_objects.find(aKey);
+    if (found != m_objects.end()) {
+      object = found->second;
+    }
+    const bool exists = object.m_version > 0 && !object.m_deleted;
+    const bool matches =
+      object.m_version == expected || (!exists && expected == 0);
+    conflict = !matches;
+    missing = deletes && !exists;
+  }
+  if (missing) {
+    AnswerError(aResponder, 404, "not_found");
+    return;
+  }
+  if (conflict) {
+    Answer(aResponder, 409, ToJson(aKey, object));
+    return;
+  }
+  object = { object.m_version + 1,
+             deletes ? std::string() : aRequest.m_body,
+             changeId,
+             deletes };
+  // One server thread handles every write, so nothing came between.
+  Commit(aKey, object);
+  Answer(aResponder, 200, ToJson(aKey, object));
+}
+
+void
+PlatformStandIn::Commit(const std::string& aKey, Object aObject)
+{
+  std::vector<std::pair<Responder, nlohmann::json>> answers;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_objects[aKey] = aObject;
+    m_history.push_back({ ++m_revision, aKey, std::move(aObject) });
+    while (m_history.size() > m_options.m_history) {
+      m_history.pop_front();
+    }
+    for (auto watcher = m_watchers.begin(); watcher != m_watchers.end();) {
+      if (HasPrefix(aKey, watcher->m_prefix)) {
+        answers.emplace_back(watcher->m_responder,
+                             ChangesAfter(watcher->m_prefix, watcher->m_after));
+        watcher = m_watchers.erase(watcher);
+      } else {
+        ++watcher;
+      }
+    }
+  }
+  for (const auto& [responder, changes] : answers) {
+    Answer(responder, 200, changes);
+  }
+}
+
+nlohmann::json
+PlatformStandIn::ChangesAfter(const std::string& aPrefix, std::uint64_t aAfter)
+{
+  // Only the last change of a key is told, at its place in time.
+  std::map<std::string, std::uint64_t> last;
+  for (const auto& change : m_history) {
+    last[change.m_key] = change.m_revision;
+  }
+  auto objects = nlohmann::json::array();
+  for (const auto& change : m_history) {
+    if (change.m_revision > aAfter && HasPrefix(change.m_key, aPrefix) &&
+        last[change.m_key] == change.m_revision) {
+      objects.push_back(ToJson(change.m_key, change.m_object));
+    }
+  }
+  return { { "revision", m_revision }, { "objects", std::move(objects) } };
+}
+
+void
+PlatformStandIn::List(const HttpRequest& aRequest, const Responder& aResponder)
+{
+  const auto prefix = Text(aRequest.m_query, "prefix");
+  nlohmann::json answer;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    auto objects = nlohmann::json::array();
+    for (const auto& [key, object] : m_objects) {
+      if (HasPrefix(key, prefix) && !object.m_deleted) {
+        objects.push_back(ToJson(key, object));
+      }
+    }
+    answer = { { "revision", m_revision }, { "objects", std::move(objects) } };
+  }
+  Answer(aResponder, 200, answer);
+}
+
+void
+PlatformStandIn::Watch(const HttpRequest& aRequest, const Responder& aResponder)
+{
+  const auto prefix = Text(aRequest.m_query, "prefix");
+  const auto after = Number(aRequest.m_query, "after", 0);
+  const auto wait =
+    std::min(kLongestWatch,
+             std::chrono::milliseconds(Number(aRequest.m_query, "wait_ms", 0)));
+  const bool gap = GetFaults().Take("watch_gap", aRequest).has_value();
+  nlohmann::json changes;
+  bool compacted = false;
+  std::uint64_t id = 0;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    compacted =
+      gap || after > m_revision ||
+      (!m_history.empty() && after + 1 < m_history.front().m_revision);
+    if (!compacted) {
+      changes = ChangesAfter(prefix, after);
+      if (changes["objects"].empty() && wait.count() > 0) {
+        id = ++m_lastWatcher;
+        m_watchers.push_back({ id, prefix, after, aResponder });
+      }
+    }
+  }
+  if (compacted) {
+    AnswerError(aResponder, 410, "compacted");
+    return;
+  }
+  if (id == 0) {
+    Answer(aResponder, 200, changes);
+    return;
+  }
+  GetScheduler().After(wait, [this, id] {
+    Responder responder;
+    nlohmann::json none;
+    {
+      const absl::MutexLock lock(&m_mutex);
+      const auto found = std::find_if(
+        m_watchers.begin(), m_watchers.end(), [id](const auto& aWatcher) {
+          return aWatcher.m_id == id;
+        });
+      if (found == m_watchers.end()) {
+        return;
+      }
+      responder = found->m_responder;
+      none = ChangesAfter(found->m_prefix, found->m_after);
+      m_watchers.erase(found);
+    }
+    Answer(responder, 200, none);
+  });
+}
+
+void
+PlatformStandIn::ListVms(const Responder& aResponder)
+{
+  auto vms = nlohmann::json::array();
+  {
+    const absl::MutexLock lock(&m_mutex);
+    for (const auto& [name, vm] : m_vms) {
+      vms.push_back({ { "vm", name },
+                      { "place", vm.m_place },
+                      { "service", vm.m_service },
+                      { "rpc", vm.m_rpc },
+                      { "leaving", vm.m_leaving } });
+    }
+  }
+  Answer(aResponder, 200, { { "vms", std::move(vms) } });
+}
+
+void
+PlatformStandIn::HandleAdmin(const HttpRequest& aRequest,
+                             const Responder& aResponder)
+{
+  const auto vm = After(aRequest.m_path, "/standin/vms/");
+  if (vm && aRequest.m_method == "DELETE") {
+    RemoveVm(*vm);
+  } else if (vm && aRequest.m_method == "PUT") {
+    const auto body = nlohmann::json::parse(aRequest.m_body);
+    SetVm({ *vm,
+            body.value("place", ""),
+            body.value("service", ""),
+            body.value("rpc", ""),
+            body.value("leaving", false) },
+          aRequest.m_query.count("at_once") != 0);
+  } else if (const auto key = After(aRequest.m_path, "/standin/objects/")) {
+    SetObject(*key, aRequest.m_body);
+  } else if (aRequest.m_path == "/standin/stats") {
+    const auto counts = Counts();
+    Answer(aResponder,
+           200,
+           { { "reads", counts.m_reads },
+             { "writes", counts.m_writes },
+             { "refused", counts.m_refused } });
+    return;
+  } else {
+    AnswerError(aResponder, 404, "not_found");
+    return;
+  }
+  Answer(aResponder, 200, { { "ok", true } });
+}
+
+void
+PlatformStandIn::SetObject(const std::string& aKey, const std::string& aValue)
+{
+  Object object;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_objects.find(aKey);
+    object.m_version =
+      found == m_objects.end() ? 1 : found->second.m_version + 1;
+  }
+  object.m_value = aValue;
+  object.m_changeId = NewId();
+  Commit(aKey, std::move(object));
+}
+
+std::string
+PlatformStandIn::ObjectValue(const std::string& aKey)
+{
+  const absl::MutexLock lock(&m_mutex);
+  const auto found = m_objects.find(aKey);
+  return found == m_objects.end() ? std::string() : found->second.m_value;
+}
+
+void
+PlatformStandIn::SetVm(const PlatformVm& aVm, bool aAtOnce)
+{
+  const auto apply = [this, aVm] {
+    const absl::MutexLock lock(&m_mutex);
+    m_vms[aVm.m_vm] = aVm;
+  };
+  if (aAtOnce) {
+    apply();
+  } else {
+    GetScheduler().After(m_options.m_vmLag, apply);
+  }
+}
+
+void
+PlatformStandIn::RemoveVm(const std::string& aVm, bool aAtOnce)
+{
+  const auto apply = [this, aVm] {
+    const absl::MutexLock lock(&m_mutex);
+    m_vms.erase(aVm);
+  };
+  if (aAtOnce) {
+    apply();
+  } else {
+    GetScheduler().After(m_options.m_vmLag, apply);
+  }
+}
+
+PlatformCounts
+PlatformStandIn::Counts()
+{
+  const absl::MutexLock lock(&m_mutex);
+  return m_counts;
+}
+
+} // namespace siskindeal::standin
--- /dev/null
+++ b/examples/standin/stand_in.cpp
@@ -0,0 +1,415 @@
+#include "standin/stand_in.h"
+
+#include "siskindeal/error.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/string_view.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace siskindeal::standin {
+
+namespace {
+
+constexpr std::size_t kBodyBytes = 64 << 20;
+constexpr std::size_t kConnections = 4096;
+constexpr int kCrashExitStatus = 70;
+constexpr std::chrono::milliseconds kRetryAfter{ 200 };
+
+std::chrono::milliseconds
+Millis(const std::string& aText)
+{
+  std::int64_t millis = 0;
+  return std::chrono::milliseconds(absl::SimpleAtoi(aText, &millis) ? millis
+                                                                    : 0);
+}
+
+// An answer that is lost, cut or late.
+class FaultyResponder final : public HttpResponder
+{
+public:
+  enum class Kind
+  {
+    Lost,
+    Truncated,
+    Late,
+  };
+
+  FaultyResponder(Responder aInner,
+                  Kind aKind,
+                  std::chrono::milliseconds aDelay,
+                  Scheduler& aScheduler)
+    : m_inner(std::move(aInner))
+    , m_kind(aKind)
+    , m_delay(aDelay)
+    , m_scheduler(aScheduler)
+  {
+  }
+
+  void Respond(int aStatus, HttpHeaders aHeaders, std::string aBody) override
+  {
+    switch (m_kind) {
+      case Kind::Lost:
+        m_inner->Abort();
+        return;
+      case Kind::Truncated:
+        m_inner->BeginStream(aStatus, std::move(aHeaders));
+        m_inner->Write(aBody.substr(0, aBody.size() / 2));
+        CutSoon();
+        return;
+      case Kind::Late:
+        m_scheduler.After(m_delay,
+                          [inner = m_inner,
+                           aStatus,
+                           headers = std::move(aHeaders),
+                           body = std::move(aBody)]() mutable {
+                            inner->Respond(
+                              aStatus, std::move(headers), std::move(body));
+                          });
+        return;
+    }
+  }
+
+  void BeginStream(int aStatus, HttpHeaders aHeaders) override
+  {
+    if (m_kind == Kind::Lost) {
+      m_inner->Abort();
+      return;
+    }
+    m_inner->BeginStream(aStatus, std::move(aHeaders));
+  }
+
+  bool Write(std::string_view aBytes) override
+  {
+    constexpr int kPiecesBeforeCut = 3;
+    if (m_kind == Kind::Truncated && ++m_pieces > kPiecesBeforeCut) {
+      CutSoon();
+      return true;
+    }
+    return m_inner->Write(aBytes);
+  }
+
+  void EndStream() override
+  {
+    if (m_kind == Kind::Truncated) {
+      CutSoon();
+    } else {
+      m_inner->EndStream();
+    }
+  }
+
+  void Abort() override { m_inner->Abort(); }
+  void OnHangUp(std::function<void()> aTask) override
+  {
+    m_inner->OnHangUp(std::move(aTask));
+  }
+  std::size_t Buffered() const override { return m_inner->Buffered(); }
+
+private:
+  // Lets what was written go out first.
+  void CutSoon()
+  {
+    constexpr std::chrono::milliseconds kFlush{ 30 };
+    m_scheduler.After(kFlush, [inner = m_inner] { inner->Abort(); });
+  }
+
+  const Responder m_inner;
+  const Kind m_kind;
+  const std::chrono::milliseconds m_delay;
+  Scheduler& m_scheduler;
+  int m_pieces = 0;
+};
+
+} // namespace
+
+void
+Faults::Set(const std::string& aName, Fault aFault)
+{
+  const absl::MutexLock lock(&m_mutex);
+  m_faults[aName] = std::move(aFault);
+}
+
+void
+Faults::Clear(const std::string& aName)
+{
+  const absl::MutexLock lock(&m_mutex);
+  m_faults.erase(aName);
+}
+
+Fault*
+Faults::Find(const std::string& aName, const HttpRequest& aRequest)
+{
+  const auto found = m_faults.find(aName);
+  if (found == m_faults.end() || found->second.m_times == 0) {
+    return nullptr;
+  }
+  auto& fault = found->second;
+  const bool otherClient =
+    !fault.m_client.empty() &&
+    Text(aRequest.m_headers, "x-siskindeal-vm") != fault.m_client;
+  const bool otherPath = aRequest.m_path.rfind(fault.m_pathPrefix, 0) != 0;
+  return otherClient || otherPath ? nullptr : &fault;
+}
+
+std::optional<std::string>
+Faults::Take(const std::string& aName, const HttpRequest& aRequest)
+{
+  const absl::MutexLock lock(&m_mutex);
+  auto* const fault = Find(aName, aRequest);
+  if (fault == nullptr) {
+    return std::nullopt;
+  }
+  if (fault->m_times > 0) {
+    --fault->m_times;
+  }
+  return fault->m_value;
+}
+
+bool
+Faults::TakeOnBody(const std::string& aName, const HttpRequest& aRequest)
+{
+  const absl::MutexLock lock(&m_mutex);
+  auto* const fault = Find(aName, aRequest);
+  if (fault == nullptr ||
+      aRequest.m_body.find(fault->m_value) == std::string::npos) {
+    return false;
+  }
+  if (fault->m_times > 0) {
+    --fault->m_times;
+  }
+  return true;
+}
+
+std::optional<std::string>
+Faults::Take(const std::string& aName)
+{
+  return Take(aName, HttpRequest());
+}
+
+StandIn::StandIn(StandInOptions aOptions)
+  : m_options(std::move(aOptions))
+{
+}
+
+StandIn::~StandIn() = default;
+
+void
+StandIn::Start()
+{
+  HttpServerLimits limits;
+  limits.m_bodyBytes = kBodyBytes;
+  limits.m_connections = kConnections;
+  limits.m_threads = 1;
+  m_server = std::make_unique<HttpServer>(
+    m_options.m_host,
+    m_options.m_port,
+    limits,
+    [this](HttpRequest aRequest, Responder aResponder) {
+      OnRequest(std::move(aRequest), std::move(aResponder));
+    });
+}
+
+void
+StandIn::Stop()
+{
+  m_scheduler.Stop();
+  m_server.reset();
+  const absl::MutexLock lock(&m_mutex);
+  m_frozen.clear();
+}
+
+std::uint16_t
+StandIn::Port() const
+{
+  return m_server->Port();
+}
+
+std::string
+StandIn::Url() const
+{
+  return "http://" + m_options.m_host + ":" + std::to_string(Port());
+}
+
+void
+StandIn::Unfreeze()
+{
+  m_faults.Clear("freeze");
+  std::vector<std::pair<HttpRequest, Responder>> frozen;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    frozen.swap(m_frozen);
+  }
+  for (auto& [request, responder] : frozen) {
+    OnRequest(std::move(request), std::move(responder));
+  }
+}
+
+void
+StandIn::OnRequest(HttpRequest aRequest, Responder aResponder)
+{
+  if (aRequest.m_path == "/standin/faults") {
+    OnFaultRequest(aRequest, aResponder);
+    return;
+  }
+  if (After(aRequest.m_path, "/standin/").has_value()) {
+    Handle(std::move(aRequest), aResponder);
+    return;
+  }
+  if (m_faults.Take("freeze", aRequest)) {
+    const absl::MutexLock lock(&m_mutex);
+    m_frozen.emplace_back(std::move(aRequest), std::move(aResponder));
+    return;
+  }
+  if (m_faults.Take("outage", aRequest)) {
+    AnswerRetry(aResponder, 503, kRetryAfter);
+  } else if (m_faults.Take("refuse", aRequest)) {
+    AnswerRetry(aResponder, 429, kRetryAfter);
+  } else if (m_faults.Take("reset", aRequest)) {
+    aResponder->Abort();
+  } else if (const auto delay = m_faults.Take("slow", aRequest)) {
+    m_scheduler.After(Millis(*delay),
+                      [this,
+                       request = std::move(aRequest),
+                       responder = aResponder] { Admit(request, responder); });
+  } else {
+    Admit(std::move(aRequest), aResponder);
+  }
+}
+
+void
+StandIn::Admit(HttpRequest aRequest, const Responder& aResponder)
+{
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_open.erase(
+      std::remove_if(m_open.begin(),
+                     m_open.end(),
+                     [](const auto& aOpen) { return aOpen.expired(); }),
+      m_open.end());
+    m_open.push_back(aResponder);
+  }
+  if (m_faults.TakeOnBody("crash_on_body", aRequest)) {
+    Crash();
+    return;
+  }
+  using Kind = FaultyResponder::Kind;
+  Responder responder = aResponder;
+  const auto wrap = [&](const char* aName, Kind aKind) {
+    if (const auto value = m_faults.Take(aName, aRequest)) {
+      responder = std::make_shared<FaultyResponder>(
+        responder, aKind, Millis(*value), m_scheduler);
+    }
+  };
+  wrap("late", Kind::Late);
+  wrap("truncate", Kind::Truncated);
+  wrap("lose_answer", Kind::Lost);
+  try {
+    Handle(std::move(aRequest), responder);
+  } catch (const Error& refusal) {
+    AnswerError(
+      responder, HttpStatus(refusal.GetReason()), std::string(refusal.what()));
+  } catch (const nlohmann::json::exception& malformed) {
+    AnswerError(responder, 400, malformed.what());
+  }
+}
+
+void
+StandIn::Crash()
+{
+  if (m_options.m_exitOnCrash) {
+    std::_Exit(kCrashExitStatus);
+  }
+  ++m_crashes;
+  std::vector<std::weak_ptr<HttpResponder>> open;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    open.swap(m_open);
+  }
+  OnCrash();
+  for (const auto& weak : open) {
+    if (const auto responder = weak.lock()) {
+      responder->Abort();
+    }
+  }
+}
+
+void
+StandIn::OnFaultRequest(const HttpRequest& aRequest,
+                        const Responder& aResponder)
+{
+  const auto body = nlohmann::json::parse(aRequest.m_body, nullptr, false);
+  if (!body.is_object() || !body.contains("name")) {
+    AnswerError(aResponder, 400, "expected {\"name\",\"value\",\"times\"}");
+    return;
+  }
+  const auto name = body.at("name").get<std::string>();
+  if (body.value("clear", false)) {
+    m_faults.Clear(name);
+    if (name == "freeze") {
+      Unfreeze();
+    }
+  } else {
+    Fault fault;
+    const auto value = body.value("value", nlohmann::json(""));
+    fault.m_value = value.is_string() ? value.get<std::string>() : value.dump();
+    fault.m_times = body.value("times", -1);
+    fault.m_client = body.value("client", "");
+    fault.m_pathPrefix = body.value("path", "");
+    m_faults.Set(name, fault);
+  }
+  Answer(aResponder, 200, { { "ok", true } });
+}
+
+void
+Answer(const Responder& aResponder, int aStatus, const nlohmann::json& aBody)
+{
+  aResponder->Respond(
+    aStatus, { { "content-type", "application/json" } }, aBody.dump());
+}
+
+void
+AnswerError(const Responder& aResponder, int aStatus, const std::string& aWhy)
+{
+  Answer(aResponder, aStatus, { { "error", { { "reason", aWhy } } } });
+}
+
+void
+AnswerRetry(const Responder& aResponder,
+            int aStatus,
+            std::chrono::milliseconds aAfter)
+{
+  aResponder->Respond(aStatus,
+                      { { "content-type", "application/json" },
+                        { "retry-after-ms", std::to_string(aAfter.count()) } },
+                      R"({"error":{"reason":"unavailable"}})");
+}
+
+std::optional<std::string>
+After(const std::string& aPath, const std::string& aPrefix)
+{
+  if (aPath.rfind(aPrefix, 0) != 0) {
+    return std::nullopt;
+  }
+  return aPath.substr(aPrefix.size());
+}
+
+std::uint64_t
+Number(const HttpHeaders& aFrom,
+       const std::string& aName,
+       std::uint64_t aOtherwise)
+{
+  std::uint64_t number = 0;
+  return absl::SimpleAtoi(Text(aFrom, aName), &number) ? number : aOtherwise;
+}
+
+std::string
+Text(const HttpHeaders& aFrom, const std::string& aName)
+{
+  const auto found = aFrom.find(aName);
+  return found == aFrom.end() ? std::string() : found->second;
+}
+
+} // namespace siskindeal::standin
--- /dev/null
+++ b/examples/standin/store.h
@@ -0,0 +1,68 @@
+#pragma once
+// A stand-in for the weight store, which knows the manifests of releases, and
+// for the origin, which sends the bytes over a link of a given rate.
+
+#include "siskindeal/manifest.h"
+#include "standin/stand_in.h"
+
+#include <map>
+#include <string>
+
+namespace siskindeal::standin {
+
+struct StoreOptions
+{
+  StandInOptions m_standIn;
+  std::string m_directory;            // of the files it publishes
+  std::uint64_t m_bytesPerSecond = 0; // of the origin's link; 0: not shaped
+  double m_requestsPerSecond = 200;
+};
+
+class StoreStandIn final : public StandIn
+{
+public:
+  explicit StoreStandIn(StoreOptions aOptions);
+  ~StoreStandIn() override;
+
+  // Publishes a file of the directory under a name, which may be moved. Returns
+  // the digest of its manifest. An adapter names its base's digest.
+  std::string Publish(const std::string& aName,
+                      const std::string& aFile,
+                      std::uint64_t aChunkBytes,
+                      const std::string& aBaseDigest = "");
+  // The same for bytes in memory.
+  std::string PublishBytes(const std::string& aName,
+                           const std::string& aFile,
+                           std::string aBytes,
+                           std::uint64_t aChunkBytes,
+                           const std::string& aBaseDigest = "");
+
+  // Bytes of weights sent so far.
+  std::uint64_t OriginBytes() const;
+  void SetRate(std::uint64_t aBytesPerSecond)
+  {
+    m_link->SetRate(aBytesPerSecond);
+  }
+
+protected:
+  void Handle(HttpRequest aRequest, const Responder& aResponder) override;
+
+private:
+  void HandleRelease(const std::string& aName, const Responder& aResponder);
+  void HandleOrigin(const HttpRequest& aRequest,
+                    const std::string& aFile,
+                    const Responder& aResponder);
+  void HandleAdmin(const HttpRequest& aRequest, const Responder& aResponder);
+  bool Afford();
+
+  const StoreOptions m_options;
+  const std::shared_ptr<Link> m_link;
+  absl::Mutex m_mutex;
+  std::map<std::string, Manifest> m_releases ABSL_GUARDED_BY(m_mutex);
+  std::map<std::string, std::shared_ptr<const std::string>> m_files
+    ABSL_GUARDED_BY(m_mutex);
+  double m_tokens ABSL_GUARDED_BY(m_mutex) = 0;
+  Time m_filled ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace siskindeal::standin
