The operators' client, examples for both deployments, the pages

Cause: targets could be stated only by hand-signed HTTP, and no page said how to run the system. Change: the commands target, config, quarantine and state over a client that tries the next entry and resolves a change whose answer was lost by its id; a config check over many files; examples of both deployments; README, DESIGN, GLOSSARY and OPERATING with tests that compare the settings, exit statuses, reasons, metrics, commands and links that they name with the program. Fault found on the way: the list of targets was read from a destroyed temporary and came out empty; cli_test showed it, and reading into a local mended it. Before: none. After: cli_test 12 and docs_test 6 tests pass. Conclusion: an operator can drive an entry with it; rolling upgrades and the demo are still to be tried against whole processes.

--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -208,6 +208,17 @@
   using std::runtime_error::runtime_error;
 };
 
+// Which of the three kinds of file one is, by its sections: [client] is in a
+// client's, [upstream] in an agent's. Throws SettingsError when it isn't TOML.
+enum class SettingsKind
+{
+  Entry,
+  Agent,
+  Client,
+};
+SettingsKind
+SettingsKindOf(const std::string& aFile);
+
 // Read a file; throw SettingsError with every problem found.
 EntrySettings
 ReadEntrySettings(const std::string& aFile);
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -117,7 +117,7 @@
                  const cxxopts::Options& aOptions)
 {
   aOut << aCommand.Summary() << "\n\n"
-       << aOptions.help() << "\n"
+       << aOptions.help({ "" }) << "\n"
        << aCommand.Explanation() << "\n";
   PrintExitStatuses(aOut);
 }
--- /dev/null
+++ b/src/cli/target_commands.cpp
@@ -0,0 +1,268 @@
+#include "cli/client_p.h"
+#include "cli/command_p.h"
+#include "cli/target_text_p.h"
+#include "settings/values_p.h"
+
+#include <iostream>
+
+namespace siskindeal {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kTargetsPath = "/v1/operator/targets";
+
+std::string
+TargetPath(const std::string& aName)
+{
+  return std::string(kTargetsPath) + "/" + aName;
+}
+
+void
+AddNameOption(cxxopts::Options& aOptions)
+{
+  aOptions.add_options("hidden")(
+    "NAME", "the target's name", cxxopts::value<std::string>());
+  aOptions.parse_positional({ "NAME" });
+}
+
+void
+AddAmountOptions(cxxopts::Options& aOptions)
+{
+  aOptions.add_options()("class",
+                         "class of work, as the configuration names it",
+                         cxxopts::value<std::string>(),
+                         "CLASS");
+  aOptions.add_options()(
+    "vms", "how many VMs are to serve", cxxopts::value<std::uint32_t>(), "N");
+  aOptions.add_options()("share",
+                         "or what share of the VMs in the places, above 0 and "
+                         "at most 1",
+                         cxxopts::value<double>(),
+                         "X");
+  aOptions.add_options()("place",
+                         "a place; may be given again; without it every place",
+                         cxxopts::value<std::vector<std::string>>(),
+                         "PLACE");
+  aOptions.add_options()("within",
+                         "by when, such as 10m, from now",
+                         cxxopts::value<std::string>(),
+                         "TIME");
+  aOptions.add_options()("time-weight",
+                         "1 weighs only time, 0 only bytes from the origin",
+                         cxxopts::value<double>(),
+                         "X");
+}
+
+std::int64_t
+WithinSeconds(const std::string& aText)
+{
+  try {
+    const auto within = ParseDuration(aText);
+    const auto seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(within);
+    if (seconds.count() > 0 && seconds == within) {
+      return seconds.count();
+    }
+  } catch (const std::invalid_argument& error) {
+    throw CommandError(ExitStatus::Usage,
+                       std::string("--within: ") + error.what());
+  }
+  throw CommandError(ExitStatus::Usage, "--within: expected whole seconds");
+}
+
+// Sets the members of a target that the options name.
+void
+ApplyOptions(const cxxopts::ParseResult& aArguments, Json& aTarget)
+{
+  if (aArguments.count("vms") != 0 && aArguments.count("share") != 0) {
+    throw CommandError(ExitStatus::Usage,
+                       "expected --vms or --share, not both");
+  }
+  if (aArguments.count("class") != 0) {
+    aTarget["class"] = aArguments["class"].as<std::string>();
+  }
+  if (aArguments.count("vms") != 0) {
+    aTarget.erase("share");
+    aTarget["vms"] = aArguments["vms"].as<std::uint32_t>();
+  }
+  if (aArguments.count("share") != 0) {
+    aTarget.erase("vms");
+    aTarget["share"] = aArguments["share"].as<double>();
+  }
+  if (aArguments.count("place") != 0) {
+    aTarget["places"] = aArguments["place"].as<std::vector<std::string>>();
+  }
+  if (aArguments.count("within") != 0) {
+    aTarget["within_s"] = WithinSeconds(aArguments["within"].as<std::string>());
+  }
+  if (aArguments.count("time-weight") != 0) {
+    aTarget["time_weight"] = aArguments["time-weight"].as<double>();
+  }
+}
+
+void
+PrintChanged(const std::string& aVerb,
+             const std::string& aName,
+             const Json& aObject,
+             bool aJson,
+             Console& aConsole)
+{
+  if (aJson) {
+    aConsole.m_out << aObject.dump(2) << "\n";
+    return;
+  }
+  aConsole.m_out << "target \"" << aName << "\" " << aVerb;
+  if (aObject.contains("version")) {
+    aConsole.m_out << ", version " << aObject["version"];
+  }
+  aConsole.m_out << "\n";
+}
+
+class TargetCreate final : public Command
+{
+public:
+  std::string Summary() const override { return "state a new target"; }
+  std::string Explanation() const override
+  {
+    return std::string(
+             "A target says for which class of work how many VMs are to serve "
+             "the release that\nthe catalogue names as current, in which "
+             "places and by when. It never names\nweights or addresses.\n\n"
+             "  siskindeal target create sunday --class \"booking chat\" "
+             "--vms 12 --within 10m\n  siskindeal target create rounds "
+             "--class rounds --share 0.5 --place burton\n\n") +
+           kClientExplanation;
+  }
+  std::string Positional() const override { return "NAME"; }
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    AddNameOption(aOptions);
+    AddAmountOptions(aOptions);
+    AddOutputOption(aOptions);
+    AddClientOptions(aOptions);
+  }
+  ExitStatus Run(const cxxopts::ParseResult& aArguments,
+                 Console& aConsole) override
+  {
+    const bool json = WantsJson(aArguments);
+    const std::string name = RequiredArgument(aArguments, "NAME");
+    if (aArguments.count("class") == 0 ||
+        aArguments.count("vms") + aArguments.count("share") == 0) {
+      throw CommandError(ExitStatus::Usage,
+                         "expected --class and either --vms or --share");
+    }
+    Json target = { { "name", name } };
+    ApplyOptions(aArguments, target);
+    OperatorClient client(ClientSettingsOf(aArguments));
+    const Json object =
+      client.Change({ "PUT", TargetPath(name), 0, target.dump() });
+    PrintChanged("stated", name, object, json, aConsole);
+    return ExitStatus::Done;
+  }
+};
+
+class TargetRevise final : public Command
+{
+public:
+  std::string Summary() const override { return "change a target"; }
+  std::string Explanation() const override
+  {
+    return std::string(
+             "What no option names stays as it is. The change is made to the "
+             "version that was\nread, or to that of --version; when someone "
+             "else has changed the target meanwhile,\nnothing is changed and "
+             "both changes are shown.\n\n"
+             "  siskindeal target revise sunday --vms 20\n\n") +
+           kClientExplanation;
+  }
+  std::string Positional() const override { return "NAME"; }
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    AddNameOption(aOptions);
+    AddAmountOptions(aOptions);
+    aOptions.add_options()("every-place", "drop the list of places");
+    aOptions.add_options()("version",
+                           "change only this version",
+                           cxxopts::value<std::uint64_t>(),
+                           "V");
+    AddOutputOption(aOptions);
+    AddClientOptions(aOptions);
+  }
+  ExitStatus Run(const cxxopts::ParseResult& aArguments,
+                 Console& aConsole) override
+  {
+    const bool json = WantsJson(aArguments);
+    const std::string name = RequiredArgument(aArguments, "NAME");
+    OperatorClient client(ClientSettingsOf(aArguments));
+    Json target = client.Read(TargetPath(name)).at("target");
+    const std::uint64_t version = aArguments.count("version") != 0
+                                    ? aArguments["version"].as<std::uint64_t>()
+                                    : target.at("version").get<std::uint64_t>();
+    target.erase("version");
+    target.erase("stated_at");
+    if (aArguments.count("every-place") != 0) {
+      target.erase("places");
+    }
+    ApplyOptions(aArguments, target);
+    const Json object =
+      client.Change({ "PUT", TargetPath(name), version, target.dump() });
+    PrintChanged("revised", name, object, json, aConsole);
+    return ExitStatus::Done;
+  }
+};
+
+class TargetDelete final : public Command
+{
+public:
+  std::string Summary() const override { return "withdraw a target"; }
+  std::string Explanation() const override
+  {
+    return std::string(
+             "What serves goes on serving; it is only no longer held to the "
+             "target.\n\n  siskindeal target delete sunday\n\n") +
+           kClientExplanation;
+  }
+  std::string Positional() const override { return "NAME"; }
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    AddNameOption(aOptions);
+    aOptions.add_options()("version",
+                           "delete only this version",
+                           cxxopts::value<std::uint64_t>(),
+                           "V");
+    AddOutputOption(aOptions);
+    AddClientOptions(aOptions);
+  }
+  ExitStatus Run(const cxxopts::ParseResult& aArguments,
+                 Console& aConsole) override
+  {
+    const bool json = WantsJson(aArguments);
+    const std::string name = RequiredArgument(aArguments, "NAME");
+    OperatorClient client(ClientSettingsOf(aArguments));
+    const std::uint64_t version = aArguments.count("version") != 0
+                                    ? aArguments["version"].as<std::uint64_t>()
+                                    : client.Read(TargetPath(name))
+                                        .at("target")
+                                        .at("version")
+                                        .get<std::uint64_t>();
+    const Json object = client.Change({ "DELETE", TargetPath(name), version });
+    PrintChanged("withdrawn", name, object, json, aConsole);
+    return ExitStatus::Done;
+  }
+};
+
+const Registration<Command> kCreate("target create", [] {
+  return std::make_unique<TargetCreate>();
+});
+const Registration<Command> kRevise("target revise", [] {
+  return std::make_unique<TargetRevise>();
+});
+const Registration<Command> kDelete("target delete", [] {
+  return std::make_unique<TargetDelete>();
+});
+
+} // namespace
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/cli/target_status.cpp
@@ -0,0 +1,267 @@
+#include "cli/client_p.h"
+#include "cli/command_p.h"
+#include "cli/target_text_p.h"
+#include "settings/values_p.h"
+
+#include <iostream>
+#include <thread>
+
+namespace siskindeal {
+
+namespace {
+
+using Json = nlohmann::json;
+using Deadline = std::optional<std::chrono::steady_clock::time_point>;
+
+constexpr const char* kTargetsPath = "/v1/operator/targets";
+constexpr std::chrono::milliseconds kWatchPeriod{ 1000 };
+
+std::vector<TargetStatus>
+ReadAll(OperatorClient& aClient)
+{
+  std::vector<TargetStatus> statuses;
+  const Json body = aClient.Read(kTargetsPath);
+  for (const Json& status : body.at("targets")) {
+    statuses.push_back(ParseTargetStatus(status.dump()));
+  }
+  return statuses;
+}
+
+TargetStatus
+ReadOne(OperatorClient& aClient, const std::string& aName)
+{
+  const Json body = aClient.Read(std::string(kTargetsPath) + "/" + aName);
+  if (!body.at("status").is_null()) {
+    return ParseTargetStatus(body["status"].dump());
+  }
+  TargetStatus status;
+  status.m_name = aName;
+  status.m_version = body.at("target").at("version");
+  status.m_holdUp = "no planner has taken it up yet";
+  return status;
+}
+
+void
+PrintStatuses(const std::vector<TargetStatus>& aStatuses,
+              bool aJson,
+              std::ostream& aOut)
+{
+  if (!aJson) {
+    PrintStatusTable(aStatuses, aOut);
+    return;
+  }
+  Json all = Json::array();
+  for (const TargetStatus& status : aStatuses) {
+    all.push_back(Json::parse(ToJson(status)));
+  }
+  aOut << all.dump(2) << "\n";
+}
+
+ExitStatus
+MetStatus(const std::vector<TargetStatus>& aStatuses)
+{
+  for (const TargetStatus& status : aStatuses) {
+    if (!status.m_met) {
+      return ExitStatus::NotMet;
+    }
+  }
+  return ExitStatus::Done;
+}
+
+// Shows how far a target is: one line that is overwritten on a terminal, else a
+// line a change.
+class Watch
+{
+public:
+  Watch(bool aJson, Console& aConsole)
+    : m_json(aJson)
+    , m_console(aConsole)
+  {
+  }
+
+  void Show(const TargetStatus& aStatus)
+  {
+    ShowLine(m_json ? ToJson(aStatus) : ProgressLine(aStatus));
+  }
+
+  void ShowLine(const std::string& aLine)
+  {
+    if (aLine == m_last) {
+      return;
+    }
+    m_last = aLine;
+    if (!m_console.m_isTerminal || m_json) {
+      m_console.m_out << aLine << std::endl;
+      return;
+    }
+    m_console.m_out << "\r\x1b[K" << aLine << std::flush; // erases the line
+  }
+
+  void End()
+  {
+    if (m_console.m_isTerminal && !m_json) {
+      m_console.m_out << "\n";
+    }
+  }
+
+private:
+  const bool m_json;
+  Console& m_console;
+  std::string m_last;
+};
+
+// Waits until the target is met, over outages of every entry.
+ExitStatus
+WatchTarget(OperatorClient& aClient,
+            const std::string& aName,
+            const Deadline& aDeadline,
+            bool aJson,
+            Console& aConsole)
+{
+  Watch watch(aJson, aConsole);
+  while (true) {
+    try {
+      const TargetStatus status = ReadOne(aClient, aName);
+      watch.Show(status);
+      if (status.m_met) {
+        watch.End();
+        return ExitStatus::Done;
+      }
+    } catch (const CommandError& error) {
+      if (error.Status() != ExitStatus::Unreachable) {
+        watch.End();
+        throw;
+      }
+      aConsole.m_error << "siskindeal: " << error.what() << "\n";
+    }
+    if (aDeadline && std::chrono::steady_clock::now() >= *aDeadline) {
+      watch.End();
+      return ExitStatus::NotMet;
+    }
+    std::this_thread::sleep_for(kWatchPeriod);
+  }
+}
+
+Deadline
+DeadlineOf(const cxxopts::ParseResult& aArguments)
+{
+  if (aArguments.count("timeout") == 0) {
+    return std::nullopt;
+  }
+  try {
+    return std::chrono::steady_clock::now() +
+           ParseDuration(aArguments["timeout"].as<std::string>());
+  } catch (const std::invalid_argument& error) {
+    throw CommandError(ExitStatus::Usage,
+                       std::string("--timeout: ") + error.what());
+  }
+}
+
+class TargetList final : public Command
+{
+public:
+  std::string Summary() const override
+  {
+    return "list the targets and how far each is";
+  }
+  std::string Explanation() const override
+  {
+    return std::string("  siskindeal target list --output json\n\n") +
+           kClientExplanation;
+  }
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    AddOutputOption(aOptions);
+    AddClientOptions(aOptions);
+  }
+  ExitStatus Run(const cxxopts::ParseResult& aArguments,
+                 Console& aConsole) override
+  {
+    const bool json = WantsJson(aArguments);
+    OperatorClient client(ClientSettingsOf(aArguments));
+    PrintStatuses(ReadAll(client), json, aConsole.m_out);
+    return ExitStatus::Done;
+  }
+};
+
+class TargetStatusCommand final : public Command
+{
+public:
+  std::string Summary() const override
+  {
+    return "say whether targets are met, or wait until one is";
+  }
+  std::string Explanation() const override
+  {
+    return std::string(
+             "Without NAME every target. Exits with 0 when all shown are met, "
+             "else with 9.\n--watch shows a progress bar with an estimate "
+             "until "
+             "the target is met or --timeout\nis over, also over outages of "
+             "entries.\n\n  siskindeal target status\n  siskindeal target "
+             "status sunday --watch --timeout 10m\n\n") +
+           kClientExplanation;
+  }
+  std::string Positional() const override { return "[NAME]"; }
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    aOptions.add_options("hidden")(
+      "NAME", "the target's name", cxxopts::value<std::string>());
+    aOptions.parse_positional({ "NAME" });
+    aOptions.add_options()("watch", "wait until the target is met");
+    aOptions.add_options()("timeout",
+                           "how long --watch waits, such as 10m",
+                           cxxopts::value<std::string>(),
+                           "TIME");
+    AddOutputOption(aOptions);
+    AddClientOptions(aOptions);
+  }
+  ExitStatus Run(const cxxopts::ParseResult& aArguments,
+                 Console& aConsole) override
+  {
+    const bool json = WantsJson(aArguments);
+    const bool isWatch = aArguments.count("watch") != 0;
+    const Deadline deadline = DeadlineOf(aArguments);
+    if (isWatch) {
+      RequiredArgument(aArguments, "NAME");
+    }
+    OperatorClient client(ClientSettingsOf(aArguments));
+    if (aArguments.count("NAME") == 0) {
+      const auto statuses = ReadAll(client);
+      PrintStatuses(statuses, json, aConsole.m_out);
+      return MetStatus(statuses);
+    }
+    const std::string name = aArguments["NAME"].as<std::string>();
+    if (isWatch) {
+      return WatchTarget(client, name, deadline, json, aConsole);
+    }
+    return ShowOne(ReadOne(client, name), json, aConsole.m_out);
+  }
+
+private:
+  static ExitStatus ShowOne(const TargetStatus& aStatus,
+                            bool aJson,
+                            std::ostream& aOut)
+  {
+    if (aJson) {
+      aOut << Json::parse(ToJson(aStatus)).dump(2) << "\n";
+    } else {
+      PrintStatusTable({ aStatus }, aOut);
+      for (const std::string& event : aStatus.m_history) {
+        aOut << "  " << event << "\n";
+      }
+    }
+    return MetStatus({ aStatus });
+  }
+};
+
+const Registration<Command> kList("target list", [] {
+  return std::make_unique<TargetList>();
+});
+const Registration<Command> kStatus("target status", [] {
+  return std::make_unique<TargetStatusCommand>();
+});
+
+} // namespace
+
+} // namespace siskindeal
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -24,22 +24,13 @@
   if (found == m_states.end()) {
     return SuspicionState::None;
   }
-  if (found->second.m_quarantined || m_inferred.contains(aFingerprint)) {
+  if (found->second.m_quarantined) {
     return SuspicionState::Quarantined;
   }
-  return Unexplained(found->second) == 0 ? SuspicionState::None
+  return found->second.m_crashes.empty() ? SuspicionState::None
                                          : SuspicionState::Suspect;
 }
 
-std::size_t
-SuspicionTable::Unexplained(const State& aState) const
-{
-  return static_cast<std::size_t>(std::count_if(
-    aState.m_crashes.begin(),
-    aState.m_crashes.end(),
-    [&](const std::string& aCrash) { return !m_explained.contains(aCrash); }));
-}
-
 void
 SuspicionTable::Changed(State& aState)
 {
@@ -67,56 +58,37 @@
       fingerprints.size() == 1 && state.m_crashes.size() > 1;
     Changed(state);
   }
-  Derive();
+  ConvictBySharedCrashes();
   DropOldest();
   return ChangedAfter(before);
 }
 
 void
-SuspicionTable::Derive()
+SuspicionTable::ConvictBySharedCrashes()
 {
-  m_explained.clear();
-  m_inferred.clear();
-  for (const auto& [fingerprint, state] : m_states) {
-    if (state.m_quarantined) {
-      m_explained.insert(state.m_crashes.begin(), state.m_crashes.end());
-    }
-  }
-  ByCrash byCrash;
+  std::unordered_map<std::string, std::vector<std::uint64_t>> byCrash;
   for (const auto& [fingerprint, state] : m_states) {
     for (const auto& crash : state.m_crashes) {
-      if (!m_explained.contains(crash)) {
-        byCrash[crash].push_back(fingerprint);
-      }
-    }
-  }
-  for (const auto& [fingerprint, state] : m_states) {
-    if (!state.m_quarantined && Unexplained(state) >= 2 &&
-        !m_succeeded.contains(fingerprint) &&
-        IsSoleSuspect(fingerprint, state, byCrash)) {
-      m_inferred.insert(fingerprint);
+      byCrash[crash].push_back(fingerprint);
     }
   }
-}
-
-bool
-SuspicionTable::IsSoleSuspect(std::uint64_t aFingerprint,
-                              const State& aState,
-                              const ByCrash& aByCrash)
-{
-  std::unordered_map<std::uint64_t, int> shared;
-  for (const auto& crash : aState.m_crashes) {
-    const auto found = aByCrash.find(crash);
-    if (found == aByCrash.end()) {
+  for (auto& [fingerprint, state] : m_states) {
+    if (state.m_quarantined || state.m_crashes.size() < 2 ||
+        m_succeeded.contains(fingerprint)) {
       continue;
     }
-    for (const auto other : found->second) {
-      if (other != aFingerprint && ++shared[other] >= 2) {
-        return false;
+    std::unordered_map<std::uint64_t, int> shared;
+    bool alone = true;
+    for (const auto& crash : state.m_crashes) {
+      for (const auto other : byCrash[crash]) {
+        alone &= other == fingerprint || ++shared[other] < 2;
       }
     }
+    if (alone) {
+      state.m_quarantined = true;
+      Changed(state);
+    }
   }
-  return true;
 }
 
 std::vector<wire::Suspicion>
@@ -140,7 +112,7 @@
   found->second.m_crashes.clear();
   ++found->second.m_version;
   Changed(found->second);
-  Derive();
+  ConvictBySharedCrashes();
   return ChangedAfter(before);
 }
 
@@ -182,7 +154,7 @@
                        state.m_quarantined != before.m_quarantined;
   if (changed) {
     Changed(state);
-    Derive();
+    ConvictBySharedCrashes();
     DropOldest();
   }
   return changed;
--- a/src/settings/reader_p.h
+++ b/src/settings/reader_p.h
@@ -16,6 +16,11 @@
   // Throws SettingsError when the file can't be read or isn't TOML.
   explicit SettingsReader(const std::string& aFile);
 
+  bool HasSection(std::string_view aSection) const
+  {
+    return m_root.contains(aSection);
+  }
+
   // Sets the members of aTable that the file names; aRole is who reads it, for
   // messages about sections and keys that it doesn't have.
   void Fill(const SettingTable& aTable, std::string_view aRole);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -80,6 +80,17 @@
 
 } // namespace
 
+SettingsKind
+SettingsKindOf(const std::string& aFile)
+{
+  const SettingsReader reader(aFile);
+  if (reader.HasSection("client")) {
+    return SettingsKind::Client;
+  }
+  return reader.HasSection("upstream") ? SettingsKind::Agent
+                                       : SettingsKind::Entry;
+}
+
 EntrySettings
 ReadEntrySettings(const std::string& aFile)
 {
--- /dev/null
+++ b/tests/cli_test.cpp
@@ -0,0 +1,481 @@
+#include "cli/command_p.h"
+#include "cli/target_text_p.h"
+#include "siskindeal/fleet_config.h"
+#include "siskindeal/http.h"
+#include "siskindeal/operators.h"
+
+#include "support/fake_platform.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace siskindeal {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kSecret = "0123456789abcdef";
+
+struct Result
+{
+  int m_status = 0;
+  std::string m_out;
+  std::string m_error;
+};
+
+Result
+RunLine(const std::vector<std::string>& aArguments)
+{
+  std::vector<const char*> argv = { "siskindeal" };
+  for (const std::string& argument : aArguments) {
+    argv.push_back(argument.c_str());
+  }
+  std::ostringstream out;
+  std::ostringstream error;
+  Console console{ out, error };
+  const int status =
+    RunCommandLine(static_cast<int>(argv.size()), argv.data(), console);
+  return { status, out.str(), error.str() };
+}
+
+// Answers nothing: the caller sees the connection end after the call was
+// executed.
+class LosingResponder final : public HttpResponder
+{
+public:
+  explicit LosingResponder(std::shared_ptr<HttpResponder> aInner)
+    : m_inner(std::move(aInner))
+  {
+  }
+  void Respond(int, HttpHeaders, std::string) override
+  {
+    m_inner->BeginStream(200, {});
+    m_inner->Abort();
+  }
+  void BeginStream(int, HttpHeaders) override {}
+  bool Write(std::string_view) override { return false; }
+  void EndStream() override {}
+  void Abort() override {}
+  void OnHangUp(std::function<void()>) override {}
+  std::size_t Buffered() const override { return 0; }
+
+private:
+  std::shared_ptr<HttpResponder> m_inner;
+};
+
+// The operators' side of an entry over real HTTP. All entries of a test share
+// one platform.
+class FakeEntry
+{
+public:
+  FakeEntry(FakePlatform& aPlatform, absl::Mutex& aMutex)
+    : m_platform(aPlatform)
+    , m_mutex(aMutex)
+    , m_api(aPlatform, m_clock, { "k", { { "k", kSecret } } }, View())
+    , m_server("127.0.0.1",
+               0,
+               HttpServerLimits{},
+               [this](HttpRequest aRequest,
+                      std::shared_ptr<HttpResponder> aResponder) {
+                 Answer(aRequest, std::move(aResponder));
+               })
+  {
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(m_server.Port());
+  }
+
+  // Of changes, or of every call.
+  void LoseAnswers(bool aChanges, bool aReads)
+  {
+    m_loseChanges = aChanges;
+    m_loseReads = aReads;
+  }
+  // VMs serving at the first and at later readings of a status.
+  void SetServing(std::uint32_t aFirst, std::uint32_t aLater)
+  {
+    m_serving = aFirst;
+    m_servingLater = aLater;
+  }
+  int Calls() const { return m_calls; }
+
+private:
+  OperatorView View()
+  {
+    OperatorView view;
+    view.m_statusOf = [this](const std::string& aName) {
+      TargetStatus status;
+      status.m_name = aName;
+      status.m_wanted = 3;
+      status.m_serving = m_serving.exchange(m_servingLater);
+      status.m_met = status.m_serving >= status.m_wanted;
+      status.m_release = "caddie-7";
+      status.m_progress = status.m_serving / 3.0;
+      status.m_holdUp = status.m_met ? "" : "2 VMs are loading";
+      return std::optional(status);
+    };
+    view.m_targets = [this] {
+      std::vector<TargetSpec> targets;
+      const PlatformObject object = m_platform.Stored("targets/sunday");
+      if (object.m_version != 0 && !object.m_deleted) {
+        targets.push_back(ParseTarget(object.m_value, object.m_version));
+      }
+      return targets;
+    };
+    view.m_allStatus = [view] {
+      return std::vector<TargetStatus>{ *view.m_statusOf("sunday") };
+    };
+    view.m_configInForce = [] {
+      return std::vector<ConfigInForce>{ { "e1", "kingston", 4, true },
+                                         { "e2", "montego", 3, true } };
+    };
+    view.m_quarantine = [] {
+      return std::vector<QuarantineEntry>{ { 0xab, "chat", 2, true } };
+    };
+    view.m_release = [](std::uint64_t aFingerprint) {
+      return aFingerprint == 0xab;
+    };
+    view.m_checkConfig = [](const std::string& aJson) {
+      ParseFleetConfig(aJson, 0);
+    };
+    view.m_checkClass = [](const std::string&) {};
+    return view;
+  }
+
+  void Answer(const HttpRequest& aRequest,
+              std::shared_ptr<HttpResponder> aResponder)
+  {
+    absl::MutexLock lock(&m_mutex);
+    ++m_calls;
+    if (aRequest.m_path == "/state") {
+      CheckOperatorCall(
+        { "k", { { "k", kSecret } } }, aRequest, m_clock.WallNow());
+      aResponder->Respond(200, {}, R"({"vm":"e1"})");
+      return;
+    }
+    const bool isRead = aRequest.m_method == "GET";
+    if (isRead ? m_loseReads : m_loseChanges) {
+      aResponder = std::make_shared<LosingResponder>(std::move(aResponder));
+    }
+    m_api.Handle(aRequest, aResponder);
+    m_platform.Advance(std::chrono::seconds(10));
+  }
+
+  FakePlatform& m_platform;
+  absl::Mutex& m_mutex;
+  SystemClock m_clock;
+  std::atomic<bool> m_loseChanges{ false };
+  std::atomic<bool> m_loseReads{ false };
+  std::atomic<std::uint32_t> m_serving{ 1 };
+  std::atomic<std::uint32_t> m_servingLater{ 1 };
+  std::atomic<int> m_calls{ 0 };
+  OperatorApi m_api;
+  HttpServer m_server;
+};
+
+class Cli : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    unsetenv("SISKINDEAL_CLIENT");
+    setenv("SISKINDEAL_KEY", kSecret, 1);
+  }
+
+  Result RunWith(std::vector<std::string> aArguments,
+                 const std::vector<std::string>& aEntries)
+  {
+    for (const std::string& entry : aEntries) {
+      aArguments.push_back("--entry");
+      aArguments.push_back(entry);
+    }
+    aArguments.insert(aArguments.end(), { "--key-id", "k" });
+    return RunLine(aArguments);
+  }
+
+  Result RunOn(const std::vector<std::string>& aArguments)
+  {
+    return RunWith(aArguments, { m_entry.Address() });
+  }
+
+  std::string WriteFile(const std::string& aName, const std::string& aText)
+  {
+    const std::string file =
+      testing::TempDir() + std::to_string(getpid()) + "_" + aName;
+    std::ofstream(file) << aText;
+    return file;
+  }
+
+  // An address on which nothing listens.
+  std::string DownAddress()
+  {
+    const FakeEntry gone(m_platform, m_mutex);
+    return gone.Address();
+  }
+
+  ManualClock m_clock;
+  FakePlatform m_platform{ m_clock, 1 };
+  absl::Mutex m_mutex;
+  FakeEntry m_entry{ m_platform, m_mutex };
+  FakeEntry m_other{ m_platform, m_mutex };
+};
+
+const std::vector<std::string> kCreate = { "target",  "create",       "sunday",
+                                           "--class", "booking chat", "--vms",
+                                           "3" };
+
+TEST_F(Cli, EveryCommandExplainsItself)
+{
+  const Result all = RunLine({ "--help" });
+  EXPECT_EQ(all.m_status, 0);
+  for (const std::string& name : CommandRegistry::Instance().Names()) {
+    EXPECT_NE(all.m_out.find("  " + name + " "), std::string::npos) << name;
+    std::vector<std::string> words;
+    std::istringstream stream(name);
+    for (std::string word; stream >> word;) {
+      words.push_back(word);
+    }
+    words.emplace_back("--help");
+    const Result help = RunLine(words);
+    EXPECT_EQ(help.m_status, 0) << name;
+    EXPECT_EQ(help.m_error, "") << name;
+    EXPECT_NE(help.m_out.find("siskindeal " + name), std::string::npos);
+    for (const ExitStatusText& text : kExitStatusTexts) {
+      EXPECT_NE(help.m_out.find(text.m_text), std::string::npos) << name;
+    }
+  }
+  EXPECT_EQ(RunLine({ "--version" }).m_out,
+            "siskindeal " SISKINDEAL_VERSION "\n");
+  EXPECT_NE(RunLine({ "target", "--help" }).m_out.find("target revise"),
+            std::string::npos);
+}
+
+TEST_F(Cli, AWrongCommandLineIsRefusedWithNothingSent)
+{
+  const std::vector<std::vector<std::string>> cases = {
+    {},
+    { "nothing" },
+    { "target" },
+    { "target", "nothing" },
+    { "target", "create" },
+    { "target", "create", "sunday" },
+    { "target", "create", "sunday", "--class", "c" },
+    { "target", "create", "sunday", "--class", "c", "--vms", "x" },
+    { "target", "create", "x", "--class", "c", "--vms", "1", "--share", "1" },
+    { "target", "create", "x", "--class", "c", "--vms", "1", "--within", "9" },
+    { "target", "create", "x", "--class", "c", "--vms", "1", "--weights", "w" },
+    { "target", "list", "extra" },
+    { "target", "list", "--output", "xml" },
+    { "target", "status", "--watch" },
+    { "target", "status", "x", "--watch", "--timeout", "9" },
+    { "config", "set", "file" },
+    { "config", "check" },
+    { "state", "nowhere" },
+    { "quarantine", "release" },
+  };
+  for (const auto& line : cases) {
+    const Result result = line.empty() ? RunLine(line) : RunOn(line);
+    EXPECT_EQ(result.m_status, 2) << (line.empty() ? "" : line.back());
+    EXPECT_NE(result.m_error, "");
+    EXPECT_EQ(result.m_out, "");
+  }
+  EXPECT_EQ(m_entry.Calls(), 0);
+  EXPECT_EQ(RunLine({ "target", "list" }).m_status, 2);
+  EXPECT_EQ(RunLine({ "target", "list", "--client", "no.toml" }).m_status, 3);
+}
+
+TEST_F(Cli, ATargetIsStatedReadRevisedAndWithdrawn)
+{
+  EXPECT_EQ(RunOn({ "target", "status", "sunday" }).m_status, 6);
+  const Result created = RunOn(kCreate);
+  EXPECT_EQ(created.m_status, 0) << created.m_error;
+  EXPECT_EQ(created.m_out, "target \"sunday\" stated, version 1\n");
+  const Result again = RunOn(kCreate);
+  EXPECT_EQ(again.m_status, 5);
+  EXPECT_NE(again.m_error.find("current: {"), std::string::npos);
+
+  const Result list = RunOn({ "target", "list" });
+  EXPECT_EQ(list.m_status, 0);
+  EXPECT_NE(list.m_out.find("sunday  no   1/3"), std::string::npos)
+    << list.m_out;
+  const Result status = RunOn({ "target", "status", "--output", "json" });
+  EXPECT_EQ(status.m_status, 9);
+  EXPECT_EQ(Json::parse(status.m_out).at(0).at("serving"), 1);
+
+  const Result revised = RunOn({ "target",
+                                 "revise",
+                                 "sunday",
+                                 "--share",
+                                 "0.5",
+                                 "--within",
+                                 "10m",
+                                 "--output",
+                                 "json" });
+  EXPECT_EQ(revised.m_status, 0) << revised.m_error;
+  const Json value = Json::parse(revised.m_out).at("value");
+  EXPECT_EQ(value.at("share"), 0.5);
+  EXPECT_EQ(value.at("within_s"), 600);
+  EXPECT_EQ(value.count("vms"), 0u);
+  EXPECT_EQ(value.at("class"), "booking chat");
+  EXPECT_EQ(
+    RunOn({ "target", "revise", "sunday", "--vms", "1", "--version", "1" })
+      .m_status,
+    5);
+  EXPECT_EQ(RunOn({ "target", "delete", "sunday" }).m_status, 0);
+  EXPECT_EQ(RunOn({ "target", "delete", "sunday" }).m_status, 6);
+}
+
+TEST_F(Cli, TheNextEntryIsTriedWhenOneIsDown)
+{
+  const std::string down = DownAddress();
+  EXPECT_EQ(RunWith(kCreate, { down, m_entry.Address() }).m_status, 0);
+  EXPECT_EQ(RunWith({ "target", "list" }, { down, m_entry.Address() }).m_status,
+            0);
+  const Result unreachable = RunWith(kCreate, { down });
+  EXPECT_EQ(unreachable.m_status, 7);
+  EXPECT_NE(unreachable.m_error.find(down), std::string::npos);
+}
+
+TEST_F(Cli, AChangeWhoseAnswerIsLostIsResolvedAndMadeOnce)
+{
+  m_entry.LoseAnswers(true, false);
+  const std::vector<std::string> both = { m_entry.Address(),
+                                          m_other.Address() };
+  const Result created = RunWith(kCreate, both);
+  EXPECT_EQ(created.m_status, 0) << created.m_error;
+  EXPECT_EQ(m_platform.Stored("targets/sunday").m_version, 1u);
+  EXPECT_EQ(m_platform.Writes(), 1u);
+
+  // One entry alone resolves it by reading back.
+  EXPECT_EQ(RunOn({ "target", "revise", "sunday", "--vms", "5" }).m_status, 0);
+  EXPECT_EQ(m_platform.Writes(), 2u);
+
+  m_entry.LoseAnswers(true, true);
+  const Result unknown =
+    RunOn({ "target", "create", "monday", "--class", "c", "--vms", "1" });
+  EXPECT_EQ(unknown.m_status, 8);
+  EXPECT_NE(unknown.m_error.find("couldn't be resolved"), std::string::npos);
+}
+
+TEST_F(Cli, RefusalsHaveTheirOwnStatus)
+{
+  m_platform.Faults().m_outage = true;
+  EXPECT_EQ(RunOn(kCreate).m_status, 7);
+  m_platform.Faults().m_outage = false;
+  setenv("SISKINDEAL_KEY", "another-secret-of-16", 1);
+  EXPECT_EQ(RunOn({ "target", "list" }).m_status, 4);
+  EXPECT_EQ(RunOn(kCreate).m_status, 4);
+}
+
+TEST_F(Cli, WatchShowsProgressUntilTheTargetIsMet)
+{
+  ASSERT_EQ(RunOn(kCreate).m_status, 0);
+  m_entry.SetServing(1, 3);
+  const Result met =
+    RunOn({ "target", "status", "sunday", "--watch", "--timeout", "1h" });
+  EXPECT_EQ(met.m_status, 0) << met.m_error;
+  EXPECT_EQ(met.m_out,
+            "[##########....................] 33%  1/3 VMs serving caddie-7, "
+            "time left unknown: 2 VMs are loading\n"
+            "[##############################] 100%  3/3 VMs serving caddie-7, "
+            "met\n");
+  m_entry.SetServing(1, 1);
+  EXPECT_EQ(
+    RunOn({ "target", "status", "sunday", "--watch", "--timeout", "1ms" })
+      .m_status,
+    9);
+}
+
+TEST_F(Cli, ConfigurationIsShownSetAndItsStatusRead)
+{
+  const std::string examples = SISKINDEAL_SOURCE_DIR "/examples/";
+  const std::string fleet = examples + "fairway_config.json";
+  EXPECT_EQ(RunOn({ "config", "show" }).m_status, 6);
+  EXPECT_EQ(RunOn({ "config", "set", fleet, "--version", "0" }).m_status, 0);
+  const Result shown = RunOn({ "config", "show" });
+  std::ifstream stream(fleet);
+  EXPECT_EQ(Json::parse(shown.m_out), Json::parse(stream));
+  EXPECT_EQ(shown.m_error, "version 1\n");
+  EXPECT_EQ(RunOn({ "config", "set", fleet, "--version", "0" }).m_status, 5);
+  const std::string bad = WriteFile("bad.json", R"({"service":{}})");
+  const Result refused = RunOn({ "config", "set", bad, "--version", "1" });
+  EXPECT_EQ(refused.m_status, 4);
+  EXPECT_NE(refused.m_error.find("service"), std::string::npos);
+  const Result status = RunOn({ "config", "status" });
+  EXPECT_EQ(status.m_status, 9);
+  EXPECT_NE(status.m_out.find("e2  montego   3        yes"), std::string::npos)
+    << status.m_out;
+}
+
+TEST_F(Cli, QuarantineAndStateAreReached)
+{
+  const Result list = RunOn({ "quarantine", "list" });
+  EXPECT_EQ(list.m_status, 0);
+  EXPECT_NE(list.m_out.find("00000000000000ab  quarantined"),
+            std::string::npos);
+  EXPECT_EQ(RunOn({ "quarantine", "release", "00000000000000ab" }).m_status, 0);
+  EXPECT_EQ(RunOn({ "quarantine", "release", "00000000000000ff" }).m_status, 6);
+  const Result state = RunOn({ "state", m_entry.Address() });
+  EXPECT_EQ(state.m_status, 0) << state.m_error;
+  EXPECT_EQ(Json::parse(state.m_out).at("vm"), "e1");
+  EXPECT_EQ(RunOn({ "state", DownAddress() }).m_status, 7);
+}
+
+TEST_F(Cli, EveryExampleIsAccepted)
+{
+  std::vector<std::string> line = { "config", "check" };
+  for (const auto& file :
+       std::filesystem::directory_iterator(SISKINDEAL_SOURCE_DIR "/examples")) {
+    const auto extension = file.path().extension();
+    if (extension == ".toml" || extension == ".json") {
+      line.push_back(file.path());
+    }
+  }
+  constexpr std::size_t kExamples = 12;
+  EXPECT_GE(line.size(), 2 + kExamples);
+  const Result result = RunLine(line);
+  EXPECT_EQ(result.m_status, 0) << result.m_out;
+}
+
+TEST_F(Cli, CheckFindsTwoProcessesOnOnePort)
+{
+  const auto settings = [](const std::string& aVm, const std::string& aPort) {
+    return "[node]\nvm='" + aVm + "'\nplace='p'\nrpc='10.0.0.1:7100'\nhttp='" +
+           "10.0.0.1:" + aPort + "'\n[auth]\nactive_key='k'\n[auth.keys]\nk='" +
+           kSecret + "'\n[platform]\nurl='http://10.0.0.9:9000'\n";
+  };
+  const Result result = RunLine({ "config",
+                                  "check",
+                                  WriteFile("a.toml", settings("a", "1")),
+                                  WriteFile("b.toml", settings("b", "2")) });
+  EXPECT_EQ(result.m_status, 3);
+  EXPECT_NE(result.m_out.find("[node] rpc: expected another port than"),
+            std::string::npos)
+    << result.m_out;
+}
+
+TEST(TargetText, AnEstimateIsRoundedUp)
+{
+  const std::vector<std::pair<int, std::string>> cases = {
+    { -5, "0 s" },    { 0, "0 s" },        { 119, "119 s" }, { 120, "2 min" },
+    { 121, "3 min" }, { 7199, "120 min" }, { 7200, "2 h" },  { 7201, "3 h" },
+  };
+  for (const auto& [seconds, text] : cases) {
+    EXPECT_EQ(EstimateText(std::chrono::seconds(seconds)), text);
+  }
+}
+
+} // namespace
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/docs_test.cpp
@@ -0,0 +1,154 @@
+#include "cli/command_p.h"
+#include "siskindeal/error.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace siskindeal {
+
+namespace {
+
+const std::string kSource = SISKINDEAL_SOURCE_DIR;
+
+std::string
+TextOf(const std::filesystem::path& aFile)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  EXPECT_TRUE(stream) << aFile;
+  return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+std::string
+Manual()
+{
+  return TextOf(kSource + "/docs/OPERATING.md");
+}
+
+std::string
+Output(const std::vector<const char*>& aLine)
+{
+  std::ostringstream out;
+  std::ostringstream error;
+  Console console{ out, error };
+  std::vector<const char*> line = { "siskindeal" };
+  line.insert(line.end(), aLine.begin(), aLine.end());
+  EXPECT_EQ(RunCommandLine(static_cast<int>(line.size()), line.data(), console),
+            0)
+    << error.str();
+  return out.str();
+}
+
+TEST(Docs, TheManualListsEverySettingAsItIs)
+{
+  const std::string keys = Output({ "config", "keys", "--output", "markdown" });
+  EXPECT_NE(Manual().find(keys), std::string::npos)
+    << "docs/OPERATING.md must end with what `siskindeal config keys --output "
+       "markdown` prints:\n"
+    << keys;
+}
+
+TEST(Docs, TheManualListsEveryExitStatus)
+{
+  const std::string manual = Manual();
+  for (const ExitStatusText& text : kExitStatusTexts) {
+    const std::string row = "| " +
+                            std::to_string(static_cast<int>(text.m_status)) +
+                            " | " + text.m_text + " |";
+    EXPECT_NE(manual.find(row), std::string::npos) << row;
+  }
+}
+
+TEST(Docs, TheManualListsEveryReasonWithItsStatus)
+{
+  const std::string manual = Manual();
+  for (int i = 0; i <= static_cast<int>(Reason::Internal); ++i) {
+    const auto reason = static_cast<Reason>(i);
+    const std::string row = "| `" + std::string(ToString(reason)) + "` | " +
+                            std::to_string(HttpStatus(reason)) + " |";
+    EXPECT_NE(manual.find(row), std::string::npos) << row;
+  }
+}
+
+// Names of metrics stand as whole strings in the sources.
+std::set<std::string>
+MetricsInSources()
+{
+  const std::regex name("\"(siskindeal_[a-z0-9_]+)\"");
+  std::set<std::string> names;
+  for (const auto& file :
+       std::filesystem::recursive_directory_iterator(kSource + "/src")) {
+    if (file.path().extension() != ".cpp") {
+      continue;
+    }
+    const std::string text = TextOf(file.path());
+    for (std::sregex_iterator match(text.begin(), text.end(), name), end;
+         match != end;
+         ++match) {
+      names.insert((*match)[1]);
+    }
+  }
+  return names;
+}
+
+TEST(Docs, TheManualsNameEveryMetric)
+{
+  std::string manuals;
+  for (const auto& file :
+       std::filesystem::directory_iterator(kSource + "/docs")) {
+    manuals += TextOf(file.path());
+  }
+  const std::set<std::string> metrics = MetricsInSources();
+  EXPECT_FALSE(metrics.empty());
+  for (const std::string& metric : metrics) {
+    EXPECT_NE(manuals.find("`" + metric + "`"), std::string::npos)
+      << metric << " needs a row in the table of docs/OPERATING.md or of "
+      << "docs/operating_*.md";
+  }
+}
+
+// Commands that the pages show are ones that exist.
+TEST(Docs, EveryCommandShownExists)
+{
+  const std::regex shown("siskindeal ((target|config|quarantine) [a-z]+)");
+  for (const char* page : { "/README.md", "/docs/OPERATING.md" }) {
+    const std::string text = TextOf(kSource + page);
+    for (std::sregex_iterator match(text.begin(), text.end(), shown), end;
+         match != end;
+         ++match) {
+      EXPECT_TRUE(CommandRegistry::Instance().Has((*match)[1].str()))
+        << page << ": " << (*match)[0];
+    }
+  }
+}
+
+// Pages that a page links to are there.
+TEST(Docs, EveryLinkLeadsSomewhere)
+{
+  const std::regex link("\\]\\(([^)#]+)\\)");
+  std::vector<std::filesystem::path> pages = { kSource + "/README.md" };
+  for (const auto& file :
+       std::filesystem::directory_iterator(kSource + "/docs")) {
+    pages.push_back(file.path());
+  }
+  for (const auto& page : pages) {
+    const std::string text = TextOf(page);
+    for (std::sregex_iterator match(text.begin(), text.end(), link), end;
+         match != end;
+         ++match) {
+      const std::string target = (*match)[1];
+      if (target.find("://") == std::string::npos) {
+        EXPECT_TRUE(std::filesystem::exists(page.parent_path() / target))
+          << page << ": " << target;
+      }
+    }
+  }
+}
+
+} // namespace
+
+} // namespace siskindeal
