--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -85,19 +85,29 @@
   {
     std::string m_classOfWork;
     std::set<std::string> m_crashes;
-    bool m_quarantined = false;
+    bool m_quarantined = false;  // a suspect that crashed its upstream alone
     std::uint64_t m_release = 0; // grows with each operator's release
     std::uint64_t m_version = 0; // grows with each clearing
     std::uint64_t m_number = 0;  // of this process's last change
   };
 
   wire::Suspicion ToWire(std::uint64_t aFingerprint, const State& aState) const;
-  // Quarantines what shares two crashes with no other fingerprint.
-  void ConvictBySharedCrashes();
+  using ByCrash = std::unordered_map<std::string, std::vector<std::uint64_t>>;
+  // Works out m_explained and m_inferred.
+  void Derive();
+  std::size_t Unexplained(const State& aState) const;
+  // Whether no other fingerprint was in flight at two of the same crashes.
+  static bool IsSoleSuspect(std::uint64_t aFingerprint,
+                            const State& aState,
+                            const ByCrash& aByCrash);
   void Changed(State& aState);
   void DropOldest();
 
   std::unordered_map<std::uint64_t, State> m_states;
+  // Crashes of a quarantined fingerprint: nothing else is suspected for them.
+  std::unordered_set<std::string> m_explained;
+  // Quarantined as the only one in flight at two unexplained crashes.
+  std::unordered_set<std::uint64_t> m_inferred;
   std::unordered_set<std::uint64_t> m_succeeded;
   std::deque<std::uint64_t> m_succeededOrder;
   std::uint64_t m_number = 0;
--- a/src/claims/shard_calls.cpp
+++ b/src/claims/shard_calls.cpp
@@ -66,6 +66,10 @@
 std::optional<ClaimCall>
 ClaimShard::NextOwned(MonotonicTime aNow)
 {
+  if (m_seal) {
+    m_op = Op::Seal;
+    return ClaimCall{ ClaimCall::Kind::Put, *m_seal };
+  }
   const bool outcomesDue = m_outcomeDue && aNow >= *m_outcomeDue;
   if (m_pending.empty() && !outcomesDue) {
     if (m_drop.empty()) {
@@ -78,11 +82,8 @@
   }
   const auto records = m_head.m_records.size() + m_outcomes.size() +
                        std::min(m_pending.size(), kMostBatch);
-  if (!m_seal && !m_head.m_records.empty() &&
-      records * kRecordBytes > m_sealBytes) {
+  if (!m_head.m_records.empty() && records * kRecordBytes > m_sealBytes) {
     DecideSeal();
-  }
-  if (m_seal) {
     m_op = Op::Seal;
     return ClaimCall{ ClaimCall::Kind::Put, *m_seal };
   }
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -24,13 +24,22 @@
   if (found == m_states.end()) {
     return SuspicionState::None;
   }
-  if (found->second.m_quarantined) {
+  if (found->second.m_quarantined || m_inferred.contains(aFingerprint)) {
     return SuspicionState::Quarantined;
   }
-  return found->second.m_crashes.empty() ? SuspicionState::None
+  return Unexplained(found->second) == 0 ? SuspicionState::None
                                          : SuspicionState::Suspect;
 }
 
+std::size_t
+SuspicionTable::Unexplained(const State& aState) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    aState.m_crashes.begin(),
+    aState.m_crashes.end(),
+    [&](const std::string& aCrash) { return !m_explained.contains(aCrash); }));
+}
+
 void
 SuspicionTable::Changed(State& aState)
 {
@@ -58,37 +67,56 @@
       fingerprints.size() == 1 && state.m_crashes.size() > 1;
     Changed(state);
   }
-  ConvictBySharedCrashes();
+  Derive();
   DropOldest();
   return ChangedAfter(before);
 }
 
 void
-SuspicionTable::ConvictBySharedCrashes()
+SuspicionTable::Derive()
 {
-  std::unordered_map<std::string, std::vector<std::uint64_t>> byCrash;
+  m_explained.clear();
+  m_inferred.clear();
+  for (const auto& [fingerprint, state] : m_states) {
+    if (state.m_quarantined) {
+      m_explained.insert(state.m_crashes.begin(), state.m_crashes.end());
+    }
+  }
+  ByCrash byCrash;
   for (const auto& [fingerprint, state] : m_states) {
     for (const auto& crash : state.m_crashes) {
-      byCrash[crash].push_back(fingerprint);
+      if (!m_explained.contains(crash)) {
+        byCrash[crash].push_back(fingerprint);
+      }
+    }
+  }
+  for (const auto& [fingerprint, state] : m_states) {
+    if (!state.m_quarantined && Unexplained(state) >= 2 &&
+        !m_succeeded.contains(fingerprint) &&
+        IsSoleSuspect(fingerprint, state, byCrash)) {
+      m_inferred.insert(fingerprint);
     }
   }
-  for (auto& [fingerprint, state] : m_states) {
-    if (state.m_quarantined || state.m_crashes.size() < 2 ||
-        m_succeeded.contains(fingerprint)) {
+}
+
+bool
+SuspicionTable::IsSoleSuspect(std::uint64_t aFingerprint,
+                              const State& aState,
+                              const ByCrash& aByCrash)
+{
+  std::unordered_map<std::uint64_t, int> shared;
+  for (const auto& crash : aState.m_crashes) {
+    const auto found = aByCrash.find(crash);
+    if (found == aByCrash.end()) {
       continue;
     }
-    std::unordered_map<std::uint64_t, int> shared;
-    bool alone = true;
-    for (const auto& crash : state.m_crashes) {
-      for (const auto other : byCrash[crash]) {
-        alone &= other == fingerprint || ++shared[other] < 2;
+    for (const auto other : found->second) {
+      if (other != aFingerprint && ++shared[other] >= 2) {
+        return false;
       }
     }
-    if (alone) {
-      state.m_quarantined = true;
-      Changed(state);
-    }
   }
+  return true;
 }
 
 std::vector<wire::Suspicion>
@@ -112,7 +140,7 @@
   found->second.m_crashes.clear();
   ++found->second.m_version;
   Changed(found->second);
-  ConvictBySharedCrashes();
+  Derive();
   return ChangedAfter(before);
 }
 
@@ -154,7 +182,7 @@
                        state.m_quarantined != before.m_quarantined;
   if (changed) {
     Changed(state);
-    ConvictBySharedCrashes();
+    Derive();
     DropOldest();
   }
   return changed;
--- a/src/routing/ejector.cpp
+++ b/src/routing/ejector.cpp
@@ -39,7 +39,10 @@
   if (!trialFailed && (state.m_out || state.m_failures < kFailures)) {
     return;
   }
-  if (!state.m_out && (Ejected(aNow) + 1) * 2 > aVms) {
+  // The service may have shrunk since others were taken out.
+  const auto others = Ejected(aNow) - (state.m_out ? 1 : 0);
+  if ((others + 1) * 2 > aVms) {
+    state.m_out = false;
     return;
   }
   const auto doublings = std::min(state.m_ejections, kMostDoublings);
@@ -47,8 +50,8 @@
   state.m_until = aNow + std::min(kFirst * (1 << doublings), kLongest);
   state.m_trialUntil = MonotonicTime{};
   ++state.m_ejections;
-  SISKINDEAL_INVARIANT(Ejected(aNow) < std::max<std::size_t>(aVms, 2),
-                       "a whole service is never ejected");
+  SISKINDEAL_INVARIANT(Ejected(aNow) * 2 <= aVms,
+                       "at most half of a service is ejected");
 }
 
 bool
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,224 @@
+#include "siskindeal/routing.h"
+
+#include "siskindeal/invariant.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace siskindeal {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::unique_ptr<RoutingPolicy>
+Policy(const std::string& aName = "prefix_two_choices")
+{
+  return Registry<RoutingPolicy>::Instance().Make(aName);
+}
+
+RunnerReport
+Report(const std::string& aVm,
+       std::uint32_t aRunning = 0,
+       milliseconds aAge = milliseconds(0))
+{
+  RunnerReport report;
+  report.m_vm = aVm;
+  report.m_place = "kingston";
+  report.m_slots = 4;
+  report.m_hasLoad = true;
+  report.m_running = aRunning;
+  report.m_age = aAge;
+  return report;
+}
+
+TEST(Routing, OnlyEligibleRunnersAreChosenInLongRandomisedRuns)
+{
+  SetAbortOnBrokenInvariant(true);
+  for (const std::string policy :
+       { "random", "two_choices", "prefix_two_choices" }) {
+    Random random(11);
+    MonotonicTime now{ std::chrono::hours(1) };
+    Router router(Policy(policy), 0.1, 5);
+    std::map<std::string, RunnerReport> truth;
+    std::multiset<std::string> sent;
+    for (int step = 0; step < 60000; ++step) {
+      now += milliseconds(random.Below(5));
+      const auto vm = "vm" + std::to_string(random.Below(6));
+      const auto choice = random.Below(100);
+      if (choice < 20) {
+        auto report = Report(vm,
+                             static_cast<std::uint32_t>(random.Below(8)),
+                             milliseconds(random.Below(900)));
+        report.m_takesWork = random.Chance(0.8);
+        report.m_digests = { random.Chance(0.8) ? "a" : "b" };
+        truth[vm] = report;
+        router.Report(report, now);
+      } else if (choice < 21) {
+        std::vector<std::string> kept;
+        std::erase_if(truth, [&](const auto&) { return random.Chance(0.3); });
+        for (const auto& [name, report] : truth) {
+          kept.push_back(name);
+        }
+        router.Retain(kept);
+      } else if (choice < 65) {
+        RoutingRequest request{ "kingston", "a", random.Below(9), { vm } };
+        const auto chosen = router.Choose(request, now);
+        const bool possible =
+          std::any_of(truth.begin(), truth.end(), [&](const auto& aEntry) {
+            return aEntry.first != vm && aEntry.second.m_takesWork &&
+                   aEntry.second.m_digests[0] == "a";
+          });
+        ASSERT_EQ(chosen.has_value(), possible); // never a whole service out
+        if (chosen) {
+          ASSERT_NE(*chosen, vm);
+          ASSERT_TRUE(truth.at(*chosen).m_takesWork);
+          ASSERT_EQ(truth.at(*chosen).m_digests[0], "a");
+          router.Sent(*chosen, request.m_prefixHash, now);
+          sent.insert(*chosen);
+        }
+      } else if (choice < 95 && !sent.empty()) {
+        const auto ended = *sent.begin();
+        sent.erase(sent.begin());
+        router.Ended(ended, static_cast<RunnerOutcome>(random.Below(4)), now);
+      } else {
+        router.Prefixes().Event(
+          vm, random.Below(1000), random.Below(9), random.Chance(0.5), now);
+      }
+      for (const auto& candidate : router.Candidates()) {
+        ASSERT_GE(candidate.m_load, candidate.m_inFlight);
+      }
+    }
+  }
+}
+
+TEST(Routing, AReportIsCorrectedByWhatWasSentSinceItWasMeasured)
+{
+  MonotonicTime now{ std::chrono::hours(1) };
+  Router router(Policy(), 0.1, 5);
+  router.Report(Report("vm"), now);
+  now += milliseconds(10);
+  router.Sent("vm", 0, now);
+  router.Sent("vm", 0, now);
+  EXPECT_EQ(router.Candidates()[0].m_load, 2);
+  // Measured before the two were sent: they aren't in it.
+  router.Report(Report("vm", 3, milliseconds(5)), now);
+  EXPECT_EQ(router.Candidates()[0].m_load, 5);
+  now += milliseconds(10);
+  // Measured after: they are.
+  router.Report(Report("vm", 3, milliseconds(5)), now);
+  EXPECT_EQ(router.Candidates()[0].m_load, 3);
+  router.Ended("vm", RunnerOutcome::Answered, now);
+  EXPECT_EQ(router.Candidates()[0].m_load, 2);
+  // An older report that arrives late changes nothing.
+  router.Report(Report("vm", 9, milliseconds(500)), now);
+  EXPECT_EQ(router.Candidates()[0].m_load, 2);
+}
+
+TEST(Routing, APrefixDrawsRequestsOnlyUpToItsBound)
+{
+  MonotonicTime now{ std::chrono::hours(1) };
+  Router router(Policy(), 0.1, 5);
+  for (int vm = 0; vm < 8; ++vm) {
+    router.Report(Report("vm" + std::to_string(vm)), now);
+  }
+  router.Prefixes().Sent(42, "vm3", now);
+  std::map<std::string, int> counts;
+  for (int request = 0; request < 16; ++request) {
+    const auto chosen = router.Choose({ "kingston", "", 42, {} }, now);
+    router.Sent(*chosen, 0, now);
+    ++counts[*chosen];
+  }
+  EXPECT_GE(counts["vm3"], 2);
+  EXPECT_LE(counts["vm3"], 4);
+}
+
+TEST(Routing, CacheEventsThatAreLateOrMissingOnlyCastDoubt)
+{
+  const MonotonicTime now{ std::chrono::hours(1) };
+  PrefixTable table(3);
+  table.Event("a", 1, 42, false, now);
+  table.Event("b", 1, 42, false, now + milliseconds(5));
+  table.Event("a", 5, 43, false, now + milliseconds(10)); // 2 to 4 are missing
+  auto holders = table.Holders(42, now + milliseconds(10));
+  ASSERT_EQ(holders.size(), 2U);
+  EXPECT_EQ(holders[0].m_vm, "b");
+  EXPECT_TRUE(holders[1].m_doubtful);
+  table.Sent(42, "b", now + milliseconds(10));
+  table.Event("b", 2, 42, true, now + milliseconds(20)); // older than the send
+  EXPECT_EQ(table.Holders(42, now + milliseconds(20)).size(), 2U);
+  table.Event("b", 3, 42, true, now + milliseconds(9000));
+  EXPECT_EQ(table.Holders(42, now + milliseconds(9000)).size(), 1U);
+  for (std::uint64_t prefix = 50; prefix < 60; ++prefix) {
+    table.Sent(prefix, "a", now);
+  }
+  EXPECT_EQ(table.Size(), 3U);
+}
+
+TEST(Routing, EjectionLeavesHalfOfAServiceAndTriesAgainOneRequestAtATime)
+{
+  MonotonicTime now{ std::chrono::hours(1) };
+  OutlierEjector ejector;
+  const std::vector<std::string> vms{ "a", "b", "c", "d" };
+  for (int round = 0; round < 10; ++round) {
+    for (const auto& vm : vms) {
+      ejector.Failed(vm, vms.size(), now);
+    }
+  }
+  EXPECT_EQ(ejector.Ejected(now), 2U);
+  OutlierEjector single;
+  for (int round = 0; round < 10; ++round) {
+    single.Failed("a", 1, now);
+  }
+  EXPECT_FALSE(single.IsEjected("a", now));
+  now += OutlierEjector::kFirst;
+  EXPECT_FALSE(ejector.IsEjected("a", now));
+  ejector.Chosen("a", now);
+  EXPECT_TRUE(ejector.IsEjected("a", now)); // its trial is out
+  ejector.Succeeded("a");
+  EXPECT_FALSE(ejector.IsEjected("a", now));
+}
+
+TEST(Routing, RetriesAreAFractionOfRequests)
+{
+  RetryBudget budget(0.1);
+  int retries = 0;
+  for (int request = 0; request < 1000; ++request) {
+    budget.Request();
+    retries += budget.Take() ? 1 : 0;
+  }
+  EXPECT_LE(retries, 100 + RetryBudget::kMost);
+  EXPECT_GE(retries, 100);
+}
+
+TEST(Routing, ALeavingEntryIsNeverNamedAndPlaceAndLoadDecide)
+{
+  Random random(3);
+  std::vector<EntryView> entries;
+  for (int index = 0; index < 9; ++index) {
+    entries.push_back({ "e" + std::to_string(index),
+                        index % 3 == 0 ? "burton" : "nottingham",
+                        "127.0.0.1:" + std::to_string(8000 + index),
+                        index == 3,
+                        index != 6,
+                        index == 0 ? 50U : 0U });
+  }
+  std::map<std::string, int> first;
+  for (int asked = 0; asked < 900; ++asked) {
+    const auto ranked = RankEntries(entries, "nottingham", 9, random);
+    ASSERT_EQ(ranked.size(), 8U);
+    for (const auto& entry : ranked) {
+      ASSERT_NE(entry.m_vm, "e3");
+    }
+    EXPECT_EQ(ranked.front().m_place, "nottingham");
+    EXPECT_EQ(ranked.back().m_vm, "e6");
+    ++first[ranked.front().m_vm];
+  }
+  for (const auto& [vm, count] : first) {
+    EXPECT_GE(count, 100) << vm; // 150 each on average
+  }
+}
+
+} // namespace
+} // namespace siskindeal
