--- a/examples/standin/stand_in.h
+++ b/examples/standin/stand_in.h
@@ -30,9 +30,9 @@
 struct Fault
 {
   std::string m_value;
-  int m_times = -1;         // how often still; -1: until cleared
-  std::string m_client;     // only requests with this x-siskindeal-vm
-  std::string m_pathPrefix; // only requests under this path
+  int m_times = -1;           // how often still; -1: until cleared
+  std::string m_client{};     // only requests with this x-siskindeal-vm
+  std::string m_pathPrefix{}; // only requests under this path
 };
 
 // The faults of one stand-in. Thread-safe.
