--- a/tests/standin_contract_test.cpp
+++ b/tests/standin_contract_test.cpp
@@ -12,6 +12,8 @@
 #include <nlohmann/json.hpp>
 
 #include <future>
+#include <mutex>
+#include <thread>
 
 namespace siskindeal::standin {
 namespace {
@@ -221,12 +223,13 @@
   platform.SetVm({ "vm-1", "kingston", "caddie-llm", "127.0.0.1:1" }, true);
   platform.SetVm({ "vm-1", "kingston", "caddie-llm", "127.0.0.1:1", true });
   const auto leaving = [&] {
-    return json::parse(
-             Call(platform, "GET", "/v1/vms").m_body)["vms"][0]["leaving"]
-      .get<bool>();
+    const auto reply = Call(platform, "GET", "/v1/vms");
+    EXPECT_EQ(reply.m_status, 200);
+    return json::parse(reply.m_body)["vms"][0]["leaving"].get<bool>();
   };
   EXPECT_FALSE(leaving());
   while (!leaving()) {
+    std::this_thread::sleep_for(milliseconds(5));
   }
 }
 
