--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -193,6 +193,13 @@
     setenv("SISKINDEAL_KEY", kSecret, 1);
   }
 
+  void TearDown() override
+  {
+    for (const std::string& file : m_files) {
+      unlink(file.c_str());
+    }
+  }
+
   Result RunWith(std::vector<std::string> aArguments,
                  const std::vector<std::string>& aEntries)
   {
@@ -211,10 +218,10 @@
 
   std::string WriteFile(const std::string& aName, const std::string& aText)
   {
-    const std::string file =
-      testing::TempDir() + std::to_string(getpid()) + "_" + aName;
-    std::ofstream(file) << aText;
-    return file;
+    m_files.push_back(testing::TempDir() + std::to_string(getpid()) + "_" +
+                      aName);
+    std::ofstream(m_files.back()) << aText;
+    return m_files.back();
   }
 
   // An address on which nothing listens.
@@ -229,6 +236,7 @@
   absl::Mutex m_mutex;
   FakeEntry m_entry{ m_platform, m_mutex };
   FakeEntry m_other{ m_platform, m_mutex };
+  std::vector<std::string> m_files; // to be removed
 };
 
 const std::vector<std::string> kCreate = { "target",  "create",       "sunday",
