--- /dev/null
+++ b/src/agent/fetcher.cpp
@@ -0,0 +1,499 @@
+#include "agent/weights_session_p.h"
+
+#include "siskindeal/digest.h"
+#include "siskindeal/invariant.h"
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{ 25 };
+constexpr std::chrono::milliseconds kRetryEngine{ 500 };
+constexpr std::chrono::milliseconds kHaveTimeout{ 1000 };
+constexpr int kPartialContent = 206;
+
+DownloadLimits
+LimitsOf(const WeightsSettings& aSettings)
+{
+  DownloadLimits limits;
+  limits.m_window = std::max(1U, aSettings.m_window);
+  limits.m_chunkTimeout = aSettings.m_chunkTimeout;
+  limits.m_takeoverAfter = aSettings.m_chunkTimeout / 2;
+  return limits;
+}
+
+} // namespace
+
+WeightsSession::WeightsSession(std::shared_ptr<WeightsContext> aContext,
+                               const Manifest& aManifest,
+                               const std::string& aPolicy,
+                               std::function<void()> aOnStaged)
+  : m_context(std::move(aContext))
+  , m_manifest(aManifest)
+  , m_digest(aManifest.Digest())
+  , m_onStaged(std::move(aOnStaged))
+  , m_download(aManifest,
+               m_context->m_settings.m_node.m_vm,
+               m_context->m_settings.m_node.m_place,
+               aPolicy,
+               LimitsOf(m_context->m_settings.m_weights),
+               StableHash(m_context->m_settings.m_node.m_vm + m_digest))
+{
+}
+
+void
+WeightsSession::Start()
+{
+  m_context->m_engine->ListStaged(
+    m_digest, [self = shared_from_this()](auto aChunks) {
+      self->m_context->m_io->Post(
+        [self, chunks = std::move(aChunks)] { self->OnListed(chunks); });
+    });
+}
+
+void
+WeightsSession::OnListed(
+  const std::optional<std::vector<std::uint32_t>>& aChunks)
+{
+  if (!aChunks) {
+    m_context->m_io->PostAfter(kRetryEngine,
+                               [self = shared_from_this()] { self->Start(); });
+    return;
+  }
+  {
+    const OrderedLock lock(m_mutex);
+    if (m_stage != Stage::Preparing) {
+      return;
+    }
+    m_stage = Stage::Fetching;
+    for (const auto chunk : *aChunks) {
+      if (chunk < m_manifest.ChunkCount()) {
+        m_download.Hold(chunk, m_context->m_clock.Now());
+      }
+    }
+  }
+  Tick();
+}
+
+void
+WeightsSession::SetPeers(const std::vector<PeerInfo>& aPeers,
+                         const ChunkTurns& aTurns,
+                         bool aAllowOrigin)
+{
+  const OrderedLock lock(m_mutex);
+  m_download.SetPeers(aPeers, aTurns, aAllowOrigin, m_context->m_clock.Now());
+}
+
+void
+WeightsSession::End()
+{
+  const OrderedLock lock(m_mutex);
+  m_stage = Stage::Ended;
+}
+
+void
+WeightsSession::Tick()
+{
+  if (const auto stage = CurrentStage(); stage != Stage::Fetching) {
+    return;
+  }
+  Pump();
+  m_context->m_io->PostAfter(kTick,
+                             [self = shared_from_this()] { self->Tick(); });
+}
+
+void
+WeightsSession::Pump()
+{
+  std::vector<Pull> pulls;
+  std::vector<PeerInfo> polls;
+  bool complete = false;
+  {
+    const OrderedLock lock(m_mutex);
+    if (m_stage != Stage::Fetching) {
+      return;
+    }
+    const auto now = m_context->m_clock.Now();
+    complete = m_download.Complete();
+    if (complete) {
+      m_stage = Stage::Checking;
+      m_problem.clear();
+    } else {
+      pulls = m_download.Next(now);
+      polls = m_download.Polls(now);
+      SISKINDEAL_INVARIANT(
+        m_download.InFlight() <=
+          std::max(1U, m_context->m_settings.m_weights.m_window),
+        "an agent holds a bounded window of chunks");
+    }
+  }
+  if (complete) {
+    return BeginCheck();
+  }
+  StartPulls(pulls);
+  StartPolls(polls);
+}
+
+void
+WeightsSession::StartPulls(const std::vector<Pull>& aPulls)
+{
+  for (const auto& pull : aPulls) {
+    const auto wait = m_context->Reserve(m_manifest.ChunkBytes(pull.m_chunk));
+    if (wait.count() == 0) {
+      Ask(pull);
+      continue;
+    }
+    m_context->m_io->PostAfter(
+      wait, [self = shared_from_this(), pull] { self->Ask(pull); });
+  }
+}
+
+void
+WeightsSession::StartPolls(const std::vector<PeerInfo>& aPeers)
+{
+  for (const auto& peer : aPeers) {
+    wire::HaveRequest request;
+    request.set_digest(m_digest);
+    m_context->m_io->Have(
+      peer.m_address,
+      request,
+      kHaveTimeout,
+      [self = shared_from_this(), vm = peer.m_vm](
+        const RpcStatus& aStatus, const wire::HaveReply& aReply) {
+        if (aStatus.m_outcome == RpcOutcome::Ok) {
+          return self->OnPeerHas(vm, aReply.have(), aReply.fetching());
+        }
+        const OrderedLock lock(self->m_mutex);
+        self->m_download.PeerSilent(vm, self->m_context->m_clock.Now());
+      });
+  }
+}
+
+void
+WeightsSession::OnPeerHas(const std::string& aVm,
+                          const std::string& aHave,
+                          const std::string& aFetching)
+{
+  const OrderedLock lock(m_mutex);
+  m_download.PeerHas(aVm, aHave, aFetching, m_context->m_clock.Now());
+}
+
+void
+WeightsSession::Ask(const Pull& aPull)
+{
+  if (aPull.m_peer) {
+    AskPeer(aPull);
+  } else {
+    AskOrigin(aPull);
+  }
+}
+
+void
+WeightsSession::AskOrigin(const Pull& aPull)
+{
+  const auto begin = aPull.m_chunk * m_manifest.m_chunkSize;
+  const auto bytes = m_manifest.ChunkBytes(aPull.m_chunk);
+  HttpClientRequest request;
+  request.m_url = m_context->m_settings.m_weights.m_storeUrl + "/v1/origin/" +
+                  m_manifest.m_origin;
+  request.m_headers["range"] =
+    "bytes=" + std::to_string(begin) + "-" + std::to_string(begin + bytes - 1);
+  request.m_timeout = aPull.m_timeout;
+  m_context->m_io->Http(
+    std::move(request), [self = shared_from_this(), aPull](HttpReply aReply) {
+      if (aReply.m_outcome != HttpOutcome::Answered ||
+          aReply.m_status != kPartialContent) {
+        return self->Fail(aPull,
+                          PullFailure::Lost,
+                          "origin: " + (aReply.m_error.empty()
+                                          ? std::to_string(aReply.m_status)
+                                          : aReply.m_error));
+      }
+      self->m_context->m_io->Post(
+        [self, aPull, bytes = std::move(aReply.m_body)]() mutable {
+          self->OnBytes(aPull, std::move(bytes));
+        });
+    });
+}
+
+void
+WeightsSession::AskPeer(const Pull& aPull)
+{
+  wire::ChunkRequest request;
+  request.set_digest(m_digest);
+  request.set_index(aPull.m_chunk);
+  request.set_requester(m_context->m_settings.m_node.m_vm);
+  request.set_place(m_context->m_settings.m_node.m_place);
+  m_context->m_io->Chunk(
+    aPull.m_peer->m_address,
+    request,
+    aPull.m_timeout,
+    [self = shared_from_this(), aPull](const RpcStatus& aStatus,
+                                       wire::ChunkReply aReply) {
+      const auto& vm = aPull.m_peer->m_vm;
+      if (aStatus.m_outcome != RpcOutcome::Ok) {
+        return self->Fail(aPull, PullFailure::Lost, vm + ": " + aStatus.m_what);
+      }
+      if (!aReply.have().empty()) {
+        self->OnPeerHas(vm, aReply.have(), "");
+      }
+      if (aReply.busy()) {
+        return self->Fail(aPull, PullFailure::Busy, "");
+      }
+      if (aReply.missing()) {
+        return self->Fail(aPull, PullFailure::Missing, "");
+      }
+      self->m_context->m_io->Post(
+        [self, aPull, bytes = std::move(*aReply.mutable_bytes())]() mutable {
+          self->OnBytes(aPull, std::move(bytes));
+        });
+    });
+}
+
+bool
+WeightsSession::IsChunk(std::uint32_t aIndex, const std::string& aBytes) const
+{
+  return aBytes.size() == m_manifest.ChunkBytes(aIndex) &&
+         Sha256Hex(aBytes) == m_manifest.m_chunkDigests[aIndex];
+}
+
+void
+WeightsSession::OnBytes(const Pull& aPull, std::string aBytes)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    (aPull.m_peer ? m_peerBytes : m_originBytes) += aBytes.size();
+  }
+  const std::string source = aPull.m_peer ? aPull.m_peer->m_vm : "origin";
+  CountMetric("siskindeal_weights_received_bytes",
+              { { "from", aPull.m_peer ? "peer" : "origin" } },
+              static_cast<double>(aBytes.size()));
+  if (!IsChunk(aPull.m_chunk, aBytes)) {
+    Log(LogLevel::Warning,
+        "chunk_corrupt",
+        { { "digest", m_digest },
+          { "chunk", aPull.m_chunk },
+          { "source", source } });
+    CountMetric("siskindeal_weights_corrupt_chunks_total");
+    return Fail(aPull, PullFailure::Corrupt, source + ": corrupt chunk");
+  }
+  if (CurrentStage() == Stage::Ended) {
+    return;
+  }
+  m_context->m_engine->Stage(m_digest,
+                             aPull.m_chunk,
+                             std::move(aBytes),
+                             [self = shared_from_this(), aPull](bool aStaged) {
+                               self->OnStagedChunk(aPull, aStaged);
+                             });
+}
+
+void
+WeightsSession::OnStagedChunk(const Pull& aPull, bool aStaged)
+{
+  if (!aStaged) {
+    m_context->m_io->PostAfter(
+      kRetryEngine, [self = shared_from_this(), aPull] {
+        self->Fail(aPull, PullFailure::Missing, "engine: staging failed");
+      });
+    return;
+  }
+  {
+    const OrderedLock lock(m_mutex);
+    m_download.Verified(aPull.m_id, m_context->m_clock.Now());
+  }
+  m_context->m_io->Post([self = shared_from_this()] { self->Pump(); });
+}
+
+void
+WeightsSession::Fail(const Pull& aPull,
+                     PullFailure aFailure,
+                     const std::string& aWhat)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    m_download.Failed(aPull.m_id, aFailure, m_context->m_clock.Now());
+    if (!aWhat.empty()) {
+      m_problem = aWhat;
+    }
+  }
+  m_context->m_io->Post([self = shared_from_this()] { self->Pump(); });
+}
+
+void
+WeightsSession::Serve(const wire::ChunkRequest& aRequest,
+                      std::function<void(wire::ChunkReply)> aDone)
+{
+  wire::ChunkReply reply;
+  bool held = false;
+  {
+    const OrderedLock lock(m_mutex);
+    reply.set_have(m_download.Have().ToBytes());
+    held = m_download.Have().Has(aRequest.index());
+  }
+  reply.set_missing(!held);
+  if (!held) {
+    return aDone(std::move(reply));
+  }
+  if (!m_context->TakeUploadSlot()) {
+    reply.set_busy(true);
+    return aDone(std::move(reply));
+  }
+  const auto wait = m_context->Reserve(m_manifest.ChunkBytes(aRequest.index()));
+  m_context->m_io->PostAfter(
+    wait, [self = shared_from_this(), index = aRequest.index(), aDone] {
+      self->ReadForPeer(index, aDone);
+    });
+}
+
+void
+WeightsSession::ReadForPeer(std::uint32_t aIndex,
+                            std::function<void(wire::ChunkReply)> aDone)
+{
+  m_context->m_engine->Read(
+    m_digest,
+    aIndex,
+    [self = shared_from_this(), aIndex, aDone](Engine::Staged aStaged) {
+      self->m_context->m_io->Post(
+        [self, aIndex, aDone, staged = std::move(aStaged)]() mutable {
+          self->m_context->ReturnUploadSlot();
+          wire::ChunkReply reply;
+          const bool whole =
+            staged.m_bytes && self->IsChunk(aIndex, *staged.m_bytes);
+          if (whole) {
+            reply.set_bytes(std::move(*staged.m_bytes));
+          } else {
+            reply.set_missing(true);
+            if (staged.m_answered) {
+              self->DropChunk(aIndex);
+            }
+          }
+          {
+            const OrderedLock lock(self->m_mutex);
+            reply.set_have(self->m_download.Have().ToBytes());
+          }
+          aDone(std::move(reply));
+        });
+    });
+}
+
+void
+WeightsSession::DropChunk(std::uint32_t aIndex)
+{
+  Log(LogLevel::Warning,
+      "staged_chunk_lost",
+      { { "digest", m_digest }, { "chunk", aIndex } });
+  {
+    const OrderedLock lock(m_mutex);
+    m_download.Drop(aIndex);
+    if (m_stage != Stage::Staged && m_stage != Stage::Checking) {
+      return;
+    }
+    m_stage = Stage::Fetching;
+    m_content.clear();
+    m_problem = "engine: a staged chunk was lost";
+  }
+  Tick();
+}
+
+void
+WeightsSession::BeginCheck()
+{
+  CheckNext(0, std::make_shared<Sha256Stream>());
+}
+
+void
+WeightsSession::CheckNext(std::uint32_t aIndex,
+                          std::shared_ptr<Sha256Stream> aStream)
+{
+  if (CurrentStage() != Stage::Checking) {
+    return;
+  }
+  m_context->m_engine->Read(
+    m_digest,
+    aIndex,
+    [self = shared_from_this(), aIndex, aStream](Engine::Staged aStaged) {
+      self->m_context->m_io->Post(
+        [self, aIndex, aStream, staged = std::move(aStaged)] {
+          self->OnChecked(aIndex, aStream, staged);
+        });
+    });
+}
+
+void
+WeightsSession::OnChecked(std::uint32_t aIndex,
+                          const std::shared_ptr<Sha256Stream>& aStream,
+                          const Engine::Staged& aStaged)
+{
+  if (!aStaged.m_answered) {
+    m_context->m_io->PostAfter(kRetryEngine,
+                               [self = shared_from_this(), aIndex, aStream] {
+                                 self->CheckNext(aIndex, aStream);
+                               });
+    return;
+  }
+  if (!aStaged.m_bytes || !IsChunk(aIndex, *aStaged.m_bytes)) {
+    return DropChunk(aIndex);
+  }
+  aStream->Add(*aStaged.m_bytes);
+  if (aIndex + 1 < m_manifest.ChunkCount()) {
+    return CheckNext(aIndex + 1, aStream);
+  }
+  {
+    const OrderedLock lock(m_mutex);
+    if (m_stage != Stage::Checking) {
+      return;
+    }
+    SISKINDEAL_INVARIANT(m_download.Complete(),
+                         "only a whole manifest counts as staged");
+    m_stage = Stage::Staged;
+    m_content = aStream->Finish();
+  }
+  Log(LogLevel::Info, "weights_staged", { { "digest", m_digest } });
+  m_onStaged();
+}
+
+wire::HaveReply
+WeightsSession::Have()
+{
+  const OrderedLock lock(m_mutex);
+  wire::HaveReply reply;
+  reply.set_known(true);
+  reply.set_have(m_download.Have().ToBytes());
+  reply.set_fetching(m_download.FetchingFromOrigin().ToBytes());
+  return reply;
+}
+
+wire::Progress
+WeightsSession::Progress()
+{
+  const OrderedLock lock(m_mutex);
+  wire::Progress progress;
+  progress.set_digest(m_digest);
+  progress.set_chunks(m_manifest.ChunkCount());
+  progress.set_verified(m_download.Have().Count());
+  progress.set_origin_bytes(m_originBytes);
+  progress.set_peer_bytes(m_peerBytes);
+  progress.set_problem(m_problem);
+  return progress;
+}
+
+WeightsSession::Stage
+WeightsSession::CurrentStage()
+{
+  const OrderedLock lock(m_mutex);
+  return m_stage;
+}
+
+std::string
+WeightsSession::Content()
+{
+  const OrderedLock lock(m_mutex);
+  return m_content;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/rollout/download.cpp
@@ -0,0 +1,328 @@
+#include "rollout/download_p.h"
+
+#include "siskindeal/invariant.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::milliseconds kFirstAvoid{ 100 };
+constexpr std::chrono::milliseconds kLongestAvoid{ 8000 };
+constexpr std::chrono::milliseconds kBusyAvoid{ 30 };
+constexpr std::chrono::milliseconds kShortestTimeout{ 1000 };
+constexpr int kTimeoutLatencies = 10;
+constexpr int kSmoothing = 8;
+
+std::chrono::nanoseconds
+Smooth(std::chrono::nanoseconds aOld, std::chrono::nanoseconds aNew)
+{
+  return aOld.count() == 0 ? aNew : aOld + (aNew - aOld) / kSmoothing;
+}
+
+} // namespace
+
+Download::Download(const Manifest& aManifest,
+                   const std::string& aVm,
+                   const std::string& aPlace,
+                   const std::string& aPolicy,
+                   const DownloadLimits& aLimits,
+                   std::uint64_t aSeed)
+  : m_manifest(aManifest)
+  , m_limits(aLimits)
+  , m_policy(RolloutPolicyRegistry::Instance().Make(aPolicy))
+  , m_random(aSeed)
+{
+  m_view.m_vm = aVm;
+  m_view.m_place = aPlace;
+  m_view.m_have = ChunkSet(aManifest.ChunkCount());
+  m_view.m_wanted = ChunkSet(aManifest.ChunkCount());
+  for (std::uint32_t i = 0; i < aManifest.ChunkCount(); ++i) {
+    m_view.m_wanted.Add(i);
+  }
+  m_view.m_window = aLimits.m_window;
+  m_view.m_takeoverAfter = aLimits.m_takeoverAfter;
+}
+
+void
+Download::SetPeers(const std::vector<PeerInfo>& aPeers,
+                   const ChunkTurns& aTurns,
+                   bool aAllowOrigin,
+                   MonotonicTime aNow)
+{
+  std::vector<PeerView> views;
+  std::map<std::string, PeerState> states;
+  for (const auto& peer : aPeers) {
+    if (peer.m_vm == m_view.m_vm) {
+      continue;
+    }
+    if (const auto* known = FindPeer(peer.m_vm)) {
+      views.push_back(*known);
+      states[peer.m_vm] = m_peers[peer.m_vm];
+    } else {
+      views.emplace_back();
+      views.back().m_have = ChunkSet(m_manifest.ChunkCount());
+      views.back().m_fetching = ChunkSet(m_manifest.ChunkCount());
+      states[peer.m_vm] = PeerState{};
+    }
+    views.back().m_info = peer;
+    views.back().m_samePlace = peer.m_place == m_view.m_place;
+  }
+  m_view.m_peers = std::move(views);
+  m_peers = std::move(states);
+  m_view.m_turns = aTurns;
+  m_view.m_turns.m_fleetCount = std::max(1U, aTurns.m_fleetCount);
+  m_view.m_turns.m_placeCount = std::max(1U, aTurns.m_placeCount);
+  m_allowOrigin = aAllowOrigin;
+  m_lastGain = aNow;
+}
+
+void
+Download::Hold(std::uint32_t aChunk, MonotonicTime aNow)
+{
+  m_view.m_have.Add(aChunk);
+  m_view.m_wanted.Remove(aChunk);
+  m_lastGain = aNow;
+}
+
+void
+Download::Drop(std::uint32_t aChunk)
+{
+  if (m_view.m_have.Remove(aChunk)) {
+    m_view.m_wanted.Add(aChunk);
+  }
+}
+
+std::vector<Pull>
+Download::Next(MonotonicTime aNow)
+{
+  std::vector<Pull> pulls;
+  if (m_view.m_wanted.Count() == 0) {
+    return pulls;
+  }
+  RefreshUsable(aNow);
+  m_view.m_starved = aNow - m_lastGain;
+  while (m_pulls.size() < m_limits.m_window) {
+    const auto choice = m_policy->Next(m_view, m_random);
+    if (!choice) {
+      break;
+    }
+    pulls.push_back(StartPull(*choice, aNow));
+  }
+  return pulls;
+}
+
+Pull
+Download::StartPull(const ChunkChoice& aChoice, MonotonicTime aNow)
+{
+  SISKINDEAL_INVARIANT(m_view.m_wanted.Has(aChoice.m_chunk),
+                       "a chunk is asked for once at a time");
+  Pull pull{ ++m_lastPull, aChoice.m_chunk, std::nullopt, PullTimeout() };
+  PullState state{ aChoice.m_chunk, "", aNow };
+  if (aChoice.m_peer) {
+    auto& peer = m_view.m_peers[*aChoice.m_peer];
+    SISKINDEAL_INVARIANT(!m_peers[peer.m_info.m_vm].m_corrupt,
+                         "a peer that sent wrong bytes isn't asked again");
+    ++peer.m_inFlight;
+    pull.m_peer = peer.m_info;
+    state.m_vm = peer.m_info.m_vm;
+  } else {
+    ++m_view.m_originInFlight;
+  }
+  m_view.m_wanted.Remove(aChoice.m_chunk);
+  m_pulls[pull.m_id] = state;
+  return pull;
+}
+
+Download::PullState
+Download::Take(std::uint64_t aPull)
+{
+  const auto found = m_pulls.find(aPull);
+  SISKINDEAL_INVARIANT(found != m_pulls.end(), "a pull ends once");
+  if (found == m_pulls.end()) {
+    return {};
+  }
+  const auto state = found->second;
+  m_pulls.erase(found);
+  if (state.m_vm.empty()) {
+    --m_view.m_originInFlight;
+  } else if (auto* peer = FindPeer(state.m_vm); peer && peer->m_inFlight > 0) {
+    --peer->m_inFlight;
+  }
+  return state;
+}
+
+void
+Download::Verified(std::uint64_t aPull, MonotonicTime aNow)
+{
+  const auto state = Take(aPull);
+  const auto took = aNow - state.m_start;
+  m_latency = Smooth(m_latency, took);
+  if (state.m_vm.empty()) {
+    m_origin.m_failures = 0;
+  } else if (auto* peer = FindPeer(state.m_vm)) {
+    peer->m_latency = Smooth(peer->m_latency, took);
+    m_peers[state.m_vm].m_failures = 0;
+  }
+  Hold(state.m_chunk, aNow);
+}
+
+void
+Download::Failed(std::uint64_t aPull, PullFailure aFailure, MonotonicTime aNow)
+{
+  const auto state = Take(aPull);
+  if (!m_view.m_have.Has(state.m_chunk)) {
+    m_view.m_wanted.Add(state.m_chunk);
+  }
+  if (state.m_vm.empty()) {
+    Avoid(m_origin, aNow);
+    return;
+  }
+  auto* peer = FindPeer(state.m_vm);
+  if (peer == nullptr) {
+    return;
+  }
+  auto& known = m_peers[state.m_vm];
+  switch (aFailure) {
+    case PullFailure::Busy:
+      known.m_avoidUntil = aNow + kBusyAvoid;
+      break;
+    case PullFailure::Missing:
+      peer->m_have.Remove(state.m_chunk);
+      break;
+    case PullFailure::Lost:
+      peer->m_latency = Smooth(peer->m_latency, aNow - state.m_start);
+      Avoid(known, aNow);
+      break;
+    case PullFailure::Corrupt:
+      known.m_corrupt = true;
+      break;
+  }
+}
+
+void
+Download::Avoid(PeerState& aState, MonotonicTime aNow)
+{
+  const auto exponent = std::min(aState.m_failures, 8U);
+  const auto wait = std::min(kLongestAvoid, kFirstAvoid * (1U << exponent));
+  ++aState.m_failures;
+  aState.m_avoidUntil =
+    aNow + std::chrono::duration_cast<std::chrono::nanoseconds>(
+             wait * (0.5 + m_random.Unit()));
+}
+
+std::vector<PeerInfo>
+Download::Polls(MonotonicTime aNow)
+{
+  std::vector<PeerInfo> due;
+  if (Complete() || !m_policy->NeedsPeers()) {
+    return due;
+  }
+  for (const auto& peer : m_view.m_peers) {
+    auto& state = m_peers[peer.m_info.m_vm];
+    if (state.m_corrupt || aNow < state.m_pollAt || peer.m_have.Full()) {
+      continue;
+    }
+    state.m_pollAt = aNow + PollPeriod() * (peer.m_samePlace ? 1 : 2);
+    due.push_back(peer.m_info);
+  }
+  return due;
+}
+
+void
+Download::PeerHas(const std::string& aVm,
+                  const std::string& aHave,
+                  const std::string& aFetching,
+                  MonotonicTime aNow)
+{
+  auto* peer = FindPeer(aVm);
+  if (peer == nullptr) {
+    return;
+  }
+  auto have = ChunkSet::FromBytes(aHave, m_manifest.ChunkCount());
+  for (std::uint32_t i = 0; i < have.Size(); ++i) {
+    if (have.Has(i) && !peer->m_have.Has(i) && !m_view.m_have.Has(i)) {
+      m_lastGain = aNow;
+      break;
+    }
+  }
+  peer->m_have = std::move(have);
+  peer->m_fetching = ChunkSet::FromBytes(aFetching, m_manifest.ChunkCount());
+}
+
+void
+Download::PeerSilent(const std::string& aVm, MonotonicTime aNow)
+{
+  if (auto* peer = FindPeer(aVm)) {
+    peer->m_fetching = ChunkSet(m_manifest.ChunkCount());
+    Avoid(m_peers[aVm], aNow);
+  }
+}
+
+ChunkSet
+Download::FetchingFromOrigin() const
+{
+  ChunkSet fetching(m_manifest.ChunkCount());
+  for (const auto& [id, pull] : m_pulls) {
+    if (pull.m_vm.empty()) {
+      fetching.Add(pull.m_chunk);
+    }
+  }
+  return fetching;
+}
+
+std::vector<std::string>
+Download::CorruptPeers() const
+{
+  std::vector<std::string> names;
+  for (const auto& [vm, state] : m_peers) {
+    if (state.m_corrupt) {
+      names.push_back(vm);
+    }
+  }
+  return names;
+}
+
+PeerView*
+Download::FindPeer(const std::string& aVm)
+{
+  for (auto& peer : m_view.m_peers) {
+    if (peer.m_info.m_vm == aVm) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
+void
+Download::RefreshUsable(MonotonicTime aNow)
+{
+  m_view.m_originUsable = m_allowOrigin && aNow >= m_origin.m_avoidUntil;
+  for (auto& peer : m_view.m_peers) {
+    const auto& state = m_peers[peer.m_info.m_vm];
+    peer.m_usable = !state.m_corrupt && aNow >= state.m_avoidUntil;
+  }
+}
+
+std::chrono::milliseconds
+Download::PullTimeout() const
+{
+  if (m_latency.count() == 0) {
+    return m_limits.m_chunkTimeout;
+  }
+  const auto expected = std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_latency * kTimeoutLatencies);
+  return std::min(m_limits.m_chunkTimeout,
+                  std::max(kShortestTimeout, expected));
+}
+
+std::chrono::nanoseconds
+Download::PollPeriod() const
+{
+  return std::clamp(std::chrono::nanoseconds(m_latency),
+                    std::chrono::nanoseconds(m_limits.m_shortestPoll),
+                    std::chrono::nanoseconds(m_limits.m_longestPoll));
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/rollout/policy_p.h
@@ -0,0 +1,86 @@
+#pragma once
+// Where the next chunk of a download comes from. Policies are plug-ins under
+// their names: "origin_only", "tree" and "swarm".
+
+#include "rollout/chunk_set_p.h"
+#include "siskindeal/clock.h"
+#include "siskindeal/random.h"
+#include "siskindeal/registry.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskindeal {
+
+// Another VM that takes part in the same rollout.
+struct PeerInfo
+{
+  std::string m_vm;
+  std::string m_place;
+  std::string m_address;
+};
+
+// Whose turn a chunk is; see FetchOrder in proto/siskindeal.proto.
+struct ChunkTurns
+{
+  std::uint32_t m_fleetIndex = 0;
+  std::uint32_t m_fleetCount = 1;
+  std::uint32_t m_placeIndex = 0;
+  std::uint32_t m_placeCount = 1;
+  bool m_originByPlace = false;
+};
+
+// What a download knows of a peer.
+struct PeerView
+{
+  PeerInfo m_info;
+  ChunkSet m_have;
+  ChunkSet m_fetching; // from the origin
+  std::uint32_t m_inFlight = 0;
+  std::chrono::nanoseconds m_latency{ 0 }; // of a chunk, smoothed; 0: unknown
+  bool m_samePlace = false;
+  bool m_usable = true; // not avoided just now
+};
+
+// What a policy decides from.
+struct DownloadView
+{
+  std::string m_vm;
+  std::string m_place;
+  ChunkSet m_have;
+  ChunkSet m_wanted; // neither held nor in flight
+  std::vector<PeerView> m_peers;
+  ChunkTurns m_turns;
+  bool m_originUsable = false;
+  std::uint32_t m_originInFlight = 0;
+  std::uint32_t m_window = 0;
+  std::chrono::nanoseconds m_starved{ 0 }; // since anything last came to hand
+  std::chrono::nanoseconds m_takeoverAfter{ 0 };
+};
+
+// A chunk to ask for, and whom.
+struct ChunkChoice
+{
+  std::uint32_t m_chunk = 0;
+  std::optional<std::size_t> m_peer; // index in m_peers; nothing: the origin
+};
+
+// Decision code: no I/O, and the same choice for the same view and random
+// state.
+class RolloutPolicy
+{
+public:
+  virtual ~RolloutPolicy() = default;
+  // The next chunk to ask for; nothing where waiting is better.
+  virtual std::optional<ChunkChoice> Next(const DownloadView& aView,
+                                          Random& aRandom) = 0;
+  // Whether the download asks peers what they hold.
+  virtual bool NeedsPeers() const { return true; }
+};
+
+using RolloutPolicyRegistry = Registry<RolloutPolicy>;
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/weights/link_shaper.cpp
@@ -0,0 +1,52 @@
+#include "weights/link_shaper_p.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+// Of the link, for chunks; the rest keeps queues short for live requests.
+constexpr double kChunkShare = 0.95;
+
+} // namespace
+
+LinkShaper::LinkShaper(std::uint64_t aBytesPerSecond)
+  : m_rate(aBytesPerSecond)
+{
+}
+
+std::chrono::nanoseconds
+LinkShaper::Reserve(std::uint64_t aBytes, MonotonicTime aNow)
+{
+  if (m_rate == 0) {
+    return std::chrono::nanoseconds{ 0 };
+  }
+  const auto start = std::max(m_free, aNow);
+  m_free = start + TimeOf(aBytes, kChunkShare);
+  return start - aNow;
+}
+
+std::chrono::nanoseconds
+LinkShaper::Backlog(MonotonicTime aNow) const
+{
+  return std::max(m_free, aNow) - aNow;
+}
+
+void
+LinkShaper::NoteLive(std::uint64_t aBytes, MonotonicTime aNow)
+{
+  if (m_rate != 0) {
+    m_free = std::max(m_free, aNow) + TimeOf(aBytes, 1);
+  }
+}
+
+std::chrono::nanoseconds
+LinkShaper::TimeOf(std::uint64_t aBytes, double aShare) const
+{
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+    std::chrono::duration<double>(static_cast<double>(aBytes) /
+                                  (static_cast<double>(m_rate) * aShare)));
+}
+
+} // namespace siskindeal
