--- a/src/agent/fetcher.cpp
+++ b/src/agent/fetcher.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::chrono::milliseconds kTick{ 25 };
 constexpr std::chrono::milliseconds kRetryEngine{ 500 };
-constexpr std::chrono::milliseconds kHaveTimeout{ 1000 };
+constexpr std::chrono::milliseconds kHaveTimeout{ 500 };
 constexpr int kPartialContent = 206;
 
 DownloadLimits
--- a/src/rollout/download.cpp
+++ b/src/rollout/download.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kFirstAvoid{ 100 };
+constexpr std::chrono::milliseconds kFirstAvoid{ 250 };
 constexpr std::chrono::milliseconds kLongestAvoid{ 8000 };
 constexpr std::chrono::milliseconds kBusyAvoid{ 30 };
 constexpr std::chrono::milliseconds kShortestTimeout{ 1000 };
 constexpr int kTimeoutLatencies = 10;
 constexpr int kSmoothing = 8;
+constexpr std::uint32_t kLostFailures = 3; // in a row
 
 std::chrono::nanoseconds
 Smooth(std::chrono::nanoseconds aOld, std::chrono::nanoseconds aNew)
@@ -41,6 +42,7 @@
   for (std::uint32_t i = 0; i < aManifest.ChunkCount(); ++i) {
     m_view.m_wanted.Add(i);
   }
+  m_view.m_holders.resize(aManifest.ChunkCount());
   m_view.m_window = aLimits.m_window;
   m_view.m_takeoverAfter = aLimits.m_takeoverAfter;
 }
@@ -71,6 +73,7 @@
   }
   m_view.m_peers = std::move(views);
   m_peers = std::move(states);
+  CountAll();
   m_view.m_turns = aTurns;
   m_view.m_turns.m_fleetCount = std::max(1U, aTurns.m_fleetCount);
   m_view.m_turns.m_placeCount = std::max(1U, aTurns.m_placeCount);
@@ -103,6 +106,7 @@
   }
   RefreshUsable(aNow);
   m_view.m_starved = aNow - m_lastGain;
+  m_view.m_unshared = Unshared();
   while (m_pulls.size() < m_limits.m_window) {
     const auto choice = m_policy->Next(m_view, m_random);
     if (!choice) {
@@ -161,9 +165,11 @@
   m_latency = Smooth(m_latency, took);
   if (state.m_vm.empty()) {
     m_origin.m_failures = 0;
+    m_drawn.push_back(state.m_chunk);
   } else if (auto* peer = FindPeer(state.m_vm)) {
     peer->m_latency = Smooth(peer->m_latency, took);
     m_peers[state.m_vm].m_failures = 0;
+    MarkLost(*peer, false);
   }
   Hold(state.m_chunk, aNow);
 }
@@ -189,18 +195,59 @@
       known.m_avoidUntil = aNow + kBusyAvoid;
       break;
     case PullFailure::Missing:
+      Count(*peer, -1);
       peer->m_have.Remove(state.m_chunk);
+      Count(*peer, 1);
       break;
     case PullFailure::Lost:
       peer->m_latency = Smooth(peer->m_latency, aNow - state.m_start);
       Avoid(known, aNow);
+      MarkLost(*peer, known.m_failures >= kLostFailures);
       break;
     case PullFailure::Corrupt:
       known.m_corrupt = true;
+      MarkLost(*peer, true);
       break;
   }
 }
 
+void
+Download::Count(const PeerView& aPeer, int aSign)
+{
+  if (aPeer.m_lost) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < aPeer.m_have.Size(); ++i) {
+    auto& holders = m_view.m_holders[i];
+    if (aPeer.m_have.Has(i)) {
+      (aPeer.m_samePlace ? holders.m_samePlace : holders.m_elsewhere) += aSign;
+    }
+    if (aPeer.m_fetching.Has(i)) {
+      (aPeer.m_samePlace ? holders.m_drawnInPlace : holders.m_drawnElsewhere) +=
+        aSign;
+    }
+  }
+}
+
+void
+Download::CountAll()
+{
+  m_view.m_holders.assign(m_manifest.ChunkCount(), ChunkHolders{});
+  for (const auto& peer : m_view.m_peers) {
+    Count(peer, 1);
+  }
+}
+
+void
+Download::MarkLost(PeerView& aPeer, bool aLost)
+{
+  if (aPeer.m_lost != aLost) {
+    Count(aPeer, -1);
+    aPeer.m_lost = aLost;
+    Count(aPeer, 1);
+  }
+}
+
 void
 Download::Avoid(PeerState& aState, MonotonicTime aNow)
 {
@@ -247,16 +294,25 @@
       break;
     }
   }
+  m_drawn.erase(std::remove_if(m_drawn.begin(),
+                               m_drawn.end(),
+                               [&](auto aChunk) { return have.Has(aChunk); }),
+                m_drawn.end());
+  Count(*peer, -1);
   peer->m_have = std::move(have);
   peer->m_fetching = ChunkSet::FromBytes(aFetching, m_manifest.ChunkCount());
+  Count(*peer, 1);
 }
 
 void
 Download::PeerSilent(const std::string& aVm, MonotonicTime aNow)
 {
   if (auto* peer = FindPeer(aVm)) {
+    Count(*peer, -1);
     peer->m_fetching = ChunkSet(m_manifest.ChunkCount());
+    Count(*peer, 1);
     Avoid(m_peers[aVm], aNow);
+    MarkLost(*peer, m_peers[aVm].m_failures >= kLostFailures);
   }
 }
 
@@ -305,6 +361,12 @@
   }
 }
 
+std::uint32_t
+Download::Unshared() const
+{
+  return m_peers.empty() ? 0 : static_cast<std::uint32_t>(m_drawn.size());
+}
+
 std::chrono::milliseconds
 Download::PullTimeout() const
 {
--- a/src/rollout/download_p.h
+++ b/src/rollout/download_p.h
@@ -101,9 +101,13 @@
 
   PeerView* FindPeer(const std::string& aVm);
   void RefreshUsable(MonotonicTime aNow);
+  void Count(const PeerView& aPeer, int aSign);
+  void CountAll();
+  void MarkLost(PeerView& aPeer, bool aLost);
   void Avoid(PeerState& aState, MonotonicTime aNow);
   PullState Take(std::uint64_t aPull);
   Pull StartPull(const ChunkChoice& aChoice, MonotonicTime aNow);
+  std::uint32_t Unshared() const;
   std::chrono::milliseconds PullTimeout() const;
   std::chrono::nanoseconds PollPeriod() const;
 
@@ -117,6 +121,7 @@
   std::map<std::string, PeerState> m_peers;
   std::map<std::uint64_t, PullState> m_pulls;
   std::uint64_t m_lastPull = 0;
+  std::vector<std::uint32_t> m_drawn; // from the origin, seen at no peer yet
   MonotonicTime m_lastGain;
   std::chrono::nanoseconds m_latency{ 0 }; // of any chunk, smoothed
 };
--- a/src/rollout/policy_p.h
+++ b/src/rollout/policy_p.h
@@ -43,6 +43,17 @@
   std::chrono::nanoseconds m_latency{ 0 }; // of a chunk, smoothed; 0: unknown
   bool m_samePlace = false;
   bool m_usable = true; // not avoided just now
+  bool m_lost = false;  // sent wrong bytes, or failed several times in a row
+};
+
+// How many peers hold a chunk, or draw it from the origin just now; lost peers
+// don't count.
+struct ChunkHolders
+{
+  std::uint16_t m_samePlace = 0;
+  std::uint16_t m_elsewhere = 0;
+  std::uint16_t m_drawnInPlace = 0;
+  std::uint16_t m_drawnElsewhere = 0;
 };
 
 // What a policy decides from.
@@ -53,9 +64,11 @@
   ChunkSet m_have;
   ChunkSet m_wanted; // neither held nor in flight
   std::vector<PeerView> m_peers;
+  std::vector<ChunkHolders> m_holders; // by chunk
   ChunkTurns m_turns;
   bool m_originUsable = false;
   std::uint32_t m_originInFlight = 0;
+  std::uint32_t m_unshared = 0; // drawn from the origin, seen at no peer yet
   std::uint32_t m_window = 0;
   std::chrono::nanoseconds m_starved{ 0 }; // since anything last came to hand
   std::chrono::nanoseconds m_takeoverAfter{ 0 };
--- a/src/rollout/swarm.cpp
+++ b/src/rollout/swarm.cpp
@@ -1,6 +1,7 @@
 #include "rollout/policy_p.h"
 
 #include <algorithm>
+#include <set>
 
 namespace siskindeal {
 
@@ -8,6 +9,9 @@
 
 // Chunks weighed against each other for rarity in one choice.
 constexpr std::uint32_t kSample = 64;
+// Of takeover periods without a gain, after which a VM draws ahead of its
+// peers.
+constexpr int kPatience = 4;
 
 std::uint32_t
 Share(std::uint32_t aWindow)
@@ -15,27 +19,14 @@
   return std::max(1U, aWindow / 2);
 }
 
-// Where a chunk can be had, of peers that may be asked now.
-struct Holders
+// Whether a peer holds or draws the chunk, so that this VM needn't draw it.
+bool
+IsKnown(const DownloadView& aView, std::uint32_t aChunk)
 {
-  std::uint32_t m_samePlace = 0;
-  std::uint32_t m_elsewhere = 0;
-  bool m_underway = false; // some peer draws it from the origin
-};
-
-Holders
-HoldersOf(const DownloadView& aView, std::uint32_t aChunk)
-{
-  Holders holders;
-  for (const auto& peer : aView.m_peers) {
-    if (peer.m_usable && peer.m_have.Has(aChunk)) {
-      ++(peer.m_samePlace ? holders.m_samePlace : holders.m_elsewhere);
-    }
-    holders.m_underway = holders.m_underway ||
-                         (peer.m_usable && peer.m_fetching.Has(aChunk) &&
-                          (peer.m_samePlace || !aView.m_turns.m_originByPlace));
-  }
-  return holders;
+  const auto& holders = aView.m_holders[aChunk];
+  const bool inPlace = holders.m_samePlace + holders.m_drawnInPlace > 0;
+  const bool elsewhere = holders.m_elsewhere + holders.m_drawnElsewhere > 0;
+  return inPlace || (elsewhere && !aView.m_turns.m_originByPlace);
 }
 
 // The usable holder that is expected to answer first.
@@ -90,41 +81,99 @@
   }
 
 private:
-  static std::optional<ChunkChoice> FromOrigin(const DownloadView& aView)
+  static bool MayDraw(const DownloadView& aView)
+  {
+    return aView.m_originUsable &&
+           aView.m_originInFlight < Share(aView.m_window);
+  }
+
+  // What no peer has taken yet would be drawn again if this VM failed.
+  static bool DrawsAhead(const DownloadView& aView)
+  {
+    return aView.m_unshared + aView.m_originInFlight >= aView.m_window &&
+           aView.m_starved < aView.m_takeoverAfter * kPatience;
+  }
+
+  static bool AnyKnown(const DownloadView& aView,
+                       std::uint32_t aTurn,
+                       std::uint32_t aCount)
+  {
+    for (auto chunk = aTurn; chunk < aView.m_wanted.Size(); chunk += aCount) {
+      if (aView.m_wanted.Has(chunk) && IsKnown(aView, chunk)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // Whose turns this VM has: its own, and those of VMs it has taken over from.
+  static std::uint32_t OriginTurns(const ChunkTurns& aTurns)
   {
-    if (!aView.m_originUsable ||
-        aView.m_originInFlight >= Share(aView.m_window)) {
+    return aTurns.m_originByPlace ? aTurns.m_placeCount : aTurns.m_fleetCount;
+  }
+
+  static std::uint32_t OriginTurn(const ChunkTurns& aTurns)
+  {
+    return aTurns.m_originByPlace ? aTurns.m_placeIndex : aTurns.m_fleetIndex;
+  }
+
+  std::optional<ChunkChoice> FromOrigin(const DownloadView& aView)
+  {
+    if (!MayDraw(aView) || DrawsAhead(aView)) {
       return std::nullopt;
     }
-    const auto& turns = aView.m_turns;
-    const auto step =
-      turns.m_originByPlace ? turns.m_placeCount : turns.m_fleetCount;
-    const auto first =
-      turns.m_originByPlace ? turns.m_placeIndex : turns.m_fleetIndex;
-    for (auto chunk = first; chunk < aView.m_wanted.Size(); chunk += step) {
-      if (!aView.m_wanted.Has(chunk)) {
-        continue;
+    const auto count = OriginTurns(aView.m_turns);
+    if (auto choice = DrawTurn(aView, OriginTurn(aView.m_turns), count)) {
+      return choice;
+    }
+    std::erase_if(m_takenOver, [&](auto aTurn) {
+      return AnyKnown(aView, aTurn, count); // someone else draws there
+    });
+    for (const auto turn : m_takenOver) {
+      if (auto choice = DrawTurn(aView, turn, count)) {
+        return choice;
       }
-      const auto holders = HoldersOf(aView, chunk);
-      const bool held = holders.m_samePlace > 0 ||
-                        (!turns.m_originByPlace && holders.m_elsewhere > 0);
-      if (!held && !holders.m_underway) {
+    }
+    return std::nullopt;
+  }
+
+  static std::optional<ChunkChoice> DrawTurn(const DownloadView& aView,
+                                             std::uint32_t aTurn,
+                                             std::uint32_t aCount)
+  {
+    for (auto chunk = aTurn; chunk < aView.m_wanted.Size(); chunk += aCount) {
+      if (aView.m_wanted.Has(chunk) && !IsKnown(aView, chunk)) {
         return ChunkChoice{ chunk, std::nullopt };
       }
     }
     return std::nullopt;
   }
 
-  static std::optional<ChunkChoice> FromElsewhere(const DownloadView& aView,
-                                                  Random& aRandom)
+  std::optional<ChunkChoice> FromElsewhere(const DownloadView& aView,
+                                           Random& aRandom) const
   {
     if (aView.m_turns.m_originByPlace && aView.m_originUsable) {
       return std::nullopt;
     }
-    for (auto chunk = aView.m_turns.m_placeIndex; chunk < aView.m_wanted.Size();
+    if (auto choice = CrossTurn(aView, aView.m_turns.m_placeIndex, aRandom)) {
+      return choice;
+    }
+    for (const auto turn : m_takenOverInPlace) {
+      if (auto choice = CrossTurn(aView, turn, aRandom)) {
+        return choice;
+      }
+    }
+    return std::nullopt;
+  }
+
+  static std::optional<ChunkChoice> CrossTurn(const DownloadView& aView,
+                                              std::uint32_t aTurn,
+                                              Random& aRandom)
+  {
+    for (auto chunk = aTurn; chunk < aView.m_wanted.Size();
          chunk += aView.m_turns.m_placeCount) {
       if (!aView.m_wanted.Has(chunk) ||
-          HoldersOf(aView, chunk).m_samePlace > 0) {
+          aView.m_holders[chunk].m_samePlace > 0) {
         continue;
       }
       if (const auto peer = BestHolder(aView, chunk, false, aRandom)) {
@@ -147,7 +196,7 @@
       if (!aView.m_wanted.Has(chunk)) {
         continue;
       }
-      const auto holders = HoldersOf(aView, chunk).m_samePlace;
+      const auto holders = aView.m_holders[chunk].m_samePlace;
       if (holders == 0 || (best && holders >= fewest)) {
         seen += holders > 0 ? 1 : 0;
         continue;
@@ -172,38 +221,38 @@
     return aView.m_starved >= aView.m_takeoverAfter * std::max(1U, rank);
   }
 
-  static std::optional<ChunkChoice> TakeOver(const DownloadView& aView,
-                                             Random& aRandom)
+  std::optional<ChunkChoice> TakeOver(const DownloadView& aView,
+                                      Random& aRandom)
   {
     if (aView.m_starved < aView.m_takeoverAfter) {
       return std::nullopt;
     }
     const auto& turns = aView.m_turns;
+    const auto count = OriginTurns(turns);
     for (std::uint32_t chunk = 0; chunk < aView.m_wanted.Size(); ++chunk) {
       if (!aView.m_wanted.Has(chunk)) {
         continue;
       }
-      const auto holders = HoldersOf(aView, chunk);
-      if (holders.m_samePlace > 0) {
+      if (aView.m_holders[chunk].m_samePlace > 0) {
         continue;
       }
-      if (holders.m_elsewhere > 0) {
-        const auto peer = BestHolder(aView, chunk, false, aRandom);
-        if (peer &&
-            MayTakeOver(aView, chunk, turns.m_placeIndex, turns.m_placeCount)) {
-          return ChunkChoice{ chunk, peer };
-        }
-        continue;
+      const auto peer = BestHolder(aView, chunk, false, aRandom);
+      if (peer &&
+          MayTakeOver(aView, chunk, turns.m_placeIndex, turns.m_placeCount)) {
+        m_takenOverInPlace.insert(chunk % turns.m_placeCount);
+        return ChunkChoice{ chunk, peer };
       }
-      const bool origin = aView.m_originUsable && !holders.m_underway &&
-                          aView.m_originInFlight < Share(aView.m_window);
-      if (origin &&
-          MayTakeOver(aView, chunk, turns.m_fleetIndex, turns.m_fleetCount)) {
+      if (!IsKnown(aView, chunk) && MayDraw(aView) && !DrawsAhead(aView) &&
+          MayTakeOver(aView, chunk, OriginTurn(turns), count)) {
+        m_takenOver.insert(chunk % count);
         return ChunkChoice{ chunk, std::nullopt };
       }
     }
     return std::nullopt;
   }
+
+  std::set<std::uint32_t> m_takenOver;        // turns at the origin
+  std::set<std::uint32_t> m_takenOverInPlace; // turns to cross
 };
 
 const Registration<RolloutPolicy> kRegistered("swarm", [] {
--- /dev/null
+++ b/tests/weights_agent_test.cpp
@@ -0,0 +1,364 @@
+#include "siskindeal/digest.h"
+#include "siskindeal/invariant.h"
+#include "support/weights_world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace siskindeal {
+namespace {
+
+using testing::WeightsWorld;
+
+constexpr std::uint32_t kChunks = 192;
+constexpr std::uint64_t kChunkBytes = 64;
+constexpr std::chrono::minutes kHangGuard{ 30 }; // of the given clock
+
+// A fleet of three places that takes one release.
+struct Fleet
+{
+  Fleet(std::uint64_t aSeed, std::uint32_t aVms)
+    : m_world(aSeed)
+  {
+    SetAbortOnBrokenInvariant(true);
+    const std::string places[] = { "burton", "nottingham", "wolverhampton" };
+    for (std::uint32_t i = 0; i < aVms; ++i) {
+      const auto& place = places[i * 3 / aVms];
+      const auto vm = place + std::to_string(i);
+      m_vms.push_back(vm);
+      m_places[vm] = place;
+      m_world.StartAgent(vm, place);
+    }
+    m_manifest = m_world.Publish("ledger", kChunks, kChunkBytes);
+    m_world.RunFor(std::chrono::milliseconds(100));
+  }
+
+  ~Fleet()
+  {
+    for (const auto& vm : m_vms) {
+      m_world.KillAgent(vm);
+    }
+  }
+
+  void OrderAll(std::uint64_t aToken)
+  {
+    for (const auto& vm : m_vms) {
+      if (m_world.IsUp(vm)) {
+        m_world.Order(vm, m_world.FetchOrderFor(vm, m_manifest, m_vms, aToken));
+      }
+    }
+  }
+
+  bool AllServe()
+  {
+    return std::all_of(m_vms.begin(), m_vms.end(), [&](const auto& aVm) {
+      return m_world.IsUp(aVm) &&
+             m_world.Agent(aVm).IsServing(m_manifest.Digest());
+    });
+  }
+
+  // What is attested must be what was published, whatever happened before.
+  void CheckServing()
+  {
+    for (const auto& vm : m_vms) {
+      if (!m_world.IsUp(vm)) {
+        continue;
+      }
+      const auto record = m_world.RecordOf(vm);
+      for (const auto& digest : record.serving_digests()) {
+        const auto& bytes = m_world.EngineOf(vm).m_loaded[digest];
+        EXPECT_EQ(bytes.size(), m_manifest.m_size);
+        for (std::uint32_t i = 0; i < kChunks; ++i) {
+          EXPECT_EQ(Sha256Hex(std::string_view(bytes).substr(i * kChunkBytes,
+                                                             kChunkBytes)),
+                    m_manifest.m_chunkDigests[i]);
+        }
+      }
+    }
+  }
+
+  double OriginCopies() const
+  {
+    return static_cast<double>(m_world.m_originBytes) /
+           static_cast<double>(m_manifest.m_size);
+  }
+
+  WeightsWorld m_world;
+  std::vector<std::string> m_vms;
+  std::map<std::string, std::string> m_places;
+  Manifest m_manifest;
+};
+
+TEST(WeightsAgent, SwarmDrawsOneCopyAndCrossesOnceAPlace)
+{
+  Fleet fleet(1, 12);
+  fleet.OrderAll(7);
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  fleet.CheckServing();
+  EXPECT_LE(fleet.OriginCopies(), 1.05);
+  EXPECT_LE(fleet.m_world.m_crossingChunks, 2 * kChunks * 1.1);
+}
+
+TEST(WeightsAgent, OriginByPlaceCrossesNothing)
+{
+  Fleet fleet(2, 12);
+  fleet.m_world.m_originByPlace = true;
+  fleet.OrderAll(7);
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  EXPECT_LE(fleet.OriginCopies(), 3 * 1.05);
+  EXPECT_EQ(fleet.m_world.m_crossingChunks, 0);
+}
+
+struct FaultCase
+{
+  const char* m_name;
+  std::function<void(Fleet&)> m_break; // before the orders
+  std::function<void(Fleet&)> m_mend;  // 20 s later
+  double m_mostCopies;
+};
+
+TEST(WeightsAgent, EveryFaultOnlySlowsARollout)
+{
+  const std::vector<FaultCase> cases = {
+    { "corrupt_sender",
+      [](Fleet& aFleet) { aFleet.m_world.m_corrupt = { aFleet.m_vms[0] }; },
+      nullptr,
+      1.05 },
+    { "stalled_sender",
+      [](Fleet& aFleet) { aFleet.m_world.m_stalled = { aFleet.m_vms[5] }; },
+      nullptr,
+      1.05 },
+    { "lost_calls",
+      [](Fleet& aFleet) { aFleet.m_world.m_lostCalls = 0.2; },
+      nullptr,
+      1.05 },
+    { "corrupt_origin",
+      [](Fleet& aFleet) { aFleet.m_world.m_originCorrupt = true; },
+      nullptr,
+      1.6 },
+    { "origin_down_at_first",
+      [](Fleet& aFleet) { aFleet.m_world.m_originDown = true; },
+      [](Fleet& aFleet) { aFleet.m_world.m_originDown = false; },
+      1.05 },
+    { "isolated_place",
+      [](Fleet& aFleet) { aFleet.m_world.m_isolated = { "burton" }; },
+      [](Fleet& aFleet) { aFleet.m_world.m_isolated = {}; },
+      1.05 },
+    { "engine_down",
+      [](Fleet& aFleet) {
+        aFleet.m_world.At(std::chrono::milliseconds(150), [&aFleet] {
+          aFleet.m_world.EngineOf(aFleet.m_vms[3]).m_down = true;
+        });
+      },
+      [](Fleet& aFleet) {
+        aFleet.m_world.EngineOf(aFleet.m_vms[3]).m_down = false;
+      },
+      1.05 },
+    { "lost_order_answers",
+      [](Fleet& aFleet) {
+        aFleet.m_world.EngineOf(aFleet.m_vms[1]).m_lostOrderAnswers = 2;
+      },
+      nullptr,
+      1.05 },
+    { "staged_chunk_damaged",
+      [](Fleet& aFleet) {
+        aFleet.m_world.At(std::chrono::milliseconds(300), [&aFleet] {
+          auto& engine = aFleet.m_world.EngineOf(aFleet.m_vms[2]);
+          for (auto& [index, bytes] :
+               engine.m_staging[aFleet.m_manifest.Digest()]) {
+            bytes[0] = static_cast<char>(bytes[0] ^ 1);
+            break;
+          }
+        });
+      },
+      nullptr,
+      1.05 },
+    { "agent_killed_and_back",
+      [](Fleet& aFleet) {
+        aFleet.m_world.At(std::chrono::milliseconds(200), [&aFleet] {
+          aFleet.m_world.KillAgent(aFleet.m_vms[4]);
+        });
+      },
+      [](Fleet& aFleet) {
+        aFleet.m_world.StartAgent(aFleet.m_vms[4],
+                                  aFleet.m_places[aFleet.m_vms[4]]);
+        aFleet.m_world.RunFor(std::chrono::milliseconds(200));
+        aFleet.OrderAll(8);
+      },
+      1.05 },
+  };
+  for (const auto& fault : cases) {
+    SCOPED_TRACE(fault.m_name);
+    Fleet fleet(11, 12);
+    fault.m_break(fleet);
+    fleet.OrderAll(7);
+    fleet.m_world.RunFor(std::chrono::seconds(20));
+    fleet.CheckServing();
+    if (fault.m_mend) {
+      fault.m_mend(fleet);
+    }
+    EXPECT_TRUE(
+      fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+    fleet.CheckServing();
+    EXPECT_LE(fleet.OriginCopies(), fault.m_mostCopies);
+  }
+}
+
+TEST(WeightsAgent, AnEngineThatLoadsOtherBytesNeverServes)
+{
+  Fleet fleet(4, 3);
+  fleet.m_world.EngineOf(fleet.m_vms[0]).m_loadsWrongBytes = true;
+  fleet.OrderAll(7);
+  fleet.m_world.RunFor(std::chrono::seconds(30));
+  EXPECT_FALSE(
+    fleet.m_world.Agent(fleet.m_vms[0]).IsServing(fleet.m_manifest.Digest()));
+  EXPECT_TRUE(
+    fleet.m_world.Agent(fleet.m_vms[1]).IsServing(fleet.m_manifest.Digest()));
+  EXPECT_FALSE(
+    fleet.m_world.RecordOf(fleet.m_vms[0]).progress().problem().empty());
+}
+
+TEST(WeightsAgent, OldTokensAreRefusedAlsoAfterARestart)
+{
+  for (const bool checks : { false, true }) {
+    Fleet fleet(5, 3);
+    const auto vm = fleet.m_vms[0];
+    fleet.m_world.EngineOf(vm).m_checksFencing = checks;
+    fleet.OrderAll(7);
+    ASSERT_TRUE(
+      fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+    const auto old =
+      fleet.m_world.FetchOrderFor(vm, fleet.m_manifest, fleet.m_vms, 6);
+    auto reply = fleet.m_world.Order(vm, old);
+    EXPECT_EQ(reply.reason(), "stale_fencing_token");
+    EXPECT_EQ(reply.highest_token(), 7);
+    fleet.m_world.KillAgent(vm);
+    fleet.m_world.StartAgent(vm, fleet.m_places[vm]);
+    // Before the engine has told the token, no order is taken.
+    EXPECT_EQ(fleet.m_world.Order(vm, old).reason(), "unavailable");
+    ASSERT_TRUE(
+      fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+    EXPECT_EQ(fleet.m_world.Order(vm, old).reason(), "stale_fencing_token");
+    for (const auto& order : fleet.m_world.EngineOf(vm).m_orders) {
+      EXPECT_EQ(order.substr(order.rfind(' ')), " 7");
+    }
+  }
+}
+
+TEST(WeightsAgent, OldWeightsAreReleasedAfterTheirLastRequest)
+{
+  Fleet fleet(6, 3);
+  fleet.OrderAll(7);
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  const auto vm = fleet.m_vms[0];
+  const auto digest = fleet.m_manifest.Digest();
+  auto use = fleet.m_world.Agent(vm).Use(digest);
+  ASSERT_NE(use, nullptr);
+  wire::OrderRequest unload;
+  unload.set_shard("s");
+  unload.set_fencing_token(7);
+  unload.mutable_unload()->set_digest(digest);
+  EXPECT_TRUE(fleet.m_world.Order(vm, unload).accepted());
+  EXPECT_EQ(fleet.m_world.Agent(vm).Use(digest), nullptr);
+  fleet.m_world.RunFor(std::chrono::seconds(30));
+  EXPECT_EQ(fleet.m_world.EngineOf(vm).m_loaded.count(digest), 1);
+  use.reset();
+  EXPECT_TRUE(fleet.m_world.RunUntil(
+    [&] { return fleet.m_world.EngineOf(vm).m_loaded.count(digest) == 0; },
+    kHangGuard));
+}
+
+TEST(WeightsAgent, AnAdapterLoadsOnlyOnItsPinnedBase)
+{
+  Fleet fleet(8, 3);
+  const auto vm = fleet.m_vms[0];
+  const auto adapter =
+    fleet.m_world.Publish("adapter", 3, kChunkBytes, fleet.m_manifest.Digest());
+  const auto order = fleet.m_world.FetchOrderFor(vm, adapter, fleet.m_vms, 7);
+  EXPECT_TRUE(fleet.m_world.Order(vm, order).accepted());
+  fleet.m_world.RunFor(std::chrono::seconds(20));
+  EXPECT_FALSE(fleet.m_world.Agent(vm).IsServing(adapter.Digest()));
+  fleet.OrderAll(7);
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  EXPECT_TRUE(fleet.m_world.Order(vm, order).accepted());
+  EXPECT_TRUE(fleet.m_world.RunUntil(
+    [&] { return fleet.m_world.Agent(vm).IsServing(adapter.Digest()); },
+    kHangGuard));
+  wire::OrderRequest unload;
+  unload.set_shard("s");
+  unload.set_fencing_token(7);
+  unload.mutable_unload()->set_digest(fleet.m_manifest.Digest());
+  EXPECT_EQ(fleet.m_world.Order(vm, unload).reason(), "conflict");
+}
+
+// Faults of every kind, together and twice, over fixed seeds.
+TEST(WeightsAgent, RandomFaultsNeverServeOtherBytesAndEndInARollout)
+{
+  for (std::uint64_t seed = 100; seed < 140; ++seed) {
+    SCOPED_TRACE(seed);
+    Fleet fleet(seed, 6 + seed % 7);
+    auto& world = fleet.m_world;
+    world.m_policy = seed % 5 == 0 ? "tree" : "swarm";
+    world.m_originByPlace = seed % 3 == 0;
+    std::uint64_t token = 1;
+    fleet.OrderAll(token);
+    for (int step = 0; step < 30; ++step) {
+      const auto vm = fleet.m_vms[world.m_random.Below(fleet.m_vms.size())];
+      switch (world.m_random.Below(9)) {
+        case 0:
+          world.m_corrupt = { vm };
+          break;
+        case 1:
+          world.m_stalled = { vm };
+          break;
+        case 2:
+          world.m_isolated = { fleet.m_places[vm] };
+          break;
+        case 3:
+          world.m_originDown = !world.m_originDown;
+          break;
+        case 4:
+          world.KillAgent(vm);
+          break;
+        case 5:
+          world.StartAgent(vm, fleet.m_places[vm]);
+          break;
+        case 6: // the VM is replaced: nothing is kept
+          world.KillAgent(vm);
+          world.EngineOf(vm) = {};
+          world.StartAgent(vm, fleet.m_places[vm]);
+          break;
+        case 7:
+          world.m_lostCalls = world.m_random.Unit() / 2;
+          break;
+        default:
+          fleet.OrderAll(++token);
+          break;
+      }
+      world.RunFor(std::chrono::milliseconds(world.m_random.Below(400)));
+      fleet.CheckServing();
+    }
+    world.m_corrupt.clear();
+    world.m_stalled.clear();
+    world.m_isolated.clear();
+    world.m_originDown = false;
+    world.m_lostCalls = 0;
+    for (const auto& vm : fleet.m_vms) {
+      if (!world.IsUp(vm)) {
+        world.StartAgent(vm, fleet.m_places[vm]);
+      }
+    }
+    world.RunFor(std::chrono::seconds(3));
+    fleet.OrderAll(++token);
+    EXPECT_TRUE(world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+    fleet.CheckServing();
+  }
+}
+
+} // namespace
+} // namespace siskindeal
