--- a/src/agent/fetcher.cpp
+++ b/src/agent/fetcher.cpp
@@ -110,7 +110,7 @@
 WeightsSession::Pump()
 {
   std::vector<Pull> pulls;
-  std::vector<PeerInfo> polls;
+  std::vector<Download::Poll> polls;
   bool complete = false;
   {
     const OrderedLock lock(m_mutex);
@@ -153,11 +153,13 @@
 }
 
 void
-WeightsSession::StartPolls(const std::vector<PeerInfo>& aPeers)
+WeightsSession::StartPolls(const std::vector<Download::Poll>& aPolls)
 {
-  for (const auto& peer : aPeers) {
+  for (const auto& [peer, refused] : aPolls) {
     wire::HaveRequest request;
     request.set_digest(m_digest);
+    request.set_vm(m_context->m_settings.m_node.m_vm);
+    request.set_refused(refused);
     m_context->m_io->Have(
       peer.m_address,
       request,
@@ -458,9 +460,10 @@
 }
 
 wire::HaveReply
-WeightsSession::Have()
+WeightsSession::Have(const wire::HaveRequest& aRequest)
 {
   const OrderedLock lock(m_mutex);
+  m_download.PeerRefuses(aRequest.vm(), aRequest.refused());
   wire::HaveReply reply;
   reply.set_known(true);
   reply.set_have(m_download.Have().ToBytes());
--- a/src/agent/weights_agent.cpp
+++ b/src/agent/weights_agent.cpp
@@ -61,7 +61,7 @@
       session = found->second.m_session;
     }
   }
-  aDone(session ? session->Have() : wire::HaveReply{});
+  aDone(session ? session->Have(aRequest) : wire::HaveReply{});
 }
 
 void
--- a/src/agent/weights_session_p.h
+++ b/src/agent/weights_session_p.h
@@ -68,7 +68,7 @@
 
   void Serve(const wire::ChunkRequest& aRequest,
              std::function<void(wire::ChunkReply)> aDone);
-  wire::HaveReply Have();
+  wire::HaveReply Have(const wire::HaveRequest& aRequest);
   wire::Progress Progress();
   Stage CurrentStage();
   // The SHA-256 of all bytes, known once staged.
@@ -81,7 +81,7 @@
   void Tick();
   void Pump();
   void StartPulls(const std::vector<Pull>& aPulls);
-  void StartPolls(const std::vector<PeerInfo>& aPeers);
+  void StartPolls(const std::vector<Download::Poll>& aPolls);
   void Ask(const Pull& aPull);
   void AskOrigin(const Pull& aPull);
   void AskPeer(const Pull& aPull);
--- a/src/rollout/download.cpp
+++ b/src/rollout/download.cpp
@@ -15,6 +15,7 @@
 constexpr int kTimeoutLatencies = 10;
 constexpr int kSmoothing = 8;
 constexpr std::uint32_t kLostFailures = 3; // in a row
+constexpr std::ptrdiff_t kRefusals = 2;    // peers that need to agree
 
 std::chrono::nanoseconds
 Smooth(std::chrono::nanoseconds aOld, std::chrono::nanoseconds aNew)
@@ -169,7 +170,7 @@
   } else if (auto* peer = FindPeer(state.m_vm)) {
     peer->m_latency = Smooth(peer->m_latency, took);
     m_peers[state.m_vm].m_failures = 0;
-    MarkLost(*peer, false);
+    Judge(*peer);
   }
   Hold(state.m_chunk, aNow);
 }
@@ -202,11 +203,11 @@
     case PullFailure::Lost:
       peer->m_latency = Smooth(peer->m_latency, aNow - state.m_start);
       Avoid(known, aNow);
-      MarkLost(*peer, known.m_failures >= kLostFailures);
+      Judge(*peer);
       break;
     case PullFailure::Corrupt:
       known.m_corrupt = true;
-      MarkLost(*peer, true);
+      Judge(*peer);
       break;
   }
 }
@@ -239,15 +240,33 @@
 }
 
 void
-Download::MarkLost(PeerView& aPeer, bool aLost)
+Download::Judge(PeerView& aPeer)
 {
-  if (aPeer.m_lost != aLost) {
+  const auto& state = m_peers[aPeer.m_info.m_vm];
+  const bool lost = state.m_corrupt || state.m_failures >= kLostFailures ||
+                    state.m_silences >= kLostFailures;
+  if (aPeer.m_lost != lost) {
     Count(aPeer, -1);
-    aPeer.m_lost = aLost;
+    aPeer.m_lost = lost;
     Count(aPeer, 1);
   }
 }
 
+void
+Download::PeerRefuses(const std::string& aVm, bool aRefuses)
+{
+  const auto found = m_peers.find(aVm);
+  if (found == m_peers.end()) {
+    return;
+  }
+  found->second.m_refuses = aRefuses;
+  const auto refusing =
+    std::count_if(m_peers.begin(), m_peers.end(), [](const auto& aPeer) {
+      return aPeer.second.m_refuses;
+    });
+  m_view.m_refused = refusing >= kRefusals;
+}
+
 void
 Download::Avoid(PeerState& aState, MonotonicTime aNow)
 {
@@ -259,20 +278,21 @@
              wait * (0.5 + m_random.Unit()));
 }
 
-std::vector<PeerInfo>
+std::vector<Download::Poll>
 Download::Polls(MonotonicTime aNow)
 {
-  std::vector<PeerInfo> due;
+  std::vector<Poll> due;
   if (Complete() || !m_policy->NeedsPeers()) {
     return due;
   }
   for (const auto& peer : m_view.m_peers) {
     auto& state = m_peers[peer.m_info.m_vm];
-    if (state.m_corrupt || aNow < state.m_pollAt || peer.m_have.Full()) {
+    const bool dull = peer.m_have.Full() && !peer.m_lost;
+    if (aNow < state.m_pollAt || dull) {
       continue;
     }
     state.m_pollAt = aNow + PollPeriod() * (peer.m_samePlace ? 1 : 2);
-    due.push_back(peer.m_info);
+    due.push_back(Poll{ peer.m_info, peer.m_lost });
   }
   return due;
 }
@@ -298,6 +318,8 @@
                                m_drawn.end(),
                                [&](auto aChunk) { return have.Has(aChunk); }),
                 m_drawn.end());
+  m_peers[aVm].m_silences = 0;
+  Judge(*peer);
   Count(*peer, -1);
   peer->m_have = std::move(have);
   peer->m_fetching = ChunkSet::FromBytes(aFetching, m_manifest.ChunkCount());
@@ -311,8 +333,10 @@
     Count(*peer, -1);
     peer->m_fetching = ChunkSet(m_manifest.ChunkCount());
     Count(*peer, 1);
-    Avoid(m_peers[aVm], aNow);
-    MarkLost(*peer, m_peers[aVm].m_failures >= kLostFailures);
+    auto& state = m_peers[aVm];
+    ++state.m_silences;
+    state.m_avoidUntil = std::max(state.m_avoidUntil, aNow + kFirstAvoid);
+    Judge(*peer);
   }
 }
 
--- a/src/rollout/download_p.h
+++ b/src/rollout/download_p.h
@@ -64,8 +64,13 @@
   void Verified(std::uint64_t aPull, MonotonicTime aNow);
   void Failed(std::uint64_t aPull, PullFailure aFailure, MonotonicTime aNow);
 
-  // The peers to ask now what they hold.
-  std::vector<PeerInfo> Polls(MonotonicTime aNow);
+  // A peer to ask what it holds; refused says that no chunk is taken from it.
+  struct Poll
+  {
+    PeerInfo m_peer;
+    bool m_refused = false;
+  };
+  std::vector<Poll> Polls(MonotonicTime aNow);
   void PeerHas(const std::string& aVm,
                const std::string& aHave,
                const std::string& aFetching,
@@ -73,6 +78,9 @@
   // A peer that didn't answer what it holds.
   void PeerSilent(const std::string& aVm, MonotonicTime aNow);
 
+  // A peer said whether it still takes chunks from this VM.
+  void PeerRefuses(const std::string& aVm, bool aRefuses);
+
   const ChunkSet& Have() const { return m_view.m_have; }
   ChunkSet FetchingFromOrigin() const;
   bool Complete() const { return m_view.m_have.Full(); }
@@ -94,7 +102,9 @@
   struct PeerState
   {
     MonotonicTime m_avoidUntil;
-    std::uint32_t m_failures = 0; // in a row
+    std::uint32_t m_failures = 0; // of chunks, in a row
+    std::uint32_t m_silences = 0; // of polls, in a row
+    bool m_refuses = false;
     bool m_corrupt = false;
     MonotonicTime m_pollAt;
   };
@@ -103,7 +113,7 @@
   void RefreshUsable(MonotonicTime aNow);
   void Count(const PeerView& aPeer, int aSign);
   void CountAll();
-  void MarkLost(PeerView& aPeer, bool aLost);
+  void Judge(PeerView& aPeer);
   void Avoid(PeerState& aState, MonotonicTime aNow);
   PullState Take(std::uint64_t aPull);
   Pull StartPull(const ChunkChoice& aChoice, MonotonicTime aNow);
--- a/src/rollout/policy_p.h
+++ b/src/rollout/policy_p.h
@@ -67,6 +67,7 @@
   std::vector<ChunkHolders> m_holders; // by chunk
   ChunkTurns m_turns;
   bool m_originUsable = false;
+  bool m_refused = false; // peers take nothing from this VM
   std::uint32_t m_originInFlight = 0;
   std::uint32_t m_unshared = 0; // drawn from the origin, seen at no peer yet
   std::uint32_t m_window = 0;
--- a/src/rollout/swarm.cpp
+++ b/src/rollout/swarm.cpp
@@ -90,8 +90,10 @@
   // What no peer has taken yet would be drawn again if this VM failed.
   static bool DrawsAhead(const DownloadView& aView)
   {
-    return aView.m_unshared + aView.m_originInFlight >= aView.m_window &&
-           aView.m_starved < aView.m_takeoverAfter * kPatience;
+    const bool ahead =
+      aView.m_refused ||
+      aView.m_unshared + aView.m_originInFlight >= aView.m_window;
+    return ahead && aView.m_starved < aView.m_takeoverAfter * kPatience;
   }
 
   static bool AnyKnown(const DownloadView& aView,
