--- a/src/rollout/chunk_set_p.h
+++ b/src/rollout/chunk_set_p.h
@@ -1,9 +1,9 @@
 #pragma once
-// A set of chunk indexes of one manifest, as a bitmap.
+// A set of chunk indexes of one manifest, as the bitmap that goes on the wire.
 
+#include <bit>
 #include <cstdint>
 #include <string>
-#include <vector>
 
 namespace siskindeal {
 
@@ -12,25 +12,44 @@
 public:
   explicit ChunkSet(std::uint32_t aChunks = 0)
     : m_chunks(aChunks)
-    , m_bits(aChunks, false)
+    , m_bytes((aChunks + kBits - 1) / kBits, '\0')
   {
   }
 
+  // One bit a chunk, least significant bit first. Bits past aChunks are ignored
+  // and missing ones are unset.
+  static ChunkSet FromBytes(const std::string& aBytes, std::uint32_t aChunks)
+  {
+    ChunkSet set(aChunks);
+    const auto size = set.m_bytes.size();
+    set.m_bytes = aBytes.substr(0, size);
+    set.m_bytes.resize(size, '\0');
+    if (aChunks % kBits != 0) {
+      set.m_bytes.back() &= static_cast<char>((1 << (aChunks % kBits)) - 1);
+    }
+    for (const auto byte : set.m_bytes) {
+      set.m_count += std::popcount(static_cast<unsigned char>(byte));
+    }
+    return set;
+  }
+
+  const std::string& ToBytes() const { return m_bytes; }
   std::uint32_t Size() const { return m_chunks; }
   std::uint32_t Count() const { return m_count; }
   bool Full() const { return m_count == m_chunks; }
   bool Has(std::uint32_t aIndex) const
   {
-    return aIndex < m_chunks && m_bits[aIndex];
+    return aIndex < m_chunks &&
+           ((m_bytes[aIndex / kBits] >> (aIndex % kBits)) & 1) != 0;
   }
 
   // Returns whether the set changed.
   bool Add(std::uint32_t aIndex)
   {
-    if (aIndex >= m_chunks || m_bits[aIndex]) {
+    if (aIndex >= m_chunks || Has(aIndex)) {
       return false;
     }
-    m_bits[aIndex] = true;
+    m_bytes[aIndex / kBits] ^= static_cast<char>(1 << (aIndex % kBits));
     ++m_count;
     return true;
   }
@@ -40,39 +59,31 @@
     if (!Has(aIndex)) {
       return false;
     }
-    m_bits[aIndex] = false;
+    m_bytes[aIndex / kBits] ^= static_cast<char>(1 << (aIndex % kBits));
     --m_count;
     return true;
   }
 
-  // One bit a chunk, least significant bit first, as on the wire.
-  std::string ToBytes() const
+  // Calls aVisit with each index in the set, in order.
+  template<typename Visit>
+  void ForEach(const Visit& aVisit) const
   {
-    std::string bytes((m_chunks + 7) / 8, '\0');
-    for (std::uint32_t i = 0; i < m_chunks; ++i) {
-      if (m_bits[i]) {
-        bytes[i / 8] = static_cast<char>(bytes[i / 8] | (1 << (i % 8)));
+    for (std::uint32_t i = 0; i < m_bytes.size(); ++i) {
+      auto bits = static_cast<unsigned char>(m_bytes[i]);
+      while (bits != 0) {
+        const auto bit = static_cast<std::uint32_t>(std::countr_zero(bits));
+        aVisit(i * kBits + bit);
+        bits &= static_cast<unsigned char>(bits - 1);
       }
     }
-    return bytes;
-  }
-
-  // Bits past aChunks are ignored and missing ones are unset.
-  static ChunkSet FromBytes(const std::string& aBytes, std::uint32_t aChunks)
-  {
-    ChunkSet set(aChunks);
-    for (std::uint32_t i = 0; i < aChunks && i / 8 < aBytes.size(); ++i) {
-      if (((aBytes[i / 8] >> (i % 8)) & 1) != 0) {
-        set.Add(i);
-      }
-    }
-    return set;
   }
 
 private:
+  static constexpr std::uint32_t kBits = 8;
+
   std::uint32_t m_chunks;
   std::uint32_t m_count = 0;
-  std::vector<bool> m_bits;
+  std::string m_bytes;
 };
 
 } // namespace siskindeal
--- a/src/rollout/download.cpp
+++ b/src/rollout/download.cpp
@@ -148,7 +148,7 @@
   if (found == m_pulls.end()) {
     return {};
   }
-  const auto state = found->second;
+  PullState state = found->second;
   m_pulls.erase(found);
   if (state.m_vm.empty()) {
     --m_view.m_originInFlight;
@@ -308,12 +308,11 @@
     return;
   }
   auto have = ChunkSet::FromBytes(aHave, m_manifest.ChunkCount());
-  for (std::uint32_t i = 0; i < have.Size(); ++i) {
-    if (have.Has(i) && !peer->m_have.Has(i) && !m_view.m_have.Has(i)) {
+  have.ForEach([&](std::uint32_t aChunk) {
+    if (!peer->m_have.Has(aChunk) && !m_view.m_have.Has(aChunk)) {
       m_lastGain = aNow;
-      break;
     }
-  }
+  });
   m_drawn.erase(std::remove_if(m_drawn.begin(),
                                m_drawn.end(),
                                [&](auto aChunk) { return have.Has(aChunk); }),
