--- a/src/agent/weights_record.cpp
+++ b/src/agent/weights_record.cpp
@@ -81,7 +81,7 @@
       }
       const auto lease = Json::parse(object.at("value").get<std::string>());
       auto& token = tokens[key.substr(prefix.size())];
-      token = std::max(token, lease.value("fencing_token", std::uint64_t{ 0 }));
+      token = std::max(token, lease.value("token", std::uint64_t{ 0 }));
     }
   } catch (const Json::exception& failure) {
     Refuse("lease objects: " + std::string(failure.what()));
