--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,379 @@
+#include "agent_p.h"
+
+#include "node/answer_p.h"
+#include "node/process_p.h"
+#include "siskindeal/digest.h"
+#include "siskindeal/log.h"
+#include "siskindeal/platform_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::size_t kWorkers = 2;
+constexpr std::size_t kHttpConnections = 32;
+constexpr std::size_t kMostCacheEvents = 64; // kept for the next exchange
+constexpr std::chrono::milliseconds kUpstreamTimeout{ 1000 };
+constexpr std::chrono::milliseconds kDrainStep{ 20 };
+// Callers' requests that are on their way when the VM says that it leaves.
+constexpr std::chrono::milliseconds kLeaveGrace{ 2000 };
+
+// Grows with each start of the process, on any machine of sane clock.
+std::uint64_t
+NewIncarnation(const Clock& aClock)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      aClock.WallNow().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+AgentNode::AgentNode(const AgentSettings& aSettings)
+  : m_settings(aSettings)
+  , m_incarnation(NewIncarnation(m_clock))
+  , m_pool(kWorkers)
+  , m_client(aSettings.m_auth, aSettings.m_node.m_vm)
+  , m_platform(MakeHttpPlatform(aSettings.m_platform, m_http, m_pool, m_clock))
+{
+  if (IsModel()) {
+    m_weights = std::make_unique<WeightsAgent>(
+      m_settings, MakeWeightsIo(m_http, m_client, m_pool), m_clock);
+  }
+  RunGates gates;
+  gates.m_isServing = [this](const std::string& aDigest) {
+    return m_weights->IsServing(aDigest);
+  };
+  if (!m_settings.m_upstream.m_acceptsIdempotencyKey) {
+    m_claims = std::make_shared<ClaimLog>(m_settings.m_upstream.m_service,
+                                          m_settings.m_node.m_vm,
+                                          m_settings.m_claims,
+                                          *m_platform,
+                                          m_pool,
+                                          m_clock);
+    gates.m_claims = m_claims;
+  }
+  m_runs = std::make_shared<RunService>(
+    m_settings.m_upstream, m_http, m_clock, m_incarnation, std::move(gates));
+
+  m_server = std::make_unique<NodeServer>(
+    m_settings.m_node.m_rpc, m_settings.m_auth, *this);
+  NodeSyncHooks hooks;
+  hooks.m_ownRecord = [this] { return OwnRecord(); };
+  hooks.m_onNodes = [this](const std::shared_ptr<const FleetView>& aView) {
+    OnNodes(*aView);
+  };
+  const Address own{ m_settings.m_node.m_rpc.m_host, m_server->Port() };
+  m_sync = std::make_unique<NodeSync>(m_settings.m_node,
+                                      m_settings.m_membership,
+                                      wire::ROLE_AGENT,
+                                      own.ToString(),
+                                      m_client,
+                                      *m_platform,
+                                      m_pool,
+                                      m_clock,
+                                      std::move(hooks));
+  m_started.store(true);
+  if (m_weights) {
+    m_weights->Recover();
+  }
+  HttpServerLimits limits;
+  limits.m_connections = kHttpConnections;
+  limits.m_threads = 1;
+  m_httpServer = std::make_unique<HttpServer>(
+    m_settings.m_node.m_http.m_host,
+    m_settings.m_node.m_http.m_port,
+    limits,
+    [this](const HttpRequest& aRequest,
+           const std::shared_ptr<HttpResponder>& aResponder) {
+      HandleHttp(aRequest, *aResponder);
+    });
+  m_sync->Start();
+  m_pool.Every(m_settings.m_upstream.m_loadPeriod, [this] { PollUpstream(); });
+  Log(LogLevel::Info,
+      "listening",
+      { { "rpc_port", m_server->Port() },
+        { "http_port", m_httpServer->Port() } });
+}
+
+AgentNode::~AgentNode()
+{
+  m_server->Shutdown(std::chrono::milliseconds(0));
+  if (m_weights) {
+    m_weights->Stop();
+  }
+  m_pool.Stop();
+  m_httpServer.reset();
+}
+
+bool
+AgentNode::IsModel() const
+{
+  return m_settings.m_upstream.m_kind == UpstreamSettings::Kind::Model;
+}
+
+void
+AgentNode::Drain()
+{
+  Log(LogLevel::Info, "draining", { { "in_flight", m_runs->InFlight() } });
+  const auto began = m_clock.Now();
+  m_draining.store(true);
+  m_sync->Leave();
+  std::this_thread::sleep_for(kLeaveGrace);
+  m_runs->BeginDrain();
+  while (m_runs->InFlight() > 0 &&
+         m_clock.Now() - began < m_settings.m_drain.m_longest) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  Log(LogLevel::Info, "drained", { { "cut_off", m_runs->InFlight() } });
+}
+
+wire::NodeRecord
+AgentNode::OwnRecord()
+{
+  wire::NodeRecord record;
+  record.set_vm(m_settings.m_node.m_vm);
+  record.set_place(m_settings.m_node.m_place);
+  record.set_role(wire::ROLE_AGENT);
+  record.set_service(m_settings.m_upstream.m_service);
+  if (m_weights) {
+    m_weights->FillRecord(record);
+  }
+  const OrderedLock lock(m_mutex);
+  record.set_upstream_down(!m_upstreamAnswers);
+  if (m_load) {
+    *record.mutable_load() = *m_load;
+  }
+  for (const auto& event : m_cacheEvents) {
+    *record.add_cache_events() = event;
+  }
+  return record;
+}
+
+// The homes of the claim shards follow from who is alive.
+void
+AgentNode::OnNodes(const FleetView& aView)
+{
+  if (!m_claims) {
+    return;
+  }
+  std::vector<std::string> agents;
+  for (const auto& [vm, node] : aView.m_nodes) {
+    if (node.m_record.role() == wire::ROLE_AGENT &&
+        node.m_record.service() == m_settings.m_upstream.m_service &&
+        node.m_record.liveness() == wire::LIVENESS_ALIVE) {
+      agents.push_back(vm);
+    }
+  }
+  m_claims->SetAgents(agents);
+}
+
+// Asks the upstream for its load; any answer at all shows that it is up.
+void
+AgentNode::PollUpstream()
+{
+  HttpClientRequest request;
+  request.m_url =
+    m_settings.m_upstream.m_url + (IsModel() ? "/engine/load" : "/load");
+  request.m_timeout = kUpstreamTimeout;
+  m_http.Start(std::move(request),
+               [this](const HttpReply& aReply) { OnLoad(aReply); });
+  if (IsModel()) {
+    PollCacheEvents();
+  }
+}
+
+void
+AgentNode::OnLoad(const HttpReply& aReply)
+{
+  const bool answers = aReply.m_outcome == HttpOutcome::Answered;
+  std::optional<wire::Load> load;
+  const auto body = nlohmann::json::parse(aReply.m_body, nullptr, false);
+  if (answers && aReply.m_status == 200 && body.is_object()) {
+    load.emplace();
+    load->set_running(body.value("running", 0U));
+    load->set_waiting(body.value("waiting", 0U));
+    load->set_slots(body.value("slots", m_settings.m_upstream.m_slots));
+    load->set_report_age_ms(body.value("age_ms", std::uint64_t{ 0 }));
+    load->set_kv_free_tokens(body.value("kv_free_tokens", std::uint64_t{ 0 }));
+    load->set_tokens_per_second(body.value("tokens_per_second", 0.0));
+  }
+  bool changed = false;
+  {
+    const OrderedLock lock(m_mutex);
+    changed = answers != m_upstreamAnswers;
+    m_upstreamAnswers = answers;
+    m_load = load;
+  }
+  if (!changed) {
+    return;
+  }
+  Log(answers ? LogLevel::Info : LogLevel::Warning,
+      answers ? "upstream_up" : "upstream_down",
+      { { "service", m_settings.m_upstream.m_service } });
+  m_sync->Changed();
+  if (answers && m_weights) {
+    m_weights->Recover();
+  }
+}
+
+void
+AgentNode::PollCacheEvents()
+{
+  std::uint64_t after = 0;
+  {
+    const OrderedLock lock(m_mutex);
+    after = m_lastCacheEvent;
+  }
+  HttpClientRequest request;
+  request.m_url = m_settings.m_upstream.m_url +
+                  "/engine/cache-events?after=" + std::to_string(after);
+  request.m_timeout = kUpstreamTimeout;
+  m_http.Start(std::move(request), [this](const HttpReply& aReply) {
+    const auto body = nlohmann::json::parse(aReply.m_body, nullptr, false);
+    if (aReply.m_status != 200 || !body.is_object() ||
+        !body.contains("events")) {
+      return;
+    }
+    const OrderedLock lock(m_mutex);
+    for (const auto& item : body["events"]) {
+      wire::CacheEvent event;
+      event.set_sequence(item.value("sequence", std::uint64_t{ 0 }));
+      event.set_prefix_hash(
+        std::stoull(item.value("prefix_hash", std::string("0"))));
+      event.set_evicted(item.value("evicted", false));
+      m_lastCacheEvent = std::max(m_lastCacheEvent, event.sequence());
+      m_cacheEvents.push_back(event);
+      if (m_cacheEvents.size() > kMostCacheEvents) {
+        m_cacheEvents.pop_front();
+      }
+    }
+  });
+}
+
+wire::GreetReply
+AgentNode::OnGreet(const wire::GreetRequest&)
+{
+  wire::GreetReply reply;
+  reply.set_release(SISKINDEAL_VERSION);
+  reply.set_vm(m_settings.m_node.m_vm);
+  reply.set_role(wire::ROLE_AGENT);
+  return reply;
+}
+
+void
+AgentNode::OnExchange(const wire::ExchangeRequest& aRequest,
+                      Done<wire::ExchangeReply> aDone)
+{
+  if (!m_started.load()) {
+    aDone({});
+    return;
+  }
+  m_sync->OnExchange(aRequest, aDone);
+}
+
+void
+AgentNode::OnRun(const wire::RunRequest& aRequest,
+                 std::shared_ptr<RunSink> aSink)
+{
+  m_runs->OnRun(aRequest, std::move(aSink));
+}
+
+void
+AgentNode::OnCancel(const wire::CancelRequest& aRequest,
+                    Done<wire::CancelReply> aDone)
+{
+  aDone(m_runs->OnCancel(aRequest));
+}
+
+void
+AgentNode::OnOrder(const wire::OrderRequest& aRequest,
+                   Done<wire::OrderReply> aDone)
+{
+  if (m_weights) {
+    m_weights->OnOrder(aRequest, std::move(aDone));
+    return;
+  }
+  wire::OrderReply reply;
+  reply.set_reason(std::string(ToString(Reason::BadRequest)));
+  reply.set_what("this agent's upstream takes no weights");
+  aDone(reply);
+}
+
+void
+AgentNode::OnChunk(const wire::ChunkRequest& aRequest,
+                   Done<wire::ChunkReply> aDone)
+{
+  if (m_weights) {
+    m_weights->OnChunk(aRequest, std::move(aDone));
+    return;
+  }
+  wire::ChunkReply reply;
+  reply.set_missing(true);
+  aDone(reply);
+}
+
+void
+AgentNode::OnHave(const wire::HaveRequest& aRequest,
+                  Done<wire::HaveReply> aDone)
+{
+  if (m_weights) {
+    m_weights->OnHave(aRequest, std::move(aDone));
+    return;
+  }
+  aDone({});
+}
+
+std::string
+AgentNode::StateJson()
+{
+  nlohmann::json state = {
+    { "role", "agent" },
+    { "vm", m_settings.m_node.m_vm },
+    { "place", m_settings.m_node.m_place },
+    { "release", SISKINDEAL_VERSION },
+    { "incarnation", m_incarnation },
+    { "draining", m_draining.load() },
+    { "in_flight", m_runs->InFlight() },
+    { "queued_tasks", m_pool.Queued() },
+  };
+  if (m_started.load()) {
+    state["sync"] = nlohmann::json::parse(m_sync->StateJson());
+  }
+  if (m_claims) {
+    state["claims"] = nlohmann::json::parse(m_claims->StateJson());
+  }
+  if (m_weights) {
+    state["weights"] = nlohmann::json::parse(m_weights->StateJson());
+  }
+  return state.dump();
+}
+
+std::string
+AgentNode::NotReady() const
+{
+  if (m_draining.load()) {
+    return "draining";
+  }
+  const OrderedLock lock(m_mutex);
+  return m_upstreamAnswers ? "" : "the upstream doesn't answer";
+}
+
+void
+AgentNode::HandleHttp(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  const ProcessPages pages{ [this] { return NotReady(); },
+                            [this] { return StateJson(); } };
+  if (!AnswerProcessPage(aRequest, aResponder, m_settings.m_auth, pages)) {
+    RespondError(
+      aResponder,
+      { Reason::NotFound, Verdict::NotRun, "no such page on an agent" });
+  }
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/agent/role.cpp
@@ -0,0 +1,38 @@
+#include "siskindeal/role.h"
+#include "agent_p.h"
+#include "node/process_p.h"
+#include "siskindeal/log.h"
+
+namespace siskindeal {
+
+namespace {
+
+class AgentRole final : public Role
+{
+public:
+  std::string Summary() const override
+  {
+    return "runs beside an upstream: passes requests and orders on, and "
+           "fetches weights";
+  }
+
+  int Run(const std::string& aSettingsFile) override
+  {
+    const auto settings = ReadAgentSettings(aSettingsFile);
+    ConfigureLog(
+      "agent", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
+    BlockStopSignals();
+    AgentNode agent(settings);
+    WaitForStopSignal();
+    agent.Drain();
+    return 0;
+  }
+};
+
+const Registration<Role> kRegistered("agent", [] {
+  return std::make_unique<AgentRole>();
+});
+
+} // namespace
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/agent/run_p.h
@@ -0,0 +1,112 @@
+#pragma once
+// Runs the requests that entries pass to this agent's upstream.
+
+#include "siskindeal/claims.h"
+#include "siskindeal/clock.h"
+#include "siskindeal/http.h"
+#include "siskindeal/lock_order.h"
+#include "siskindeal/rpc.h"
+#include "siskindeal/settings.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskindeal {
+
+// Attempts whose start, or whose being given up, is remembered.
+inline constexpr std::size_t kMostRememberedAttempts = 65536;
+// How long an attempt can stay on its way; one given up is remembered longer.
+inline constexpr std::chrono::minutes kLongestTransit{ 10 };
+
+// An attempt of a request: its id and number.
+std::string
+AttemptKey(const std::string& aRequestId, std::uint32_t aAttempt);
+
+// Remembers which attempts have started and which must never start, so that an
+// attempt whose call was lost can be given up with a true "not run". Bounded:
+// what it may have forgotten it makes no promise about.
+class AttemptLedger
+{
+public:
+  // Whether the attempt may start; from now on it counts as started.
+  bool TryStart(const std::string& aKey, MonotonicTime aNow);
+  // Whether the attempt has not started and, from now on, never will. aAge is
+  // the time since it was sent.
+  bool GiveUp(const std::string& aKey,
+              std::chrono::milliseconds aAge,
+              MonotonicTime aNow);
+
+private:
+  struct Entry
+  {
+    MonotonicTime m_at;
+    std::string m_key;
+  };
+
+  std::deque<Entry> m_order;
+  std::map<std::string, bool> m_attempts; // true: started
+  MonotonicTime m_forgottenUntil{};
+
+  bool MakeRoom(MonotonicTime aNow);
+};
+
+// What the run service asks of the rest of the agent.
+struct RunGates
+{
+  // Whether the weights of this digest take requests.
+  std::function<bool(const std::string&)> m_isServing;
+  // The record of requests that run at most once; null where the upstream
+  // drops duplicates itself.
+  std::shared_ptr<ClaimLog> m_claims;
+};
+
+class RunSession;
+
+// Shared by every session; passes requests on, one HTTP call each.
+class RunService : public std::enable_shared_from_this<RunService>
+{
+public:
+  RunService(const UpstreamSettings& aUpstream,
+             HttpClient& aHttp,
+             const Clock& aClock,
+             std::uint64_t aIncarnation,
+             RunGates aGates);
+
+  // Answers with events on the sink; refusals carry the verdict.
+  void OnRun(const wire::RunRequest& aRequest, std::shared_ptr<RunSink> aSink);
+
+  // Says whether the request was not started, in which case it never will be;
+  // one that has started is cancelled at the upstream.
+  wire::CancelReply OnCancel(const wire::CancelRequest& aRequest);
+
+  // From now on new requests are refused as "not run"; those in progress end.
+  void BeginDrain();
+  std::size_t InFlight() const;
+
+private:
+  friend class RunSession;
+
+  void Admit(const std::shared_ptr<RunSession>& aSession);
+  void Leave(const std::string& aKey);
+  void StartWaiting();
+  bool MayStart(const RunSession& aSession) const
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+  const UpstreamSettings m_upstream;
+  HttpClient& m_http;
+  const Clock& m_clock;
+  const std::uint64_t m_incarnation;
+  const RunGates m_gates;
+  mutable OrderedMutex m_mutex{ LockLevel::Routing };
+  std::map<std::string, std::shared_ptr<RunSession>> m_running
+    ABSL_GUARDED_BY(m_mutex);
+  std::deque<std::shared_ptr<RunSession>> m_waiting ABSL_GUARDED_BY(m_mutex);
+  AttemptLedger m_attempts ABSL_GUARDED_BY(m_mutex);
+  bool m_isolated ABSL_GUARDED_BY(m_mutex) = false;
+  bool m_draining ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/agent/run_session.cpp
@@ -0,0 +1,378 @@
+#include "run_session_p.h"
+
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
+
+#include <nlohmann/json.hpp>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr const char* kDigestHeader = "x-weights-digest";
+constexpr std::string_view kStreamEnd = "data: [DONE]";
+constexpr std::size_t kTailBytes = 32;
+constexpr std::chrono::milliseconds kProbeTimeout{ 1000 };
+
+wire::RunVerdict
+ToWire(Verdict aVerdict)
+{
+  switch (aVerdict) {
+    case Verdict::NotRun:
+      return wire::RUN_VERDICT_NOT_RUN;
+    case Verdict::MayHaveRun:
+      return wire::RUN_VERDICT_MAY_HAVE_RUN;
+    case Verdict::Ran:
+      return wire::RUN_VERDICT_RAN;
+  }
+  return wire::RUN_VERDICT_MAY_HAVE_RUN;
+}
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+} // namespace
+
+RunSession::RunSession(std::shared_ptr<RunService> aService,
+                       wire::RunRequest aRequest,
+                       std::shared_ptr<RunSink> aSink)
+  : m_service(std::move(aService))
+  , m_request(std::move(aRequest))
+  , m_sink(std::move(aSink))
+{
+}
+
+HttpClientRequest
+RunSession::ToHttp() const
+{
+  HttpClientRequest request;
+  request.m_method = m_request.method();
+  request.m_url = m_service->m_upstream.m_url + m_request.path();
+  for (const auto& [name, value] : m_request.headers()) {
+    request.m_headers[name] = value;
+  }
+  request.m_headers["x-request-id"] = Key();
+  if (m_service->m_upstream.m_kind == UpstreamSettings::Kind::Model) {
+    request.m_headers[kDigestHeader] = m_request.expected_digest();
+    request.m_headers["x-priority"] = std::to_string(m_request.priority());
+  }
+  if (!m_request.idempotency_key().empty()) {
+    request.m_headers["idempotency-key"] = m_request.idempotency_key();
+  }
+  request.m_body = m_request.body();
+  request.m_timeout = std::chrono::milliseconds(m_request.deadline_ms());
+  return request;
+}
+
+void
+RunSession::Start()
+{
+  const bool claimed = !m_request.idempotency_key().empty() &&
+                       m_service->m_gates.m_claims != nullptr;
+  if (claimed) {
+    Claim();
+  } else {
+    PassOn();
+  }
+}
+
+void
+RunSession::Claim()
+{
+  ClaimRequest claim;
+  claim.m_key = ClaimKeyOf(
+    m_request.service(), m_request.team(), m_request.idempotency_key());
+  claim.m_digest =
+    ClaimDigestOf(m_request.method(), m_request.path(), m_request.body());
+  claim.m_deadline = m_service->m_clock.Now() +
+                     std::chrono::milliseconds(m_request.deadline_ms());
+  const auto self = shared_from_this();
+  m_service->m_gates.m_claims->Claim(
+    claim, [self](const ClaimResult& aResult) { self->OnClaimed(aResult); });
+}
+
+void
+RunSession::OnClaimed(const ClaimResult& aResult)
+{
+  if (const auto* refusal = std::get_if<Error>(&aResult)) {
+    Fail(refusal->GetReason(),
+         refusal->GetVerdict(),
+         refusal->what(),
+         false,
+         refusal->RetryAfter());
+    return;
+  }
+  if (const auto* stored = std::get_if<StoredAnswer>(&aResult)) {
+    SendStored(*stored);
+    return;
+  }
+  m_ticket = std::get<ClaimGranted>(aResult).m_ticket;
+  m_answer.emplace();
+  PassOn();
+}
+
+void
+RunSession::SendStored(const StoredAnswer& aAnswer)
+{
+  CountMetric("siskindeal_stored_answers_total");
+  wire::RunEvent event;
+  auto& started = *event.mutable_started();
+  started.set_status(aAnswer.m_status);
+  started.set_digest(m_request.expected_digest());
+  for (const auto& [name, value] : aAnswer.m_headers) {
+    (*started.mutable_headers())[name] = value;
+  }
+  m_sink->Send(event);
+  SendBody(aAnswer.m_body);
+  event.Clear();
+  event.mutable_finished()->set_body_bytes(m_bodyBytes);
+  event.mutable_finished()->set_stored_answer(true);
+  m_sink->Send(std::move(event));
+  Finish();
+}
+
+void
+RunSession::EndClaim(Verdict aVerdict)
+{
+  if (!m_ticket) {
+    return;
+  }
+  if (aVerdict != Verdict::Ran) {
+    m_answer.reset();
+  }
+  m_service->m_gates.m_claims->Finish(*m_ticket, aVerdict, std::move(m_answer));
+  m_ticket.reset();
+}
+
+void
+RunSession::PassOn()
+{
+  auto request = ToHttp();
+  const auto self = shared_from_this();
+  if (m_request.stream()) {
+    request.m_onHeaders = [self](int aStatus, const HttpHeaders& aHeaders) {
+      self->OnHeaders(aStatus, aHeaders);
+    };
+    request.m_onBytes = [self](std::string_view aBytes) {
+      return self->OnBytes(aBytes);
+    };
+  }
+  auto call = m_service->m_http.Start(
+    std::move(request),
+    [self](const HttpReply& aReply) { self->OnDone(aReply); });
+  bool cancelled = false;
+  {
+    const OrderedLock lock(m_mutex);
+    m_call = call;
+    cancelled = m_cancelled;
+  }
+  if (cancelled) {
+    call->Cancel();
+  }
+}
+
+void
+RunSession::Cancel()
+{
+  std::shared_ptr<HttpCall> call;
+  {
+    const OrderedLock lock(m_mutex);
+    m_cancelled = true;
+    call = m_call;
+  }
+  if (!call) {
+    return;
+  }
+  call->Cancel();
+  if (m_service->m_upstream.m_kind != UpstreamSettings::Kind::Model) {
+    return;
+  }
+  HttpClientRequest request;
+  request.m_method = "POST";
+  request.m_url = m_service->m_upstream.m_url + "/engine/cancel";
+  request.m_headers["content-type"] = "application/json";
+  request.m_body = nlohmann::json{ { "request_id", Key() } }.dump();
+  m_service->m_http.Start(std::move(request), [](const HttpReply&) {});
+  CountMetric("siskindeal_cancelled_requests_total");
+}
+
+void
+RunSession::OnHeaders(int aStatus, const HttpHeaders& aHeaders)
+{
+  if (IsSuccess(aStatus)) {
+    SendStarted(aStatus, aHeaders);
+  }
+}
+
+bool
+RunSession::OnBytes(std::string_view aBytes)
+{
+  if (m_wrongWeights) {
+    return false;
+  }
+  SendBody(aBytes);
+  m_tail.append(
+    aBytes.substr(aBytes.size() > kTailBytes ? aBytes.size() - kTailBytes : 0));
+  if (m_tail.size() > kTailBytes) {
+    m_tail.erase(0, m_tail.size() - kTailBytes);
+  }
+  return true;
+}
+
+void
+RunSession::SendStarted(int aStatus, const HttpHeaders& aHeaders)
+{
+  wire::RunEvent event;
+  auto& started = *event.mutable_started();
+  started.set_status(aStatus);
+  if (m_service->m_upstream.m_kind == UpstreamSettings::Kind::Model) {
+    const auto digest = aHeaders.find(kDigestHeader);
+    m_wrongWeights =
+      IsSuccess(aStatus) && (digest == aHeaders.end() ||
+                             digest->second != m_request.expected_digest());
+    if (m_wrongWeights) {
+      return;
+    }
+    started.set_digest(m_request.expected_digest());
+  }
+  for (const auto& [name, value] : aHeaders) {
+    if (name == "content-type" || name.starts_with("x-")) {
+      (*started.mutable_headers())[name] = value;
+    }
+  }
+  m_started = true;
+  if (m_answer) {
+    m_answer->m_status = aStatus;
+    m_answer->m_headers.insert(started.headers().begin(),
+                               started.headers().end());
+  }
+  m_sink->Send(std::move(event));
+}
+
+void
+RunSession::SendBody(std::string_view aBytes)
+{
+  m_bodyBytes += aBytes.size();
+  if (m_answer) {
+    m_answer->m_body.append(aBytes);
+  }
+  wire::RunEvent event;
+  event.set_body(aBytes.data(), aBytes.size());
+  m_sink->Send(std::move(event));
+}
+
+void
+RunSession::OnDone(const HttpReply& aReply)
+{
+  switch (aReply.m_outcome) {
+    case HttpOutcome::Answered:
+      OnAnswered(aReply);
+      return;
+    case HttpOutcome::NotSent:
+      Fail(Reason::UpstreamFailed, Verdict::NotRun, aReply.m_error, true);
+      return;
+    case HttpOutcome::Cancelled:
+      if (m_wrongWeights) {
+        Fail(Reason::DigestMismatch,
+             Verdict::Ran,
+             "the engine answered from other weights");
+        return;
+      }
+      Fail(Reason::Cancelled, Verdict::MayHaveRun, "cancelled");
+      return;
+    case HttpOutcome::SentNoReply:
+      OnLost(aReply);
+      return;
+  }
+}
+
+void
+RunSession::OnAnswered(const HttpReply& aReply)
+{
+  const bool model =
+    m_service->m_upstream.m_kind == UpstreamSettings::Kind::Model;
+  if (!m_started && model && aReply.m_status == 503) {
+    Fail(Reason::Overloaded, Verdict::NotRun, "the engine is busy");
+    return;
+  }
+  if (!m_started && model && aReply.m_status == 409) {
+    Fail(Reason::DigestMismatch,
+         Verdict::NotRun,
+         "the engine doesn't hold the weights");
+    return;
+  }
+  if (!m_started) {
+    SendStarted(aReply.m_status, aReply.m_headers);
+  }
+  if (m_wrongWeights) {
+    Fail(Reason::DigestMismatch,
+         Verdict::Ran,
+         "the engine answered from other weights");
+    return;
+  }
+  if (!aReply.m_body.empty()) {
+    SendBody(aReply.m_body);
+  }
+  const bool streamed = m_request.stream() && IsSuccess(aReply.m_status);
+  if (model && streamed && m_tail.find(kStreamEnd) == std::string::npos) {
+    Fail(Reason::TruncatedAnswer,
+         Verdict::MayHaveRun,
+         "the stream ended without its end marker");
+    return;
+  }
+  EndClaim(Verdict::Ran);
+  wire::RunEvent event;
+  event.mutable_finished()->set_body_bytes(m_bodyBytes);
+  m_sink->Send(std::move(event));
+  Finish();
+}
+
+// The connection was lost: an upstream that refuses a connection right after
+// has crashed.
+void
+RunSession::OnLost(const HttpReply& aReply)
+{
+  HttpClientRequest probe;
+  probe.m_url = m_service->m_upstream.m_url + "/";
+  probe.m_timeout = kProbeTimeout;
+  const auto self = shared_from_this();
+  m_service->m_http.Start(
+    std::move(probe), [self, what = aReply.m_error](const HttpReply& aProbe) {
+      const bool crashed = aProbe.m_outcome == HttpOutcome::NotSent;
+      self->Fail(Reason::UpstreamFailed, Verdict::MayHaveRun, what, crashed);
+    });
+}
+
+void
+RunSession::Fail(Reason aReason,
+                 Verdict aVerdict,
+                 const std::string& aWhat,
+                 bool aUpstreamCrashed,
+                 std::chrono::milliseconds aRetryAfter)
+{
+  EndClaim(aVerdict);
+  CountMetric("siskindeal_failed_runs_total",
+              { { "reason", std::string(ToString(aReason)) },
+                { "verdict", std::string(ToString(aVerdict)) } });
+  wire::RunEvent event;
+  auto& failed = *event.mutable_failed();
+  failed.set_reason(std::string(ToString(aReason)));
+  failed.set_what(aWhat);
+  failed.set_verdict(ToWire(aVerdict));
+  failed.set_upstream_crashed(aUpstreamCrashed);
+  failed.set_retry_after_ms(static_cast<std::uint64_t>(aRetryAfter.count()));
+  m_sink->Send(std::move(event));
+  Finish();
+}
+
+void
+RunSession::Finish()
+{
+  m_sink->Finish();
+  m_service->Leave(Key());
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/entry/entry.cpp
@@ -0,0 +1,322 @@
+#include "entry_p.h"
+
+#include "node/answer_p.h"
+#include "node/process_p.h"
+#include "siskindeal/digest.h"
+#include "siskindeal/log.h"
+#include "siskindeal/platform_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::size_t kWorkers = 4;
+constexpr std::chrono::milliseconds kDrainStep{ 20 };
+constexpr std::chrono::milliseconds kDrainingRetryAfter{ 1000 };
+
+HttpServerLimits
+LimitsOf(const HttpSettings& aSettings)
+{
+  HttpServerLimits limits;
+  limits.m_bodyBytes = aSettings.m_bodyBytes;
+  limits.m_headerBytes = aSettings.m_headerBytes;
+  limits.m_connections = aSettings.m_connections;
+  return limits;
+}
+
+} // namespace
+
+EntryNode::EntryNode(const EntrySettings& aSettings)
+  : m_settings(aSettings)
+  , m_pool(kWorkers)
+  , m_client(aSettings.m_auth, aSettings.m_node.m_vm)
+  , m_platform(MakeHttpPlatform(aSettings.m_platform, m_http, m_pool, m_clock))
+{
+  m_forwarder =
+    std::make_shared<Forwarder>(ForwardParts{ m_client,
+                                              m_clock,
+                                              [this] { return m_sync->View(); },
+                                              m_settings.m_routing,
+                                              m_settings.m_node.m_place },
+                                StableHash(m_settings.m_node.m_vm));
+  m_front = std::make_unique<Front>(FrontParts{
+    [this] { return Config(); },
+    [this] { return EntriesJson(); },
+    [this](CallerRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
+      m_forwarder->Forward(std::move(aRequest), std::move(aResponder));
+    },
+    m_settings.m_http });
+
+  m_server = std::make_unique<NodeServer>(
+    m_settings.m_node.m_rpc, m_settings.m_auth, *this);
+  const Address own{ m_settings.m_node.m_rpc.m_host, m_server->Port() };
+  // The HTTP port has to be known before the first record is sent.
+  m_httpServer = std::make_unique<HttpServer>(
+    m_settings.m_node.m_http.m_host,
+    m_settings.m_node.m_http.m_port,
+    LimitsOf(m_settings.m_http),
+    [this](const HttpRequest& aRequest,
+           const std::shared_ptr<HttpResponder>& aResponder) {
+      HandleHttp(aRequest, aResponder);
+    });
+  NodeSyncHooks hooks;
+  hooks.m_ownRecord = [this] { return OwnRecord(); };
+  m_sync = std::make_unique<NodeSync>(m_settings.m_node,
+                                      m_settings.m_membership,
+                                      wire::ROLE_ENTRY,
+                                      own.ToString(),
+                                      m_client,
+                                      *m_platform,
+                                      m_pool,
+                                      m_clock,
+                                      std::move(hooks));
+  m_operators = std::make_unique<OperatorApi>(
+    *m_platform, m_clock, m_settings.m_auth, MakeOperatorView());
+  m_started.store(true);
+  m_sync->Start();
+  Log(LogLevel::Info,
+      "listening",
+      { { "rpc_port", m_server->Port() },
+        { "http_port", m_httpServer->Port() } });
+}
+
+EntryNode::~EntryNode()
+{
+  m_httpServer.reset();
+  m_server->Shutdown(std::chrono::milliseconds(0));
+  m_pool.Stop();
+}
+
+void
+EntryNode::Drain()
+{
+  Log(LogLevel::Info, "draining", { { "in_flight", m_forwarder->InFlight() } });
+  const auto began = m_clock.Now();
+  m_leaving.store(true);
+  m_sync->Leave();
+  std::this_thread::sleep_for(m_settings.m_routing.m_answerLifetime);
+  m_refusing.store(true);
+  while (m_httpServer->InFlight() > 0 &&
+         m_clock.Now() - began < m_settings.m_drain.m_longest) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  m_httpServer->StopListening();
+  Log(LogLevel::Info, "drained", { { "cut_off", m_httpServer->InFlight() } });
+}
+
+wire::NodeRecord
+EntryNode::OwnRecord() const
+{
+  wire::NodeRecord record;
+  record.set_vm(m_settings.m_node.m_vm);
+  record.set_place(m_settings.m_node.m_place);
+  record.set_role(wire::ROLE_ENTRY);
+  record.set_http_address(
+    Address{ m_settings.m_node.m_http.m_host, m_httpServer->Port() }
+      .ToString());
+  record.mutable_load()->set_running(
+    static_cast<std::uint32_t>(m_forwarder->InFlight()));
+  return record;
+}
+
+std::shared_ptr<const FleetConfig>
+EntryNode::Config() const
+{
+  auto config = m_started.load() ? m_sync->Config() : nullptr;
+  if (!config) {
+    throw Error(Reason::Unavailable,
+                Verdict::NotRun,
+                "no configuration is known yet",
+                kDrainingRetryAfter);
+  }
+  return config;
+}
+
+OperatorView
+EntryNode::MakeOperatorView()
+{
+  OperatorView view;
+  view.m_statusOf = [](const std::string&) {
+    return std::optional<TargetStatus>();
+  };
+  view.m_allStatus = [] { return std::vector<TargetStatus>(); };
+  view.m_targets = [this] {
+    std::vector<TargetSpec> targets;
+    for (const auto& [key, object] : m_sync->Objects(kTargetPrefix)) {
+      targets.push_back(ParseTarget(object.m_value, object.m_version));
+    }
+    return targets;
+  };
+  view.m_configInForce = [this] {
+    std::vector<ConfigInForce> rows;
+    for (const auto& [vm, node] : m_sync->View()->m_nodes) {
+      rows.push_back(
+        { vm,
+          node.m_record.place(),
+          node.m_record.config_version(),
+          node.m_record.liveness() != wire::LIVENESS_UNREACHABLE });
+    }
+    return rows;
+  };
+  view.m_quarantine = [] { return std::vector<QuarantineEntry>(); };
+  view.m_release = [](std::uint64_t) { return false; };
+  view.m_checkConfig = [](const std::string& aJson) {
+    ParseFleetConfig(aJson, 0);
+  };
+  view.m_checkClass = [this](const std::string& aClass) {
+    if (Config()->m_classes.count(aClass) == 0) {
+      throw Error(Reason::BadRequest,
+                  Verdict::NotRun,
+                  "no class of work is named \"" + aClass + "\"");
+    }
+  };
+  return view;
+}
+
+// The entries that callers are told to use, never one that leaves.
+std::string
+EntryNode::EntriesJson()
+{
+  nlohmann::json entries = nlohmann::json::array();
+  const auto& here = m_settings.m_node.m_place;
+  for (const bool local : { true, false }) {
+    for (const auto& [vm, node] : m_sync->View()->m_nodes) {
+      const auto& record = node.m_record;
+      if (record.role() == wire::ROLE_ENTRY &&
+          record.liveness() == wire::LIVENESS_ALIVE &&
+          (record.place() == here) == local) {
+        entries.push_back({ { "address", record.http_address() },
+                            { "place", record.place() } });
+      }
+    }
+  }
+  return nlohmann::json{
+    { "entries", entries },
+    { "lifetime_ms", m_settings.m_routing.m_answerLifetime.count() }
+  }.dump();
+}
+
+std::string
+EntryNode::NotReady() const
+{
+  if (m_leaving.load()) {
+    return "draining";
+  }
+  return m_started.load() && m_sync->Config() ? "" : "no configuration yet";
+}
+
+void
+EntryNode::HandleHttp(const HttpRequest& aRequest,
+                      const std::shared_ptr<HttpResponder>& aResponder)
+{
+  const ProcessPages pages{ [this] { return NotReady(); },
+                            [this] { return StateJson(); } };
+  if (AnswerProcessPage(aRequest, *aResponder, m_settings.m_auth, pages)) {
+    return;
+  }
+  if (m_started.load() && OperatorApi::Handles(aRequest.m_path)) {
+    m_operators->Handle(aRequest, aResponder);
+    return;
+  }
+  if (m_refusing.load()) {
+    RefuseWhileDraining(*aResponder);
+    return;
+  }
+  m_front->Handle(aRequest, aResponder);
+}
+
+void
+EntryNode::RefuseWhileDraining(HttpResponder& aResponder)
+{
+  RespondError(
+    aResponder,
+    { Reason::Draining,
+      Verdict::NotRun,
+      "this entry is leaving; use another one",
+      kDrainingRetryAfter },
+    { { "x-siskindeal-entries", EntriesJson() }, { "connection", "close" } });
+}
+
+wire::GreetReply
+EntryNode::OnGreet(const wire::GreetRequest&)
+{
+  wire::GreetReply reply;
+  reply.set_release(SISKINDEAL_VERSION);
+  reply.set_vm(m_settings.m_node.m_vm);
+  reply.set_role(wire::ROLE_ENTRY);
+  return reply;
+}
+
+void
+EntryNode::OnExchange(const wire::ExchangeRequest& aRequest,
+                      Done<wire::ExchangeReply> aDone)
+{
+  if (!m_started.load()) {
+    aDone({});
+    return;
+  }
+  m_sync->OnExchange(aRequest, aDone);
+}
+
+void
+EntryNode::OnRun(const wire::RunRequest&, std::shared_ptr<RunSink> aSink)
+{
+  wire::RunEvent event;
+  event.mutable_failed()->set_reason(std::string(ToString(Reason::NotFound)));
+  event.mutable_failed()->set_what("an entry runs nothing itself");
+  aSink->Send(event);
+  aSink->Finish();
+}
+
+void
+EntryNode::OnCancel(const wire::CancelRequest&, Done<wire::CancelReply> aDone)
+{
+  aDone({});
+}
+
+void
+EntryNode::OnOrder(const wire::OrderRequest&, Done<wire::OrderReply> aDone)
+{
+  wire::OrderReply reply;
+  reply.set_reason(std::string(ToString(Reason::BadRequest)));
+  reply.set_what("an entry takes no orders");
+  aDone(reply);
+}
+
+void
+EntryNode::OnChunk(const wire::ChunkRequest&, Done<wire::ChunkReply> aDone)
+{
+  wire::ChunkReply reply;
+  reply.set_missing(true);
+  aDone(reply);
+}
+
+void
+EntryNode::OnHave(const wire::HaveRequest&, Done<wire::HaveReply> aDone)
+{
+  aDone({});
+}
+
+std::string
+EntryNode::StateJson()
+{
+  nlohmann::json state = {
+    { "role", "entry" },
+    { "vm", m_settings.m_node.m_vm },
+    { "place", m_settings.m_node.m_place },
+    { "release", SISKINDEAL_VERSION },
+    { "leaving", m_leaving.load() },
+    { "in_flight", m_forwarder->InFlight() },
+    { "queued_tasks", m_pool.Queued() },
+  };
+  if (m_started.load()) {
+    state["sync"] = nlohmann::json::parse(m_sync->StateJson());
+  }
+  return state.dump();
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/entry/entry_p.h
@@ -0,0 +1,74 @@
+#pragma once
+// The process on an entry VM: takes callers' requests and operators' calls, and
+// plans rollouts while it holds a lease.
+
+#include "forward_p.h"
+#include "front_p.h"
+#include "siskindeal/clock.h"
+#include "siskindeal/http.h"
+#include "siskindeal/node_sync.h"
+#include "siskindeal/operators.h"
+#include "siskindeal/platform.h"
+#include "siskindeal/rpc.h"
+#include "siskindeal/settings.h"
+#include "siskindeal/worker_pool.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace siskindeal {
+
+class EntryNode final : public NodeHandler
+{
+public:
+  explicit EntryNode(const EntrySettings& aSettings);
+  ~EntryNode() override;
+
+  // Is named to callers no more, serves those whose answer to GET /v1/entry
+  // still holds, refuses what comes later, and returns when all has ended.
+  void Drain();
+
+  wire::GreetReply OnGreet(const wire::GreetRequest& aRequest) override;
+  void OnExchange(const wire::ExchangeRequest& aRequest,
+                  Done<wire::ExchangeReply> aDone) override;
+  void OnRun(const wire::RunRequest& aRequest,
+             std::shared_ptr<RunSink> aSink) override;
+  void OnCancel(const wire::CancelRequest& aRequest,
+                Done<wire::CancelReply> aDone) override;
+  void OnOrder(const wire::OrderRequest& aRequest,
+               Done<wire::OrderReply> aDone) override;
+  void OnChunk(const wire::ChunkRequest& aRequest,
+               Done<wire::ChunkReply> aDone) override;
+  void OnHave(const wire::HaveRequest& aRequest,
+              Done<wire::HaveReply> aDone) override;
+  std::string StateJson() override;
+
+private:
+  wire::NodeRecord OwnRecord() const;
+  OperatorView MakeOperatorView();
+  std::string EntriesJson();
+  std::string NotReady() const;
+  void HandleHttp(const HttpRequest& aRequest,
+                  const std::shared_ptr<HttpResponder>& aResponder);
+  void RefuseWhileDraining(HttpResponder& aResponder);
+  std::shared_ptr<const FleetConfig> Config() const;
+
+  const EntrySettings m_settings;
+  SystemClock m_clock;
+  WorkerPool m_pool;
+  HttpClient m_http;
+  NodeClient m_client;
+  std::unique_ptr<Platform> m_platform;
+  std::unique_ptr<NodeSync> m_sync;
+  std::shared_ptr<Forwarder> m_forwarder;
+  std::unique_ptr<Front> m_front;
+  std::unique_ptr<OperatorApi> m_operators;
+  std::atomic<bool> m_leaving{ false };
+  std::atomic<bool> m_refusing{ false };
+  std::atomic<bool> m_started{ false };
+  std::unique_ptr<NodeServer> m_server;
+  std::unique_ptr<HttpServer> m_httpServer;
+};
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/entry/forward.cpp
@@ -0,0 +1,95 @@
+#include "forward_p.h"
+
+#include "forward_session_p.h"
+#include "siskindeal/claims.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+// The newest weights of the class that take requests on the node.
+std::string
+ServingDigest(const wire::NodeRecord& aNode, const std::string& aClass)
+{
+  std::string digest;
+  for (const auto& serving : aNode.serving()) {
+    if (serving.class_of_work() == aClass) {
+      digest = serving.digest();
+    }
+  }
+  return digest;
+}
+
+// The agent at which a key's requests run.
+std::size_t
+HomeOf(const CallerRequest& aRequest,
+       const std::vector<Destination>& aDestinations)
+{
+  std::vector<std::string> agents;
+  for (const auto& destination : aDestinations) {
+    agents.push_back(destination.m_node.vm());
+  }
+  const auto key =
+    ClaimKeyOf(aRequest.m_service, aRequest.m_team, aRequest.m_key);
+  const auto home = ClaimHomeOf(aRequest.m_service, ClaimShardOf(key), agents);
+  return static_cast<std::size_t>(
+    std::find(agents.begin(), agents.end(), home) - agents.begin());
+}
+
+} // namespace
+
+Forwarder::Forwarder(ForwardParts aParts, std::uint64_t aSeed)
+  : m_parts(std::move(aParts))
+  , m_random(aSeed)
+{
+}
+
+void
+Forwarder::Forward(CallerRequest aRequest,
+                   std::shared_ptr<HttpResponder> aResponder)
+{
+  std::make_shared<ForwardSession>(
+    shared_from_this(), std::move(aRequest), std::move(aResponder))
+    ->Begin();
+}
+
+std::vector<Destination>
+Forwarder::Destinations(const CallerRequest& aRequest,
+                        const std::set<std::string>& aTried) const
+{
+  std::vector<Destination> destinations;
+  const auto view = m_parts.m_view();
+  for (const auto& [vm, fleetNode] : view->m_nodes) {
+    const auto& node = fleetNode.m_record;
+    if (node.role() != wire::ROLE_AGENT ||
+        node.service() != aRequest.m_service ||
+        node.liveness() != wire::LIVENESS_ALIVE || node.upstream_down() ||
+        aTried.count(node.vm()) > 0) {
+      continue;
+    }
+    Destination destination{ node, {} };
+    if (!aRequest.m_class.empty()) {
+      destination.m_digest = ServingDigest(node, aRequest.m_class);
+      if (destination.m_digest.empty()) {
+        continue;
+      }
+    }
+    destinations.push_back(std::move(destination));
+  }
+  return destinations;
+}
+
+std::size_t
+Forwarder::Choose(const CallerRequest& aRequest,
+                  const std::vector<Destination>& aDestinations)
+{
+  if (!aRequest.m_idempotent) {
+    return HomeOf(aRequest, aDestinations);
+  }
+  const OrderedLock lock(m_mutex);
+  return m_random.Below(aDestinations.size());
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/entry/forward_session.cpp
@@ -0,0 +1,345 @@
+#include "forward_session_p.h"
+
+#include "node/answer_p.h"
+#include "siskindeal/invariant.h"
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
+
+#include <array>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::milliseconds kGiveUpTimeout{ 500 };
+constexpr std::chrono::milliseconds kNoReplicaRetryAfter{ 1000 };
+
+Verdict
+FromWire(wire::RunVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case wire::RUN_VERDICT_NOT_RUN:
+      return Verdict::NotRun;
+    case wire::RUN_VERDICT_RAN:
+      return Verdict::Ran;
+    default:
+      return Verdict::MayHaveRun;
+  }
+}
+
+constexpr std::array kWireReasons = {
+  Reason::NotFound,          Reason::Overloaded,      Reason::Draining,
+  Reason::ClaimUnavailable,  Reason::Duplicate,       Reason::DigestMismatch,
+  Reason::Timeout,           Reason::Cancelled,       Reason::UpstreamFailed,
+  Reason::TruncatedAnswer,   Reason::Unavailable,     Reason::KeyRequired,
+  Reason::StaleFencingToken, Reason::Unauthenticated,
+};
+
+Reason
+ReasonFromWire(const std::string& aName)
+{
+  for (const auto reason : kWireReasons) {
+    if (aName == ToString(reason)) {
+      return reason;
+    }
+  }
+  return Reason::UpstreamFailed;
+}
+
+} // namespace
+
+ForwardSession::ForwardSession(std::shared_ptr<Forwarder> aForwarder,
+                               CallerRequest aRequest,
+                               std::shared_ptr<HttpResponder> aResponder)
+  : m_forwarder(std::move(aForwarder))
+  , m_request(std::move(aRequest))
+  , m_responder(std::move(aResponder))
+  , m_deadline(m_forwarder->m_parts.m_clock.Now() + m_request.m_timeout)
+{
+  m_forwarder->m_inFlight.fetch_add(1);
+}
+
+ForwardSession::~ForwardSession()
+{
+  m_forwarder->m_inFlight.fetch_sub(1);
+}
+
+void
+ForwardSession::Begin()
+{
+  const std::weak_ptr<ForwardSession> weak = shared_from_this();
+  m_responder->OnHangUp([weak] {
+    if (const auto self = weak.lock()) {
+      self->OnHangUp();
+    }
+  });
+  TryNext();
+}
+
+std::chrono::milliseconds
+ForwardSession::Remaining() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_deadline - m_forwarder->m_parts.m_clock.Now());
+}
+
+void
+ForwardSession::TryNext()
+{
+  if (Remaining().count() <= 0) {
+    Respond({ Reason::Timeout, m_verdict, "the request's deadline passed" });
+    return;
+  }
+  const auto destinations = m_forwarder->Destinations(m_request, m_tried);
+  if (destinations.empty()) {
+    Respond({ Reason::NoReplica,
+              m_verdict,
+              "no VM of the service takes this request now",
+              kNoReplicaRetryAfter });
+    return;
+  }
+  Send(destinations[m_forwarder->Choose(m_request, destinations)]);
+}
+
+wire::RunRequest
+ForwardSession::ToWire() const
+{
+  wire::RunRequest request;
+  request.set_request_id(m_request.m_id);
+  request.set_attempt(m_attempt);
+  request.set_service(m_request.m_service);
+  request.set_class_of_work(m_request.m_class);
+  request.set_team(m_request.m_team);
+  request.set_priority(m_request.m_priority);
+  request.set_deadline_ms(static_cast<std::uint64_t>(Remaining().count()));
+  request.set_method(m_request.m_method);
+  request.set_path(m_request.m_path);
+  for (const auto& [name, value] : m_request.m_headers) {
+    (*request.mutable_headers())[name] = value;
+  }
+  request.set_body(m_request.m_body);
+  request.set_stream(m_request.m_stream);
+  request.set_expected_digest(m_destination.m_digest);
+  request.set_idempotent(m_request.m_idempotent);
+  request.set_idempotency_key(m_request.m_key);
+  request.set_fingerprint(m_request.m_fingerprint);
+  return request;
+}
+
+void
+ForwardSession::Send(const Destination& aDestination)
+{
+  m_destination = aDestination;
+  m_attempt += 1;
+  m_tried.insert(aDestination.m_node.vm());
+  m_failure.reset();
+  m_status = 0;
+  m_body.clear();
+  m_bodyBytes = 0;
+  m_sentAt = m_forwarder->m_parts.m_clock.Now();
+  const auto self = shared_from_this();
+  const auto attempt = m_attempt;
+  auto call = m_forwarder->m_parts.m_client.Run(
+    aDestination.m_node.address(),
+    ToWire(),
+    Remaining(),
+    [self](const wire::RunEvent& aEvent) { self->OnEvent(aEvent); },
+    [self](const RpcStatus& aStatus) { self->OnEnd(aStatus); });
+  bool hungUp = false;
+  {
+    const OrderedLock lock(m_mutex);
+    if (attempt > m_callAttempt) {
+      m_call = call;
+      m_callAttempt = attempt;
+    }
+    hungUp = m_hungUp;
+  }
+  if (hungUp) {
+    call->Cancel();
+  }
+}
+
+void
+ForwardSession::OnEvent(const wire::RunEvent& aEvent)
+{
+  if (m_answered || m_failure) {
+    return;
+  }
+  switch (aEvent.event_case()) {
+    case wire::RunEvent::kStarted:
+      m_status = aEvent.started().status();
+      m_headers.clear();
+      for (const auto& [name, value] : aEvent.started().headers()) {
+        m_headers[name] = value;
+      }
+      SISKINDEAL_INVARIANT(aEvent.started().digest() == m_destination.m_digest,
+                           "an answer comes from the weights it was asked of");
+      return;
+    case wire::RunEvent::kBody:
+      OnBody(aEvent.body());
+      return;
+    case wire::RunEvent::kFinished:
+      OnFinished(aEvent.finished());
+      return;
+    case wire::RunEvent::kFailed:
+      m_failure.emplace(
+        ReasonFromWire(aEvent.failed().reason()),
+        FromWire(aEvent.failed().verdict()),
+        aEvent.failed().what(),
+        std::chrono::milliseconds(aEvent.failed().retry_after_ms()));
+      return;
+    case wire::RunEvent::EVENT_NOT_SET:
+      return;
+  }
+}
+
+void
+ForwardSession::OnBody(const std::string& aBytes)
+{
+  m_bodyBytes += aBytes.size();
+  if (!m_request.m_stream || m_status != 200) {
+    m_body += aBytes;
+    return;
+  }
+  if (!m_streaming) {
+    m_streaming = true;
+    m_headers[std::string(kVerdictHeader)] = ToString(Verdict::Ran);
+    m_headers["x-request-id"] = m_request.m_id;
+    m_responder->BeginStream(m_status, m_headers);
+  }
+  m_responder->Write(aBytes);
+}
+
+void
+ForwardSession::OnFinished(const wire::RunFinished& aFinished)
+{
+  if (aFinished.body_bytes() != m_bodyBytes) {
+    m_failure.emplace(Reason::TruncatedAnswer,
+                      Verdict::Ran,
+                      "the answer is shorter than the upstream sent");
+    return;
+  }
+  m_answered = true;
+  CountMetric("siskindeal_answered_requests_total",
+              { { "service", m_request.m_service } });
+  if (m_streaming) {
+    m_responder->EndStream();
+    return;
+  }
+  m_headers[std::string(kVerdictHeader)] = ToString(Verdict::Ran);
+  m_headers["x-request-id"] = m_request.m_id;
+  m_responder->Respond(m_status, m_headers, std::move(m_body));
+}
+
+void
+ForwardSession::OnEnd(const RpcStatus& aStatus)
+{
+  if (m_answered) {
+    return;
+  }
+  if (m_failure) {
+    AfterFailure(Error(*m_failure));
+    return;
+  }
+  if (aStatus.m_outcome == RpcOutcome::NotSent ||
+      aStatus.m_outcome == RpcOutcome::Refused) {
+    AfterFailure({ Reason::Unavailable, Verdict::NotRun, aStatus.m_what });
+    return;
+  }
+  AfterLostCall();
+}
+
+// The call was lost. The agent may still promise that the request never started
+// and never will.
+void
+ForwardSession::AfterLostCall()
+{
+  wire::CancelRequest request;
+  request.set_request_id(m_request.m_id);
+  request.set_attempt(m_attempt);
+  request.set_incarnation(m_destination.m_node.incarnation());
+  const auto age = std::chrono::ceil<std::chrono::milliseconds>(
+    m_forwarder->m_parts.m_clock.Now() - m_sentAt);
+  request.set_age_ms(static_cast<std::uint64_t>(age.count()) + 1);
+  const auto self = shared_from_this();
+  m_forwarder->m_parts.m_client.Cancel(
+    m_destination.m_node.address(),
+    request,
+    kGiveUpTimeout,
+    [self](const RpcStatus& aStatus, const wire::CancelReply& aReply) {
+      const bool notStarted =
+        aStatus.m_outcome == RpcOutcome::Ok && aReply.not_started();
+      self->AfterFailure({ Reason::UpstreamFailed,
+                           notStarted ? Verdict::NotRun : Verdict::MayHaveRun,
+                           "the connection to the VM was lost" });
+    });
+}
+
+bool
+ForwardSession::MayRetry(Verdict aVerdict) const
+{
+  if (m_streaming || m_attempt > m_forwarder->m_parts.m_routing.m_retries) {
+    return false;
+  }
+  return aVerdict == Verdict::NotRun || m_request.m_idempotent;
+}
+
+void
+ForwardSession::AfterFailure(const Error& aFailure)
+{
+  m_verdict = Combine(m_verdict, aFailure.GetVerdict());
+  {
+    const OrderedLock lock(m_mutex);
+    if (m_hungUp) {
+      m_answered = true;
+      return;
+    }
+  }
+  if (MayRetry(aFailure.GetVerdict())) {
+    CountMetric("siskindeal_retries_total",
+                { { "reason", std::string(ToString(aFailure.GetReason())) } });
+    TryNext();
+    return;
+  }
+  Respond({ aFailure.GetReason(),
+            m_verdict,
+            aFailure.what(),
+            aFailure.RetryAfter() });
+}
+
+void
+ForwardSession::Respond(const Error& aError)
+{
+  SISKINDEAL_INVARIANT(!m_answered, "a request is answered once");
+  m_answered = true;
+  CountMetric("siskindeal_refused_requests_total",
+              { { "reason", std::string(ToString(aError.GetReason())) },
+                { "verdict", std::string(ToString(aError.GetVerdict())) } });
+  if (!m_streaming) {
+    RespondError(*m_responder, aError, { { "x-request-id", m_request.m_id } });
+    return;
+  }
+  m_responder->Write(
+    "event: error\ndata: " +
+    ErrorJson(aError).dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace) +
+    "\n\n");
+  m_responder->EndStream();
+}
+
+void
+ForwardSession::OnHangUp()
+{
+  std::shared_ptr<RunCall> call;
+  {
+    const OrderedLock lock(m_mutex);
+    m_hungUp = true;
+    call = m_call;
+  }
+  CountMetric("siskindeal_hang_ups_total");
+  if (call) {
+    call->Cancel();
+  }
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/entry/forward_session_p.h
@@ -0,0 +1,62 @@
+#pragma once
+// One caller's request on its way through an entry.
+
+#include "forward_p.h"
+
+#include <optional>
+
+namespace siskindeal {
+
+// Keeps itself alive while a call is out. Answers the caller exactly once.
+class ForwardSession : public std::enable_shared_from_this<ForwardSession>
+{
+public:
+  ForwardSession(std::shared_ptr<Forwarder> aForwarder,
+                 CallerRequest aRequest,
+                 std::shared_ptr<HttpResponder> aResponder);
+  ~ForwardSession();
+
+  void Begin();
+
+private:
+  void TryNext();
+  void Send(const Destination& aDestination);
+  wire::RunRequest ToWire() const;
+  void OnEvent(const wire::RunEvent& aEvent);
+  void OnBody(const std::string& aBytes);
+  void OnFinished(const wire::RunFinished& aFinished);
+  void OnEnd(const RpcStatus& aStatus);
+  void AfterLostCall();
+  void AfterFailure(const Error& aFailure);
+  bool MayRetry(Verdict aVerdict) const;
+  void Respond(const Error& aError);
+  void OnHangUp();
+  std::chrono::milliseconds Remaining() const;
+
+  const std::shared_ptr<Forwarder> m_forwarder;
+  const CallerRequest m_request;
+  const std::shared_ptr<HttpResponder> m_responder;
+  const MonotonicTime m_deadline;
+
+  // One attempt is out at a time, and its callbacks come one after another, so
+  // these need no lock.
+  std::uint32_t m_attempt = 0;
+  std::set<std::string> m_tried;
+  Destination m_destination;
+  MonotonicTime m_sentAt;
+  Verdict m_verdict = Verdict::NotRun;
+  std::optional<Error> m_failure; // of the attempt, acted on at its end
+  bool m_streaming = false;       // bytes have gone to the caller
+  bool m_answered = false;
+  int m_status = 0;
+  HttpHeaders m_headers;
+  std::string m_body;
+  std::uint64_t m_bodyBytes = 0;
+
+  OrderedMutex m_mutex{ LockLevel::Session };
+  std::shared_ptr<RunCall> m_call ABSL_GUARDED_BY(m_mutex);
+  std::uint32_t m_callAttempt ABSL_GUARDED_BY(m_mutex) = 0;
+  bool m_hungUp ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/entry/role.cpp
@@ -0,0 +1,38 @@
+#include "siskindeal/role.h"
+#include "entry_p.h"
+#include "node/process_p.h"
+#include "siskindeal/log.h"
+
+namespace siskindeal {
+
+namespace {
+
+class EntryRole final : public Role
+{
+public:
+  std::string Summary() const override
+  {
+    return "runs on an entry VM: takes callers' requests and operators' "
+           "calls, and plans rollouts";
+  }
+
+  int Run(const std::string& aSettingsFile) override
+  {
+    const auto settings = ReadEntrySettings(aSettingsFile);
+    ConfigureLog(
+      "entry", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
+    BlockStopSignals();
+    EntryNode entry(settings);
+    WaitForStopSignal();
+    entry.Drain();
+    return 0;
+  }
+};
+
+const Registration<Role> kRegistered("entry", [] {
+  return std::make_unique<EntryRole>();
+});
+
+} // namespace
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/node/process.cpp
@@ -0,0 +1,79 @@
+#include "process_p.h"
+
+#include "node/answer_p.h"
+
+#include "siskindeal/error.h"
+#include "siskindeal/metrics.h"
+#include "siskindeal/operators.h"
+
+#include <csignal>
+#include <pthread.h>
+
+namespace siskindeal {
+
+namespace {
+
+sigset_t
+StopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+} // namespace
+
+void
+BlockStopSignals()
+{
+  const auto signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void
+WaitForStopSignal()
+{
+  const auto signals = StopSignals();
+  int signal = 0;
+  while (sigwait(&signals, &signal) != 0) {
+  }
+}
+
+bool
+AnswerProcessPage(const HttpRequest& aRequest,
+                  HttpResponder& aResponder,
+                  const AuthSettings& aAuth,
+                  const ProcessPages& aPages)
+{
+  const auto& path = aRequest.m_path;
+  if (path == "/healthz") {
+    aResponder.Respond(200, { { "content-type", "text/plain" } }, "ok\n");
+    return true;
+  }
+  if (path == "/readyz") {
+    const auto reason = aPages.m_notReady();
+    aResponder.Respond(reason.empty() ? 200 : 503,
+                       { { "content-type", "text/plain" } },
+                       reason.empty() ? "ready\n" : reason + "\n");
+    return true;
+  }
+  if (path == "/metrics") {
+    aResponder.Respond(
+      200, { { "content-type", "text/plain; version=0.0.4" } }, MetricsText());
+    return true;
+  }
+  if (path != "/state") {
+    return false;
+  }
+  try {
+    CheckOperatorCall(aAuth, aRequest, std::chrono::system_clock::now());
+    RespondJson(aResponder, 200, aPages.m_stateJson());
+  } catch (const Error& refusal) {
+    RespondError(aResponder, refusal);
+  }
+  return true;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/node/url_p.h
@@ -0,0 +1,17 @@
+#pragma once
+// Percent-encoding of URLs.
+
+#include <string>
+#include <string_view>
+
+namespace siskindeal {
+
+// Encodes everything but unreserved characters.
+std::string
+PercentEncode(std::string_view aText);
+
+// The same, but keeps '/' between the segments of a path.
+std::string
+PercentEncodePath(std::string_view aPath);
+
+} // namespace siskindeal
--- a/src/operators/answers.cpp
+++ b/src/operators/answers.cpp
@@ -1,13 +1,13 @@
 #include "operators/answers_p.h"
 
+#include "node/answer_p.h"
+
 namespace siskindeal {
 
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr int kMsPerSecond = 1000;
-
 // The value as JSON, or as a string where it isn't any.
 Json
 ValueJson(const std::string& aValue)
@@ -21,16 +21,6 @@
 
 } // namespace
 
-Json
-ErrorJson(const Error& aError)
-{
-  return { { "error",
-             { { "reason", ToString(aError.GetReason()) },
-               { "message", aError.what() },
-               { "verdict", ToString(aError.GetVerdict()) },
-               { "retry_after_ms", aError.RetryAfter().count() } } } };
-}
-
 void
 AnswerJson(const std::shared_ptr<HttpResponder>& aResponder,
            int aStatus,
@@ -46,19 +36,7 @@
 AnswerError(const std::shared_ptr<HttpResponder>& aResponder,
             const Error& aError)
 {
-  HttpHeaders headers = { { "content-type", "application/json" },
-                          { std::string(kVerdictHeader),
-                            std::string(ToString(aError.GetVerdict())) } };
-  if (aError.RetryAfter().count() > 0) {
-    const auto seconds =
-      (aError.RetryAfter().count() + kMsPerSecond - 1) / kMsPerSecond;
-    headers["retry-after"] = std::to_string(seconds);
-  }
-  aResponder->Respond(
-    HttpStatus(aError.GetReason()),
-    std::move(headers),
-    ErrorJson(aError).dump(-1, ' ', false, Json::error_handler_t::replace) +
-      "\n");
+  RespondError(*aResponder, aError);
 }
 
 Json
--- a/src/operators/answers_p.h
+++ b/src/operators/answers_p.h
@@ -11,10 +11,6 @@
 
 namespace siskindeal {
 
-// {"error":{"reason","message","verdict","retry_after_ms"}}
-nlohmann::json
-ErrorJson(const Error& aError);
-
 void
 AnswerJson(const std::shared_ptr<HttpResponder>& aResponder,
            int aStatus,
--- a/src/operators/write.cpp
+++ b/src/operators/write.cpp
@@ -1,5 +1,6 @@
 #include "operators/write_p.h"
 
+#include "node/answer_p.h"
 #include "operators/answers_p.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
