Operators' changes must say that they are JSON

Cause: a wrong content type is to be refused whole; a PUT took any. Change: a PUT whose content type isn't application/json is refused with 400 and nothing changed.

--- a/src/operators/api.cpp
+++ b/src/operators/api.cpp
@@ -83,6 +83,24 @@
   return id;
 }
 
+// Throws Error (BadRequest) unless the body is said to be JSON.
+void
+CheckContentType(const HttpRequest& aRequest)
+{
+  constexpr std::string_view kJson = "application/json";
+  const auto found = aRequest.m_headers.find("content-type");
+  const std::string type =
+    found == aRequest.m_headers.end() ? "" : found->second;
+  const bool isJson = StartsWith(type, kJson) && (type.size() == kJson.size() ||
+                                                  type[kJson.size()] == ';');
+  if (!isJson) {
+    throw Error(Reason::BadRequest,
+                Verdict::NotRun,
+                "expected the content type application/json, got \"" + type +
+                  "\"");
+  }
+}
+
 Json
 StatusJson(const std::optional<TargetStatus>& aStatus)
 {
@@ -259,6 +277,7 @@
                          const HttpRequest& aRequest,
                          const std::shared_ptr<HttpResponder>& aResponder)
 {
+  CheckContentType(aRequest);
   TargetSpec target = ParseTarget(aRequest.m_body, 0);
   if (target.m_name != aName) {
     throw Error(Reason::BadRequest,
@@ -315,6 +334,7 @@
 OperatorApi::WriteConfig(const HttpRequest& aRequest,
                          const std::shared_ptr<HttpResponder>& aResponder)
 {
+  CheckContentType(aRequest);
   m_view->m_checkConfig(aRequest.m_body);
   const PlatformWrite write{
     kConfigKey, aRequest.m_body, ExpectedVersion(aRequest), ChangeId(aRequest)
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -91,6 +91,9 @@
     request.m_path = aPath;
     request.m_query = aQuery;
     request.m_body = aBody;
+    if (!aBody.empty()) {
+      request.m_headers["content-type"] = "application/json";
+    }
     if (!aChangeId.empty()) {
       request.m_headers[std::string(kChangeIdHeader)] = aChangeId;
     }
@@ -255,7 +258,7 @@
     HttpRequest m_request;
     int m_status;
   };
-  const std::vector<Case> cases = {
+  std::vector<Case> cases = {
     { Request("PUT", path, {}, kTarget), 400 },
     { Request("PUT", path, { { "expect", "x" } }, kTarget), 400 },
     { Request("PUT", path, create, kTarget, "bad id"), 400 },
@@ -269,6 +272,11 @@
     { Request("GET", path), 404 },
     { Request("DELETE", path, { { "expect", "3" } }), 409 },
   };
+  for (const char* type : { "", "text/plain", "application/jsonp" }) {
+    HttpRequest request = Request("PUT", path, create, kTarget);
+    request.m_headers["content-type"] = type;
+    cases.push_back({ request, 400 });
+  }
   for (const Case& bad : cases) {
     const Answer answer = Call(bad.m_request);
     EXPECT_EQ(answer.m_status, bad.m_status) << answer.m_body;
