--- a/src/config/object_cache.cpp
+++ b/src/config/object_cache.cpp
@@ -28,6 +28,8 @@
   }
   auto& entry = m_entries[aObject.m_key];
   if (aObject.m_version <= entry.m_object.m_version) {
+    entry.m_direct |=
+      aFrom.empty() && aObject.m_version == entry.m_object.m_version;
     return false;
   }
   SISKINDEAL_INVARIANT(entry.m_changedAt < aChangedAt,
@@ -55,6 +57,20 @@
   return held;
 }
 
+bool
+ObjectCache::Unconfirmed(std::string_view aPrefix) const
+{
+  for (auto found = m_entries.lower_bound(std::string(aPrefix));
+       found != m_entries.end() &&
+       std::string_view(found->first).substr(0, aPrefix.size()) == aPrefix;
+       ++found) {
+    if (!found->second.m_direct && !found->second.m_object.m_deleted) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<PlatformObject>
 ObjectCache::Absent(const std::map<std::string, std::uint64_t>& aHeld,
                     const std::vector<PlatformObject>& aListed)
--- a/src/config/object_cache_p.h
+++ b/src/config/object_cache_p.h
@@ -34,6 +34,10 @@
   // each. Taken before a List is sent, for Absent.
   std::map<std::string, std::uint64_t> Held(std::string_view aPrefix) const;
 
+  // Whether an object under aPrefix was only relayed and never read from the
+  // platform by this process. It may have been deleted there since.
+  bool Unconfirmed(std::string_view aPrefix) const;
+
   // The tombstones that follow from a List that was sent after aHeld was taken:
   // an object held then and not listed has been deleted at a later version.
   static std::vector<PlatformObject> Absent(
--- a/src/config/object_watcher.cpp
+++ b/src/config/object_watcher.cpp
@@ -13,6 +13,10 @@
 constexpr std::chrono::milliseconds kWatchWait{ 20000 };
 constexpr std::chrono::milliseconds kLeastRetry{ 100 };
 constexpr std::chrono::milliseconds kMostRetry{ 3000 };
+// A relayed object that the watch hasn't shown by then may be one that was
+// deleted before the watch began.
+constexpr std::chrono::milliseconds kConfirmAfter{ 2000 };
+constexpr std::chrono::milliseconds kConfirmPeriod{ 5000 };
 
 } // namespace
 
@@ -31,6 +35,7 @@
 void
 ObjectWatcher::Tick(MonotonicTime aNow, bool aWatching)
 {
+  Confirm(aNow);
   std::optional<std::uint64_t> revision;
   {
     const absl::MutexLock lock(&m_mutex);
@@ -63,6 +68,55 @@
                   });
 }
 
+// Lists once more, beside the watch, while an object is held that the watch
+// hasn't shown.
+void
+ObjectWatcher::Confirm(MonotonicTime aNow)
+{
+  const bool unconfirmed = m_hooks.m_unconfirmed();
+  {
+    const absl::MutexLock lock(&m_mutex);
+    if (!unconfirmed || !m_watching || !m_revision) {
+      m_unconfirmedSince.reset();
+      return;
+    }
+    if (!m_unconfirmedSince) {
+      m_unconfirmedSince = aNow;
+    }
+    if (m_confirming || m_stopped || m_failing ||
+        aNow - *m_unconfirmedSince < kConfirmAfter ||
+        aNow - m_confirmedAt < kConfirmPeriod) {
+      return;
+    }
+    m_confirming = true;
+    m_confirmedAt = aNow;
+  }
+  m_platform.List(PlatformUse::Config,
+                  m_prefix,
+                  [self = shared_from_this(),
+                   held = m_hooks.m_held()](const PlatformChanges& aChanges) {
+                    {
+                      const absl::MutexLock lock(&self->m_mutex);
+                      self->m_confirming = false;
+                      if (self->m_stopped ||
+                          aChanges.m_outcome != PlatformOutcome::Ok) {
+                        return;
+                      }
+                    }
+                    self->Give(held, aChanges);
+                  });
+}
+
+void
+ObjectWatcher::Give(const std::map<std::string, std::uint64_t>& aHeld,
+                    const PlatformChanges& aChanges)
+{
+  auto objects = ObjectCache::Absent(aHeld, aChanges.m_objects);
+  objects.insert(
+    objects.end(), aChanges.m_objects.begin(), aChanges.m_objects.end());
+  m_hooks.m_onObjects(objects);
+}
+
 void
 ObjectWatcher::Watch(std::uint64_t aAfter)
 {
@@ -95,10 +149,7 @@
       m_revision = aChanges.m_revision;
     }
   }
-  auto objects = ObjectCache::Absent(aHeld, aChanges.m_objects);
-  objects.insert(
-    objects.end(), aChanges.m_objects.begin(), aChanges.m_objects.end());
-  m_hooks.m_onObjects(objects);
+  Give(aHeld, aChanges);
 }
 
 void
--- a/src/config/object_watcher_p.h
+++ b/src/config/object_watcher_p.h
@@ -26,6 +26,8 @@
   {
     // What is held under the prefix, by key to version.
     std::function<std::map<std::string, std::uint64_t>()> m_held;
+    // Whether an object held under the prefix was only relayed.
+    std::function<bool()> m_unconfirmed;
     std::function<void(const std::vector<PlatformObject>&)> m_onObjects;
   };
 
@@ -47,9 +49,12 @@
 
 private:
   void List();
+  void Confirm(MonotonicTime aNow) ABSL_LOCKS_EXCLUDED(m_mutex);
   void Watch(std::uint64_t aAfter);
   void OnList(const std::map<std::string, std::uint64_t>& aHeld,
               const PlatformChanges& aChanges) ABSL_LOCKS_EXCLUDED(m_mutex);
+  void Give(const std::map<std::string, std::uint64_t>& aHeld,
+            const PlatformChanges& aChanges);
   void OnWatch(const PlatformChanges& aChanges) ABSL_LOCKS_EXCLUDED(m_mutex);
   void Fail() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
@@ -62,6 +67,9 @@
   MonotonicTime m_now ABSL_GUARDED_BY(m_mutex);
   MonotonicTime m_notBefore ABSL_GUARDED_BY(m_mutex);
   std::optional<std::uint64_t> m_revision ABSL_GUARDED_BY(m_mutex);
+  std::optional<MonotonicTime> m_unconfirmedSince ABSL_GUARDED_BY(m_mutex);
+  MonotonicTime m_confirmedAt ABSL_GUARDED_BY(m_mutex);
+  bool m_confirming ABSL_GUARDED_BY(m_mutex) = false;
   bool m_out ABSL_GUARDED_BY(m_mutex) = false;
   bool m_watching ABSL_GUARDED_BY(m_mutex) = false;
   bool m_failing ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/membership/exchange_delta.cpp
+++ b/src/membership/exchange_delta.cpp
@@ -231,6 +231,11 @@
   const bool mesh = Mesh();
   for (const auto& [vm, row] : m_table.Rows()) {
     const bool own = vm == m_node.m_vm;
+    if (vm == aVm && row.m_record.incarnation() > aPeer.m_incarnation &&
+        aPeer.m_incarnation != 0) {
+      // It started anew with a clock that went back: it has to overrule this.
+      aDelta.m_nodes.push_back(row.m_record);
+    }
     if (vm == aVm || (!own && m_role == wire::ROLE_AGENT) ||
         row.m_liveness == wire::LIVENESS_GONE ||
         row.m_loadChangedAt <= aPeer.m_sent) {
--- a/src/membership/node_sync_impl.cpp
+++ b/src/membership/node_sync_impl.cpp
@@ -188,6 +188,14 @@
     const OrderedLock lock(self->m_mutex);
     return self->m_exchange.Objects().Held(aPrefix);
   };
+  hooks.m_unconfirmed = [weak = weak_from_this(), aPrefix] {
+    const auto self = weak.lock();
+    if (!self) {
+      return false;
+    }
+    const OrderedLock lock(self->m_mutex);
+    return self->m_exchange.Objects().Unconfirmed(aPrefix);
+  };
   hooks.m_onObjects = [weak = weak_from_this()](const auto& aObjects) {
     if (const auto self = weak.lock()) {
       self->Learned(aObjects);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -115,7 +115,7 @@
     ASSERT_TRUE(fleet.GetPlatform().Write(
       kConfigKey, std::to_string(version), version - 1));
     fleet.Run(seconds{ 3 });
-    EXPECT_TRUE(fleet.AllHold(kConfigKey, version)) << version;
+    EXPECT_TRUE(fleet.AllHold(kConfigKey)) << version;
   }
   // Of 21 processes only a watcher in each place reads the platform.
   EXPECT_LE(fleet.GetPlatform().Watching(), 3U * 2U);
@@ -136,7 +136,7 @@
     }
   }
   fleet.Run(seconds{ 10 });
-  EXPECT_TRUE(fleet.AllHold(kConfigKey, 1));
+  EXPECT_TRUE(fleet.AllHold(kConfigKey));
 }
 
 } // namespace
--- a/tests/support/sim_fleet.cpp
+++ b/tests/support/sim_fleet.cpp
@@ -53,8 +53,9 @@
   Kill(aVm);
   node.m_up = true;
   node.m_versions.clear();
-  // Every third start has a clock that went back.
-  const auto incarnation = 1000 + (++node.m_starts % 3) * 10;
+  // Every third start has a clock that went back; no two are alike.
+  ++node.m_starts;
+  const auto incarnation = 1000 * (1 + node.m_starts % 3) + node.m_starts;
   node.m_exchange = std::make_unique<Exchange>(node.m_settings,
                                                MembershipSettings{},
                                                node.m_role,
@@ -70,6 +71,9 @@
     hooks.m_held = [&exchange, prefix] {
       return exchange.Objects().Held(prefix);
     };
+    hooks.m_unconfirmed = [&exchange, prefix] {
+      return exchange.Objects().Unconfirmed(prefix);
+    };
     hooks.m_onObjects = [this, &node](const auto& aObjects) {
       Exchange::News news;
       news.m_objects = node.m_exchange->ApplyDirect(aObjects);
@@ -248,14 +252,17 @@
 }
 
 bool
-SimFleet::AllHold(const std::string& aKey, std::uint64_t aVersion) const
+SimFleet::AllHold(const std::string& aKey) const
 {
+  const auto stored = m_platform.Stored(aKey);
   for (const auto& [vm, node] : m_nodes) {
     if (!node.m_up || node.m_paused) {
       continue;
     }
     const auto* held = node.m_exchange->Objects().Find(aKey);
-    if (held == nullptr || held->m_object.m_version != aVersion) {
+    const bool missing = held == nullptr || held->m_object.m_deleted;
+    if (missing != (stored.m_deleted || stored.m_version == 0) ||
+        (!missing && held->m_object.m_version != stored.m_version)) {
       return false;
     }
   }
--- a/tests/support/sim_fleet.h
+++ b/tests/support/sim_fleet.h
@@ -50,8 +50,8 @@
   std::uint64_t Bytes() const { return m_bytes; }
   std::uint64_t Steps() const { return m_steps; }
 
-  // Whether every process that is up holds aKey at aVersion.
-  bool AllHold(const std::string& aKey, std::uint64_t aVersion) const;
+  // Whether every process that is up holds aKey as the platform has it.
+  bool AllHold(const std::string& aKey) const;
 
 private:
   void TickNode(Node& aNode);
