--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,5 +11,5 @@
 clang-format --dry-run --Werror "${files[@]}"
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cpp$' || true)
 [ ${#sources[@]} -eq 0 ] && exit 0
-printf '%s\0' "${sources[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy -p "$build" --quiet 2> /dev/null
+printf '%s\0' "${sources[@]}" | xargs -0 -n 1 -P "${LINT_JOBS:-$(nproc)}" clang-tidy -p "$build" --quiet 2> /dev/null
 echo "lint: ${#files[@]} files clean"
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -28,6 +28,7 @@
        const std::vector<Destination>& aDestinations)
 {
   std::vector<std::string> agents;
+  agents.reserve(aDestinations.size());
   for (const auto& destination : aDestinations) {
     agents.push_back(destination.m_node.vm());
   }
