Process tests: real entries and agents between stand-ins

Nothing ran the binaries. A fleet of processes is started on free ports; tests cover bad input (a table: status, reason, "not run"), bookings asked several times at two entries at once, which run once, and SIGTERM to an entry and to an agent with a request in progress, which ends first.

--- a/examples/standin/stand_in.cpp
+++ b/examples/standin/stand_in.cpp
@@ -247,6 +247,13 @@
   }
 }
 
+std::size_t
+StandIn::Frozen()
+{
+  const absl::MutexLock lock(&m_mutex);
+  return m_frozen.size();
+}
+
 void
 StandIn::OnRequest(HttpRequest aRequest, Responder aResponder)
 {
--- a/examples/standin/stand_in.h
+++ b/examples/standin/stand_in.h
@@ -81,6 +81,8 @@
   Faults& GetFaults() { return m_faults; }
   // Clears the fault and lets frozen requests go on.
   void Unfreeze();
+  // Requests that a freeze holds.
+  std::size_t Frozen();
   int Crashes() const { return m_crashes; }
 
 protected:
--- /dev/null
+++ b/tests/process_test.cpp
@@ -0,0 +1,170 @@
+// The whole path through real processes.
+
+#include "siskindeal/http.h"
+#include "siskindeal/verdict.h"
+#include "support/fleet.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <future>
+#include <map>
+#include <vector>
+
+namespace siskindeal {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds kEndGuard{ 60 };
+constexpr std::chrono::milliseconds kPoll{ 10 };
+constexpr std::chrono::milliseconds kStillRunning{ 500 };
+const std::string kBookings = "/v1/services/teesheet/bookings";
+
+std::string
+VerdictOf(const HttpReply& aReply)
+{
+  const auto found = aReply.m_headers.find(std::string(kVerdictHeader));
+  return found == aReply.m_headers.end() ? "" : found->second;
+}
+
+HttpClientRequest
+Booking(const std::string& aUrl, const std::string& aKey)
+{
+  return { "POST",
+           aUrl,
+           { { "idempotency-key", aKey }, { "x-team", "pro-shops" } },
+           "four at dawn" };
+}
+
+class Processes : public testing::Test
+{
+protected:
+  HttpClient m_client;
+};
+
+TEST_F(Processes, RefuseBadInputAsNotRun)
+{
+  const Fleet fleet(1, 0, 1);
+  struct Case
+  {
+    std::string m_name;
+    HttpClientRequest m_request;
+    int m_status;
+    std::string m_reason;
+  };
+  const auto url = [&](const std::string& aPath) {
+    return fleet.Url("entry-1", aPath);
+  };
+  const HttpHeaders kJson = { { "content-type", "application/json" } };
+  const auto chats = url("/v1/chat/completions");
+  const Case cases[] = {
+    { "no path", { "GET", url("/nowhere") }, 404, "not_found" },
+    { "no service", { "GET", url("/v1/services/none/x") }, 404, "not_found" },
+    { "no class",
+      { "POST",
+        chats,
+        kJson,
+        R"({"model":"none","messages":[{"role":"user","content":"x"}]})" },
+      404,
+      "not_found" },
+    { "not JSON", { "POST", chats, kJson, "{" }, 400, "bad_request" },
+    { "not an object", { "POST", chats, kJson, "[]" }, 400, "bad_request" },
+    { "no model", { "POST", chats, kJson, "{}" }, 400, "bad_request" },
+    { "model of a wrong type",
+      { "POST", chats, kJson, R"({"model":7})" },
+      400,
+      "bad_request" },
+    { "content type",
+      { "POST", chats, { { "content-type", "text/plain" } }, "{}" },
+      400,
+      "bad_request" },
+    { "large body",
+      { "POST", chats, kJson, std::string((1 << 20) + 1, ' ') },
+      413,
+      "too_large" },
+    { "no key",
+      { "POST", url("/v1/services/teesheet/bookings"), {}, "x" },
+      400,
+      "key_required" },
+    { "unsigned operator",
+      { "GET", url("/v1/operator/targets") },
+      401,
+      "unauthenticated" },
+    { "unsigned state", { "GET", url("/state") }, 401, "unauthenticated" },
+  };
+  for (const auto& test : cases) {
+    SCOPED_TRACE(test.m_name);
+    const auto reply = m_client.Fetch(test.m_request);
+    EXPECT_EQ(reply.m_status, test.m_status);
+    EXPECT_EQ(VerdictOf(reply), "not run");
+    const auto body = json::parse(reply.m_body, nullptr, false);
+    ASSERT_TRUE(body.is_object()) << reply.m_body;
+    EXPECT_EQ(body["error"]["reason"], test.m_reason);
+    EXPECT_EQ(body["error"]["verdict"], "not run");
+  }
+}
+
+TEST_F(Processes, RunABookingOnceHoweverOftenItIsAsked)
+{
+  Fleet fleet(2, 0, 2);
+  constexpr int kKeys = 10;
+  for (int i = 0; i < kKeys; ++i) {
+    std::vector<std::future<HttpReply>> replies;
+    for (const std::string entry : { "entry-1", "entry-2", "entry-1" }) {
+      const auto promise = std::make_shared<std::promise<HttpReply>>();
+      replies.push_back(promise->get_future());
+      m_client.Start(
+        Booking(fleet.Url(entry, kBookings), std::to_string(i)),
+        [promise](const HttpReply& aReply) { promise->set_value(aReply); });
+    }
+    int answered = 0;
+    for (auto& future : replies) {
+      const auto reply = future.get();
+      EXPECT_EQ(reply.m_outcome, HttpOutcome::Answered);
+      EXPECT_FALSE(VerdictOf(reply).empty());
+      answered += reply.m_status == 200 ? 1 : 0;
+    }
+    EXPECT_GE(answered, 1);
+  }
+  std::map<std::string, int> runs;
+  for (int i = 0; i < 2; ++i) {
+    for (const auto& [key, count] : fleet.Service(i).Executions()) {
+      runs[key] += count;
+    }
+  }
+  EXPECT_EQ(runs.size(), static_cast<std::size_t>(kKeys)) << fleet.Logs();
+  for (const auto& [key, count] : runs) {
+    EXPECT_EQ(count, 1) << key;
+  }
+}
+
+TEST_F(Processes, EndRequestsInProgressBeforeTheyStop)
+{
+  Fleet fleet(2, 0, 1);
+  for (const std::string leaving : { "entry-1", "teesheet-1" }) {
+    SCOPED_TRACE(leaving);
+    auto& service = fleet.Service(0);
+    service.GetFaults().Set("freeze");
+    const std::string entry = leaving == "entry-1" ? "entry-1" : "entry-2";
+    std::promise<HttpReply> ended;
+    m_client.Start(Booking(fleet.Url(entry, kBookings), leaving),
+                   [&](const HttpReply& aReply) { ended.set_value(aReply); });
+    auto reply = ended.get_future();
+    while (service.Frozen() == 0) {
+      ASSERT_EQ(reply.wait_for(kPoll), std::future_status::timeout)
+        << reply.get().m_body << fleet.Logs();
+    }
+    auto& process = *fleet.GetVm(leaving).m_process;
+    process.Signal(SIGTERM);
+    EXPECT_FALSE(process.EndsWithin(kStillRunning));
+    service.Unfreeze();
+    EXPECT_EQ(reply.get().m_status, 200);
+    ASSERT_TRUE(process.EndsWithin(kEndGuard)) << fleet.Logs();
+    EXPECT_EQ(process.Wait(), 0);
+  }
+}
+
+} // namespace
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/fleet.cpp
@@ -0,0 +1,254 @@
+#include "support/fleet.h"
+
+#include "siskindeal/digest.h"
+#include "siskindeal/random.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::seconds kStartGuard{ 30 };
+constexpr const char* kBinary = SISKINDEAL_BINARY_DIR "/siskindeal";
+constexpr const char* kFleetConfig = R"({
+  "services": { "caddie-llm": { "kind": "model" },
+                "teesheet": { "kind": "plain" } },
+  "classes": { "booking chat": { "service": "caddie-llm", "priority": 10 } },
+  "teams": { "pro-shops": { "weight": 2, "requests_per_second": 1000,
+                            "burst": 1000 } }
+})";
+constexpr const char* kAuth = R"(
+[auth]
+active_key = "test"
+
+[auth.keys]
+test = "a-secret-of-the-tests-only"
+)";
+
+std::string
+MakeDirectory()
+{
+  auto pattern =
+    (std::filesystem::temp_directory_path() / "siskindeal-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("no temporary directory");
+  }
+  return pattern;
+}
+
+std::string
+Address(std::uint16_t aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+} // namespace
+
+Fleet::Fleet(int aEntries, int aEngines, int aServices)
+  : m_directory(MakeDirectory())
+{
+  standin::PlatformOptions platform;
+  platform.m_vmLag = std::chrono::milliseconds(500);
+  m_platform = std::make_unique<standin::PlatformStandIn>(platform);
+  m_store = std::make_unique<standin::StoreStandIn>(standin::StoreOptions());
+  for (int i = 1; i <= aEntries; ++i) {
+    AddVm("entry-" + std::to_string(i), "", "");
+  }
+  for (int i = 1; i <= aEngines; ++i) {
+    standin::EngineOptions options;
+    options.m_reportLag = std::chrono::milliseconds(100);
+    m_engines.push_back(std::make_unique<standin::EngineStandIn>(options));
+    AddVm("caddie-" + std::to_string(i), "caddie-llm", m_engines.back()->Url());
+  }
+  for (int i = 1; i <= aServices; ++i) {
+    m_services.push_back(
+      std::make_unique<standin::ServiceStandIn>(standin::ServiceOptions()));
+    AddVm(
+      "teesheet-" + std::to_string(i), "teesheet", m_services.back()->Url());
+  }
+  WriteClient();
+  std::ofstream(File("fleet.json")) << kFleetConfig;
+  for (const auto& [name, vm] : m_vms) {
+    WriteSettings(vm);
+    StartVm(name);
+  }
+  for (const auto& [name, vm] : m_vms) {
+    Await(Url(name, "/healthz"));
+  }
+  if (Operator({ "config", "set", File("fleet.json"), "--version", "0" }) !=
+      0) {
+    throw std::runtime_error("configuration refused\n" + Logs());
+  }
+  for (const auto& [name, vm] : m_vms) {
+    if (vm.m_service != "caddie-llm") {
+      Await(Url(name, "/readyz"));
+    }
+  }
+}
+
+Fleet::~Fleet()
+{
+  m_vms.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(m_directory, ignored);
+}
+
+void
+Fleet::AddVm(const std::string& aName,
+             const std::string& aService,
+             const std::string& aUpstreamUrl)
+{
+  Vm vm;
+  vm.m_name = aName;
+  vm.m_place = m_vms.size() % 2 == 0 ? "kingston" : "montego";
+  vm.m_service = aService;
+  vm.m_upstreamUrl = aUpstreamUrl;
+  vm.m_rpc = Address(FreePort());
+  vm.m_http = Address(FreePort());
+  m_platform->SetVm({ aName, vm.m_place, aService, vm.m_rpc }, true);
+  m_vms.emplace(aName, std::move(vm));
+}
+
+std::string
+Fleet::EntryList(bool aHttp) const
+{
+  std::string list;
+  for (const auto& [name, vm] : m_vms) {
+    if (vm.m_service.empty()) {
+      list += list.empty() ? "" : ", ";
+      list += "\"" + (aHttp ? vm.m_http : vm.m_rpc) + "\"";
+    }
+  }
+  return "entries = [" + list + "]\n";
+}
+
+void
+Fleet::WriteSettings(const Vm& aVm) const
+{
+  std::ofstream file(File(aVm.m_name + ".toml"));
+  file << "[node]\nvm = \"" << aVm.m_name << "\"\nplace = \"" << aVm.m_place
+       << "\"\nrpc = \"" << aVm.m_rpc << "\"\nhttp = \"" << aVm.m_http << "\"\n"
+       << EntryList(false) << kAuth << "\n[platform]\nurl = \""
+       << m_platform->Url() << "\"\n"
+       << "[membership]\nheartbeat = \"200ms\"\n"
+       << "unreachable_after = \"1s\"\n";
+  if (aVm.m_service.empty()) {
+    file << "[routing]\nanswer_lifetime = \"500ms\"\n"
+         << "[lease]\nduration = \"2s\"\n";
+    return;
+  }
+  const bool model = aVm.m_service == "caddie-llm";
+  file << "[upstream]\nservice = \"" << aVm.m_service << "\"\nurl = \""
+       << aVm.m_upstreamUrl << "\"\nkind = \"" << (model ? "model" : "plain")
+       << "\"\n";
+  if (model) {
+    file << "checks_orders = true\n[weights]\nstore_url = \"" << m_store->Url()
+         << "\"\n";
+  }
+}
+
+void
+Fleet::WriteClient() const
+{
+  std::ofstream(File("client.toml")) << "[client]\n"
+                                     << EntryList(true) << kAuth;
+}
+
+void
+Fleet::StartVm(const std::string& aName)
+{
+  auto& vm = m_vms.at(aName);
+  vm.m_process = std::make_unique<Process>(
+    std::vector<std::string>{ kBinary,
+                              vm.m_service.empty() ? "entry" : "agent",
+                              "--config",
+                              File(aName + ".toml") },
+    File(aName + ".log"));
+}
+
+int
+Fleet::Operator(const std::vector<std::string>& aArguments)
+{
+  std::vector<std::string> command = { kBinary };
+  command.insert(command.end(), aArguments.begin(), aArguments.end());
+  command.insert(command.end(), { "--client", File("client.toml") });
+  return RunCommand(command, File("operator.log"));
+}
+
+std::string
+Fleet::RollOut(const std::string& aRelease, std::size_t aBytes, int aVms)
+{
+  constexpr std::uint64_t kChunkBytes = 64 << 10;
+  Random random(StableHash(aRelease));
+  std::string bytes(aBytes, '\0');
+  for (auto& byte : bytes) {
+    byte = static_cast<char>(random.Below(256));
+  }
+  auto content = Sha256Hex(bytes);
+  m_store->PublishBytes(
+    aRelease, aRelease + ".bin", std::move(bytes), kChunkBytes);
+  m_platform->SetObject("catalogue/booking chat",
+                        R"({"release":")" + aRelease + R"(","adapter":false})");
+  const auto vms = std::to_string(aVms);
+  const int created = Operator(
+    { "target", "create", "demo", "--class", "booking chat", "--vms", vms });
+  const int met =
+    Operator({ "target", "status", "demo", "--watch", "--timeout", "90s" });
+  if (met != 0) {
+    throw std::runtime_error("target create ended with " +
+                             std::to_string(created) + ", status with " +
+                             std::to_string(met) + "\n" + Logs());
+  }
+  return content;
+}
+
+std::string
+Fleet::Url(const std::string& aVm, const std::string& aPath) const
+{
+  return "http://" + m_vms.at(aVm).m_http + aPath;
+}
+
+void
+Fleet::Await(const std::string& aUrl)
+{
+  constexpr int kOk = 200;
+  const auto end = std::chrono::steady_clock::now() + kStartGuard;
+  while (m_http.Fetch({ "GET", aUrl }).m_status != kOk) {
+    if (std::chrono::steady_clock::now() > end) {
+      throw std::runtime_error(aUrl + " doesn't answer 200\n" + Logs());
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+std::string
+Fleet::Logs() const
+{
+  constexpr std::streamsize kTailBytes = 2000;
+  std::ostringstream logs;
+  for (const auto& file : std::filesystem::directory_iterator(m_directory)) {
+    if (file.path().extension() != ".log") {
+      continue;
+    }
+    std::ifstream log(file.path());
+    log.seekg(0, std::ios::end);
+    const std::streamsize size = log.tellg();
+    log.seekg(std::max<std::streamsize>(0, size - kTailBytes));
+    logs << "== " << file.path().filename() << "\n" << log.rdbuf() << "\n";
+  }
+  return logs.str();
+}
+
+std::string
+Fleet::File(const std::string& aName) const
+{
+  return m_directory + "/" + aName;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/fleet.h
@@ -0,0 +1,84 @@
+#pragma once
+// A small fleet for process tests: entries and agents as real processes, the
+// systems around them as stand-ins inside the test.
+
+#include "siskindeal/http.h"
+#include "standin/engine.h"
+#include "standin/platform.h"
+#include "standin/service.h"
+#include "standin/store.h"
+#include "support/process.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace siskindeal {
+
+class Fleet
+{
+public:
+  struct Vm
+  {
+    std::string m_name;
+    std::string m_place;
+    std::string m_service; // empty: an entry
+    std::string m_upstreamUrl;
+    std::string m_rpc;
+    std::string m_http;
+    std::unique_ptr<Process> m_process;
+  };
+
+  // Starts entries "entry-N", model agents "caddie-N" and plain agents
+  // "teesheet-N", by turns in kingston and montego, sets the configuration and
+  // waits until every process is ready for it.
+  Fleet(int aEntries, int aEngines, int aServices);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  // Publishes weights of aBytes as the current release of "booking chat",
+  // states the target "demo" for aVms VMs and waits until it is met. Returns
+  // the SHA-256 of the weights.
+  std::string RollOut(const std::string& aRelease,
+                      std::size_t aBytes,
+                      int aVms);
+
+  Vm& GetVm(const std::string& aName) { return m_vms.at(aName); }
+  void StartVm(const std::string& aName);
+  // An operator's command; its exit status.
+  int Operator(const std::vector<std::string>& aArguments);
+  // The URL of a path on the VM's HTTP address.
+  std::string Url(const std::string& aVm, const std::string& aPath) const;
+  // What the logs hold, for a failing test.
+  std::string Logs() const;
+
+  standin::PlatformStandIn& Platform() { return *m_platform; }
+  standin::StoreStandIn& Store() { return *m_store; }
+  standin::EngineStandIn& Engine(int aIndex) { return *m_engines.at(aIndex); }
+  standin::ServiceStandIn& Service(int aIndex)
+  {
+    return *m_services.at(aIndex);
+  }
+
+private:
+  void AddVm(const std::string& aName,
+             const std::string& aService,
+             const std::string& aUpstreamUrl);
+  void WriteSettings(const Vm& aVm) const;
+  void WriteClient() const;
+  std::string EntryList(bool aHttp) const;
+  void Await(const std::string& aUrl);
+  std::string File(const std::string& aName) const;
+
+  std::string m_directory;
+  HttpClient m_http;
+  std::unique_ptr<standin::PlatformStandIn> m_platform;
+  std::unique_ptr<standin::StoreStandIn> m_store;
+  std::vector<std::unique_ptr<standin::EngineStandIn>> m_engines;
+  std::vector<std::unique_ptr<standin::ServiceStandIn>> m_services;
+  std::map<std::string, Vm> m_vms;
+};
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,140 @@
+#include "support/process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <random>
+#include <system_error>
+#include <thread>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr int kExecFailed = 127;
+constexpr int kSignalBase = 128;
+constexpr std::chrono::milliseconds kPoll{ 10 };
+
+// Runs in the child: only calls that are safe after a fork of many threads.
+[[noreturn]] void
+Execute(char* const* aArguments, int aLog)
+{
+  dup2(aLog, STDOUT_FILENO);
+  dup2(aLog, STDERR_FILENO);
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
+  execv(aArguments[0], aArguments);
+  _exit(kExecFailed);
+}
+
+} // namespace
+
+Process::Process(const std::vector<std::string>& aCommand,
+                 const std::string& aLogFile)
+{
+  std::vector<char*> arguments;
+  for (const auto& argument : aCommand) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  constexpr mode_t kMode = 0600;
+  const int log =
+    open(aLogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kMode);
+  m_pid = fork();
+  if (m_pid == 0) {
+    Execute(arguments.data(), log);
+  }
+  close(log);
+  if (m_pid < 0) {
+    throw std::system_error(errno, std::generic_category(), "fork");
+  }
+}
+
+Process::~Process()
+{
+  if (!m_ended) {
+    kill(m_pid, SIGKILL);
+    Wait();
+  }
+}
+
+void
+Process::Signal(int aSignal) const
+{
+  if (!m_ended) {
+    kill(m_pid, aSignal);
+  }
+}
+
+bool
+Process::TryWait(int aOptions)
+{
+  int status = 0;
+  if (m_ended || waitpid(m_pid, &status, aOptions) != m_pid) {
+    return m_ended;
+  }
+  m_ended = true;
+  m_status =
+    WIFEXITED(status) ? WEXITSTATUS(status) : kSignalBase + WTERMSIG(status);
+  return true;
+}
+
+int
+Process::Wait()
+{
+  TryWait(0);
+  return m_status;
+}
+
+bool
+Process::EndsWithin(std::chrono::milliseconds aLongest)
+{
+  const auto end = std::chrono::steady_clock::now() + aLongest;
+  while (!TryWait(WNOHANG)) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+int
+RunCommand(const std::vector<std::string>& aCommand,
+           const std::string& aLogFile)
+{
+  return Process(aCommand, aLogFile).Wait();
+}
+
+std::uint16_t
+FreePort()
+{
+  constexpr std::uint16_t kFirst = 20000;
+  constexpr std::uint16_t kLast = 30000;
+  static std::mt19937 sRandom(std::random_device{}());
+  while (true) {
+    const auto port =
+      std::uniform_int_distribution<std::uint16_t>(kFirst, kLast)(sRandom);
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool isFree = bind(probe,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof(address)) == 0;
+    close(probe);
+    if (isFree) {
+      return port;
+    }
+  }
+}
+
+} // namespace siskindeal
