A bad configuration is refused by the client, a doubled member of a target too

Cause: config set exited with 4 for a bad file where the manual says 3, and of a member that stood twice in a target the last one counted silently. Change: config set checks the file whole before anything is sent, and exits with 3; cli_test expects 3 and the member's name for it, while operators_test still covers the entry's own refusal. ParseTarget refuses a doubled member. Conclusion: the exit statuses are as the manual says.

--- a/src/cli/config_commands.cpp
+++ b/src/cli/config_commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/client_p.h"
 #include "cli/command_p.h"
 #include "cli/table_p.h"
+#include "siskindeal/fleet_config.h"
 
 #include <fstream>
 #include <iostream>
@@ -25,6 +26,19 @@
   return text;
 }
 
+// What a bad file is refused with, before anything is sent.
+std::string
+ReadConfiguration(const std::string& aFile)
+{
+  std::string text = ReadWhole(aFile);
+  try {
+    ParseFleetConfig(text, 0);
+  } catch (const Error& error) {
+    throw CommandError(ExitStatus::BadSettings, aFile + ": " + error.what());
+  }
+  return text;
+}
+
 class ConfigShow final : public Command
 {
 public:
@@ -100,12 +114,10 @@
                          "expected --version V; `siskindeal config show` "
                          "prints it, and 0 is for the first");
     }
+    const std::string text = ReadConfiguration(file);
     OperatorClient client(ClientSettingsOf(aArguments));
-    const Json object =
-      client.Change({ "PUT",
-                      kConfigPath,
-                      aArguments["version"].as<std::uint64_t>(),
-                      ReadWhole(file) });
+    const Json object = client.Change(
+      { "PUT", kConfigPath, aArguments["version"].as<std::uint64_t>(), text });
     if (json) {
       aConsole.m_out << object.dump(2) << "\n";
     } else {
--- a/src/operators/target.cpp
+++ b/src/operators/target.cpp
@@ -168,8 +168,17 @@
 ParseTarget(const std::string& aJson, std::uint64_t aVersion)
 {
   Json target;
+  std::set<std::string> members;
+  std::string twice;
+  const auto note = [&](int aDepth, Json::parse_event_t aEvent, Json& aParsed) {
+    const bool isMember = aDepth == 1 && aEvent == Json::parse_event_t::key;
+    if (isMember && !members.insert(aParsed.get<std::string>()).second) {
+      twice = aParsed.get<std::string>();
+    }
+    return true;
+  };
   try {
-    target = Json::parse(aJson);
+    target = Json::parse(aJson, note);
   } catch (const Json::exception& error) {
     throw Error(Reason::BadRequest,
                 Verdict::NotRun,
@@ -178,6 +187,9 @@
   if (!target.is_object()) {
     Refuse("target", "a JSON object");
   }
+  if (!twice.empty()) {
+    Refuse(twice, "it once");
+  }
   CheckMembers(target);
   TargetSpec spec;
   spec.m_name = NameOf(target, "name");
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -418,8 +418,9 @@
   EXPECT_EQ(RunOn({ "config", "set", fleet, "--version", "0" }).m_status, 5);
   const std::string bad = WriteFile("bad.json", R"({"service":{}})");
   const Result refused = RunOn({ "config", "set", bad, "--version", "1" });
-  EXPECT_EQ(refused.m_status, 4);
-  EXPECT_NE(refused.m_error.find("service"), std::string::npos);
+  EXPECT_EQ(refused.m_status, 3);
+  EXPECT_NE(refused.m_error.find("\"service\" is unknown"), std::string::npos)
+    << refused.m_error;
   const Result status = RunOn({ "config", "status" });
   EXPECT_EQ(status.m_status, 9);
   EXPECT_NE(status.m_out.find("e2  montego   3        yes"), std::string::npos)
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -48,6 +48,7 @@
     { R"({"name":"x","class":3,"vms":1})", "class: expected" },
     { R"({"name":"x","class":"c"})", "either vms or share" },
     { R"({"name":"x","class":"c","vms":1,"share":1})", "either vms or share" },
+    { R"({"name":"x","class":"c","vms":1,"vms":9})", "vms: expected it once" },
     { R"({"name":"x","class":"c","vms":0})", "vms: expected a whole number" },
     { R"({"name":"x","class":"c","vms":-1})", "vms: expected a whole number" },
     { R"({"name":"x","class":"c","vms":1.5})", "vms: expected a whole number" },
