Settings refuse a policy that no plug-in has

Cause: a mistyped rollout policy passed the settings and would have failed every fetch order on the agents; a mistyped routing policy ended the entry with 1. Change: both keys take the names that are registered, listed in the refusal and in the manual. Before: accepted.

--- a/src/settings/describe.cpp
+++ b/src/settings/describe.cpp
@@ -55,8 +55,8 @@
       [](const BytesField&) { return std::string("bytes"); },
       [](const WordField& aField) {
         std::string text;
-        for (const std::string_view word : aField.m_words) {
-          text += (text.empty() ? "\"" : ", \"") + std::string(word) + "\"";
+        for (const std::string& word : aField.m_words) {
+          text += (text.empty() ? "\"" : ", \"") + word + "\"";
         }
         return "one of " + text;
       },
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -1,5 +1,9 @@
 #include "settings/schema_p.h"
 
+#include "rollout/policy_p.h"
+#include "siskindeal/registry.h"
+#include "siskindeal/routing.h"
+
 namespace siskindeal {
 
 namespace {
@@ -140,7 +144,11 @@
 RoutingRows(RoutingSettings& aRouting)
 {
   return {
-    { "routing", "policy", &aRouting.m_policy, "routing policy" },
+    { "routing",
+      "policy",
+      WordField{ &aRouting.m_policy,
+                 Registry<RoutingPolicy>::Instance().Names() },
+      "routing policy" },
     { "routing",
       "answer_lifetime",
       &aRouting.m_answerLifetime,
@@ -226,7 +234,11 @@
 RolloutRows(RolloutSettings& aRollout)
 {
   return {
-    { "rollout", "policy", &aRollout.m_policy, "rollout policy" },
+    { "rollout",
+      "policy",
+      WordField{ &aRollout.m_policy,
+                 RolloutPolicyRegistry::Instance().Names() },
+      "rollout policy" },
     { "rollout",
       "time_weight",
       &aRollout.m_timeWeight,
--- a/src/settings/schema_p.h
+++ b/src/settings/schema_p.h
@@ -26,7 +26,7 @@
 struct WordField
 {
   std::string* m_value;
-  std::vector<std::string_view> m_words;
+  std::vector<std::string> m_words;
 };
 
 // Names to secrets.
