Process test of platform outages; the platform stand-in cuts off single clients

A process that doesn't reach the platform was untested over real processes. The stand-in opens an address for each client, whose requests alone a fault can meet. The test: a change reaches an entry that is cut off; in a whole outage calls that need no claim go on, a killed entry learns the configuration from its peers, a booking is refused as "not run" and runs once afterwards.

Conditional writes are decided and made under one lock, since the stand-in now has several server threads.

One run of the whole suite failed in EndRequestsInProgressBeforeTheyStop: the entry was ready and hadn't heard of the agent yet, so the request was refused as no_replica, "not run".

--- a/examples/standin/platform.cpp
+++ b/examples/standin/platform.cpp
@@ -132,7 +132,7 @@
   const auto expected = Number(aRequest.m_query, "expect", ~std::uint64_t{ 0 });
   Object object;
   bool conflict = false;
-  bool missing = false;
+  Answers answers;
   {
     const absl::MutexLock lock(&m_mutex);
     const auto found = m_objects.find(aKey);
@@ -140,50 +140,48 @@
       object = found->second;
     }
     const bool exists = object.m_version > 0 && !object.m_deleted;
-    const bool matches =
-      object.m_version == expected || (!exists && expected == 0);
-    conflict = !matches;
-    missing = deletes && !exists;
-  }
-  if (missing) {
-    AnswerError(aResponder, 404, "not_found");
-    return;
-  }
-  if (conflict) {
-    Answer(aResponder, 409, ToJson(aKey, object));
-    return;
+    if (deletes && !exists) {
+      AnswerError(aResponder, 404, "not_found");
+      return;
+    }
+    conflict = object.m_version != expected && (exists || expected != 0);
+    if (!conflict) {
+      object = { object.m_version + 1,
+                 deletes ? std::string() : aRequest.m_body,
+                 changeId,
+                 deletes };
+      answers = Commit(aKey, object);
+    }
   }
-  object = { object.m_version + 1,
-             deletes ? std::string() : aRequest.m_body,
-             changeId,
-             deletes };
-  // One server thread handles every write, so nothing came between.
-  Commit(aKey, object);
-  Answer(aResponder, 200, ToJson(aKey, object));
+  Answer(aResponder, conflict ? 409 : 200, ToJson(aKey, object));
+  Send(answers);
 }
 
-void
+PlatformStandIn::Answers
 PlatformStandIn::Commit(const std::string& aKey, Object aObject)
 {
-  std::vector<std::pair<Responder, nlohmann::json>> answers;
-  {
-    const absl::MutexLock lock(&m_mutex);
-    m_objects[aKey] = aObject;
-    m_history.push_back({ ++m_revision, aKey, std::move(aObject) });
-    while (m_history.size() > m_options.m_history) {
-      m_history.pop_front();
-    }
-    for (auto watcher = m_watchers.begin(); watcher != m_watchers.end();) {
-      if (HasPrefix(aKey, watcher->m_prefix)) {
-        answers.emplace_back(watcher->m_responder,
-                             ChangesAfter(watcher->m_prefix, watcher->m_after));
-        watcher = m_watchers.erase(watcher);
-      } else {
-        ++watcher;
-      }
+  Answers answers;
+  m_objects[aKey] = aObject;
+  m_history.push_back({ ++m_revision, aKey, std::move(aObject) });
+  while (m_history.size() > m_options.m_history) {
+    m_history.pop_front();
+  }
+  for (auto watcher = m_watchers.begin(); watcher != m_watchers.end();) {
+    if (HasPrefix(aKey, watcher->m_prefix)) {
+      answers.emplace_back(watcher->m_responder,
+                           ChangesAfter(watcher->m_prefix, watcher->m_after));
+      watcher = m_watchers.erase(watcher);
+    } else {
+      ++watcher;
     }
   }
-  for (const auto& [responder, changes] : answers) {
+  return answers;
+}
+
+void
+PlatformStandIn::Send(const Answers& aAnswers)
+{
+  for (const auto& [responder, changes] : aAnswers) {
     Answer(responder, 200, changes);
   }
 }
@@ -329,16 +327,13 @@
 void
 PlatformStandIn::SetObject(const std::string& aKey, const std::string& aValue)
 {
-  Object object;
+  Answers answers;
   {
     const absl::MutexLock lock(&m_mutex);
-    const auto found = m_objects.find(aKey);
-    object.m_version =
-      found == m_objects.end() ? 1 : found->second.m_version + 1;
+    const auto version = m_objects[aKey].m_version + 1;
+    answers = Commit(aKey, { version, aValue, NewId(), false });
   }
-  object.m_value = aValue;
-  object.m_changeId = NewId();
-  Commit(aKey, std::move(object));
+  Send(answers);
 }
 
 std::string
--- a/examples/standin/platform.h
+++ b/examples/standin/platform.h
@@ -4,6 +4,8 @@
 
 #include "standin/stand_in.h"
 
+#include <nlohmann/json.hpp>
+
 #include <deque>
 #include <map>
 #include <string>
@@ -90,7 +92,11 @@
   void Watch(const HttpRequest& aRequest, const Responder& aResponder);
   void ListVms(const Responder& aResponder);
   void HandleAdmin(const HttpRequest& aRequest, const Responder& aResponder);
-  void Commit(const std::string& aKey, Object aObject);
+  // Answers to the watches that a write ends.
+  using Answers = std::vector<std::pair<Responder, nlohmann::json>>;
+  Answers Commit(const std::string& aKey, Object aObject)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  static void Send(const Answers& aAnswers);
   bool Afford(bool aWrite);
   nlohmann::json ChangesAfter(const std::string& aPrefix, std::uint64_t aAfter)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/examples/standin/stand_in.cpp
+++ b/examples/standin/stand_in.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kBodyBytes = 64 << 20;
 constexpr std::size_t kConnections = 4096;
 constexpr int kCrashExitStatus = 70;
+constexpr const char* kClientHeader = "x-standin-client";
 constexpr std::chrono::milliseconds kRetryAfter{ 200 };
 
 std::chrono::milliseconds
@@ -149,7 +150,7 @@
   auto& fault = found->second;
   const bool otherClient =
     !fault.m_client.empty() &&
-    Text(aRequest.m_headers, "x-siskindeal-vm") != fault.m_client;
+    Text(aRequest.m_headers, kClientHeader) != fault.m_client;
   const bool otherPath = aRequest.m_path.rfind(fault.m_pathPrefix, 0) != 0;
   return otherClient || otherPath ? nullptr : &fault;
 }
@@ -198,25 +199,41 @@
 
 void
 StandIn::Start()
+{
+  m_server = Listen(m_options.m_port, "");
+}
+
+std::unique_ptr<HttpServer>
+StandIn::Listen(std::uint16_t aPort, const std::string& aClient)
 {
   HttpServerLimits limits;
   limits.m_bodyBytes = kBodyBytes;
   limits.m_connections = kConnections;
   limits.m_threads = 1;
-  m_server = std::make_unique<HttpServer>(
+  return std::make_unique<HttpServer>(
     m_options.m_host,
-    m_options.m_port,
+    aPort,
     limits,
-    [this](HttpRequest aRequest, Responder aResponder) {
+    [this, aClient](HttpRequest aRequest, Responder aResponder) {
+      aRequest.m_headers[kClientHeader] = aClient;
       OnRequest(std::move(aRequest), std::move(aResponder));
     });
 }
 
+std::string
+StandIn::OpenFor(const std::string& aClient)
+{
+  m_clientServers.push_back(Listen(0, aClient));
+  return "http://" + m_options.m_host + ":" +
+         std::to_string(m_clientServers.back()->Port());
+}
+
 void
 StandIn::Stop()
 {
   m_scheduler.Stop();
   m_server.reset();
+  m_clientServers.clear();
   const absl::MutexLock lock(&m_mutex);
   m_frozen.clear();
 }
--- a/examples/standin/stand_in.h
+++ b/examples/standin/stand_in.h
@@ -31,7 +31,7 @@
 {
   std::string m_value;
   int m_times = -1;           // how often still; -1: until cleared
-  std::string m_client{};     // only requests with this x-siskindeal-vm
+  std::string m_client{};     // only requests of this client, see OpenFor
   std::string m_pathPrefix{}; // only requests under this path
 };
 
@@ -78,6 +78,10 @@
 
   std::uint16_t Port() const;
   std::string Url() const;
+  // Another address of the same stand-in, for one client alone: requests that
+  // come through it are that client's, so that it can be cut off. Returns the
+  // URL.
+  std::string OpenFor(const std::string& aClient);
   Faults& GetFaults() { return m_faults; }
   // Clears the fault and lets frozen requests go on.
   void Unfreeze();
@@ -97,6 +101,8 @@
   Scheduler& GetScheduler() { return m_scheduler; }
 
 private:
+  std::unique_ptr<HttpServer> Listen(std::uint16_t aPort,
+                                     const std::string& aClient);
   void OnRequest(HttpRequest aRequest, Responder aResponder);
   void Admit(HttpRequest aRequest, const Responder& aResponder);
   void Crash();
@@ -111,6 +117,7 @@
     ABSL_GUARDED_BY(m_mutex);
   std::vector<std::weak_ptr<HttpResponder>> m_open ABSL_GUARDED_BY(m_mutex);
   std::unique_ptr<HttpServer> m_server;
+  std::vector<std::unique_ptr<HttpServer>> m_clientServers;
 };
 
 // Answers with a JSON body.
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <future>
 #include <map>
+#include <thread>
 #include <vector>
 
 namespace siskindeal {
@@ -134,6 +135,7 @@
       runs[key] += count;
     }
   }
+  runs.erase(""); // the fleet's own first requests, without a key
   EXPECT_EQ(runs.size(), static_cast<std::size_t>(kKeys)) << fleet.Logs();
   for (const auto& [key, count] : runs) {
     EXPECT_EQ(count, 1) << key;
@@ -166,5 +168,50 @@
   }
 }
 
+TEST_F(Processes, KeepServingAndNeverRevertWhileThePlatformIsOut)
+{
+  Fleet fleet(3, 0, 1);
+  const auto inForce = [&] {
+    while (fleet.Operator({ "config", "status" }) != 0) {
+      std::this_thread::sleep_for(kPoll);
+    }
+  };
+  const auto read = [&](const std::string& aEntry) {
+    return m_client.Fetch({ "GET", fleet.Url(aEntry, kBookings) }).m_status;
+  };
+  inForce();
+  // One entry doesn't reach the platform and hears of a change from the others.
+  fleet.CutOff("entry-3");
+  EXPECT_EQ(fleet.SetConfig(2, 1), 0) << fleet.Logs();
+  inForce();
+  // Nobody does: what needs no new claim goes on, and a new process learns
+  // from its peers.
+  fleet.CutOff("");
+  EXPECT_EQ(read("entry-3"), 200);
+  auto& restarted = *fleet.GetVm("entry-3").m_process;
+  restarted.Signal(SIGKILL);
+  restarted.Wait();
+  fleet.StartVm("entry-3");
+  inForce();
+  while (read("entry-3") != 200) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  const auto refused =
+    m_client.Fetch(Booking(fleet.Url("entry-1", kBookings), "in outage"));
+  EXPECT_EQ(refused.m_status, 503) << refused.m_body;
+  EXPECT_EQ(VerdictOf(refused), "not run");
+  EXPECT_EQ(fleet.Service(0).Executions().count("in outage"), 0U);
+  EXPECT_NE(fleet.SetConfig(3, 2), 0);
+  fleet.Rejoin();
+  inForce();
+  while (m_client.Fetch(Booking(fleet.Url("entry-1", kBookings), "in outage"))
+           .m_status != 200) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  EXPECT_EQ(fleet.Service(0).Executions()["in outage"], 1);
+  const auto stored = json::parse(fleet.Platform().ObjectValue("config/fleet"));
+  EXPECT_EQ(stored["teams"]["starters"]["requests_per_second"], 2);
+}
+
 } // namespace
 } // namespace siskindeal
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -21,8 +21,8 @@
                 "teesheet": { "kind": "plain" } },
   "classes": { "booking chat": { "service": "caddie-llm", "priority": 10 } },
   "teams": { "pro-shops": { "weight": 2, "requests_per_second": 1000,
-                            "burst": 1000 } }
-})";
+                            "burst": 1000 },
+             "starters": { "requests_per_second": )";
 constexpr const char* kAuth = R"(
 [auth]
 active_key = "test"
@@ -73,7 +73,6 @@
       "teesheet-" + std::to_string(i), "teesheet", m_services.back()->Url());
   }
   WriteClient();
-  std::ofstream(File("fleet.json")) << kFleetConfig;
   for (const auto& [name, vm] : m_vms) {
     WriteSettings(vm);
     StartVm(name);
@@ -81,14 +80,17 @@
   for (const auto& [name, vm] : m_vms) {
     Await(Url(name, "/healthz"));
   }
-  if (Operator({ "config", "set", File("fleet.json"), "--version", "0" }) !=
-      0) {
+  if (SetConfig(1, 0) != 0) {
     throw std::runtime_error("configuration refused\n" + Logs());
   }
   for (const auto& [name, vm] : m_vms) {
     if (vm.m_service != "caddie-llm") {
       Await(Url(name, "/readyz"));
     }
+    // An entry may be ready before it has heard of an agent.
+    if (vm.m_service.empty() && aServices > 0) {
+      Await(Url(name, "/v1/services/teesheet/start"));
+    }
   }
 }
 
@@ -109,6 +111,7 @@
   vm.m_place = m_vms.size() % 2 == 0 ? "kingston" : "montego";
   vm.m_service = aService;
   vm.m_upstreamUrl = aUpstreamUrl;
+  vm.m_platformUrl = m_platform->OpenFor(aName);
   vm.m_rpc = Address(FreePort());
   vm.m_http = Address(FreePort());
   m_platform->SetVm({ aName, vm.m_place, aService, vm.m_rpc }, true);
@@ -135,7 +138,7 @@
   file << "[node]\nvm = \"" << aVm.m_name << "\"\nplace = \"" << aVm.m_place
        << "\"\nrpc = \"" << aVm.m_rpc << "\"\nhttp = \"" << aVm.m_http << "\"\n"
        << EntryList(false) << kAuth << "\n[platform]\nurl = \""
-       << m_platform->Url() << "\"\n"
+       << aVm.m_platformUrl << "\"\n"
        << "[membership]\nheartbeat = \"200ms\"\n"
        << "unreachable_after = \"1s\"\n";
   if (aVm.m_service.empty()) {
@@ -172,6 +175,32 @@
     File(aName + ".log"));
 }
 
+void
+Fleet::CutOff(const std::string& aName)
+{
+  standin::Fault fault;
+  fault.m_client = aName;
+  m_platform->GetFaults().Set("outage", fault);
+}
+
+void
+Fleet::Rejoin()
+{
+  m_platform->GetFaults().Clear("outage");
+}
+
+int
+Fleet::SetConfig(int aRequestsPerSecond, std::uint64_t aVersion)
+{
+  std::ofstream(File("fleet.json"))
+    << kFleetConfig << aRequestsPerSecond << " } } }";
+  return Operator({ "config",
+                    "set",
+                    File("fleet.json"),
+                    "--version",
+                    std::to_string(aVersion) });
+}
+
 int
 Fleet::Operator(const std::vector<std::string>& aArguments)
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -25,6 +25,7 @@
     std::string m_place;
     std::string m_service; // empty: an entry
     std::string m_upstreamUrl;
+    std::string m_platformUrl; // of its own, so that it can be cut off
     std::string m_rpc;
     std::string m_http;
     std::unique_ptr<Process> m_process;
@@ -47,6 +48,11 @@
 
   Vm& GetVm(const std::string& aName) { return m_vms.at(aName); }
   void StartVm(const std::string& aName);
+  // Cuts a VM off from the platform, or every VM with an empty name.
+  void CutOff(const std::string& aName);
+  void Rejoin();
+  // Sets the configuration with a limit for the team "starters".
+  int SetConfig(int aRequestsPerSecond, std::uint64_t aVersion);
   // An operator's command; its exit status.
   int Operator(const std::vector<std::string>& aArguments);
   // The URL of a path on the VM's HTTP address.
