Entry: the HTTP server goes last, since the worker pool reads its port

An entry ended with a segmentation fault instead of 0 after SIGTERM, in 3 of 64 runs of EndRequestsInProgressBeforeTheyStop, eight at once: a tick of the worker pool built the entry's own record and asked the HTTP server, just being destroyed, for its port (the core shows both threads).

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -86,9 +86,9 @@
 
 EntryNode::~EntryNode()
 {
-  m_httpServer.reset();
   m_server->Shutdown(std::chrono::milliseconds(0));
   m_pool.Stop();
+  m_httpServer.reset();
 }
 
 void
