The client: one exit status when no entry can do it now

Cause: with the platform out of reach a change exited with 7 and a reading with 4, and the message said that no entry answers where one had answered. Change: both exit with 7 and name what each entry said. After: cli_test 12 tests pass, one more expectation.

--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -83,9 +83,9 @@
 }
 
 CommandError
-NoEntryAnswers(const std::string& aWhy)
+NoEntryCan(const std::string& aWhy)
 {
-  return { ExitStatus::Unreachable, "no entry answers: " + aWhy };
+  return { ExitStatus::Unreachable, "no entry can do it now: " + aWhy };
 }
 
 } // namespace
@@ -149,22 +149,19 @@
 OperatorClient::Repeatable(const std::string& aMethod, const std::string& aPath)
 {
   std::string why;
-  std::optional<CommandError> refusal;
   for (const Address& entry : m_settings.m_entries) {
     const HttpReply reply = Send(entry, aMethod, aPath, {}, "", "");
-    if (reply.m_outcome != HttpOutcome::Answered) {
-      why += (why.empty() ? "" : "; ") + entry.ToString() + " " + reply.m_error;
-      continue;
-    }
-    if (reply.m_status == 200) {
+    const bool isAnswered = reply.m_outcome == HttpOutcome::Answered;
+    if (isAnswered && reply.m_status == 200) {
       return JsonOf(reply);
     }
-    if (!IsWorthAnotherEntry(reply)) {
+    if (isAnswered && !IsWorthAnotherEntry(reply)) {
       throw ErrorOf(reply);
     }
-    refusal = ErrorOf(reply);
+    why.append(why.empty() ? "" : "; ").append(entry.ToString()).append(" ");
+    why += isAnswered ? RefusalOf(reply).m_message : reply.m_error;
   }
-  throw refusal ? *refusal : NoEntryAnswers(why);
+  throw NoEntryCan(why);
 }
 
 Json
@@ -181,7 +178,7 @@
       }
     }
     if (!sent.m_mayHaveRun) {
-      throw NoEntryAnswers(sent.m_problem);
+      throw NoEntryCan(sent.m_problem);
     }
   }
   throw CommandError(
--- a/src/cli/exit_status_p.h
+++ b/src/cli/exit_status_p.h
@@ -17,7 +17,7 @@
   Refused = 4,     // the entry or the process refused; nothing was changed
   Conflict = 5,    // someone else changed it; nothing was changed
   NotFound = 6,
-  Unreachable = 7, // no entry answers; nothing was changed
+  Unreachable = 7, // no entry can do it now; nothing was changed
   Unknown = 8,     // sent, and the outcome couldn't be resolved
   NotMet = 9,      // the target isn't met, or configuration not in force
 };
@@ -38,7 +38,8 @@
   { ExitStatus::Conflict,
     "someone else changed it first; both changes are shown" },
   { ExitStatus::NotFound, "no such target, configuration or fingerprint" },
-  { ExitStatus::Unreachable, "no entry answers; nothing was changed" },
+  { ExitStatus::Unreachable,
+    "no entry answers, or none reaches the platform; nothing was changed" },
   { ExitStatus::Unknown,
     "the change was sent and its outcome couldn't be resolved" },
   { ExitStatus::NotMet, "not met, or not in force everywhere" },
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -380,6 +380,10 @@
 {
   m_platform.Faults().m_outage = true;
   EXPECT_EQ(RunOn(kCreate).m_status, 7);
+  const Result read = RunOn({ "config", "show" });
+  EXPECT_EQ(read.m_status, 7);
+  EXPECT_NE(read.m_error.find("object API can't be reached"),
+            std::string::npos);
   m_platform.Faults().m_outage = false;
   setenv("SISKINDEAL_KEY", "another-secret-of-16", 1);
   EXPECT_EQ(RunOn({ "target", "list" }).m_status, 4);
