Planner: targets to orders, under a lease, with a status for each target

Decision code over targets, catalogue, manifests and the agents' records, so that a successor goes on from the records alone. Whose turn a chunk is, who changes over and which old weights are released is decided here; an entry without the lease only reports.

--- /dev/null
+++ b/src/rollout/planner_p.h
@@ -0,0 +1,76 @@
+#pragma once
+// The working state of one planning decision.
+
+#include "siskindeal/planner.h"
+
+namespace siskindeal {
+
+// A target with what its names stand for now.
+struct Planner::Claim
+{
+  const TargetSpec* m_target = nullptr;
+  int m_priority = 0;
+  std::string m_service;
+  std::string m_release;
+  std::string m_digest; // empty: not known, m_holdUp says why
+  std::string m_base;
+  bool m_isAdapter = false;
+  std::uint32_t m_wanted = 0;
+  std::vector<std::size_t> m_vms; // assigned
+  std::string m_holdUp;
+};
+
+struct Planner::VmPlan
+{
+  std::string m_whole;  // digest of the model it is to serve
+  std::string m_holder; // target that it was first assigned to
+  std::vector<std::pair<std::string, std::string>> m_wanted; // class, digest
+};
+
+struct Planner::Rollout
+{
+  std::vector<std::size_t> m_members; // reachable, by place and name
+  std::map<std::string, std::vector<std::size_t>> m_byPlace;
+  std::unordered_map<std::size_t, std::uint32_t> m_fleetIndex;
+  std::unordered_map<std::size_t, std::uint32_t> m_placeIndex;
+  std::uint64_t m_signature = 0;
+  bool m_originByPlace = false;
+};
+
+struct Planner::Round
+{
+  Round(const PlannerInput& aInput, MonotonicTime aNow)
+    : m_input(aInput)
+    , m_now(aNow)
+    , m_vms(aInput.m_vms.size())
+  {
+  }
+
+  const PlannedVm& Vm(std::size_t aIndex) const
+  {
+    return m_input.m_vms[aIndex];
+  }
+
+  const PlannerInput& m_input;
+  const MonotonicTime m_now;
+  std::vector<VmPlan> m_vms; // beside m_input.m_vms
+  std::vector<Claim> m_claims;
+  std::map<std::string, Rollout> m_rollouts;           // by digest
+  std::set<std::string> m_metDigests;                  // targets that are met
+  std::map<std::string, std::uint32_t> m_changingOver; // by service
+  Plan m_plan;
+};
+
+template<typename List, typename Value>
+bool
+Contains(const List& aList, const Value& aValue)
+{
+  for (const auto& item : aList) {
+    if (item == aValue) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace siskindeal
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -252,6 +252,11 @@
       "VMs of a service that a change takes out of service at once",
       Need::Optional,
       kAtLeastOne },
+    { "rollout",
+      "store_url",
+      UrlField{ &aRollout.m_storeUrl },
+      "the weight store, which knows the manifests of releases",
+      Need::Optional },
   };
 }
 
