The planner runs on entries: rollouts from a stated target to serving VMs

An entry competes for the leases and plans while it holds one; it gives them up first when it drains. The operators' calls read the planner's statuses. The demo names the weight store to the entries.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -144,7 +144,10 @@
   free_port && http[$vm]=$host:$port
 done
 for vm in "${entries[@]}"; do
-  settings "$vm" "${place[$vm]}" > "$work/$vm.toml"
+  {
+    settings "$vm" "${place[$vm]}"
+    printf '\n[rollout]\nstore_url = "%s"\n' "${url[store]}"
+  } > "$work/$vm.toml"
 done
 for vm in "${agents[@]}"; do
   kind=model service=caddie-llm
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -6,6 +6,8 @@
 #include "siskindeal/log.h"
 #include "siskindeal/platform_client.h"
 
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
 #include <thread>
@@ -17,6 +19,7 @@
 constexpr std::size_t kWorkers = 4;
 constexpr std::chrono::milliseconds kDrainStep{ 20 };
 constexpr std::chrono::milliseconds kDrainingRetryAfter{ 1000 };
+constexpr std::chrono::milliseconds kLongestRelease{ 2000 };
 
 HttpServerLimits
 LimitsOf(const HttpSettings& aSettings)
@@ -74,10 +77,13 @@
                                       m_pool,
                                       m_clock,
                                       std::move(hooks));
+  MakePlanner();
   m_operators = std::make_unique<OperatorApi>(
     *m_platform, m_clock, m_settings.m_auth, MakeOperatorView());
   m_started.store(true);
   m_sync->Start();
+  m_leases->Start();
+  m_planner->Start();
   Log(LogLevel::Info,
       "listening",
       { { "rpc_port", m_server->Port() },
@@ -87,10 +93,43 @@
 EntryNode::~EntryNode()
 {
   m_server->Shutdown(std::chrono::milliseconds(0));
+  m_planner->Stop();
   m_pool.Stop();
   m_httpServer.reset();
 }
 
+void
+EntryNode::MakePlanner()
+{
+  m_leases = std::make_unique<LeaseKeeper>(m_settings.m_node.m_vm,
+                                           m_settings.m_lease,
+                                           *m_platform,
+                                           m_pool,
+                                           m_clock,
+                                           [this] { return m_sync->View(); });
+  PlannerSources sources;
+  sources.m_view = [this] { return m_sync->View(); };
+  sources.m_config = [this] { return m_sync->Config(); };
+  sources.m_objects = [this](const std::string& aPrefix) {
+    return m_sync->Objects(aPrefix);
+  };
+  sources.m_token = [this](std::uint32_t aShard) {
+    return m_leases->Token(aShard);
+  };
+  m_planner = std::make_unique<PlannerLoop>(
+    m_settings, m_client, m_http, m_pool, m_clock, std::move(sources));
+}
+
+// Gives the leases up, so that another entry plans on at once.
+void
+EntryNode::StopPlanning()
+{
+  m_planner->Stop();
+  const auto released = std::make_shared<absl::Notification>();
+  m_leases->Release([released] { released->Notify(); });
+  released->WaitForNotificationWithTimeout(absl::FromChrono(kLongestRelease));
+}
+
 void
 EntryNode::Drain()
 {
@@ -98,6 +137,7 @@
   const auto began = m_clock.Now();
   m_leaving.store(true);
   m_sync->Leave();
+  StopPlanning();
   std::this_thread::sleep_for(m_settings.m_routing.m_answerLifetime);
   m_refusing.store(true);
   while (m_httpServer->InFlight() > 0 &&
@@ -140,10 +180,10 @@
 EntryNode::MakeOperatorView()
 {
   OperatorView view;
-  view.m_statusOf = [](const std::string&) {
-    return std::optional<TargetStatus>();
+  view.m_statusOf = [this](const std::string& aName) {
+    return m_planner->StatusOf(aName);
   };
-  view.m_allStatus = [] { return std::vector<TargetStatus>(); };
+  view.m_allStatus = [this] { return m_planner->AllStatus(); };
   view.m_targets = [this] {
     std::vector<TargetSpec> targets;
     for (const auto& [key, object] : m_sync->Objects(kTargetPrefix)) {
@@ -315,6 +355,8 @@
   };
   if (m_started.load()) {
     state["sync"] = nlohmann::json::parse(m_sync->StateJson());
+    state["planner"] = nlohmann::json::parse(m_planner->StateJson());
+    state["leases"] = m_leases->Held();
   }
   return state.dump();
 }
--- a/src/entry/entry_p.h
+++ b/src/entry/entry_p.h
@@ -6,8 +6,10 @@
 #include "front_p.h"
 #include "siskindeal/clock.h"
 #include "siskindeal/http.h"
+#include "siskindeal/lease.h"
 #include "siskindeal/node_sync.h"
 #include "siskindeal/operators.h"
+#include "siskindeal/planner_loop.h"
 #include "siskindeal/platform.h"
 #include "siskindeal/rpc.h"
 #include "siskindeal/settings.h"
@@ -46,6 +48,8 @@
 
 private:
   wire::NodeRecord OwnRecord() const;
+  void MakePlanner();
+  void StopPlanning();
   OperatorView MakeOperatorView();
   std::string EntriesJson();
   std::string NotReady() const;
@@ -63,6 +67,8 @@
   std::unique_ptr<NodeSync> m_sync;
   std::shared_ptr<Forwarder> m_forwarder;
   std::unique_ptr<Front> m_front;
+  std::unique_ptr<LeaseKeeper> m_leases;
+  std::unique_ptr<PlannerLoop> m_planner;
   std::unique_ptr<OperatorApi> m_operators;
   std::atomic<bool> m_leaving{ false };
   std::atomic<bool> m_refusing{ false };
