gRPC client: ends its calls before it is destroyed

A call that was out when the client went away completed later, into a role that no longer existed. Calls are listed while they are out; the destructor cancels them and waits for their callbacks.

--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -8,6 +8,8 @@
 #include <grpcpp/grpcpp.h>
 #include <siskindeal.grpc.pb.h>
 
+#include <algorithm>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -18,6 +20,7 @@
 constexpr int kMessageBytes = 32 << 20;
 constexpr int kLeastReconnectMillis = 100;
 constexpr int kMostReconnectMillis = 1000;
+constexpr std::chrono::milliseconds kLongestConnect{ 2000 };
 
 struct Peer
 {
@@ -41,6 +44,70 @@
                                            : aStatus.error_message() };
 }
 
+// The calls that are out, so that a client that is destroyed can end them
+// first.
+class CallTable
+{
+public:
+  void Add(grpc::ClientContext* aContext)
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_calls.insert(aContext);
+    if (m_closing) {
+      aContext->TryCancel();
+    }
+  }
+
+  void Remove(grpc::ClientContext* aContext)
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_calls.erase(aContext);
+  }
+
+  // Cancels every call and waits until their callbacks have returned.
+  void CancelAll()
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_closing = true;
+    for (auto* context : m_calls) {
+      context->TryCancel();
+    }
+    m_mutex.Await(absl::Condition(
+      +[](std::set<grpc::ClientContext*>* aCalls) { return aCalls->empty(); },
+      &m_calls));
+  }
+
+private:
+  absl::Mutex m_mutex;
+  std::set<grpc::ClientContext*> m_calls ABSL_GUARDED_BY(m_mutex);
+  bool m_closing ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+// A context that is listed in a table for as long as its call is out.
+struct ListedContext
+{
+  explicit ListedContext(std::shared_ptr<CallTable> aTable)
+    : m_table(std::move(aTable))
+  {
+    m_table->Add(&m_context);
+  }
+  ~ListedContext() { Unlist(); }
+  ListedContext(const ListedContext&) = delete;
+  ListedContext& operator=(const ListedContext&) = delete;
+
+  void Unlist()
+  {
+    if (const auto table = std::exchange(m_table, nullptr)) {
+      table->Remove(&m_context);
+    }
+  }
+
+  grpc::ClientContext m_context;
+
+private:
+  std::shared_ptr<CallTable> m_table;
+};
+
 // The client's side of one Run call. Owns itself until gRPC is done with it.
 class RunReader final
   : public grpc::ClientReadReactor<wire::RunEvent>
@@ -48,10 +115,12 @@
   , public std::enable_shared_from_this<RunReader>
 {
 public:
-  RunReader(wire::RunRequest aRequest,
+  RunReader(std::shared_ptr<CallTable> aCalls,
+            wire::RunRequest aRequest,
             std::function<void(wire::RunEvent)> aOnEvent,
             std::function<void(RpcStatus)> aEnd)
-    : m_request(std::move(aRequest))
+    : m_listed(std::move(aCalls))
+    , m_request(std::move(aRequest))
     , m_onEvent(std::move(aOnEvent))
     , m_end(std::move(aEnd))
   {
@@ -61,17 +130,18 @@
   {
     m_self = shared_from_this();
     m_peer = std::move(aPeer);
-    m_peer->m_stub->async()->Run(&m_context, &m_request, this);
+    m_peer->m_stub->async()->Run(&m_listed.m_context, &m_request, this);
     StartRead(&m_event);
     StartCall();
   }
 
   void FailUnsent(const std::string& aWhat)
   {
-    m_end({ RpcOutcome::NotSent, aWhat });
+    End({ RpcOutcome::NotSent, aWhat });
   }
 
-  void Cancel() override { m_context.TryCancel(); }
+  void Cancel() override { m_listed.m_context.TryCancel(); }
+  grpc::ClientContext& Context() { return m_listed.m_context; }
 
   void OnReadDone(bool aOk) override
   {
@@ -91,14 +161,19 @@
   void OnDone(const grpc::Status& aStatus) override
   {
     const auto keep = std::move(m_self);
-    m_end(ToRpcStatus(aStatus));
+    End(ToRpcStatus(aStatus));
+  }
+
+private:
+  void End(const RpcStatus& aStatus)
+  {
+    m_end(aStatus);
     m_onEvent = nullptr;
     m_end = nullptr;
+    m_listed.Unlist();
   }
 
-  grpc::ClientContext m_context;
-
-private:
+  ListedContext m_listed;
   const wire::RunRequest m_request;
   std::function<void(wire::RunEvent)> m_onEvent;
   std::function<void(RpcStatus)> m_end;
@@ -118,7 +193,12 @@
 template<typename Request, typename Reply>
 struct UnaryCall
 {
-  grpc::ClientContext m_context;
+  explicit UnaryCall(std::shared_ptr<CallTable> aCalls)
+    : m_listed(std::move(aCalls))
+  {
+  }
+
+  ListedContext m_listed;
   Request m_request;
   Reply m_reply;
   std::shared_ptr<Peer> m_peer;
@@ -135,7 +215,7 @@
   Impl(const AuthSettings& aAuth, std::string aVm)
     : m_auth(aAuth)
     , m_vm(std::move(aVm))
-    , m_watcher([this] { Watch(); })
+    , m_watcher([this] { WatchStates(); })
   {
   }
 
@@ -145,10 +225,13 @@
       const absl::MutexLock lock(&m_mutex);
       m_closing = true;
     }
+    m_calls->CancelAll();
     m_states.Shutdown();
     m_watcher.join();
   }
 
+  const std::shared_ptr<CallTable>& Calls() const { return m_calls; }
+
   std::shared_ptr<Peer> PeerAt(const std::string& aAddress)
   {
     const auto now = std::chrono::steady_clock::now();
@@ -182,17 +265,9 @@
     wait->m_ready = std::move(aReady);
     wait->m_failed =
       state == GRPC_CHANNEL_TRANSIENT_FAILURE || state == GRPC_CHANNEL_SHUTDOWN;
-    const absl::MutexLock lock(&m_mutex);
-    if (m_closing) {
-      return;
-    }
-    if (wait->m_failed) {
-      auto& alarm = wait->m_alarm;
-      alarm.Set(&m_states, std::chrono::system_clock::now(), wait.release());
-      return;
+    if (!Watch(wait, state)) {
+      wait->m_ready(false);
     }
-    aPeer->m_channel->NotifyOnStateChange(
-      state, aDeadline, &m_states, wait.release());
   }
 
   void Prepare(grpc::ClientContext& aContext,
@@ -216,18 +291,18 @@
              AsyncMethod<Request, Reply> aMethodCall)
   {
     const auto deadline = std::chrono::system_clock::now() + aTimeout;
-    auto call = std::make_shared<UnaryCall<Request, Reply>>();
+    auto call = std::make_shared<UnaryCall<Request, Reply>>(m_calls);
     call->m_request = aRequest;
     call->m_done = std::move(aDone);
     call->m_peer = PeerAt(aAddress);
-    Prepare(call->m_context, aMethod, deadline);
+    Prepare(call->m_listed.m_context, aMethod, deadline);
     WhenReady(call->m_peer, deadline, [call, aMethodCall](bool aReady) {
       if (!aReady) {
         call->m_done({ RpcOutcome::NotSent, "no connection" }, Reply());
         return;
       }
       (call->m_peer->m_stub->async()->*aMethodCall)(
-        &call->m_context,
+        &call->m_listed.m_context,
         &call->m_request,
         &call->m_reply,
         [call](const grpc::Status& aStatus) {
@@ -258,6 +333,25 @@
     grpc::Alarm m_alarm;
   };
 
+  // False, keeping aWait, when the client is being destroyed.
+  bool Watch(std::unique_ptr<StateWait>& aWait, grpc_connectivity_state aState)
+  {
+    const absl::MutexLock lock(&m_mutex);
+    if (m_closing) {
+      return false;
+    }
+    const auto deadline = std::min(
+      aWait->m_deadline, std::chrono::system_clock::now() + kLongestConnect);
+    auto& wait = *aWait.release();
+    if (wait.m_failed) {
+      wait.m_alarm.Set(&m_states, std::chrono::system_clock::now(), &wait);
+    } else {
+      wait.m_peer->m_channel->NotifyOnStateChange(
+        aState, deadline, &m_states, &wait);
+    }
+    return true;
+  }
+
   static grpc::ChannelArguments ChannelArguments()
   {
     grpc::ChannelArguments arguments;
@@ -271,7 +365,7 @@
     return arguments;
   }
 
-  void Watch()
+  void WatchStates()
   {
     void* tag = nullptr;
     bool changed = false;
@@ -287,6 +381,7 @@
 
   const AuthSettings m_auth;
   const std::string m_vm;
+  const std::shared_ptr<CallTable> m_calls = std::make_shared<CallTable>();
   absl::Mutex m_mutex;
   absl::flat_hash_map<std::string, std::shared_ptr<Peer>> m_peers
     ABSL_GUARDED_BY(m_mutex);
@@ -388,10 +483,10 @@
                 std::function<void(RpcStatus)> aEnd)
 {
   const auto deadline = std::chrono::system_clock::now() + aTimeout;
-  auto call =
-    std::make_shared<RunReader>(aRequest, std::move(aOnEvent), std::move(aEnd));
+  auto call = std::make_shared<RunReader>(
+    m_impl->Calls(), aRequest, std::move(aOnEvent), std::move(aEnd));
   auto peer = m_impl->PeerAt(aAddress);
-  m_impl->Prepare(call->m_context, "Run", deadline);
+  m_impl->Prepare(call->Context(), "Run", deadline);
   m_impl->WhenReady(peer, deadline, [call, peer](bool aReady) {
     if (aReady) {
       call->Begin(peer);
