--- /dev/null
+++ b/bench/idle_bench.cpp
@@ -0,0 +1,391 @@
+// What a process at rest costs, by role and by the size of the fleet: a share
+// of a core, resident memory and bytes of control traffic. Every process of the
+// fleet is one of this machine: the program runs itself as "--node".
+
+#include "support/bench_node.h"
+
+#include "siskindeal/http.h"
+#include "siskindeal/log.h"
+
+#include "standin/platform.h"
+
+#include <fcntl.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <numeric>
+#include <sstream>
+#include <thread>
+
+namespace siskindeal::bench {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr seconds kSettle{ 4 };
+constexpr seconds kWindow{ 4 };
+constexpr std::size_t kRole = 2; // arguments of a node
+constexpr std::size_t kVm = 3;
+constexpr std::size_t kPlace = 4;
+constexpr std::size_t kPlatform = 5;
+constexpr std::size_t kFirstEntry = 6;
+
+double
+CpuSeconds()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& aTime) {
+    return static_cast<double>(aTime.tv_sec) +
+           static_cast<double>(aTime.tv_usec) * 1e-6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double
+ResidentMb()
+{
+  std::ifstream file("/proc/self/statm");
+  double whole = 0;
+  double resident = 0;
+  file >> whole >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+// Of the TCP connections that are open, both directions, payload only.
+std::uint64_t
+SocketBytes()
+{
+  std::uint64_t bytes = 0;
+  for (const auto& entry :
+       std::filesystem::directory_iterator("/proc/self/fd")) {
+    const int socket = std::atoi(entry.path().filename().c_str());
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0) {
+      bytes += info.tcpi_bytes_acked + info.tcpi_bytes_received;
+    }
+  }
+  return bytes;
+}
+
+// One process of the fleet; a line on its input asks for its figures, the end
+// of its input ends it.
+int
+RunNode(const std::vector<std::string>& aArguments)
+{
+  ConfigureLog("bench", aArguments[kVm], LogLevel::Error);
+  BenchNodeOptions options;
+  const bool entry = aArguments[kRole] == "entry";
+  options.m_role = entry ? wire::ROLE_ENTRY : wire::ROLE_AGENT;
+  options.m_vm = aArguments[kVm];
+  options.m_place = aArguments[kPlace];
+  options.m_platformUrl = aArguments[kPlatform];
+  for (std::size_t i = kFirstEntry; i < aArguments.size(); ++i) {
+    options.m_entries.push_back(ParseAddress(aArguments[i]));
+  }
+  SystemClock clock;
+  WorkerPool pool(2);
+  HttpClient http;
+  HttpServer server(
+    "127.0.0.1", 0, {}, [](HttpRequest, const auto& aResponder) {
+      aResponder->Respond(200, {}, "");
+    });
+  {
+    BenchNode node(options, http, pool, clock);
+    if (entry) {
+      node.StartLeases();
+    }
+    std::cout << node.Rpc().ToString() << std::endl;
+    std::string line;
+    while (std::getline(std::cin, line)) {
+      std::cout << CpuSeconds() << ' ' << ResidentMb() << ' ' << SocketBytes()
+                << ' ' << node.Sync().View()->m_nodes.size() << std::endl;
+    }
+    pool.Stop();
+  }
+  return 0;
+}
+
+struct Figures
+{
+  double m_cpuSeconds = 0;
+  double m_residentMb = 0;
+  double m_bytes = 0;
+  std::size_t m_known = 0;
+};
+
+class Child
+{
+public:
+  Child(const std::string& aProgram, const std::vector<std::string>& aArguments)
+  {
+    int toChild[2];
+    int fromChild[2];
+    if (pipe2(toChild, O_CLOEXEC) != 0 || pipe2(fromChild, O_CLOEXEC) != 0) {
+      throw std::runtime_error("no pipe");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, toChild[0], STDIN_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, fromChild[1], STDOUT_FILENO);
+    std::vector<std::string> arguments{ aProgram, "--node" };
+    arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
+    std::vector<char*> raw;
+    for (auto& argument : arguments) {
+      raw.push_back(argument.data());
+    }
+    raw.push_back(nullptr);
+    if (posix_spawn(
+          &m_pid, aProgram.c_str(), &actions, nullptr, raw.data(), environ) !=
+        0) {
+      throw std::runtime_error("could not start a node");
+    }
+    posix_spawn_file_actions_destroy(&actions);
+    close(toChild[0]);
+    close(fromChild[1]);
+    m_to = toChild[1];
+    m_from = fdopen(fromChild[0], "r");
+  }
+
+  ~Child()
+  {
+    close(m_to);
+    waitpid(m_pid, nullptr, 0);
+    std::fclose(m_from);
+  }
+  Child(const Child&) = delete;
+  Child& operator=(const Child&) = delete;
+
+  std::string ReadLine()
+  {
+    char line[256] = "";
+    return std::fgets(line, sizeof(line), m_from) == nullptr
+             ? std::string()
+             : std::string(line).substr(0, std::string(line).find('\n'));
+  }
+
+  Figures Ask()
+  {
+    const char newline = '\n';
+    if (write(m_to, &newline, 1) != 1) {
+      return {};
+    }
+    Figures figures;
+    std::istringstream line(ReadLine());
+    line >> figures.m_cpuSeconds >> figures.m_residentMb >> figures.m_bytes >>
+      figures.m_known;
+    return figures;
+  }
+
+private:
+  pid_t m_pid = 0;
+  int m_to = -1;
+  std::FILE* m_from = nullptr;
+};
+
+struct Costs
+{
+  double m_coreShare = 0;
+  double m_residentMb = 0;
+  double m_bytesPerSecond = 0;
+};
+
+Costs
+Mean(const std::vector<Figures>& aBefore,
+     const std::vector<Figures>& aAfter,
+     double aSeconds)
+{
+  Costs costs;
+  const auto count = static_cast<double>(aBefore.size());
+  for (std::size_t i = 0; i < aBefore.size(); ++i) {
+    costs.m_coreShare +=
+      (aAfter[i].m_cpuSeconds - aBefore[i].m_cpuSeconds) / aSeconds / count;
+    costs.m_residentMb += aAfter[i].m_residentMb / count;
+    costs.m_bytesPerSecond +=
+      (aAfter[i].m_bytes - aBefore[i].m_bytes) / aSeconds / count;
+  }
+  return costs;
+}
+
+void
+Print(const std::string& aCase, const Costs& aCosts, bool aTargets)
+{
+  PrintRow("idle",
+           aCase,
+           "core_share",
+           "1",
+           aCosts.m_coreShare,
+           "",
+           aTargets ? "0.018" : "");
+  PrintRow("idle",
+           aCase,
+           "resident_mb",
+           "MB",
+           aCosts.m_residentMb,
+           "",
+           aTargets ? "32" : "");
+  PrintRow("idle",
+           aCase,
+           "control_bytes_per_second",
+           "B/s",
+           aCosts.m_bytesPerSecond,
+           "",
+           aTargets ? "5000" : "");
+}
+
+std::vector<Figures>
+AskAll(const std::vector<std::unique_ptr<Child>>& aChildren)
+{
+  std::vector<Figures> figures;
+  for (const auto& child : aChildren) {
+    figures.push_back(child->Ask());
+  }
+  return figures;
+}
+
+// Costs of an entry and of an agent in a fleet of this size.
+std::pair<Costs, Costs>
+Measure(const std::string& aProgram, int aEntries, int aAgents, bool aTargets)
+{
+  const char* const places[] = { "kingston", "montego", "ocho-rios" };
+  standin::PlatformStandIn platform({});
+  platform.SetObject(kConfigKey, R"({"other_teams":{"burst":50}})");
+  std::vector<std::unique_ptr<Child>> entries;
+  std::vector<std::unique_ptr<Child>> agents;
+  std::vector<std::string> contacts;
+  for (int i = 0; i < aEntries + aAgents; ++i) {
+    const bool entry = i < aEntries;
+    std::vector<std::string> arguments{ entry ? "entry" : "agent",
+                                        (entry ? "entry-" : "agent-") +
+                                          std::to_string(i),
+                                        places[i % 3],
+                                        platform.Url() };
+    arguments.insert(arguments.end(), contacts.begin(), contacts.end());
+    auto& children = entry ? entries : agents;
+    children.push_back(std::make_unique<Child>(aProgram, arguments));
+    const auto address = children.back()->ReadLine();
+    if (contacts.size() < 3) {
+      contacts.push_back(address);
+    }
+  }
+  std::this_thread::sleep_for(kSettle);
+  const auto entriesBefore = AskAll(entries);
+  const auto agentsBefore = AskAll(agents);
+  const auto start = std::chrono::steady_clock::now();
+  std::this_thread::sleep_for(kWindow);
+  const auto entriesAfter = AskAll(entries);
+  const auto agentsAfter = AskAll(agents);
+  const auto passed =
+    std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+      .count();
+  const auto entry = Mean(entriesBefore, entriesAfter, passed);
+  const auto agent = Mean(agentsBefore, agentsAfter, passed);
+  const auto size = std::to_string(aEntries) + "_entries_" +
+                    std::to_string(aAgents) + "_agents";
+  Print("entry_of_" + size, entry, aTargets);
+  Print("agent_of_" + size, agent, aTargets);
+  PrintRow("idle",
+           "entry_of_" + size,
+           "processes_known",
+           "1",
+           static_cast<double>(entriesAfter.front().m_known),
+           "",
+           std::to_string(aEntries + aAgents));
+  return { entry, agent };
+}
+
+// The least-squares slope of the values over the sizes.
+double
+Slope(const std::vector<double>& aSizes, const std::vector<double>& aValues)
+{
+  const auto count = static_cast<double>(aSizes.size());
+  const auto mean = [count](const std::vector<double>& aNumbers) {
+    return std::accumulate(aNumbers.begin(), aNumbers.end(), 0.0) / count;
+  };
+  const double meanSize = mean(aSizes);
+  const double meanValue = mean(aValues);
+  double covariance = 0;
+  double variance = 0;
+  for (std::size_t i = 0; i < aSizes.size(); ++i) {
+    covariance += (aSizes[i] - meanSize) * (aValues[i] - meanValue);
+    variance += (aSizes[i] - meanSize) * (aSizes[i] - meanSize);
+  }
+  return covariance / variance;
+}
+
+void
+PrintSlopes(const std::string& aRole,
+            const std::vector<double>& aSizes,
+            const std::vector<Costs>& aCosts)
+{
+  std::vector<double> cores;
+  std::vector<double> memory;
+  std::vector<double> bytes;
+  for (const auto& costs : aCosts) {
+    cores.push_back(costs.m_coreShare);
+    memory.push_back(costs.m_residentMb);
+    bytes.push_back(costs.m_bytesPerSecond);
+  }
+  const auto name = aRole + "_slope_over_processes";
+  PrintRow(
+    "idle", name, "core_share_per_process", "1", Slope(aSizes, cores), "", "");
+  PrintRow("idle",
+           name,
+           "resident_mb_per_process",
+           "MB",
+           Slope(aSizes, memory),
+           "",
+           "");
+  PrintRow("idle",
+           name,
+           "control_bytes_per_second_per_process",
+           "B/s",
+           Slope(aSizes, bytes),
+           "",
+           "");
+}
+
+void
+RunAll(const std::string& aProgram)
+{
+  Measure(aProgram, 9, 20, true); // today
+  std::vector<double> sizes;
+  std::vector<Costs> entries;
+  std::vector<Costs> agents;
+  for (const int size : { 10, 20, 40, 80, 160 }) {
+    const int entryCount = size * 3 / 10;
+    const auto [entry, agent] =
+      Measure(aProgram, entryCount, size - entryCount, false);
+    sizes.push_back(size);
+    entries.push_back(entry);
+    agents.push_back(agent);
+  }
+  PrintSlopes("entry", sizes, entries);
+  PrintSlopes("agent", sizes, agents);
+}
+
+} // namespace
+} // namespace siskindeal::bench
+
+int
+main(int aCount, char** aValues)
+{
+  const std::vector<std::string> arguments(aValues, aValues + aCount);
+  if (arguments.size() > 1 && arguments[1] == "--node") {
+    return siskindeal::bench::RunNode(arguments);
+  }
+  siskindeal::ConfigureLog("bench", "idle", siskindeal::LogLevel::Error);
+  siskindeal::bench::RunAll(arguments[0]);
+  return 0;
+}
--- /dev/null
+++ b/bench/support/bench_node.h
@@ -0,0 +1,93 @@
+#pragma once
+// One process of the fleet as far as this module goes: NodeSync, its gRPC
+// server and client and its platform client, without requests.
+
+#include "siskindeal/lease.h"
+#include "siskindeal/node_sync.h"
+#include "siskindeal/platform_client.h"
+#include "siskindeal/random.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace siskindeal::bench {
+
+// Prints one measurement as a line of JSON; baseline and target may be empty,
+// or else a number's text.
+void
+PrintRow(const std::string& aBench,
+         const std::string& aCase,
+         const std::string& aMetric,
+         const std::string& aUnit,
+         double aValue,
+         const std::string& aBaseline,
+         const std::string& aTarget);
+
+struct BenchNodeOptions
+{
+  std::string m_vm;
+  std::string m_place;
+  wire::Role m_role = wire::ROLE_ENTRY;
+  std::vector<Address> m_entries;
+  std::string m_platformUrl;
+  double m_lostAnswers = 0; // of exchanges
+};
+
+class BenchNode final : public NodeHandler
+{
+public:
+  BenchNode(const BenchNodeOptions& aOptions,
+            HttpClient& aHttp,
+            WorkerPool& aPool,
+            const Clock& aClock);
+  ~BenchNode() override;
+  BenchNode(const BenchNode&) = delete;
+  BenchNode& operator=(const BenchNode&) = delete;
+
+  Address Rpc() const;
+  NodeSync& Sync() { return *m_sync; }
+  std::uint64_t ConfigVersion() const { return m_configVersion; }
+  void StartLeases();
+  LeaseKeeper* Leases() { return m_leases.get(); }
+  // Runners of an agent.
+  void SetLoad(const wire::Load& aLoad);
+
+  wire::GreetReply OnGreet(const wire::GreetRequest& aRequest) override;
+  void OnExchange(const wire::ExchangeRequest& aRequest,
+                  Done<wire::ExchangeReply> aDone) override;
+  void OnRun(const wire::RunRequest& aRequest,
+             std::shared_ptr<RunSink> aSink) override;
+  void OnCancel(const wire::CancelRequest& aRequest,
+                Done<wire::CancelReply> aDone) override;
+  void OnOrder(const wire::OrderRequest& aRequest,
+               Done<wire::OrderReply> aDone) override;
+  void OnChunk(const wire::ChunkRequest& aRequest,
+               Done<wire::ChunkReply> aDone) override;
+  void OnHave(const wire::HaveRequest& aRequest,
+              Done<wire::HaveReply> aDone) override;
+  std::string StateJson() override;
+
+private:
+  bool Loses();
+
+  const BenchNodeOptions m_options;
+  WorkerPool& m_pool;
+  const Clock& m_clock;
+  AuthSettings m_auth;
+  std::unique_ptr<Platform> m_platform;
+  std::unique_ptr<NodeClient> m_client;
+  std::unique_ptr<NodeServer> m_server;
+  std::unique_ptr<NodeSync> m_sync;
+  std::unique_ptr<LeaseKeeper> m_leases;
+  std::atomic<std::uint64_t> m_configVersion{ 0 };
+  std::atomic<bool> m_ready{ false };
+  absl::Mutex m_mutex;
+  wire::Load m_load ABSL_GUARDED_BY(m_mutex);
+  Random m_random ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace siskindeal::bench
--- a/src/membership/exchange.cpp
+++ b/src/membership/exchange.cpp
@@ -4,6 +4,7 @@
 #include "siskindeal/log.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 #include <utility>
 
@@ -13,6 +14,13 @@
 
 constexpr int kCounterShift = 20; // changes a millisecond of earlier starts
 constexpr int kMostBackoffDoublings = 3;
+// Heartbeats after which a pair without news exchanges: the one of the two that
+// begins, and the other where that fails.
+constexpr double kQuiet = 2.5;
+constexpr double kQuietOther = 3.5;
+// Bounds on an agent's load as entries have it, besides its age.
+constexpr std::uint64_t kPendingChanges = 4;
+constexpr std::int64_t kDivergentRequests = 2;
 constexpr std::chrono::milliseconds kDifferBeforeRepair{ 1000 };
 constexpr std::chrono::milliseconds kRepairPeriod{ 2000 };
 
@@ -162,20 +170,41 @@
     }
     auto delta = DeltaFor(vm);
     const bool news = !delta.m_nodes.empty() || !delta.m_usage.empty();
-    const bool due = (delta.m_urgent && !vm.empty()) ||
-                     (news && quiet >= beat) ||
-                     quiet >= (Initiates(vm) ? 2 * beat : 3 * beat);
+    const bool due =
+      (delta.m_urgent && !vm.empty()) ||
+      (news && (m_role == wire::ROLE_AGENT ? LoadBoundReached(contact)
+                                           : quiet >= beat)) ||
+      quiet >= (Initiates(vm) ? kQuiet : kQuietOther) * beat;
     if (!due) {
       contact.m_nothingNewAt = news ? 0 : m_counter;
       continue;
     }
     contact.m_out = true;
     contact.m_lastTry = aNow;
+    contact.m_loadSequence = m_own.load_sequence();
+    contact.m_loadRequests = OwnRequests();
     calls.push_back(MakeDue(vm, address, std::move(delta)));
   }
   return calls;
 }
 
+std::int64_t
+Exchange::OwnRequests() const
+{
+  return static_cast<std::int64_t>(m_own.load().running()) +
+         m_own.load().waiting();
+}
+
+// An agent's load goes out before the next heartbeat once it has changed often
+// or far enough since it was last sent.
+bool
+Exchange::LoadBoundReached(const Contact& aContact) const
+{
+  return m_own.load_sequence() - aContact.m_loadSequence >= kPendingChanges ||
+         std::abs(OwnRequests() - aContact.m_loadRequests) >=
+           kDivergentRequests;
+}
+
 Exchange::Due
 Exchange::MakeDue(const std::string& aVm,
                   const std::string& aAddress,
@@ -192,7 +221,9 @@
   request.set_full(peer.m_number == 0);
   request.set_number(aDelta.m_number);
   request.set_acknowledged(peer.m_number);
-  request.set_nodes_digest(m_table.Digest());
+  if (m_role == wire::ROLE_ENTRY) { // an agent holds only entries' records
+    request.set_nodes_digest(m_table.Digest());
+  }
   request.set_objects_digest(m_objects.Digest());
   request.mutable_nodes()->Add(aDelta.m_nodes.begin(), aDelta.m_nodes.end());
   request.mutable_objects()->Add(aDelta.m_objects.begin(),
@@ -233,7 +264,10 @@
     m_contacts[row->m_record.address()].m_lastTry = aNow;
     m_contacts[row->m_record.address()].m_notBefore = {};
   }
-  auto delta = DeltaFor(vm);
+  // What a process is to be told depends on its role; one that isn't held must
+  // send its record anew first.
+  const bool known = m_table.Find(vm) != nullptr;
+  auto delta = known ? DeltaFor(vm) : Delta{};
   wire::ExchangeReply reply;
   reply.set_vm(m_node.m_vm);
   reply.set_incarnation(m_incarnation);
@@ -241,8 +275,7 @@
   reply.set_number(delta.m_number);
   reply.set_nodes_digest(m_table.Digest());
   reply.set_objects_digest(m_objects.Digest());
-  // An agent whose record isn't held must send it anew.
-  reply.set_resend_full(m_table.Find(vm) == nullptr);
+  reply.set_resend_full(!known);
   reply.mutable_nodes()->Add(delta.m_nodes.begin(), delta.m_nodes.end());
   reply.mutable_objects()->Add(delta.m_objects.begin(), delta.m_objects.end());
   reply.mutable_suspicions()->Add(delta.m_suspicions.begin(),
--- a/src/membership/exchange_p.h
+++ b/src/membership/exchange_p.h
@@ -104,6 +104,8 @@
     MonotonicTime m_notBefore;
     MonotonicTime m_lastTry;
     std::uint64_t m_nothingNewAt = 0; // own number
+    std::uint64_t m_loadSequence = 0; // own load as last sent
+    std::int64_t m_loadRequests = 0;
     int m_failures = 0;
   };
 
@@ -128,6 +130,8 @@
   bool Mesh() const;
   std::vector<std::string> PartnerVms() const;
   std::vector<std::string> EntriesForAgent() const;
+  bool LoadBoundReached(const Contact& aContact) const;
+  std::int64_t OwnRequests() const;
   bool Initiates(const std::string& aVm) const;
   std::vector<std::pair<std::string, std::string>> Targets() const;
   Delta DeltaFor(const std::string& aVm);
--- a/src/membership/node_sync_impl.cpp
+++ b/src/membership/node_sync_impl.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{ 100 };
-constexpr std::chrono::milliseconds kExchangeTimeout{ 1000 };
+constexpr std::chrono::milliseconds kExchangeTimeout{ 600 };
 constexpr std::chrono::milliseconds kVmListPeriod{ 5000 };
 constexpr std::chrono::milliseconds kFailingAfter{ 3000 };
 // How long an entry that gave up reading the platform leaves it to others.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -61,6 +61,43 @@
   }
 }
 
+TEST_F(Membership, NothingIsSentTwiceAtRest)
+{
+  SimFleet fleet(5);
+  AddFleet(fleet);
+  ASSERT_TRUE(fleet.GetPlatform().Write(kConfigKey, "1", 0));
+  fleet.Run(seconds{ 15 });
+  const auto records = fleet.Records();
+  const auto exchanges = fleet.Exchanges();
+  fleet.Run(seconds{ 60 });
+  EXPECT_EQ(fleet.Records(), records);
+  EXPECT_GT(fleet.Exchanges(), exchanges) << "heartbeats go on";
+}
+
+TEST_F(Membership, AnAgentsLoadIsSentBeforeTheHeartbeatOnlyIfItHasChangedMuch)
+{
+  SimFleet fleet(6);
+  AddFleet(fleet);
+  fleet.Run(seconds{ 10 });
+  auto& agent = fleet.At("agent-a0");
+  const auto pictured = [&] {
+    const auto entry = agent.m_exchange->Table().Find("agent-a0")->m_record;
+    return fleet.At(entry.hears(0))
+      .m_exchange->Table()
+      .Find("agent-a0")
+      ->m_record.load()
+      .running();
+  };
+  agent.m_load.set_running(2);
+  fleet.Run(milliseconds{ 300 });
+  EXPECT_EQ(pictured(), 2U) << "two requests more";
+  agent.m_load.set_running(3);
+  fleet.Run(milliseconds{ 300 });
+  EXPECT_EQ(pictured(), 2U) << "one can wait";
+  fleet.Run(seconds{ 2 });
+  EXPECT_EQ(pictured(), 3U) << "for the heartbeat";
+}
+
 TEST_F(Membership, TellsLeavingDeathGoneAndAnIsolatedPlaceApart)
 {
   SimFleet fleet(2);
--- a/tests/support/sim_fleet.cpp
+++ b/tests/support/sim_fleet.cpp
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{ 100 };
-constexpr milliseconds kExchangeTimeout{ 1000 };
+constexpr milliseconds kExchangeTimeout{ 600 };
 
 std::string
 AddressOf(const std::string& aVm)
@@ -194,7 +194,8 @@
 void
 SimFleet::Send(Node& aFrom, const Exchange::Due& aDue)
 {
-  m_bytes += aDue.m_request.ByteSizeLong();
+  ++m_exchanges;
+  m_records += aDue.m_request.nodes_size() + aDue.m_request.objects_size();
   const auto starts = aFrom.m_starts;
   auto fail = [this, &aFrom, starts, aDue] {
     if (aFrom.m_up && aFrom.m_starts == starts) {
@@ -216,7 +217,7 @@
     const auto reply =
       to->m_exchange->OnRequest(aDue.m_request, m_clock.Now(), news);
     Check(*to, news);
-    m_bytes += reply.ByteSizeLong();
+    m_records += reply.nodes_size() + reply.objects_size();
     if (!Passes(to->m_settings.m_vm, fromVm)) {
       return At(kExchangeTimeout, fail);
     }
--- a/tests/support/sim_fleet.h
+++ b/tests/support/sim_fleet.h
@@ -47,7 +47,9 @@
   ManualClock& GetClock() { return m_clock; }
   Random& GetRandom() { return m_random; }
   void SetLoss(double aLoss) { m_loss = aLoss; }
-  std::uint64_t Bytes() const { return m_bytes; }
+  std::uint64_t Exchanges() const { return m_exchanges; }
+  // Records of processes and objects that exchanges carried.
+  std::uint64_t Records() const { return m_records; }
   std::uint64_t Steps() const { return m_steps; }
 
   // Whether every process that is up holds aKey as the platform has it.
@@ -68,7 +70,8 @@
   std::set<std::pair<std::string, std::string>> m_cuts;
   std::multimap<MonotonicTime, std::function<void()>> m_tasks;
   double m_loss = 0;
-  std::uint64_t m_bytes = 0;
+  std::uint64_t m_exchanges = 0;
+  std::uint64_t m_records = 0;
   std::uint64_t m_steps = 0;
 };
 
