--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -1,3 +1,4 @@
+#include "call_table_p.h"
 #include "signature_p.h"
 #include "siskindeal/metrics.h"
 #include "siskindeal/rpc.h"
@@ -9,7 +10,6 @@
 #include <siskindeal.grpc.pb.h>
 
 #include <algorithm>
-#include <set>
 #include <thread>
 #include <utility>
 
@@ -44,70 +44,6 @@
                                            : aStatus.error_message() };
 }
 
-// The calls that are out, so that a client that is destroyed can end them
-// first.
-class CallTable
-{
-public:
-  void Add(grpc::ClientContext* aContext)
-  {
-    const absl::MutexLock lock(&m_mutex);
-    m_calls.insert(aContext);
-    if (m_closing) {
-      aContext->TryCancel();
-    }
-  }
-
-  void Remove(grpc::ClientContext* aContext)
-  {
-    const absl::MutexLock lock(&m_mutex);
-    m_calls.erase(aContext);
-  }
-
-  // Cancels every call and waits until their callbacks have returned.
-  void CancelAll()
-  {
-    const absl::MutexLock lock(&m_mutex);
-    m_closing = true;
-    for (auto* context : m_calls) {
-      context->TryCancel();
-    }
-    m_mutex.Await(absl::Condition(
-      +[](std::set<grpc::ClientContext*>* aCalls) { return aCalls->empty(); },
-      &m_calls));
-  }
-
-private:
-  absl::Mutex m_mutex;
-  std::set<grpc::ClientContext*> m_calls ABSL_GUARDED_BY(m_mutex);
-  bool m_closing ABSL_GUARDED_BY(m_mutex) = false;
-};
-
-// A context that is listed in a table for as long as its call is out.
-struct ListedContext
-{
-  explicit ListedContext(std::shared_ptr<CallTable> aTable)
-    : m_table(std::move(aTable))
-  {
-    m_table->Add(&m_context);
-  }
-  ~ListedContext() { Unlist(); }
-  ListedContext(const ListedContext&) = delete;
-  ListedContext& operator=(const ListedContext&) = delete;
-
-  void Unlist()
-  {
-    if (const auto table = std::exchange(m_table, nullptr)) {
-      table->Remove(&m_context);
-    }
-  }
-
-  grpc::ClientContext m_context;
-
-private:
-  std::shared_ptr<CallTable> m_table;
-};
-
 // The client's side of one Run call. Owns itself until gRPC is done with it.
 class RunReader final
   : public grpc::ClientReadReactor<wire::RunEvent>
