config check notes what an agent's upstream doesn't check itself

Cause: checks_orders and checks_callers were read by nothing, so that an operator who sets them learned nothing from it. Conclusion: both settings have their effect where operators look.

--- a/src/cli/config_check.cpp
+++ b/src/cli/config_check.cpp
@@ -24,8 +24,27 @@
   std::string m_file;
   std::string m_kind;    // entry, agent, client or configuration
   std::string m_problem; // empty: accepted
+  std::vector<std::string> m_notes{};
 };
 
+// What an operator has to see to, since the upstream doesn't.
+std::vector<std::string>
+NotesOn(const UpstreamSettings& aUpstream)
+{
+  std::vector<std::string> notes;
+  if (!aUpstream.m_checksCallers) {
+    notes.push_back("only this agent may reach " + aUpstream.m_url +
+                    ": the upstream doesn't check who calls it");
+  }
+  if (aUpstream.m_kind == UpstreamSettings::Kind::Model &&
+      !aUpstream.m_checksOrders) {
+    notes.push_back("orders to " + aUpstream.m_url +
+                    " go through this agent only: the engine takes old "
+                    "fencing tokens");
+  }
+  return notes;
+}
+
 void
 AddNode(const NodeSettings& aNode,
         const std::string& aFile,
@@ -58,26 +77,30 @@
   }
 }
 
-std::string
-CheckSettings(const std::string& aFile,
+void
+CheckAgent(Checked& aChecked, std::vector<Listener>& aListeners)
+{
+  const AgentSettings settings = ReadAgentSettings(aChecked.m_file);
+  AddNode(settings.m_node, aChecked.m_file, aListeners);
+  aChecked.m_notes = NotesOn(settings.m_upstream);
+}
+
+void
+CheckSettings(Checked& aChecked,
               SettingsKind aKind,
               std::vector<Listener>& aListeners)
 {
-  try {
-    switch (aKind) {
-      case SettingsKind::Entry:
-        AddNode(ReadEntrySettings(aFile).m_node, aFile, aListeners);
-        break;
-      case SettingsKind::Agent:
-        AddNode(ReadAgentSettings(aFile).m_node, aFile, aListeners);
-        break;
-      case SettingsKind::Client:
-        ReadClientSettings(aFile);
-        break;
-    }
-    return "";
-  } catch (const SettingsError& error) {
-    return error.what();
+  switch (aKind) {
+    case SettingsKind::Entry:
+      AddNode(
+        ReadEntrySettings(aChecked.m_file).m_node, aChecked.m_file, aListeners);
+      break;
+    case SettingsKind::Agent:
+      CheckAgent(aChecked, aListeners);
+      break;
+    case SettingsKind::Client:
+      ReadClientSettings(aChecked.m_file);
+      break;
   }
 }
 
@@ -101,12 +124,15 @@
   if (EndsWith(aFile, ".json")) {
     return { aFile, "configuration", CheckConfiguration(aFile) };
   }
+  Checked checked{ aFile, "settings", "" };
   try {
     const SettingsKind kind = SettingsKindOf(aFile);
-    return { aFile, KindName(kind), CheckSettings(aFile, kind, aListeners) };
+    checked.m_kind = KindName(kind);
+    CheckSettings(checked, kind, aListeners);
   } catch (const SettingsError& error) {
-    return { aFile, "settings", error.what() };
+    checked.m_problem = error.what();
   }
+  return checked;
 }
 
 // Two processes of different files on one address and port.
@@ -140,11 +166,13 @@
   }
   std::string Explanation() const override
   {
-    return "Reads TOML settings of an entry (with [node]), an agent (with "
-           "[upstream]) or a client\n(with [client]), and JSON configurations, "
-           "with nothing started or sent. Every problem\nis listed with file, "
-           "line and what was expected; two processes of different files\non "
-           "one address and port are a problem too.\n\n"
+    return "Reads TOML settings of an entry, an agent (with [upstream]) or a "
+           "client "
+           "(with [client]),\nand JSON configurations; nothing is started or "
+           "sent. Every problem is listed with\nfile, line and what was "
+           "expected; two processes of different files on one address and\n"
+           "port are a problem too. Notes say what an agent's upstream doesn't "
+           "check itself.\n\n"
            "  siskindeal config check entry.toml agent.toml fleet.json";
   }
   std::string Positional() const override { return "FILE..."; }
@@ -189,12 +217,16 @@
       all.push_back({ { "file", file.m_file },
                       { "kind", file.m_kind },
                       { "accepted", file.m_problem.empty() },
-                      { "problem", file.m_problem } });
+                      { "problem", file.m_problem },
+                      { "notes", file.m_notes } });
       if (!aJson) {
         aOut << (file.m_problem.empty()
                    ? file.m_file + ": " + file.m_kind + " accepted"
                    : file.m_problem)
              << "\n";
+        for (const std::string& note : file.m_notes) {
+          aOut << "  note: " << note << "\n";
+        }
       }
     }
     if (aJson) {
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -459,6 +459,10 @@
   EXPECT_GE(line.size(), 2 + kExamples);
   const Result result = RunLine(line);
   EXPECT_EQ(result.m_status, 0) << result.m_out;
+  EXPECT_NE(result.m_out.find("note: orders to http://10.30.1.51:9100 go"),
+            std::string::npos);
+  EXPECT_EQ(result.m_out.find("note: orders to http://10.20.1.51:9100 go"),
+            std::string::npos);
 }
 
 TEST_F(Cli, CheckFindsTwoProcessesOnOnePort)
