Rollouts through real processes: the demo runs whole, and two tests

Entries in the demo keep callers' answers for 2 s and are stopped together, which took 3 times 10 s.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,12 +23,13 @@
 
 fail() { failures+=("$1"); echo "demo: $1" >&2; }
 
-# Ends the named processes by SIGTERM, in order; each must end by itself.
+# Ends the named processes by SIGTERM, all at once; each must end by itself.
 stop() {
   local name tries
   for name in "$@"; do
-    [ -n "${pid[$name]:-}" ] || continue
     kill -TERM "${pid[$name]}" 2> /dev/null
+  done
+  for name in "$@"; do
     for ((tries = 0; tries < 150; tries++)); do
       kill -0 "${pid[$name]}" 2> /dev/null || break
       sleep 0.1
@@ -146,7 +147,7 @@
 for vm in "${entries[@]}"; do
   {
     settings "$vm" "${place[$vm]}"
-    printf '\n[rollout]\nstore_url = "%s"\n' "${url[store]}"
+    printf '\n[routing]\nanswer_lifetime = "2s"\n\n[rollout]\nstore_url = "%s"\n' "${url[store]}"
   } > "$work/$vm.toml"
 done
 for vm in "${agents[@]}"; do
@@ -219,7 +220,7 @@
   sleep 0.05
 done
 kill -KILL "${pid[$victim]}"
-wait "${pid[$victim]}" 2> /dev/null
+{ wait "${pid[$victim]}"; } 2> /dev/null
 unset "pid[$victim]"
 echo "demo: $victim killed with $(($(staged) >> 20)) MiB through its engine's link"
 start "$victim" "$siskindeal" agent --config "$work/$victim.toml"
@@ -269,7 +270,7 @@
 
 stop "${entries[@]}"
 stop "${agents[@]}"
-stop $(printf 'engine-%s ' "${engines[@]}") service-teesheet-1 store platform
+stop "${engines[@]/#/engine-}" service-teesheet-1 store platform
 
 cat << END
 target met              $([ $met -eq 0 ] && echo yes || echo no), $vms VMs, one agent killed meanwhile
--- /dev/null
+++ b/tests/rollout_process_test.cpp
@@ -0,0 +1,143 @@
+// Rollouts and model requests through real processes.
+
+#include "siskindeal/http.h"
+#include "siskindeal/verdict.h"
+#include "support/fleet.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <future>
+#include <mutex>
+#include <sstream>
+
+namespace siskindeal {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kWeightsBytes = 1 << 20;
+constexpr std::chrono::seconds kEndGuard{ 60 };
+
+HttpClientRequest
+Chat(const std::string& aUrl,
+     const std::string& aPrompt,
+     int aTokens,
+     bool aStream)
+{
+  const json body = { { "model", "booking chat" },
+                      { "stream", aStream },
+                      { "max_tokens", aTokens },
+                      { "messages",
+                        { { { "role", "user" }, { "content", aPrompt } } } } };
+  return { "POST",
+           aUrl,
+           { { "content-type", "application/json" },
+             { "x-team", "pro-shops" } },
+           body.dump() };
+}
+
+// The text of a streamed answer; the marker "[DONE]" at its end.
+std::string
+StreamText(const std::string& aEvents)
+{
+  std::string text;
+  std::istringstream lines(aEvents);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind("data: {", 0) == 0) {
+      const auto choices = json::parse(line.substr(6)).value("choices", json());
+      text += choices.empty() ? "" : choices[0]["delta"].value("content", "");
+    } else if (line == "data: [DONE]") {
+      text += "[DONE]";
+    }
+  }
+  return text;
+}
+
+std::string
+VerdictOf(const HttpReply& aReply)
+{
+  const auto found = aReply.m_headers.find(std::string(kVerdictHeader));
+  return found == aReply.m_headers.end() ? "" : found->second;
+}
+
+class Rollouts : public testing::Test
+{
+protected:
+  HttpClient m_client;
+};
+
+TEST_F(Rollouts, CarryARequestFromEndToEnd)
+{
+  Fleet fleet(2, 2, 1);
+  const auto content = fleet.RollOut("booking-1", kWeightsBytes, 2);
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(fleet.Engine(i).Loaded().begin()->second, content);
+  }
+  const auto named =
+    m_client.Fetch({ "GET", fleet.Url("entry-1", "/v1/entry") });
+  EXPECT_EQ(json::parse(named.m_body)["entries"].size(), 2U);
+  const auto models =
+    m_client.Fetch({ "GET", fleet.Url("entry-2", "/v1/models") });
+  EXPECT_NE(models.m_body.find("booking chat"), std::string::npos);
+  const auto chats = fleet.Url("entry-1", "/v1/chat/completions");
+  const auto expected = standin::ExpectedText(content, "tee time", 8);
+  const auto whole = m_client.Fetch(Chat(chats, "tee time", 8, false));
+  EXPECT_EQ(whole.m_status, 200) << whole.m_body;
+  EXPECT_EQ(VerdictOf(whole), "ran");
+  EXPECT_EQ(whole.m_headers.count("x-request-id"), 1U);
+  EXPECT_EQ(json::parse(whole.m_body)["choices"][0]["message"]["content"],
+            expected);
+  const auto streamed = m_client.Fetch(Chat(chats, "tee time", 8, true));
+  EXPECT_EQ(streamed.m_outcome, HttpOutcome::Answered);
+  EXPECT_EQ(StreamText(streamed.m_body), expected + "[DONE]");
+  for (int i = 0; i < 3; ++i) {
+    const auto booked = m_client.Fetch(
+      { "POST",
+        fleet.Url("entry-2", "/v1/services/teesheet/bookings"),
+        { { "idempotency-key", "k1" }, { "x-team", "pro-shops" } },
+        "four at dawn" });
+    EXPECT_EQ(booked.m_status, 200) << booked.m_body;
+    EXPECT_EQ(json::parse(booked.m_body)["path"], "/bookings");
+  }
+  EXPECT_EQ(fleet.Service(0).Executions()["k1"], 1);
+}
+
+TEST_F(Rollouts, EndStreamsInProgressBeforeTheyStop)
+{
+  Fleet fleet(2, 2, 0);
+  const auto content = fleet.RollOut("booking-1", kWeightsBytes, 2);
+  constexpr int kTokens = 1000;
+  for (const std::string leaving : { "entry-1", "caddie-1" }) {
+    SCOPED_TRACE(leaving);
+    const std::string entry = leaving == "entry-1" ? "entry-1" : "entry-2";
+    std::promise<void> begun;
+    std::once_flag once;
+    std::string events;
+    auto request =
+      Chat(fleet.Url(entry, "/v1/chat/completions"), leaving, kTokens, true);
+    request.m_timeout = kEndGuard;
+    request.m_onBytes = [&](std::string_view aBytes) {
+      events += aBytes;
+      std::call_once(once, [&] { begun.set_value(); });
+      return true;
+    };
+    std::promise<HttpReply> ended;
+    m_client.Start(request,
+                   [&](const HttpReply& aReply) { ended.set_value(aReply); });
+    ASSERT_EQ(begun.get_future().wait_for(kEndGuard), std::future_status::ready)
+      << fleet.Logs();
+    auto& process = *fleet.GetVm(leaving).m_process;
+    process.Signal(SIGTERM);
+    const auto reply = ended.get_future().get();
+    EXPECT_EQ(reply.m_outcome, HttpOutcome::Answered) << reply.m_error;
+    EXPECT_EQ(StreamText(events),
+              standin::ExpectedText(content, leaving, kTokens) + "[DONE]");
+    ASSERT_TRUE(process.EndsWithin(kEndGuard)) << fleet.Logs();
+    EXPECT_EQ(process.Wait(), 0);
+  }
+}
+
+} // namespace
+} // namespace siskindeal
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -143,7 +143,8 @@
        << "unreachable_after = \"1s\"\n";
   if (aVm.m_service.empty()) {
     file << "[routing]\nanswer_lifetime = \"500ms\"\n"
-         << "[lease]\nduration = \"2s\"\n";
+         << "[lease]\nduration = \"2s\"\n"
+         << "[rollout]\nstore_url = \"" << m_store->Url() << "\"\n";
     return;
   }
   const bool model = aVm.m_service == "caddie-llm";
