Every setting must be read by the program; two aren't yet

Cause: the manual promises what each key does, and nothing checked that the program reads it. Change: docs_test looks for each key's member outside src/settings.

--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -1,8 +1,10 @@
 #include "cli/command_p.h"
 #include "siskindeal/error.h"
+#include "siskindeal/settings.h"
 
 #include <gtest/gtest.h>
 
+#include <cctype>
 #include <filesystem>
 #include <fstream>
 #include <regex>
@@ -111,6 +113,48 @@
   }
 }
 
+// The member that holds a key: m_bodyBytes for body_bytes.
+std::string
+MemberOf(const std::string& aKey)
+{
+  std::string member = "m_";
+  bool isUpper = false;
+  for (const char character : aKey) {
+    if (character == '_') {
+      isUpper = true;
+      continue;
+    }
+    member += static_cast<char>(isUpper ? std::toupper(character) : character);
+    isUpper = false;
+  }
+  return member;
+}
+
+// A key that nothing reads would promise what isn't done.
+TEST(Docs, EverySettingIsReadByTheProgram)
+{
+  const std::regex member("\\bm_[A-Za-z0-9]+\\b");
+  std::set<std::string> read;
+  for (const auto& file :
+       std::filesystem::recursive_directory_iterator(kSource + "/src")) {
+    const bool isSettings =
+      file.path().string().find("/src/settings/") != std::string::npos;
+    if (file.path().extension() != ".cpp" || isSettings) {
+      continue;
+    }
+    const std::string text = TextOf(file.path());
+    for (std::sregex_iterator match(text.begin(), text.end(), member), end;
+         match != end;
+         ++match) {
+      read.insert(match->str());
+    }
+  }
+  for (const SettingDescription& key : DescribeSettings()) {
+    EXPECT_EQ(read.count(MemberOf(key.m_key)), 1u)
+      << "[" << key.m_section << "] " << key.m_key;
+  }
+}
+
 // Commands that the pages show are ones that exist.
 TEST(Docs, EveryCommandShownExists)
 {
