--- a/include/siskindeal/worker_pool.h
+++ b/include/siskindeal/worker_pool.h
@@ -48,6 +48,7 @@
   bool HasWork() const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
 
   mutable absl::Mutex m_mutex;
+  absl::CondVar m_changed; // the queue, the earliest timer or m_stopping
   std::deque<Task> m_queue ABSL_GUARDED_BY(m_mutex);
   std::multimap<MonotonicTime, Task> m_timers ABSL_GUARDED_BY(m_mutex);
   bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/kernel/worker_pool.cpp
+++ b/src/kernel/worker_pool.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+constexpr std::chrono::steady_clock::duration kShortestWait =
+  std::chrono::microseconds(100);
+
 void
 RunLogged(const WorkerPool::Task& aTask)
 {
@@ -41,6 +44,7 @@
   const absl::MutexLock lock(&m_mutex);
   if (!m_stopping) {
     m_queue.push_back(std::move(aTask));
+    m_changed.Signal();
   }
 }
 
@@ -49,8 +53,11 @@
 {
   const absl::MutexLock lock(&m_mutex);
   if (!m_stopping) {
-    m_timers.emplace(std::chrono::steady_clock::now() + aDelay,
-                     std::move(aTask));
+    const auto timer = m_timers.emplace(
+      std::chrono::steady_clock::now() + aDelay, std::move(aTask));
+    if (timer == m_timers.begin()) {
+      m_changed.Signal();
+    }
   }
 }
 
@@ -71,6 +78,7 @@
     m_stopping = true;
     m_queue.clear();
     m_timers.clear();
+    m_changed.SignalAll();
   }
   for (auto& thread : m_threads) {
     if (thread.joinable()) {
@@ -97,22 +105,17 @@
 void
 WorkerPool::Work()
 {
-  // A timer posted while every worker waits changes a worker's wake-up time, so
-  // waits are cut into steps of this length.
-  constexpr auto kLongestWait = std::chrono::milliseconds(50);
   m_mutex.Lock();
   while (!m_stopping) {
     if (!HasWork()) {
-      auto wait = std::chrono::steady_clock::duration(kLongestWait);
-      if (!m_timers.empty()) {
-        wait = std::min(
-          wait, m_timers.begin()->first - std::chrono::steady_clock::now());
+      if (m_timers.empty()) {
+        m_changed.Wait(&m_mutex);
+        continue;
       }
-      m_mutex.AwaitWithTimeout(
-        absl::Condition(this, &WorkerPool::HasWork),
-        absl::FromChrono(std::max(wait,
-                                  std::chrono::steady_clock::duration(
-                                    std::chrono::microseconds(100)))));
+      const auto wait =
+        m_timers.begin()->first - std::chrono::steady_clock::now();
+      m_changed.WaitWithTimeout(
+        &m_mutex, absl::FromChrono(std::max(wait, kShortestWait)));
       continue;
     }
     Task task;
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -79,6 +79,7 @@
 Planner::Decide(const PlannerInput& aInput, MonotonicTime aNow, WallTime aWall)
 {
   Round round(aInput, aNow);
+  round.Number();
   Resolve(round);
   Assign(round);
   FindRollouts(round);
@@ -156,8 +157,7 @@
     const auto& vm = aRound.Vm(i);
     if (!vm.m_reachable) {
       ++unreachable;
-    } else if (Contains(vm.m_servingClasses,
-                        std::pair(target.m_class, aClaim.m_digest))) {
+    } else if (ServesClass(vm, target.m_class, aClaim.m_digest)) {
       ++status.m_serving;
       partial += 1;
     } else if (Contains(vm.m_staged, aClaim.m_digest)) {
--- a/src/rollout/planner_assign.cpp
+++ b/src/rollout/planner_assign.cpp
@@ -3,6 +3,7 @@
 #include "siskindeal/digest.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace siskindeal {
@@ -49,11 +50,13 @@
   return Fit::OtherWork;
 }
 
+constexpr std::size_t kFits = static_cast<std::size_t>(Fit::Unfit);
+
+// A VM that fits, and what it is sorted by: its rank within its place.
 struct Candidate
 {
+  std::uint32_t m_rank = 0;
   std::size_t m_vm = 0;
-  Fit m_fit = Fit::Unfit;
-  std::uint32_t m_rank = 0; // in its place, best fit first
 };
 
 bool
@@ -76,6 +79,27 @@
 
 } // namespace
 
+void
+Planner::Round::Number()
+{
+  m_order.resize(m_vms.size());
+  for (std::size_t i = 0; i < m_order.size(); ++i) {
+    m_order[i] = i;
+  }
+  std::sort(m_order.begin(), m_order.end(), [&](auto aLeft, auto aRight) {
+    return std::tie(Vm(aLeft).m_place, Vm(aLeft).m_vm) <
+           std::tie(Vm(aRight).m_place, Vm(aRight).m_vm);
+  });
+  m_place.resize(m_vms.size());
+  for (std::size_t i = 0; i < m_order.size(); ++i) {
+    if (i > 0 && Vm(m_order[i]).m_place != Vm(m_order[i - 1]).m_place) {
+      ++m_places;
+    }
+    m_place[m_order[i]] = m_places;
+  }
+  ++m_places;
+}
+
 void
 Planner::Resolve(Round& aRound) const
 {
@@ -146,10 +170,10 @@
 Planner::AssignWhole(Round& aRound, Claim& aClaim) const
 {
   const auto& target = *aClaim.m_target;
-  std::vector<Candidate> candidates;
+  std::array<std::vector<Candidate>, kFits> candidates;
   std::size_t vms = 0;
   std::set<std::string> holders;
-  for (std::size_t i = 0; i < aRound.m_vms.size(); ++i) {
+  for (const auto i : aRound.m_order) {
     const auto& vm = aRound.Vm(i);
     if (vm.m_service != aClaim.m_service || !InPlaces(vm, target)) {
       continue;
@@ -160,44 +184,40 @@
       continue;
     }
     if (!plan.m_whole.empty() && plan.m_whole != aClaim.m_digest) {
-      holders.insert(plan.m_holder);
+      holders.emplace(plan.m_holder);
       continue;
     }
     const auto fit = plan.m_whole == aClaim.m_digest
                        ? Fit::Serving
                        : FitOf(vm, target.m_class, aClaim.m_digest);
     if (fit != Fit::Unfit) {
-      candidates.push_back(Candidate{ i, fit, 0 });
+      candidates[static_cast<std::size_t>(fit)].push_back(Candidate{ 0, i });
     }
   }
   aClaim.m_wanted = Wanted(target.m_amount, vms);
-  const auto byFit = [&](const Candidate& aLeft, const Candidate& aRight) {
-    return std::tie(aLeft.m_fit, aRound.Vm(aLeft.m_vm).m_vm) <
-           std::tie(aRight.m_fit, aRound.Vm(aRight.m_vm).m_vm);
-  };
-  std::sort(candidates.begin(), candidates.end(), byFit);
-  std::map<std::string, std::uint32_t> ranks;
-  for (auto& candidate : candidates) {
-    candidate.m_rank = ranks[aRound.Vm(candidate.m_vm).m_place]++;
-  }
-  std::sort(
-    candidates.begin(),
-    candidates.end(),
-    [&](const Candidate& aLeft, const Candidate& aRight) {
-      return std::tie(aLeft.m_fit, aLeft.m_rank, aRound.Vm(aLeft.m_vm).m_vm) <
-             std::tie(aRight.m_fit, aRight.m_rank, aRound.Vm(aRight.m_vm).m_vm);
-    });
-  for (const auto& candidate : candidates) {
-    if (aClaim.m_vms.size() == aClaim.m_wanted) {
-      break;
+  std::vector<std::uint32_t> ranks(aRound.m_places);
+  for (auto& equals : candidates) {
+    for (auto& candidate : equals) {
+      candidate.m_rank = ranks[aRound.m_place[candidate.m_vm]]++;
     }
-    auto& plan = aRound.m_vms[candidate.m_vm];
-    if (plan.m_whole.empty()) {
-      plan.m_whole = aClaim.m_digest;
-      plan.m_holder = target.m_name;
+    // Evenly over the places; of equal rank the first by place and name.
+    std::stable_sort(equals.begin(),
+                     equals.end(),
+                     [](const Candidate& aLeft, const Candidate& aRight) {
+                       return aLeft.m_rank < aRight.m_rank;
+                     });
+    for (const auto& candidate : equals) {
+      if (aClaim.m_vms.size() == aClaim.m_wanted) {
+        break;
+      }
+      auto& plan = aRound.m_vms[candidate.m_vm];
+      if (plan.m_whole.empty()) {
+        plan.m_whole = aClaim.m_digest;
+        plan.m_holder = target.m_name;
+      }
+      plan.m_wanted.push_back(&aClaim);
+      aClaim.m_vms.push_back(candidate.m_vm);
     }
-    plan.m_wanted.emplace_back(target.m_class, aClaim.m_digest);
-    aClaim.m_vms.push_back(candidate.m_vm);
   }
   if (!aClaim.m_holdUp.empty() || aClaim.m_vms.size() >= aClaim.m_wanted) {
     return;
@@ -240,7 +260,7 @@
     based.resize(aClaim.m_wanted);
   }
   for (const auto i : based) {
-    aRound.m_vms[i].m_wanted.emplace_back(target.m_class, aClaim.m_digest);
+    aRound.m_vms[i].m_wanted.push_back(&aClaim);
   }
   aClaim.m_vms = based;
   if (aClaim.m_holdUp.empty() && based.size() < aClaim.m_wanted) {
@@ -252,31 +272,23 @@
 void
 Planner::FindRollouts(Round& aRound) const
 {
-  std::vector<std::size_t> order(aRound.m_vms.size());
-  for (std::size_t i = 0; i < order.size(); ++i) {
-    order[i] = i;
-  }
-  std::sort(order.begin(), order.end(), [&](auto aLeft, auto aRight) {
-    return std::tie(aRound.Vm(aLeft).m_place, aRound.Vm(aLeft).m_vm) <
-           std::tie(aRound.Vm(aRight).m_place, aRound.Vm(aRight).m_vm);
-  });
-  for (const auto i : order) {
+  for (const auto i : aRound.m_order) {
     if (!aRound.Vm(i).m_reachable) {
       continue;
     }
-    std::string last;
-    for (const auto& [name, digest] : aRound.m_vms[i].m_wanted) {
-      if (digest == last) {
+    const std::string* last = nullptr;
+    for (const auto* claim : aRound.m_vms[i].m_wanted) {
+      if (last != nullptr && *last == claim->m_digest) {
         continue;
       }
-      last = digest;
-      auto& rollout = aRound.m_rollouts[digest];
-      if (rollout.m_fleetIndex.count(i) != 0) {
+      last = &claim->m_digest;
+      auto& rollout = aRound.m_rollouts[claim->m_digest];
+      rollout.m_byPlace.resize(aRound.m_places);
+      auto& place = rollout.m_byPlace[aRound.m_place[i]];
+      const auto index = static_cast<std::uint32_t>(rollout.m_members.size());
+      if (!rollout.m_fleetIndex.emplace(i, index).second) {
         continue;
       }
-      auto& place = rollout.m_byPlace[aRound.Vm(i).m_place];
-      rollout.m_fleetIndex[i] =
-        static_cast<std::uint32_t>(rollout.m_members.size());
       rollout.m_placeIndex[i] = static_cast<std::uint32_t>(place.size());
       rollout.m_members.push_back(i);
       place.push_back(i);
--- a/src/rollout/planner_orders.cpp
+++ b/src/rollout/planner_orders.cpp
@@ -87,7 +87,8 @@
       continue;
     }
     bool ordered = false;
-    for (const auto& [name, digest] : aRound.m_vms[i].m_wanted) {
+    for (const auto* claim : aRound.m_vms[i].m_wanted) {
+      const auto& digest = claim->m_digest;
       if (Contains(vm.m_staged, digest)) {
         ordered = ordered || PlanLoad(aRound, i, digest);
       } else if (!ordered) {
@@ -121,9 +122,9 @@
   sent.m_fetchAt = aRound.m_now;
   PlannedOrder order{ vm.m_vm, vm.m_address, vm.m_service, false, {} };
   auto& fetch = *order.m_request.mutable_fetch();
-  for (const auto& [name, digest] : aRound.m_vms[aVm].m_wanted) {
-    if (digest == aDigest) {
-      fetch.set_class_of_work(name);
+  for (const auto* claim : aRound.m_vms[aVm].m_wanted) {
+    if (claim->m_digest == aDigest) {
+      fetch.set_class_of_work(claim->m_target->m_class);
       break;
     }
   }
@@ -132,7 +133,7 @@
   fetch.set_allow_origin(true);
   fetch.set_origin_by_place(rollout.m_originByPlace);
   fetch.set_load_when_staged(vm.m_serving.empty());
-  const auto& place = rollout.m_byPlace.at(vm.m_place);
+  const auto& place = rollout.m_byPlace[aRound.m_place[aVm]];
   const auto placeIndex = rollout.m_placeIndex.at(aVm);
   const auto fleetIndex = rollout.m_fleetIndex.at(aVm);
   fetch.set_fleet_index(fleetIndex);
@@ -171,12 +172,10 @@
 {
   const auto& vm = aRound.Vm(aVm);
   auto& sent = m_sent[vm.m_vm];
-  for (const auto& claim : aRound.m_claims) {
+  for (const auto* wanted : aRound.m_vms[aVm].m_wanted) {
+    const auto& claim = *wanted;
     if (claim.m_digest != aDigest ||
-        !Contains(aRound.m_vms[aVm].m_wanted,
-                  std::pair(claim.m_target->m_class, aDigest)) ||
-        Contains(vm.m_servingClasses,
-                 std::pair(claim.m_target->m_class, aDigest))) {
+        ServesClass(vm, claim.m_target->m_class, aDigest)) {
       continue;
     }
     const bool serving = Contains(vm.m_serving, aDigest);
@@ -227,16 +226,16 @@
   const auto& plan = aRound.m_vms[aVm];
   const auto wanted = [&](const std::string& aDigest) {
     return std::any_of(
-      plan.m_wanted.begin(), plan.m_wanted.end(), [&](const auto& aPair) {
-        return aPair.second == aDigest;
+      plan.m_wanted.begin(), plan.m_wanted.end(), [&](const auto* aClaim) {
+        return aClaim->m_digest == aDigest;
       });
   };
   PlannedOrder order{ vm.m_vm, vm.m_address, vm.m_service, false, {} };
   const bool replaced =
     !plan.m_wanted.empty() &&
     std::all_of(
-      plan.m_wanted.begin(), plan.m_wanted.end(), [&](const auto& aPair) {
-        return Contains(vm.m_serving, aPair.second);
+      plan.m_wanted.begin(), plan.m_wanted.end(), [&](const auto* aClaim) {
+        return Contains(vm.m_serving, aClaim->m_digest);
       });
   for (const auto& [name, digest] : vm.m_servingClasses) {
     if (wanted(digest)) {
--- a/src/rollout/planner_p.h
+++ b/src/rollout/planner_p.h
@@ -22,17 +22,17 @@
 
 struct Planner::VmPlan
 {
-  std::string m_whole;  // digest of the model it is to serve
-  std::string m_holder; // target that it was first assigned to
-  std::vector<std::pair<std::string, std::string>> m_wanted; // class, digest
+  std::string m_whole;                // digest of the model it is to serve
+  std::string m_holder;               // target that it was first assigned to
+  std::vector<const Claim*> m_wanted; // claims that it is assigned to
 };
 
 struct Planner::Rollout
 {
   std::vector<std::size_t> m_members; // reachable, by place and name
-  std::map<std::string, std::vector<std::size_t>> m_byPlace;
-  std::unordered_map<std::size_t, std::uint32_t> m_fleetIndex;
-  std::unordered_map<std::size_t, std::uint32_t> m_placeIndex;
+  std::vector<std::vector<std::size_t>> m_byPlace; // by number of the place
+  std::unordered_map<std::size_t, std::uint32_t> m_fleetIndex; // by VM
+  std::unordered_map<std::size_t, std::uint32_t> m_placeIndex; // by VM
   std::uint64_t m_signature = 0;
   bool m_originByPlace = false;
 };
@@ -46,6 +46,9 @@
   {
   }
 
+  // Numbers VMs and places in the order of their names.
+  void Number();
+
   const PlannedVm& Vm(std::size_t aIndex) const
   {
     return m_input.m_vms[aIndex];
@@ -53,7 +56,10 @@
 
   const PlannerInput& m_input;
   const MonotonicTime m_now;
-  std::vector<VmPlan> m_vms; // beside m_input.m_vms
+  std::vector<VmPlan> m_vms;          // beside m_input.m_vms
+  std::vector<std::size_t> m_order;   // VMs by place and name
+  std::vector<std::uint32_t> m_place; // of each VM, numbered
+  std::uint32_t m_places = 0;
   std::vector<Claim> m_claims;
   std::map<std::string, Rollout> m_rollouts;           // by digest
   std::set<std::string> m_metDigests;                  // targets that are met
@@ -61,6 +67,20 @@
   Plan m_plan;
 };
 
+// Whether the VM answers requests of a class from this digest.
+inline bool
+ServesClass(const PlannedVm& aVm,
+            const std::string& aClass,
+            const std::string& aDigest)
+{
+  for (const auto& [name, digest] : aVm.m_servingClasses) {
+    if (name == aClass && digest == aDigest) {
+      return true;
+    }
+  }
+  return false;
+}
+
 template<typename List, typename Value>
 bool
 Contains(const List& aList, const Value& aValue)
