A running request keeps its weights loaded; planner cost in processor time

Cause: the agent asked only whether a digest serves when a request came in, so an unload order could reach the engine while the request still ran.

--- a/bench/planner_bench.cpp
+++ b/bench/planner_bench.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <ctime>
 #include <iostream>
 
 namespace siskindeal {
@@ -43,6 +44,16 @@
   return input;
 }
 
+// Processor time of this thread, which other processes don't lengthen.
+std::chrono::nanoseconds
+ThreadTime()
+{
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
 // Mean over a rollout from the first order to the last VM serving.
 double
 MicrosecondsPerDecision(std::uint32_t aVms)
@@ -52,11 +63,11 @@
   settings.m_mostOutOfService = aVms;
   Planner planner(settings);
   MonotonicTime now{ std::chrono::hours(1) };
-  std::chrono::steady_clock::duration spent{ 0 };
+  std::chrono::nanoseconds spent{ 0 };
   for (int round = 0; round < kRounds; ++round) {
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = ThreadTime();
     const auto plan = planner.Decide(input, now, WallTime{});
-    spent += std::chrono::steady_clock::now() - start;
+    spent += ThreadTime() - start;
     now += std::chrono::milliseconds(250);
     for (const auto& order : plan.m_orders) {
       for (auto& vm : input.m_vms) {
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -46,8 +46,8 @@
       m_settings, MakeWeightsIo(m_http, m_client, m_pool), m_clock);
   }
   RunGates gates;
-  gates.m_isServing = [this](const std::string& aDigest) {
-    return m_weights->IsServing(aDigest);
+  gates.m_useWeights = [this](const std::string& aDigest) {
+    return m_weights->Use(aDigest);
   };
   if (!m_settings.m_upstream.m_acceptsIdempotencyKey) {
     m_claims = std::make_shared<ClaimLog>(m_settings.m_upstream.m_service,
--- a/src/agent/run.cpp
+++ b/src/agent/run.cpp
@@ -81,13 +81,16 @@
       Reason::NotFound, Verdict::NotRun, "this agent serves another service");
     return;
   }
-  if (m_upstream.m_kind == UpstreamSettings::Kind::Model &&
-      !m_gates.m_isServing(aRequest.expected_digest())) {
+  const bool model = m_upstream.m_kind == UpstreamSettings::Kind::Model;
+  auto weights =
+    model ? m_gates.m_useWeights(aRequest.expected_digest()) : nullptr;
+  if (model && !weights) {
     session->Fail(Reason::DigestMismatch,
                   Verdict::NotRun,
                   "these weights don't take requests here");
     return;
   }
+  session->HoldWeights(std::move(weights));
   Admit(session);
 }
 
--- a/src/agent/run_p.h
+++ b/src/agent/run_p.h
@@ -56,8 +56,9 @@
 // What the run service asks of the rest of the agent.
 struct RunGates
 {
-  // Whether the weights of this digest take requests.
-  std::function<bool(const std::string&)> m_isServing;
+  // Keeps the weights of this digest loaded while the answer lives; null where
+  // they don't take requests.
+  std::function<std::shared_ptr<void>(const std::string&)> m_useWeights;
   // The record of requests that run at most once; null where the upstream
   // drops duplicates itself.
   std::shared_ptr<ClaimLog> m_claims;
--- a/src/agent/run_session_p.h
+++ b/src/agent/run_session_p.h
@@ -25,6 +25,12 @@
     return AttemptKey(m_request.request_id(), m_request.attempt());
   }
 
+  // Keeps the weights loaded until this session is gone.
+  void HoldWeights(std::shared_ptr<void> aWeights)
+  {
+    m_weights = std::move(aWeights);
+  }
+
   // Passes the request on; one that runs at most once is claimed first.
   void Start();
 
@@ -55,6 +61,7 @@
   void Finish();
 
   const std::shared_ptr<RunService> m_service;
+  std::shared_ptr<void> m_weights;
   const wire::RunRequest m_request;
   const std::shared_ptr<RunSink> m_sink;
   OrderedMutex m_mutex{ LockLevel::Session };
