--- a/src/membership/node_sync_state.cpp
+++ b/src/membership/node_sync_state.cpp
@@ -17,7 +17,8 @@
                   { "address", row.m_record.address() },
                   { "incarnation", row.m_record.incarnation() },
                   { "sequence", row.m_record.sequence() },
-                  { "config_version", row.m_record.config_version() } };
+                  { "config_version", row.m_record.config_version() },
+                  { "platform_failing", row.m_record.platform_failing() } };
   }
   for (const auto& [key, entry] : m_exchange.Objects().All()) {
     objects[key] = { { "version", entry.m_object.m_version },
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -208,6 +208,22 @@
     << "it finds out by itself, before any call";
 }
 
+TEST_F(Lease, IsNotTakenOverEarlyByAFastClockFromASlowOne)
+{
+  LeaseRun run(3, 2);
+  run.m_contenders[0].m_rate = 0.93;
+  run.m_contenders[1].m_rate = 1.07;
+  run.Run(2 * kDuration);
+  auto& holder = run.m_contenders[0];
+  ASSERT_TRUE(holder.m_holder->Token(run.Local(holder)));
+  run.m_platform.SetCut(holder.m_name, Cut::Requests);
+  holder.m_rank = 1;
+  run.m_contenders[1].m_rank = 0;
+  const auto before = run.m_gate.m_highest;
+  run.Run(2 * kDuration); // the invariants of each step hold
+  EXPECT_GT(run.m_gate.m_highest, before);
+}
+
 // Faults come together and twice: outages, slowness, lost requests and answers,
 // cuts either way, pauses past the lease, kills, deletes by an operator and
 // drifting clocks.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -176,5 +176,127 @@
   EXPECT_TRUE(fleet.AllHold(kConfigKey));
 }
 
+// The entries that read the platform now.
+std::vector<std::string>
+Watchers(SimFleet& aFleet)
+{
+  std::vector<std::string> watchers;
+  for (auto& [vm, node] : aFleet.Nodes()) {
+    if (node.m_exchange->ShouldWatch()) {
+      watchers.push_back(vm);
+    }
+  }
+  return watchers;
+}
+
+TEST_F(Membership, WhatNoWatcherCanTellAnEntryIsRelayedByOthers)
+{
+  SimFleet fleet(7);
+  AddFleet(fleet);
+  fleet.Run(seconds{ 5 });
+  const auto watchers = Watchers(fleet);
+  ASSERT_EQ(watchers.size(), 3U);
+  const auto cutOff = watchers[0] == "entry-a0" ? "entry-a1" : "entry-a0";
+  for (const auto& vm : watchers) {
+    fleet.Cut(vm, cutOff, true);
+    fleet.Cut(cutOff, vm, true);
+  }
+  ASSERT_TRUE(fleet.GetPlatform().Write(kConfigKey, "1", 0));
+  fleet.Run(seconds{ 6 });
+  EXPECT_TRUE(fleet.AllHold(kConfigKey));
+}
+
+TEST_F(Membership, ADeleteInsideACompactedHistoryIsNoticed)
+{
+  SimFleet fleet(8);
+  AddFleet(fleet);
+  const auto key = std::string(kTargetPrefix) + "booking";
+  ASSERT_TRUE(fleet.GetPlatform().Write(key, "1", 0));
+  fleet.Run(seconds{ 5 });
+  fleet.GetPlatform().Faults().m_outage = true;
+  fleet.Run(seconds{ 40 });
+  fleet.GetPlatform().Remove(key);
+  fleet.GetPlatform().Compact();
+  fleet.GetPlatform().Faults().m_outage = false;
+  fleet.Run(seconds{ 10 });
+  EXPECT_TRUE(fleet.AllHold(key));
+}
+
+TEST_F(Membership, AnIsolatedPlaceDoesNotBringBackWhatWasDeleted)
+{
+  SimFleet fleet(9);
+  AddFleet(fleet);
+  const auto key = std::string(kTargetPrefix) + "booking";
+  ASSERT_TRUE(fleet.GetPlatform().Write(key, "1", 0));
+  fleet.Run(seconds{ 5 });
+  fleet.Isolate("c", true);
+  fleet.GetPlatform().Remove(key);
+  fleet.Run(seconds{ 5 });
+  for (auto& [vm, node] : fleet.Nodes()) {
+    if (node.m_settings.m_place != "c") {
+      fleet.Start(vm); // replaced: nothing remembers the delete
+    }
+  }
+  fleet.Run(seconds{ 30 });
+  fleet.Isolate("c", false);
+  for (const auto* vm : { "entry-c0", "entry-c1", "entry-c2" }) {
+    fleet.Start(vm); // its agents bring the object after it has listed
+  }
+  fleet.Run(seconds{ 20 });
+  EXPECT_TRUE(fleet.AllHold(key));
+}
+
+TEST_F(Membership, AWatcherListsAgainAfterACompaction)
+{
+  ManualClock clock;
+  FakePlatform platform(clock, 1);
+  std::map<std::string, std::string> seen;
+  ObjectWatcher::Hooks hooks;
+  hooks.m_held = [] { return std::map<std::string, std::uint64_t>(); };
+  hooks.m_unconfirmed = [] { return false; };
+  hooks.m_onObjects = [&](const auto& aObjects) {
+    for (const auto& object : aObjects) {
+      seen[object.m_key] = object.m_value;
+    }
+  };
+  const auto watcher =
+    std::make_shared<ObjectWatcher>(platform, "config/", 1, hooks);
+  const auto run = [&] {
+    for (int i = 0; i < 100; ++i) {
+      watcher->Tick(clock.Now(), true);
+      platform.Advance(milliseconds{ 100 });
+    }
+  };
+  ASSERT_TRUE(platform.Write(kConfigKey, "1", 0));
+  run();
+  EXPECT_EQ(seen[kConfigKey], "1");
+  platform.Faults().m_outage = true;
+  ASSERT_TRUE(platform.Write(kConfigKey, "2", 1));
+  platform.Advance(seconds{ 1 }); // the watch has failed
+  platform.Compact();
+  platform.Faults().m_outage = false;
+  run();
+  EXPECT_EQ(seen[kConfigKey], "2");
+  watcher->Stop();
+}
+
+TEST_F(Membership, AProcessThatStartsWithAnEarlierClockIsTakenForNew)
+{
+  SimFleet fleet(10);
+  AddFleet(fleet);
+  fleet.Run(seconds{ 5 });
+  fleet.Start("entry-a0");
+  fleet.Run(seconds{ 5 });
+  fleet.Start("entry-a0"); // this one's clock went back
+  fleet.Run(seconds{ 5 });
+  const auto& own =
+    fleet.At("entry-a0").m_exchange->Table().Find("entry-a0")->m_record;
+  for (auto& [vm, node] : fleet.Nodes()) {
+    EXPECT_EQ(node.m_exchange->Table().Find("entry-a0")->m_record.incarnation(),
+              own.incarnation())
+      << vm;
+  }
+}
+
 } // namespace
 } // namespace siskindeal
--- a/tests/support/fake_platform.cpp
+++ b/tests/support/fake_platform.cpp
@@ -127,6 +127,13 @@
          PlatformOutcome::Ok;
 }
 
+void
+FakePlatform::Remove(const std::string& aKey)
+{
+  const absl::MutexLock lock(&m_mutex);
+  Apply({ aKey, "", m_objects[aKey].m_version, "test" }, true);
+}
+
 PlatformObject
 FakePlatform::Stored(const std::string& aKey) const
 {
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -56,6 +56,8 @@
   bool Write(const std::string& aKey,
              const std::string& aValue,
              std::uint64_t aExpectedVersion);
+  // Deletes an object that exists, past all faults.
+  void Remove(const std::string& aKey);
   // The object as it stands; version 0 if it was never written.
   PlatformObject Stored(const std::string& aKey) const;
   std::uint64_t Revision() const;
