The relay test waits until the watches of the start have ended

Cause: the mutation without relay in a repair survived it, because the cut-off entry still had a watch of its own waiting. Shown: with the mutation the test fails, without it passes (scratch build).

--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -193,7 +193,7 @@
 {
   SimFleet fleet(7);
   AddFleet(fleet);
-  fleet.Run(seconds{ 5 });
+  fleet.Run(seconds{ 30 }); // watches of the start have ended
   const auto watchers = Watchers(fleet);
   ASSERT_EQ(watchers.size(), 3U);
   const auto cutOff = watchers[0] == "entry-a0" ? "entry-a1" : "entry-a0";
