--- /dev/null
+++ b/bench/routing_bench.cpp
@@ -0,0 +1,258 @@
+// Routing decisions: prefix cache hits and upstreams lost in virtual time over
+// the shipped decisions, and the processor time of one choice.
+
+#include "siskindeal/quarantine.h"
+#include "siskindeal/routing.h"
+
+#include "support/rows.h"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <set>
+
+namespace siskindeal::bench {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kRunners = 12;
+constexpr std::uint32_t kSlots = 16;
+constexpr int kEntries = 7;
+constexpr std::size_t kCached = 60; // prefixes that a runner's cache holds
+constexpr int kSessions = 500;
+constexpr milliseconds kReportPeriod{ 500 };
+constexpr int kRequests = 60000;
+constexpr std::chrono::microseconds kGap{ 1200 }; // between requests
+constexpr milliseconds kServiceTime{ 100 };
+
+std::string
+VmName(int aIndex)
+{
+  return "vm" + std::to_string(aIndex);
+}
+
+// A runner's cache of prompt prefixes, the least recently used dropped first.
+class Cache
+{
+public:
+  bool Use(std::uint64_t aPrefix)
+  {
+    const auto found = std::find(m_order.begin(), m_order.end(), aPrefix);
+    const bool hit = found != m_order.end();
+    if (hit) {
+      m_order.erase(found);
+    }
+    m_order.push_front(aPrefix);
+    if (m_order.size() > kCached) {
+      m_order.pop_back();
+    }
+    return hit;
+  }
+
+private:
+  std::list<std::uint64_t> m_order;
+};
+
+struct Hits
+{
+  double m_share = 0;
+  double m_mostLoad = 0; // most requests seen at one runner
+};
+
+// Sessions with a few favourites, through several entries that hear of the
+// runners' load and caches late.
+Hits
+RunSessions(const std::string& aPolicy)
+{
+  Random random(23);
+  MonotonicTime now{ std::chrono::hours(1) };
+  std::vector<Router> routers;
+  for (int entry = 0; entry < kEntries; ++entry) {
+    routers.emplace_back(Registry<RoutingPolicy>::Instance().Make(aPolicy),
+                         0.1,
+                         static_cast<std::uint64_t>(entry));
+    routers.back().SetEntries(kEntries);
+  }
+  std::vector<Cache> caches(kRunners);
+  std::vector<std::uint32_t> running(kRunners, 0);
+  struct Event
+  {
+    int m_runner = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_prefix = 0;
+  };
+  std::vector<std::uint64_t> sequences(kRunners, 0);
+  std::vector<Event> events;
+  std::multimap<MonotonicTime, std::pair<int, int>> ends; // entry, runner
+  MonotonicTime reportAt = now;
+  int hits = 0;
+  std::uint32_t most = 0;
+  for (int request = 0; request < kRequests; ++request) {
+    now += kGap;
+    while (!ends.empty() && ends.begin()->first <= now) {
+      const auto [entry, runner] = ends.begin()->second;
+      routers[static_cast<std::size_t>(entry)].Ended(
+        VmName(runner), RunnerOutcome::Answered, ends.begin()->first);
+      --running[static_cast<std::size_t>(runner)];
+      ends.erase(ends.begin());
+    }
+    if (now >= reportAt) {
+      reportAt = now + kReportPeriod;
+      for (auto& router : routers) {
+        for (int runner = 0; runner < kRunners; ++runner) {
+          RunnerReport report;
+          report.m_vm = VmName(runner);
+          report.m_slots = kSlots;
+          report.m_hasLoad = true;
+          report.m_running = running[static_cast<std::size_t>(runner)];
+          router.Report(report, now);
+        }
+        for (const auto& event : events) {
+          if (random.Chance(0.9)) { // the others are lost
+            router.Prefixes().Event(VmName(event.m_runner),
+                                    event.m_sequence,
+                                    event.m_prefix,
+                                    false,
+                                    now);
+          }
+        }
+      }
+      events.clear();
+    }
+    const auto entry = random.Below(kEntries);
+    const auto prefix =
+      1 + std::min(random.Below(kSessions), random.Below(kSessions));
+    auto& router = routers[entry];
+    const auto vm = *router.Choose({ "", "", prefix, {} }, now);
+    const int runner = std::stoi(vm.substr(2));
+    router.Sent(vm, prefix, now);
+    auto& cache = caches[static_cast<std::size_t>(runner)];
+    const bool hit = cache.Use(prefix);
+    hits += hit ? 1 : 0;
+    if (!hit) {
+      events.push_back(
+        { runner, ++sequences[static_cast<std::size_t>(runner)], prefix });
+    }
+    most = std::max(most, ++running[static_cast<std::size_t>(runner)]);
+    const auto time = milliseconds(50 + random.Below(100)) * (hit ? 1 : 2);
+    ends.emplace(now + time / 2 + kServiceTime / 2,
+                 std::pair(static_cast<int>(entry), runner));
+  }
+  return { static_cast<double>(hits) / kRequests, static_cast<double>(most) };
+}
+
+void
+PrefixHits()
+{
+  const auto prefix = RunSessions("prefix_two_choices");
+  const auto choices = RunSessions("two_choices");
+  const auto random = RunSessions("random");
+  Print("routing",
+        { "chat",
+          "prefix_hit_share",
+          "share",
+          prefix.m_share,
+          random.m_share,
+          std::nullopt });
+  Print("routing",
+        { "chat_two_choices",
+          "prefix_hit_share",
+          "share",
+          choices.m_share,
+          random.m_share,
+          std::nullopt });
+  Print("routing",
+        { "chat",
+          "most_requests_at_a_runner",
+          "requests",
+          prefix.m_mostLoad,
+          random.m_mostLoad,
+          std::nullopt });
+}
+
+void
+ChoiceTime(int aRunners)
+{
+  constexpr int kChoices = 20000;
+  MonotonicTime now{ std::chrono::hours(1) };
+  Router router(
+    Registry<RoutingPolicy>::Instance().Make("prefix_two_choices"), 0.1, 3);
+  for (int runner = 0; runner < aRunners; ++runner) {
+    RunnerReport report;
+    report.m_vm = VmName(runner);
+    report.m_classes = { std::string(64, 'a') };
+    router.Report(report, now);
+  }
+  const auto start = std::chrono::steady_clock::now();
+  for (int choice = 0; choice < kChoices; ++choice) {
+    const auto prefix = static_cast<std::uint64_t>(1 + choice % 500);
+    const auto vm =
+      router.Choose({ "", std::string(64, 'a'), prefix, {} }, now);
+    router.Sent(*vm, prefix, now);
+    router.Ended(*vm, RunnerOutcome::Answered, now);
+  }
+  const std::chrono::duration<double, std::micro> passed =
+    std::chrono::steady_clock::now() - start;
+  Print("routing",
+        { std::to_string(aRunners) + "_runners",
+          "microseconds_per_choice",
+          "us",
+          passed.count() / kChoices,
+          std::nullopt,
+          std::nullopt });
+}
+
+// One caller sends its crashing request again through other entries until it is
+// refused for good. Without suspicion each try takes an upstream with it.
+void
+UpstreamsLost()
+{
+  constexpr int kTries = 8;
+  constexpr std::uint64_t kFingerprint = 7;
+  const MonotonicTime now{ std::chrono::hours(1) };
+  std::vector<SuspicionTable> entries(kEntries);
+  std::vector<SuspicionTable> agents(kRunners);
+  int lost = 0;
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    auto& entry = entries[static_cast<std::size_t>(attempt % kEntries)];
+    if (entry.StateOf(kFingerprint) == SuspicionState::Quarantined) {
+      continue;
+    }
+    const bool alone = entry.StateOf(kFingerprint) == SuspicionState::Suspect;
+    std::vector<SuspicionTable::InFlight> inFlight{ { kFingerprint, "chat" } };
+    for (std::uint64_t other = 100; !alone && other < 110; ++other) {
+      inFlight.push_back({ other, "chat" });
+    }
+    auto& agent = agents[static_cast<std::size_t>(attempt % kRunners)];
+    const auto changed =
+      agent.Crashed("crash" + std::to_string(++lost), inFlight, now);
+    for (auto& told : entries) {
+      for (const auto& suspicion : changed) {
+        told.Merge(suspicion);
+      }
+    }
+  }
+  Print("routing",
+        { "crashing_request",
+          "upstreams_lost",
+          "upstreams",
+          static_cast<double>(lost),
+          kTries,
+          2 });
+}
+
+} // namespace
+} // namespace siskindeal::bench
+
+int
+main()
+{
+  using namespace siskindeal::bench;
+  PrefixHits();
+  for (const int runners : { 12, 600 }) {
+    ChoiceTime(runners);
+  }
+  UpstreamsLost();
+  return 0;
+}
--- a/include/siskindeal/claims.h
+++ b/include/siskindeal/claims.h
@@ -145,12 +145,12 @@
   // A claim waits this long for the platform, if its deadline allows.
   static constexpr std::chrono::milliseconds kLongestWait{ 2000 };
   // Once the platform has failed for this long claims are refused at once.
-  static constexpr std::chrono::milliseconds kOutage{ 2000 };
+  static constexpr std::chrono::milliseconds kOutage{ 10000 };
   static constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
   // An outcome waits this long for a claim to share its write.
   static constexpr std::chrono::milliseconds kOutcomeDelay{ 1000 };
   static constexpr std::chrono::milliseconds kLeastBackoff{ 20 };
-  static constexpr std::chrono::milliseconds kMostBackoff{ 500 };
+  static constexpr std::chrono::milliseconds kMostBackoff{ 250 };
   static constexpr std::size_t kSealBytes = 128 << 10;
   static constexpr std::size_t kMostPending = 8192;
   static constexpr std::size_t kMostBatch = 4096; // claims a write
--- a/include/siskindeal/routing.h
+++ b/include/siskindeal/routing.h
@@ -28,7 +28,7 @@
   std::uint32_t m_waiting = 0;
   std::chrono::milliseconds m_age{ 0 }; // since the load was measured
   bool m_takesWork = true;              // alive and not leaving
-  std::vector<std::string> m_digests;   // attested weights
+  std::vector<std::string> m_classes;   // of work, whose weights it serves
 };
 
 // A runner that a policy may choose.
@@ -36,7 +36,7 @@
 {
   std::string m_vm;
   std::string m_place;
-  std::vector<std::string> m_digests;
+  std::vector<std::string> m_classes;
   std::uint32_t m_slots = 16;
   std::uint32_t m_inFlight = 0; // sent by this entry and not ended
   double m_load = 0;            // requests there, as estimated now
@@ -47,7 +47,7 @@
 struct RoutingRequest
 {
   std::string m_place;            // of this entry
-  std::string m_digest;           // weights wanted; empty for plain services
+  std::string m_class;            // of work; empty for plain services
   std::uint64_t m_prefixHash = 0; // of the prompt's first message; 0: none
   std::vector<std::string> m_tried;
 };
@@ -196,6 +196,9 @@
 
   // A report older than the one held changes no load.
   void Report(const RunnerReport& aReport, MonotonicTime aNow);
+  // How many entries send to these runners, this one included. What the others
+  // have sent since a report is taken to be as much as this one has.
+  void SetEntries(std::uint32_t aEntries);
   // Drops the runners that aVms doesn't name.
   void Retain(const std::vector<std::string>& aVms);
 
@@ -233,6 +236,7 @@
     MonotonicTime m_measured;
     double m_requests = 0;
     std::deque<Change> m_changes; // since it was measured
+    int m_delta = 0;              // sum of m_changes
   };
   void Refresh(std::size_t aIndex);
   void MarkEjected(MonotonicTime aNow);
@@ -247,6 +251,7 @@
   RetryBudget m_retries;
   OutlierEjector m_ejector;
   bool m_marked = false; // some candidate is marked as ejected
+  std::uint32_t m_entries = 1;
   Random m_random;
 };
 
--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -147,7 +147,7 @@
   std::chrono::milliseconds m_retention{ 600000 };
   std::uint32_t m_most = 100000;         // claims remembered
   std::uint64_t m_answerBytes = 2 << 20; // stored answers, all together
-  std::chrono::milliseconds m_commitPeriod{ 40 }; // least, between two writes
+  std::chrono::milliseconds m_commitPeriod{ 50 }; // least, between two writes
 };
 
 struct EntrySettings
--- a/src/admission/limiter.cpp
+++ b/src/admission/limiter.cpp
@@ -126,8 +126,9 @@
 {
   std::vector<wire::TeamUsage> usage;
   for (const auto& [name, team] : m_teams) {
-    const double perSecond = team.m_demand.PerSecond(aNow);
-    if (perSecond < 0.01) {
+    // Rounded, so that a steady demand isn't told anew all the time.
+    const double perSecond = std::round(team.m_demand.PerSecond(aNow));
+    if (perSecond < 1) {
       continue;
     }
     auto& one = usage.emplace_back();
--- a/src/admission/queue.cpp
+++ b/src/admission/queue.cpp
@@ -13,6 +13,9 @@
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 50 };
 constexpr double kLeastWeight = 1e-3;
 constexpr int kMostPriority = 10;
+// What the other entries have in flight is known late; a few requests more than
+// slots keep the runners busy meanwhile.
+constexpr double kHeadroom = 1.2;
 
 // A higher priority is charged less of its team's share, so that it goes ahead
 // of other teams' work without ever shutting it out.
@@ -34,8 +37,9 @@
 AdmissionQueue::Capacity() const
 {
   const auto entries = std::max(1U, m_entries);
-  const auto equal = (m_slots + entries - 1) / entries;
-  const auto left = m_slots > m_othersInFlight ? m_slots - m_othersInFlight : 0;
+  const auto slots = static_cast<std::uint32_t>(m_slots * kHeadroom);
+  const auto equal = (slots + entries - 1) / entries;
+  const auto left = slots > m_othersInFlight ? slots - m_othersInFlight : 0;
   return std::max({ 1U, equal, left });
 }
 
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMostCacheEvents = 64; // kept for the next exchange
 constexpr std::chrono::milliseconds kUpstreamTimeout{ 1000 };
 constexpr std::chrono::milliseconds kDrainStep{ 20 };
+constexpr std::chrono::milliseconds kLongestSpread{ 1000 };
 // Callers' requests that are on their way when the VM says that it leaves.
 constexpr std::chrono::milliseconds kLeaveGrace{ 2000 };
 
@@ -58,8 +59,17 @@
                                           m_clock);
     gates.m_claims = m_claims;
   }
-  m_runs = std::make_shared<RunService>(
-    m_settings.m_upstream, m_http, m_clock, m_incarnation, std::move(gates));
+  gates.m_spread = [this](const wire::Suspicion& aSuspicion) {
+    if (m_started.load()) {
+      m_sync->Spread(aSuspicion, kLongestSpread, [](bool) {});
+    }
+  };
+  m_runs = std::make_shared<RunService>(m_settings.m_upstream,
+                                        m_http,
+                                        m_clock,
+                                        m_settings.m_node.m_vm,
+                                        m_incarnation,
+                                        std::move(gates));
 
   m_server = std::make_unique<NodeServer>(
     m_settings.m_node.m_rpc, m_settings.m_auth, *this);
@@ -68,6 +78,9 @@
   hooks.m_onNodes = [this](const std::shared_ptr<const FleetView>& aView) {
     OnNodes(*aView);
   };
+  hooks.m_onSuspicion = [this](const wire::Suspicion& aSuspicion) {
+    m_runs->Merge(aSuspicion);
+  };
   const Address own{ m_settings.m_node.m_rpc.m_host, m_server->Port() };
   m_sync = std::make_unique<NodeSync>(m_settings.m_node,
                                       m_settings.m_membership,
--- a/src/agent/run.cpp
+++ b/src/agent/run.cpp
@@ -1,9 +1,16 @@
 #include "run_p.h"
 
 #include "run_session_p.h"
+#include "siskindeal/metrics.h"
 
 namespace siskindeal {
 
+namespace {
+
+constexpr std::chrono::milliseconds kIsolationRetryAfter{ 200 };
+
+} // namespace
+
 std::string
 AttemptKey(const std::string& aRequestId, std::uint32_t aAttempt)
 {
@@ -60,11 +67,13 @@
 RunService::RunService(const UpstreamSettings& aUpstream,
                        HttpClient& aHttp,
                        const Clock& aClock,
+                       const std::string& aVm,
                        std::uint64_t aIncarnation,
                        RunGates aGates)
   : m_upstream(aUpstream)
   , m_http(aHttp)
   , m_clock(aClock)
+  , m_vm(aVm)
   , m_incarnation(aIncarnation)
   , m_gates(std::move(aGates))
 {
@@ -91,30 +100,120 @@
     return;
   }
   session->HoldWeights(std::move(weights));
+  if (const auto refusal = RefusalOf(aRequest)) {
+    session->Fail(refusal->GetReason(), Verdict::NotRun, refusal->what());
+    return;
+  }
   Admit(session);
 }
 
+void
+RunService::Merge(const wire::Suspicion& aSuspicion)
+{
+  const OrderedLock lock(m_mutex);
+  m_suspicions.Merge(aSuspicion);
+}
+
+std::optional<Error>
+RunService::RefusalOf(const wire::RunRequest& aRequest)
+{
+  const OrderedLock lock(m_mutex);
+  switch (m_suspicions.StateOf(aRequest.fingerprint())) {
+    case SuspicionState::None:
+      return std::nullopt;
+    case SuspicionState::Suspect:
+      if (aRequest.isolated()) {
+        return std::nullopt;
+      }
+      return Error(
+        Reason::Overloaded, Verdict::NotRun, "this request has to run alone");
+    case SuspicionState::Quarantined:
+      break;
+  }
+  return Error(Reason::Quarantined,
+               Verdict::NotRun,
+               "this request has crashed its upstreams");
+}
+
+RunService::Suspicions
+RunService::KnownOf(std::uint64_t aFingerprint)
+{
+  const OrderedLock lock(m_mutex);
+  Suspicions known;
+  if (m_suspicions.StateOf(aFingerprint) != SuspicionState::None) {
+    known = m_suspicions.All();
+    std::erase_if(known, [&](const wire::Suspicion& aSuspicion) {
+      return aSuspicion.fingerprint() != aFingerprint;
+    });
+  }
+  return known;
+}
+
+RunService::Suspicions
+RunService::OnCrash(const RunSession& aSession)
+{
+  Suspicions changed;
+  {
+    const OrderedLock lock(m_mutex);
+    if (m_crashed.erase(aSession.Key()) == 0) {
+      std::vector<SuspicionTable::InFlight> inFlight;
+      for (const auto& [key, running] : m_running) {
+        const auto& request = running->Request();
+        inFlight.push_back({ request.fingerprint(),
+                             request.class_of_work().empty()
+                               ? request.service()
+                               : request.class_of_work() });
+        m_crashed.insert(key);
+      }
+      m_crashed.erase(aSession.Key());
+      const auto crash = m_vm + "/" + std::to_string(m_incarnation) + "/" +
+                         std::to_string(++m_crashes);
+      changed = m_suspicions.Crashed(crash, inFlight, m_clock.Now());
+    }
+  }
+  if (!changed.empty()) {
+    CountMetric("siskindeal_upstream_crashes_total");
+  }
+  for (const auto& suspicion : changed) {
+    m_gates.m_spread(suspicion);
+  }
+  return KnownOf(aSession.Request().fingerprint());
+}
+
+void
+RunService::OnWhole(const RunSession& aSession)
+{
+  Suspicions changed;
+  {
+    const OrderedLock lock(m_mutex);
+    changed = m_suspicions.RanWhole(aSession.Request().fingerprint(),
+                                    aSession.Request().isolated(),
+                                    m_clock.Now());
+  }
+  for (const auto& suspicion : changed) {
+    m_gates.m_spread(suspicion);
+  }
+}
+
 void
 RunService::Admit(const std::shared_ptr<RunSession>& aSession)
 {
-  const auto key = aSession->Key();
   bool givenUp = false;
   bool draining = false;
-  bool start = false;
+  auto entered = IsolationGate::Entry::Busy;
+  std::vector<std::shared_ptr<RunSession>> over;
   {
     const OrderedLock lock(m_mutex);
     draining = m_draining;
-    givenUp = !draining && !m_attempts.TryStart(key, m_clock.Now());
+    givenUp = !draining && !m_attempts.TryStart(aSession->Key(), m_clock.Now());
     if (!draining && !givenUp) {
-      start = m_waiting.empty() && MayStart(*aSession);
-      if (start) {
-        m_running[key] = aSession;
-        m_isolated = aSession->Request().isolated();
-      } else {
-        m_waiting.push_back(aSession);
-      }
+      entered = Enter(aSession, over);
     }
   }
+  for (const auto& session : over) {
+    session->Fail(
+      Reason::Overloaded, Verdict::NotRun, "the upstream didn't fall idle");
+  }
   if (draining) {
     aSession->Fail(Reason::Draining, Verdict::NotRun, "this VM is leaving");
     return;
@@ -123,55 +222,62 @@
     aSession->Fail(Reason::Cancelled, Verdict::NotRun, "given up before");
     return;
   }
-  if (start) {
+  if (entered == IsolationGate::Entry::Start) {
     aSession->Start();
+  } else if (entered == IsolationGate::Entry::Busy) {
+    aSession->Fail(Reason::Overloaded,
+                   Verdict::NotRun,
+                   "the upstream is kept for a request that runs alone",
+                   {},
+                   kIsolationRetryAfter);
   }
 }
 
-bool
-RunService::MayStart(const RunSession& aSession) const
+IsolationGate::Entry
+RunService::Enter(const std::shared_ptr<RunSession>& aSession,
+                  std::vector<std::shared_ptr<RunSession>>& aOver)
 {
-  if (m_isolated) {
-    return false;
+  const auto now = m_clock.Now();
+  for (const auto& key : m_gate.Tick(now)) {
+    const auto waiting = m_waiting.extract(key);
+    if (!waiting.empty()) {
+      aOver.push_back(waiting.mapped());
+    }
   }
-  return m_running.empty() || !aSession.Request().isolated();
+  const auto key = aSession->Key();
+  const auto entered = m_gate.Arrive(key, aSession->Request().isolated(), now);
+  if (entered == IsolationGate::Entry::Start) {
+    m_running[key] = aSession;
+  } else if (entered == IsolationGate::Entry::Wait) {
+    m_waiting[key] = aSession;
+  }
+  return entered;
 }
 
 void
 RunService::Leave(const std::string& aKey)
 {
+  std::shared_ptr<RunSession> next;
   {
     const OrderedLock lock(m_mutex);
-    const auto running = m_running.find(aKey);
-    if (running == m_running.end()) {
+    m_crashed.erase(aKey);
+    if (m_running.erase(aKey) == 0) {
       return;
     }
-    if (running->second->Request().isolated()) {
-      m_isolated = false;
+    if (const auto key = m_gate.Finish(aKey)) {
+      next = m_waiting.extract(*key).mapped();
+      m_running[*key] = next;
     }
-    m_running.erase(running);
   }
-  StartWaiting();
-}
-
-// Starts waiting requests in order, until one has to run alone.
-void
-RunService::StartWaiting()
-{
-  while (true) {
-    std::shared_ptr<RunSession> next;
-    {
-      const OrderedLock lock(m_mutex);
-      if (m_waiting.empty() || !MayStart(*m_waiting.front())) {
-        return;
-      }
-      next = m_waiting.front();
-      m_waiting.pop_front();
-      m_running[next->Key()] = next;
-      m_isolated = next->Request().isolated();
-    }
-    next->Start();
+  if (!next) {
+    return;
   }
+  // What it waited for may have been its own crash elsewhere.
+  if (const auto refusal = RefusalOf(next->Request())) {
+    next->Fail(refusal->GetReason(), Verdict::NotRun, refusal->what());
+    return;
+  }
+  next->Start();
 }
 
 wire::CancelReply
@@ -188,12 +294,9 @@
     if (found != m_running.end()) {
       running = found->second;
     }
-    for (auto item = m_waiting.begin(); item != m_waiting.end(); ++item) {
-      if ((*item)->Key() == key) {
-        waiting = *item;
-        m_waiting.erase(item);
-        break;
-      }
+    if (auto found = m_waiting.extract(key); !found.empty()) {
+      waiting = found.mapped();
+      m_gate.Finish(key);
     }
     const bool promised = m_attempts.GiveUp(key, age, m_clock.Now());
     reply.set_not_started(
--- a/src/agent/run_p.h
+++ b/src/agent/run_p.h
@@ -5,6 +5,7 @@
 #include "siskindeal/clock.h"
 #include "siskindeal/http.h"
 #include "siskindeal/lock_order.h"
+#include "siskindeal/quarantine.h"
 #include "siskindeal/rpc.h"
 #include "siskindeal/settings.h"
 
@@ -12,7 +13,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace siskindeal {
 
@@ -62,6 +66,8 @@
   // The record of requests that run at most once; null where the upstream
   // drops duplicates itself.
   std::shared_ptr<ClaimLog> m_claims;
+  // Tells the other processes what was learned of a fingerprint.
+  std::function<void(const wire::Suspicion&)> m_spread;
 };
 
 class RunSession;
@@ -73,9 +79,13 @@
   RunService(const UpstreamSettings& aUpstream,
              HttpClient& aHttp,
              const Clock& aClock,
+             const std::string& aVm,
              std::uint64_t aIncarnation,
              RunGates aGates);
 
+  // What another process knows of a fingerprint.
+  void Merge(const wire::Suspicion& aSuspicion);
+
   // Answers with events on the sink; refusals carry the verdict.
   void OnRun(const wire::RunRequest& aRequest, std::shared_ptr<RunSink> aSink);
 
@@ -90,23 +100,38 @@
 private:
   friend class RunSession;
 
+  using Suspicions = std::vector<wire::Suspicion>;
+
   void Admit(const std::shared_ptr<RunSession>& aSession);
-  void Leave(const std::string& aKey);
-  void StartWaiting();
-  bool MayStart(const RunSession& aSession) const
+  // The refusal of a request that is suspected of crashing its upstream.
+  std::optional<Error> RefusalOf(const wire::RunRequest& aRequest);
+  IsolationGate::Entry Enter(const std::shared_ptr<RunSession>& aSession,
+                             std::vector<std::shared_ptr<RunSession>>& aOver)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  void Leave(const std::string& aKey);
+  // The upstream has crashed under this session. Every request in flight
+  // becomes a suspect; the answer is what the entry has to know.
+  Suspicions OnCrash(const RunSession& aSession);
+  void OnWhole(const RunSession& aSession);
+  Suspicions KnownOf(std::uint64_t aFingerprint);
 
   const UpstreamSettings m_upstream;
   HttpClient& m_http;
   const Clock& m_clock;
+  const std::string m_vm;
   const std::uint64_t m_incarnation;
   const RunGates m_gates;
   mutable OrderedMutex m_mutex{ LockLevel::Routing };
   std::map<std::string, std::shared_ptr<RunSession>> m_running
     ABSL_GUARDED_BY(m_mutex);
-  std::deque<std::shared_ptr<RunSession>> m_waiting ABSL_GUARDED_BY(m_mutex);
+  std::map<std::string, std::shared_ptr<RunSession>> m_waiting
+    ABSL_GUARDED_BY(m_mutex);
+  IsolationGate m_gate ABSL_GUARDED_BY(m_mutex);
+  SuspicionTable m_suspicions ABSL_GUARDED_BY(m_mutex);
+  // In flight at a crash that another session has reported.
+  std::set<std::string> m_crashed ABSL_GUARDED_BY(m_mutex);
+  std::uint64_t m_crashes ABSL_GUARDED_BY(m_mutex) = 0;
   AttemptLedger m_attempts ABSL_GUARDED_BY(m_mutex);
-  bool m_isolated ABSL_GUARDED_BY(m_mutex) = false;
   bool m_draining ABSL_GUARDED_BY(m_mutex) = false;
 };
 
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -101,7 +101,7 @@
     Fail(refusal->GetReason(),
          refusal->GetVerdict(),
          refusal->what(),
-         false,
+         {},
          refusal->RetryAfter());
     return;
   }
@@ -272,7 +272,7 @@
       OnAnswered(aReply);
       return;
     case HttpOutcome::NotSent:
-      Fail(Reason::UpstreamFailed, Verdict::NotRun, aReply.m_error, true);
+      Fail(Reason::UpstreamFailed, Verdict::NotRun, aReply.m_error);
       return;
     case HttpOutcome::Cancelled:
       if (m_wrongWeights) {
@@ -324,6 +324,7 @@
     return;
   }
   EndClaim(Verdict::Ran);
+  m_service->OnWhole(*this);
   wire::RunEvent event;
   event.mutable_finished()->set_body_bytes(m_bodyBytes);
   m_sink->Send(std::move(event));
@@ -342,7 +343,11 @@
   m_service->m_http.Start(
     std::move(probe), [self, what = aReply.m_error](const HttpReply& aProbe) {
       const bool crashed = aProbe.m_outcome == HttpOutcome::NotSent;
-      self->Fail(Reason::UpstreamFailed, Verdict::MayHaveRun, what, crashed);
+      self->Fail(Reason::UpstreamFailed,
+                 Verdict::MayHaveRun,
+                 what,
+                 crashed ? self->m_service->OnCrash(*self)
+                         : std::vector<wire::Suspicion>());
     });
 }
 
@@ -350,7 +355,7 @@
 RunSession::Fail(Reason aReason,
                  Verdict aVerdict,
                  const std::string& aWhat,
-                 bool aUpstreamCrashed,
+                 const std::vector<wire::Suspicion>& aSuspicions,
                  std::chrono::milliseconds aRetryAfter)
 {
   EndClaim(aVerdict);
@@ -362,7 +367,11 @@
   failed.set_reason(std::string(ToString(aReason)));
   failed.set_what(aWhat);
   failed.set_verdict(ToWire(aVerdict));
-  failed.set_upstream_crashed(aUpstreamCrashed);
+  failed.set_upstream_crashed(!aSuspicions.empty());
+  const auto& known = aSuspicions.empty()
+                        ? m_service->KnownOf(m_request.fingerprint())
+                        : aSuspicions;
+  failed.mutable_suspicions()->Add(known.begin(), known.end());
   failed.set_retry_after_ms(static_cast<std::uint64_t>(aRetryAfter.count()));
   m_sink->Send(std::move(event));
   Finish();
--- a/src/agent/run_session_p.h
+++ b/src/agent/run_session_p.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace siskindeal {
 
@@ -41,7 +42,7 @@
   void Fail(Reason aReason,
             Verdict aVerdict,
             const std::string& aWhat,
-            bool aUpstreamCrashed = false,
+            const std::vector<wire::Suspicion>& aSuspicions = {},
             std::chrono::milliseconds aRetryAfter = {});
 
 private:
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds kDrainStep{ 20 };
 constexpr std::chrono::milliseconds kDrainingRetryAfter{ 1000 };
 constexpr std::chrono::milliseconds kLongestRelease{ 2000 };
+constexpr std::chrono::milliseconds kTrafficTick{ 20 };
+// A retry of a suspect waits this long for the other entries to know of it.
+constexpr std::chrono::milliseconds kLongestSpread{ 300 };
+constexpr std::size_t kMostEntriesNamed = 16;
 
 HttpServerLimits
 LimitsOf(const HttpSettings& aSettings)
@@ -39,13 +43,22 @@
   , m_client(aSettings.m_auth, aSettings.m_node.m_vm)
   , m_platform(MakeHttpPlatform(aSettings.m_platform, m_http, m_pool, m_clock))
 {
-  m_forwarder =
-    std::make_shared<Forwarder>(ForwardParts{ m_client,
-                                              m_clock,
-                                              [this] { return m_sync->View(); },
-                                              m_settings.m_routing,
-                                              m_settings.m_node.m_place },
-                                StableHash(m_settings.m_node.m_vm));
+  m_traffic = std::make_shared<Traffic>(m_settings.m_routing,
+                                        m_settings.m_admission,
+                                        m_settings.m_node.m_place,
+                                        m_clock,
+                                        StableHash(m_settings.m_node.m_vm));
+  m_forwarder = std::make_shared<Forwarder>(ForwardParts{
+    m_client,
+    m_clock,
+    [this] { return m_sync->View(); },
+    m_settings.m_routing,
+    m_traffic,
+    [this](const wire::Suspicion& aSuspicion, std::function<void()> aDone) {
+      m_sync->Spread(aSuspicion,
+                     kLongestSpread,
+                     [done = std::move(aDone)](bool) { done(); });
+    } });
   m_front = std::make_unique<Front>(FrontParts{
     [this] { return Config(); },
     [this] { return EntriesJson(); },
@@ -68,6 +81,20 @@
     });
   NodeSyncHooks hooks;
   hooks.m_ownRecord = [this] { return OwnRecord(); };
+  hooks.m_onNodes = [this](const std::shared_ptr<const FleetView>& aView) {
+    m_traffic->OnNodes(*aView);
+  };
+  hooks.m_onConfig = [this](const std::shared_ptr<const FleetConfig>& aConfig) {
+    m_traffic->OnConfig(*aConfig);
+  };
+  hooks.m_onSuspicion = [this](const wire::Suspicion& aSuspicion) {
+    m_traffic->Merge(aSuspicion);
+  };
+  hooks.m_ownUsage = [this] { return m_traffic->Usage(); };
+  hooks.m_onUsage = [this](const std::string& aVm,
+                           const std::vector<wire::TeamUsage>& aUsage) {
+    m_traffic->OnUsage(aVm, aUsage);
+  };
   m_sync = std::make_unique<NodeSync>(m_settings.m_node,
                                       m_settings.m_membership,
                                       wire::ROLE_ENTRY,
@@ -84,6 +111,7 @@
   m_sync->Start();
   m_leases->Start();
   m_planner->Start();
+  m_pool.Every(kTrafficTick, [this] { m_traffic->Tick(); });
   Log(LogLevel::Info,
       "listening",
       { { "rpc_port", m_server->Port() },
@@ -202,8 +230,23 @@
     }
     return rows;
   };
-  view.m_quarantine = [] { return std::vector<QuarantineEntry>(); };
-  view.m_release = [](std::uint64_t) { return false; };
+  view.m_quarantine = [this] {
+    std::vector<QuarantineEntry> rows;
+    for (const auto& listing : m_traffic->Suspicions()) {
+      rows.push_back({ listing.m_fingerprint,
+                       listing.m_classOfWork,
+                       listing.m_crashes,
+                       listing.m_state == SuspicionState::Quarantined });
+    }
+    return rows;
+  };
+  view.m_release = [this](std::uint64_t aFingerprint) {
+    const auto released = m_traffic->Release(aFingerprint);
+    if (released) {
+      m_sync->Spread(*released, kLongestSpread, [](bool) {});
+    }
+    return released.has_value();
+  };
   view.m_checkConfig = [](const std::string& aJson) {
     ParseFleetConfig(aJson, 0);
   };
@@ -221,19 +264,26 @@
 std::string
 EntryNode::EntriesJson()
 {
-  nlohmann::json entries = nlohmann::json::array();
-  const auto& here = m_settings.m_node.m_place;
-  for (const bool local : { true, false }) {
-    for (const auto& [vm, node] : m_sync->View()->m_nodes) {
-      const auto& record = node.m_record;
-      if (record.role() == wire::ROLE_ENTRY &&
-          record.liveness() == wire::LIVENESS_ALIVE &&
-          (record.place() == here) == local) {
-        entries.push_back({ { "address", record.http_address() },
-                            { "place", record.place() } });
-      }
+  std::vector<EntryView> views;
+  for (const auto& [vm, node] : m_sync->View()->m_nodes) {
+    const auto& record = node.m_record;
+    if (record.role() == wire::ROLE_ENTRY) {
+      views.push_back({ vm,
+                        record.place(),
+                        record.http_address(),
+                        record.liveness() == wire::LIVENESS_LEAVING ||
+                          (vm == m_settings.m_node.m_vm && m_leaving.load()),
+                        record.liveness() == wire::LIVENESS_ALIVE,
+                        record.load().running() });
     }
   }
+  nlohmann::json entries = nlohmann::json::array();
+  Random random(StableHash(NewId()));
+  for (const auto& entry : RankEntries(
+         views, m_settings.m_node.m_place, kMostEntriesNamed, random)) {
+    entries.push_back(
+      { { "address", entry.m_httpAddress }, { "place", entry.m_place } });
+  }
   return nlohmann::json{
     { "entries", entries },
     { "lifetime_ms", m_settings.m_routing.m_answerLifetime.count() }
--- a/src/entry/entry_p.h
+++ b/src/entry/entry_p.h
@@ -65,6 +65,7 @@
   NodeClient m_client;
   std::unique_ptr<Platform> m_platform;
   std::unique_ptr<NodeSync> m_sync;
+  std::shared_ptr<Traffic> m_traffic;
   std::shared_ptr<Forwarder> m_forwarder;
   std::unique_ptr<Front> m_front;
   std::unique_ptr<LeaseKeeper> m_leases;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -41,9 +41,8 @@
 
 } // namespace
 
-Forwarder::Forwarder(ForwardParts aParts, std::uint64_t aSeed)
+Forwarder::Forwarder(ForwardParts aParts)
   : m_parts(std::move(aParts))
-  , m_random(aSeed)
 {
 }
 
@@ -82,15 +81,30 @@
   return destinations;
 }
 
-std::size_t
+std::optional<Destination>
 Forwarder::Choose(const CallerRequest& aRequest,
-                  const std::vector<Destination>& aDestinations)
+                  const std::set<std::string>& aTried) const
 {
+  auto destinations = Destinations(aRequest, aTried);
+  if (destinations.empty()) {
+    return std::nullopt;
+  }
   if (!aRequest.m_idempotent) {
-    return HomeOf(aRequest, aDestinations);
+    return destinations[HomeOf(aRequest, destinations)];
+  }
+  const RoutingRequest routing{ "",
+                                aRequest.m_class,
+                                aRequest.m_prefixHash,
+                                { aTried.begin(), aTried.end() } };
+  const auto vm = m_parts.m_traffic->Choose(
+    aRequest.m_service, routing, aRequest.m_fingerprint);
+  for (auto& destination : destinations) {
+    if (destination.m_node.vm() == vm) {
+      return destination;
+    }
   }
-  const OrderedLock lock(m_mutex);
-  return m_random.Below(aDestinations.size());
+  // The router's table is a moment behind the view, or ahead of it.
+  return destinations.front();
 }
 
 } // namespace siskindeal
--- a/src/entry/forward_p.h
+++ b/src/entry/forward_p.h
@@ -6,16 +6,16 @@
 #include "siskindeal/error.h"
 #include "siskindeal/fleet_config.h"
 #include "siskindeal/http.h"
-#include "siskindeal/lock_order.h"
 #include "siskindeal/node_sync.h"
-#include "siskindeal/random.h"
 #include "siskindeal/rpc.h"
 #include "siskindeal/settings.h"
+#include "traffic_p.h"
 
 #include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,13 +57,16 @@
   const Clock& m_clock;
   std::function<std::shared_ptr<const FleetView>()> m_view;
   RoutingSettings m_routing;
-  std::string m_place;
+  std::shared_ptr<Traffic> m_traffic;
+  // Sends a suspicion to the other processes; runs the task once the reachable
+  // entries have it, or after a short while.
+  std::function<void(const wire::Suspicion&, std::function<void()>)> m_spread;
 };
 
 class Forwarder : public std::enable_shared_from_this<Forwarder>
 {
 public:
-  Forwarder(ForwardParts aParts, std::uint64_t aSeed);
+  explicit Forwarder(ForwardParts aParts);
 
   // Answers the responder exactly once, with the verdict.
   void Forward(CallerRequest aRequest,
@@ -78,12 +81,11 @@
   std::vector<Destination> Destinations(
     const CallerRequest& aRequest,
     const std::set<std::string>& aTried) const;
-  std::size_t Choose(const CallerRequest& aRequest,
-                     const std::vector<Destination>& aDestinations);
+  // Where the next attempt goes; nothing when no agent takes the request.
+  std::optional<Destination> Choose(const CallerRequest& aRequest,
+                                    const std::set<std::string>& aTried) const;
 
   const ForwardParts m_parts;
-  OrderedMutex m_mutex{ LockLevel::Routing };
-  Random m_random ABSL_GUARDED_BY(m_mutex);
   std::atomic<std::size_t> m_inFlight{ 0 };
 };
 
--- a/src/entry/forward_session.cpp
+++ b/src/entry/forward_session.cpp
@@ -27,12 +27,30 @@
   }
 }
 
+// Whether a failure speaks against the runner itself.
+RunnerOutcome
+OutcomeOf(Reason aReason)
+{
+  switch (aReason) {
+    case Reason::Unavailable:
+    case Reason::UpstreamFailed:
+    case Reason::TruncatedAnswer:
+    case Reason::Timeout:
+      return RunnerOutcome::Failed;
+    case Reason::Cancelled:
+      return RunnerOutcome::GivenUp;
+    default:
+      return RunnerOutcome::Busy;
+  }
+}
+
 constexpr std::array kWireReasons = {
   Reason::NotFound,          Reason::Overloaded,      Reason::Draining,
   Reason::ClaimUnavailable,  Reason::Duplicate,       Reason::DigestMismatch,
   Reason::Timeout,           Reason::Cancelled,       Reason::UpstreamFailed,
   Reason::TruncatedAnswer,   Reason::Unavailable,     Reason::KeyRequired,
-  Reason::StaleFencingToken, Reason::Unauthenticated,
+  Reason::StaleFencingToken, Reason::Unauthenticated, Reason::Conflict,
+  Reason::Quarantined,
 };
 
 Reason
@@ -61,6 +79,8 @@
 
 ForwardSession::~ForwardSession()
 {
+  EndAttempt(RunnerOutcome::GivenUp);
+  m_forwarder->m_parts.m_traffic->Leave(m_request.m_service, m_number.load());
   m_forwarder->m_inFlight.fetch_sub(1);
 }
 
@@ -73,9 +93,38 @@
       self->OnHangUp();
     }
   });
+  // Until it is let through, only the traffic's callback keeps the session.
+  const auto self = shared_from_this();
+  const Traffic::Asked asked{ m_request.m_service,
+                              m_request.m_team,
+                              m_request.m_priority,
+                              m_deadline,
+                              m_request.m_fingerprint };
+  m_number = m_forwarder->m_parts.m_traffic->Enter(
+    asked, [self](const std::optional<Error>& aRefusal) {
+      self->OnAdmitted(aRefusal);
+    });
+}
+
+void
+ForwardSession::OnAdmitted(const std::optional<Error>& aRefusal)
+{
+  if (aRefusal) {
+    Respond(*aRefusal);
+    return;
+  }
   TryNext();
 }
 
+void
+ForwardSession::EndAttempt(RunnerOutcome aOutcome)
+{
+  if (std::exchange(m_sent, false)) {
+    m_forwarder->m_parts.m_traffic->Ended(
+      m_request.m_service, m_destination.m_node.vm(), aOutcome);
+  }
+}
+
 std::chrono::milliseconds
 ForwardSession::Remaining() const
 {
@@ -90,15 +139,15 @@
     Respond({ Reason::Timeout, m_verdict, "the request's deadline passed" });
     return;
   }
-  const auto destinations = m_forwarder->Destinations(m_request, m_tried);
-  if (destinations.empty()) {
+  const auto destination = m_forwarder->Choose(m_request, m_tried);
+  if (!destination) {
     Respond({ Reason::NoReplica,
               m_verdict,
               "no VM of the service takes this request now",
               kNoReplicaRetryAfter });
     return;
   }
-  Send(destinations[m_forwarder->Choose(m_request, destinations)]);
+  Send(*destination);
 }
 
 wire::RunRequest
@@ -123,6 +172,8 @@
   request.set_idempotent(m_request.m_idempotent);
   request.set_idempotency_key(m_request.m_key);
   request.set_fingerprint(m_request.m_fingerprint);
+  request.set_isolated(m_forwarder->m_parts.m_traffic->StateOf(
+                         m_request.m_fingerprint) == SuspicionState::Suspect);
   return request;
 }
 
@@ -137,6 +188,9 @@
   m_body.clear();
   m_bodyBytes = 0;
   m_sentAt = m_forwarder->m_parts.m_clock.Now();
+  m_sent = true;
+  m_forwarder->m_parts.m_traffic->Sent(
+    m_request.m_service, m_destination.m_node.vm(), m_request.m_prefixHash);
   const auto self = shared_from_this();
   const auto attempt = m_attempt;
   auto call = m_forwarder->m_parts.m_client.Run(
@@ -187,12 +241,24 @@
         FromWire(aEvent.failed().verdict()),
         aEvent.failed().what(),
         std::chrono::milliseconds(aEvent.failed().retry_after_ms()));
+      LearnSuspicions(aEvent.failed());
       return;
     case wire::RunEvent::EVENT_NOT_SET:
       return;
   }
 }
 
+void
+ForwardSession::LearnSuspicions(const wire::RunFailed& aFailed)
+{
+  for (const auto& suspicion : aFailed.suspicions()) {
+    if (m_forwarder->m_parts.m_traffic->Merge(suspicion) &&
+        suspicion.fingerprint() == m_request.m_fingerprint) {
+      m_suspicions.push_back(suspicion);
+    }
+  }
+}
+
 void
 ForwardSession::OnBody(const std::string& aBytes)
 {
@@ -220,6 +286,7 @@
     return;
   }
   m_answered = true;
+  EndAttempt(RunnerOutcome::Answered);
   CountMetric("siskindeal_answered_requests_total",
               { { "service", m_request.m_service } });
   if (m_streaming) {
@@ -276,18 +343,23 @@
 }
 
 bool
-ForwardSession::MayRetry(Verdict aVerdict) const
+ForwardSession::MayRetry(const Error& aFailure) const
 {
-  if (m_streaming || m_attempt > m_forwarder->m_parts.m_routing.m_retries) {
-    return false;
-  }
-  return aVerdict == Verdict::NotRun || m_request.m_idempotent;
+  const auto& parts = m_forwarder->m_parts;
+  const bool safe =
+    aFailure.GetVerdict() == Verdict::NotRun || m_request.m_idempotent;
+  const bool helps = aFailure.GetReason() != Reason::Quarantined &&
+                     aFailure.GetReason() != Reason::Conflict;
+  return safe && helps && !m_streaming &&
+         m_attempt <= parts.m_routing.m_retries &&
+         parts.m_traffic->TakeRetry(m_request.m_service);
 }
 
 void
 ForwardSession::AfterFailure(const Error& aFailure)
 {
   m_verdict = Combine(m_verdict, aFailure.GetVerdict());
+  EndAttempt(OutcomeOf(aFailure.GetReason()));
   {
     const OrderedLock lock(m_mutex);
     if (m_hungUp) {
@@ -295,16 +367,29 @@
       return;
     }
   }
-  if (MayRetry(aFailure.GetVerdict())) {
-    CountMetric("siskindeal_retries_total",
-                { { "reason", std::string(ToString(aFailure.GetReason())) } });
+  const bool retry = MayRetry(aFailure);
+  const auto& parts = m_forwarder->m_parts;
+  const auto suspicions = std::exchange(m_suspicions, {});
+  if (!retry) {
+    for (const auto& suspicion : suspicions) {
+      parts.m_spread(suspicion, [] {});
+    }
+    Respond({ aFailure.GetReason(),
+              m_verdict,
+              aFailure.what(),
+              aFailure.RetryAfter() });
+    return;
+  }
+  CountMetric("siskindeal_retries_total",
+              { { "reason", std::string(ToString(aFailure.GetReason())) } });
+  if (suspicions.empty()) {
     TryNext();
     return;
   }
-  Respond({ aFailure.GetReason(),
-            m_verdict,
-            aFailure.what(),
-            aFailure.RetryAfter() });
+  // A suspect may be tried on any runner, alone, once the others know of it.
+  m_tried.clear();
+  const auto self = shared_from_this();
+  parts.m_spread(suspicions.front(), [self] { self->TryNext(); });
 }
 
 void
@@ -337,6 +422,9 @@
     call = m_call;
   }
   CountMetric("siskindeal_hang_ups_total");
+  if (!call) {
+    m_forwarder->m_parts.m_traffic->Leave(m_request.m_service, m_number.load());
+  }
   if (call) {
     call->Cancel();
   }
--- a/src/entry/forward_session_p.h
+++ b/src/entry/forward_session_p.h
@@ -19,7 +19,10 @@
   void Begin();
 
 private:
+  void OnAdmitted(const std::optional<Error>& aRefusal);
   void TryNext();
+  // The attempt is over for its runner.
+  void EndAttempt(RunnerOutcome aOutcome);
   void Send(const Destination& aDestination);
   wire::RunRequest ToWire() const;
   void OnEvent(const wire::RunEvent& aEvent);
@@ -28,7 +31,8 @@
   void OnEnd(const RpcStatus& aStatus);
   void AfterLostCall();
   void AfterFailure(const Error& aFailure);
-  bool MayRetry(Verdict aVerdict) const;
+  void LearnSuspicions(const wire::RunFailed& aFailed);
+  bool MayRetry(const Error& aFailure) const;
   void Respond(const Error& aError);
   void OnHangUp();
   std::chrono::milliseconds Remaining() const;
@@ -46,13 +50,17 @@
   MonotonicTime m_sentAt;
   Verdict m_verdict = Verdict::NotRun;
   std::optional<Error> m_failure; // of the attempt, acted on at its end
-  bool m_streaming = false;       // bytes have gone to the caller
+  std::vector<wire::Suspicion> m_suspicions; // learned with that failure
+  bool m_sent = false;                       // an attempt counts at its runner
+  bool m_streaming = false;                  // bytes have gone to the caller
   bool m_answered = false;
   int m_status = 0;
   HttpHeaders m_headers;
   std::string m_body;
   std::uint64_t m_bodyBytes = 0;
 
+  std::atomic<std::uint64_t> m_number{ 0 }; // of Traffic::Enter
+
   OrderedMutex m_mutex{ LockLevel::Session };
   std::shared_ptr<RunCall> m_call ABSL_GUARDED_BY(m_mutex);
   std::uint32_t m_callAttempt ABSL_GUARDED_BY(m_mutex) = 0;
--- /dev/null
+++ b/src/entry/traffic.cpp
@@ -0,0 +1,333 @@
+#include "traffic_p.h"
+
+#include "siskindeal/metrics.h"
+
+#include <set>
+
+namespace siskindeal {
+
+namespace {
+
+RunnerReport
+ReportOf(const FleetNode& aNode, MonotonicTime aNow)
+{
+  const auto& record = aNode.m_record;
+  RunnerReport report;
+  report.m_vm = record.vm();
+  report.m_place = record.place();
+  report.m_takesWork =
+    record.liveness() == wire::LIVENESS_ALIVE && !record.upstream_down();
+  for (const auto& serving : record.serving()) {
+    report.m_classes.push_back(serving.class_of_work());
+  }
+  if (record.has_load()) {
+    const auto relayed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow - aNode.m_receivedAt);
+    report.m_hasLoad = true;
+    report.m_slots = record.load().slots();
+    report.m_running = record.load().running();
+    report.m_waiting = record.load().waiting();
+    report.m_age =
+      std::chrono::milliseconds(record.load().report_age_ms()) + relayed;
+  }
+  return report;
+}
+
+} // namespace
+
+Traffic::Service::Service(std::unique_ptr<RoutingPolicy> aPolicy,
+                          const RoutingSettings& aRouting,
+                          const AdmissionLimits& aLimits,
+                          std::uint64_t aSeed)
+  : m_router(std::move(aPolicy), aRouting.m_retryBudget, aSeed)
+  , m_queue(aLimits)
+{
+}
+
+Traffic::Traffic(const RoutingSettings& aRouting,
+                 const AdmissionSettings& aAdmission,
+                 const std::string& aPlace,
+                 const Clock& aClock,
+                 std::uint64_t aSeed)
+  : m_routing(aRouting)
+  , m_limits{ aAdmission.m_queue, aAdmission.m_longestWait }
+  , m_place(aPlace)
+  , m_clock(aClock)
+  , m_seed(aSeed)
+{
+}
+
+Traffic::Service&
+Traffic::Find(const std::string& aService)
+{
+  const auto found = m_services.find(aService);
+  if (found != m_services.end()) {
+    return found->second;
+  }
+  auto policy = Registry<RoutingPolicy>::Instance().Make(m_routing.m_policy);
+  auto& service =
+    m_services
+      .try_emplace(aService, std::move(policy), m_routing, m_limits, ++m_seed)
+      .first->second;
+  service.m_router.SetEntries(m_entries);
+  return service;
+}
+
+void
+Traffic::Make(const Calls& aCalls)
+{
+  for (const auto& [admitted, refusal] : aCalls) {
+    admitted(refusal);
+  }
+}
+
+void
+Traffic::Take(AdmissionChanges aChanges, Calls& aCalls)
+{
+  const auto take = [&](std::uint64_t aNumber, std::optional<Error> aRefusal) {
+    auto waiting = m_waiting.extract(aNumber);
+    if (!waiting.empty()) {
+      aCalls.emplace_back(std::move(waiting.mapped()), std::move(aRefusal));
+    }
+  };
+  for (const auto number : aChanges.m_start) {
+    take(number, std::nullopt);
+  }
+  for (auto& refusal : aChanges.m_refuse) {
+    take(refusal.m_id, std::move(refusal.m_error));
+  }
+}
+
+void
+Traffic::OnNodes(const FleetView& aView)
+{
+  Calls calls;
+  {
+    const OrderedLock lock(m_mutex);
+    const auto now = m_clock.Now();
+    std::map<std::string, std::vector<std::string>> vms;
+    std::set<std::string> entries;
+    for (const auto& [vm, node] : aView.m_nodes) {
+      const auto& record = node.m_record;
+      if (record.role() == wire::ROLE_ENTRY) {
+        entries.insert(vm);
+        continue;
+      }
+      auto& router = Find(record.service()).m_router;
+      router.Report(ReportOf(node, now), now);
+      for (const auto& event : record.cache_events()) {
+        router.Prefixes().Event(
+          vm, event.sequence(), event.prefix_hash(), event.evicted(), now);
+      }
+      vms[record.service()].push_back(vm);
+    }
+    m_entries =
+      std::max<std::uint32_t>(1U, static_cast<std::uint32_t>(entries.size()));
+    for (const auto& [vm, usage] : m_others) {
+      if (!entries.contains(vm)) {
+        m_limiter.Forget(vm);
+      }
+    }
+    std::erase_if(m_others, [&](const auto& aOther) {
+      return !entries.contains(aOther.first);
+    });
+    for (auto& [name, service] : m_services) {
+      service.m_router.SetEntries(m_entries);
+      service.m_router.Retain(vms[name]);
+      Take(service.m_queue.SetSlots(service.m_router.Slots(), now), calls);
+    }
+    UpdateOthers(calls);
+  }
+  Make(calls);
+}
+
+void
+Traffic::UpdateOthers(Calls& aCalls)
+{
+  for (auto& [name, service] : m_services) {
+    std::uint32_t inFlight = 0;
+    for (const auto& [vm, services] : m_others) {
+      const auto found = services.find(name);
+      inFlight += found == services.end() ? 0 : found->second;
+    }
+    Take(service.m_queue.SetOthers(inFlight, m_entries, m_clock.Now()), aCalls);
+  }
+}
+
+void
+Traffic::OnConfig(const FleetConfig& aConfig)
+{
+  const OrderedLock lock(m_mutex);
+  m_limiter.SetTeams(aConfig.m_teams, aConfig.m_otherTeams);
+}
+
+void
+Traffic::OnUsage(const std::string& aVm,
+                 const std::vector<wire::TeamUsage>& aUsage)
+{
+  Calls calls;
+  {
+    const OrderedLock lock(m_mutex);
+    m_limiter.Merge(aVm, aUsage);
+    auto& services = m_others[aVm];
+    services.clear();
+    for (const auto& usage : aUsage) {
+      if (!usage.service().empty()) {
+        services[usage.service()] = usage.in_flight();
+      }
+    }
+    UpdateOthers(calls);
+  }
+  Make(calls);
+}
+
+std::vector<wire::TeamUsage>
+Traffic::Usage()
+{
+  const OrderedLock lock(m_mutex);
+  auto usage = m_limiter.Usage(m_clock.Now());
+  for (const auto& [name, service] : m_services) {
+    if (service.m_queue.Running() > 0) {
+      auto& one = usage.emplace_back();
+      one.set_service(name);
+      one.set_in_flight(service.m_queue.Running());
+    }
+  }
+  return usage;
+}
+
+void
+Traffic::Tick()
+{
+  Calls calls;
+  {
+    const OrderedLock lock(m_mutex);
+    for (auto& [name, service] : m_services) {
+      Take(service.m_queue.Tick(m_clock.Now()), calls);
+      SetMetric("siskindeal_waiting_requests",
+                service.m_queue.Waiting(),
+                { { "service", name } });
+    }
+  }
+  Make(calls);
+}
+
+std::uint64_t
+Traffic::Enter(const Asked& aAsked, Admitted aDone)
+{
+  Calls calls;
+  std::uint64_t number = 0;
+  {
+    const OrderedLock lock(m_mutex);
+    const auto now = m_clock.Now();
+    number = ++m_numbers;
+    if (m_suspicions.StateOf(aAsked.m_fingerprint) ==
+        SuspicionState::Quarantined) {
+      calls.emplace_back(std::move(aDone),
+                         Error(Reason::Quarantined,
+                               Verdict::NotRun,
+                               "this request has crashed its upstreams"));
+    } else if (auto refusal = m_limiter.Take(aAsked.m_team, now)) {
+      calls.emplace_back(std::move(aDone), std::move(refusal));
+    } else {
+      m_waiting[number] = std::move(aDone);
+      auto& service = Find(aAsked.m_service);
+      service.m_router.Retries().Request();
+      Take(service.m_queue.Offer({ number,
+                                   aAsked.m_team,
+                                   m_limiter.ConfigOf(aAsked.m_team).m_weight,
+                                   aAsked.m_priority,
+                                   aAsked.m_deadline },
+                                 now),
+           calls);
+    }
+  }
+  Make(calls);
+  return number;
+}
+
+void
+Traffic::Leave(const std::string& aService, std::uint64_t aNumber)
+{
+  Calls calls;
+  {
+    const OrderedLock lock(m_mutex);
+    m_waiting.erase(aNumber);
+    Take(Find(aService).m_queue.Finish(aNumber, m_clock.Now()), calls);
+  }
+  Make(calls);
+}
+
+std::optional<std::string>
+Traffic::Choose(const std::string& aService,
+                const RoutingRequest& aRequest,
+                std::uint64_t aFingerprint)
+{
+  const OrderedLock lock(m_mutex);
+  auto request = aRequest;
+  request.m_place = m_place;
+  auto& router = Find(aService).m_router;
+  if (m_suspicions.StateOf(aFingerprint) == SuspicionState::Suspect) {
+    return router.TrialRunner(aFingerprint, request);
+  }
+  return router.Choose(request, m_clock.Now());
+}
+
+void
+Traffic::Sent(const std::string& aService,
+              const std::string& aVm,
+              std::uint64_t aPrefixHash)
+{
+  const OrderedLock lock(m_mutex);
+  Find(aService).m_router.Sent(aVm, aPrefixHash, m_clock.Now());
+}
+
+void
+Traffic::Ended(const std::string& aService,
+               const std::string& aVm,
+               RunnerOutcome aOutcome)
+{
+  const OrderedLock lock(m_mutex);
+  Find(aService).m_router.Ended(aVm, aOutcome, m_clock.Now());
+}
+
+bool
+Traffic::TakeRetry(const std::string& aService)
+{
+  const OrderedLock lock(m_mutex);
+  return Find(aService).m_router.Retries().Take();
+}
+
+SuspicionState
+Traffic::StateOf(std::uint64_t aFingerprint)
+{
+  const OrderedLock lock(m_mutex);
+  return m_suspicions.StateOf(aFingerprint);
+}
+
+bool
+Traffic::Merge(const wire::Suspicion& aSuspicion)
+{
+  const OrderedLock lock(m_mutex);
+  return m_suspicions.Merge(aSuspicion);
+}
+
+std::vector<SuspicionListing>
+Traffic::Suspicions()
+{
+  const OrderedLock lock(m_mutex);
+  return m_suspicions.List();
+}
+
+std::optional<wire::Suspicion>
+Traffic::Release(std::uint64_t aFingerprint)
+{
+  const OrderedLock lock(m_mutex);
+  const auto before = m_suspicions.Number();
+  if (!m_suspicions.Release(aFingerprint)) {
+    return std::nullopt;
+  }
+  return m_suspicions.ChangedAfter(before).front();
+}
+
+} // namespace siskindeal
--- a/src/routing/policies.cpp
+++ b/src/routing/policies.cpp
@@ -182,12 +182,12 @@
       return false;
     }
   }
-  if (aRequest.m_digest.empty()) {
+  if (aRequest.m_class.empty()) {
     return true;
   }
-  return std::find(aCandidate.m_digests.begin(),
-                   aCandidate.m_digests.end(),
-                   aRequest.m_digest) != aCandidate.m_digests.end();
+  return std::find(aCandidate.m_classes.begin(),
+                   aCandidate.m_classes.end(),
+                   aRequest.m_class) != aCandidate.m_classes.end();
 }
 
 } // namespace siskindeal
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -61,7 +61,7 @@
   candidate.m_place = aReport.m_place;
   candidate.m_slots = std::max(1U, aReport.m_slots);
   candidate.m_takesWork = aReport.m_takesWork;
-  candidate.m_digests = aReport.m_digests;
+  candidate.m_classes = aReport.m_classes;
   auto& reported = m_reported[index];
   const auto measured = aNow - aReport.m_age;
   if (aReport.m_hasLoad &&
@@ -71,12 +71,19 @@
     reported.m_requests = aReport.m_running + aReport.m_waiting;
     while (!reported.m_changes.empty() &&
            reported.m_changes.front().m_at <= measured) {
+      reported.m_delta -= reported.m_changes.front().m_delta;
       reported.m_changes.pop_front();
     }
   }
   Refresh(index);
 }
 
+void
+Router::SetEntries(std::uint32_t aEntries)
+{
+  m_entries = std::max(1U, aEntries);
+}
+
 void
 Router::Retain(const std::vector<std::string>& aVms)
 {
@@ -107,10 +114,8 @@
   double load = candidate.m_inFlight;
   const auto& reported = m_reported[aIndex];
   if (reported.m_known) {
-    double corrected = reported.m_requests;
-    for (const auto& change : reported.m_changes) {
-      corrected += change.m_delta;
-    }
+    const double corrected =
+      reported.m_requests + reported.m_delta * static_cast<double>(m_entries);
     load = std::max(load, corrected);
   }
   candidate.m_load = load;
@@ -125,13 +130,13 @@
     return;
   }
   reported.m_changes.push_back({ aNow, aDelta });
+  reported.m_delta += aDelta;
   if (reported.m_changes.size() > kMostChanges) {
+    reported.m_delta -= reported.m_changes.front().m_delta;
     reported.m_requests += reported.m_changes.front().m_delta;
     reported.m_changes.pop_front();
   }
-  const double corrected = m_candidates[aIndex].m_load + aDelta;
-  m_candidates[aIndex].m_load =
-    std::max<double>(corrected, m_candidates[aIndex].m_inFlight);
+  Refresh(aIndex);
 }
 
 void
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -52,11 +52,12 @@
                              static_cast<std::uint32_t>(random.Below(8)),
                              milliseconds(random.Below(900)));
         report.m_takesWork = random.Chance(0.8);
-        report.m_digests = { random.Chance(0.8) ? "a" : "b" };
+        report.m_classes = { random.Chance(0.8) ? "a" : "b" };
         truth[vm] = report;
         router.Report(report, now);
       } else if (choice < 21) {
         std::vector<std::string> kept;
+        kept.reserve(truth.size());
         std::erase_if(truth, [&](const auto&) { return random.Chance(0.3); });
         for (const auto& [name, report] : truth) {
           kept.push_back(name);
@@ -68,13 +69,13 @@
         const bool possible =
           std::any_of(truth.begin(), truth.end(), [&](const auto& aEntry) {
             return aEntry.first != vm && aEntry.second.m_takesWork &&
-                   aEntry.second.m_digests[0] == "a";
+                   aEntry.second.m_classes[0] == "a";
           });
         ASSERT_EQ(chosen.has_value(), possible); // never a whole service out
         if (chosen) {
           ASSERT_NE(*chosen, vm);
           ASSERT_TRUE(truth.at(*chosen).m_takesWork);
-          ASSERT_EQ(truth.at(*chosen).m_digests[0], "a");
+          ASSERT_EQ(truth.at(*chosen).m_classes[0], "a");
           router.Sent(*chosen, request.m_prefixHash, now);
           sent.insert(*chosen);
         }
@@ -196,6 +197,7 @@
 {
   Random random(3);
   std::vector<EntryView> entries;
+  entries.reserve(9);
   for (int index = 0; index < 9; ++index) {
     entries.push_back({ "e" + std::to_string(index),
                         index % 3 == 0 ? "burton" : "nottingham",
