At most two engines lost to one request, over real processes

Cause: the exchange replaced a suspicion only by one of a higher version, and a first suspicion has version 0, so none was ever relayed; it now merges them as the table does. Ruled out: the agents' tables, which each held their own crash. Besides, a suspect without a trial runner was sent to any other one; a peer acknowledged a suspicion before its own table had it; the same prompt counted as another request when only 'stream' changed; a probe that was accepted and then dropped by a dying engine counted as alive.

Also: [http] streams is enforced; an answer from other weights fails the attempt at the entry as well; live bytes are told to the link shaper; an engine that refuses weights it was said to hold has its state read again.

--- a/bench/idle_bench.cpp
+++ b/bench/idle_bench.cpp
@@ -142,6 +142,7 @@
     std::vector<std::string> arguments{ aProgram, "--node" };
     arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
     std::vector<char*> raw;
+    raw.reserve(arguments.size() + 1);
     for (auto& argument : arguments) {
       raw.push_back(argument.data());
     }
@@ -248,6 +249,7 @@
 AskAll(const std::vector<std::unique_ptr<Child>>& aChildren)
 {
   std::vector<Figures> figures;
+  figures.reserve(aChildren.size());
   for (const auto& child : aChildren) {
     figures.push_back(child->Ask());
   }
--- a/bench/support/bench_node.cpp
+++ b/bench/support/bench_node.cpp
@@ -7,6 +7,13 @@
 
 namespace siskindeal::bench {
 
+namespace {
+
+// Longer than a caller waits, so that the answer is lost.
+constexpr std::chrono::milliseconds kTooLate{ 1200 };
+
+} // namespace
+
 void
 PrintRow(const std::string& aBench,
          const std::string& aCase,
@@ -123,8 +130,6 @@
 BenchNode::OnExchange(const wire::ExchangeRequest& aRequest,
                       Done<wire::ExchangeReply> aDone)
 {
-  // Longer than the caller waits, so that the answer is lost.
-  constexpr std::chrono::milliseconds kTooLate{ 1200 };
   if (!m_ready) {
     return aDone({});
   }
--- a/include/siskindeal/node_sync.h
+++ b/include/siskindeal/node_sync.h
@@ -48,6 +48,8 @@
   // An object newer than that held; deleted ones too.
   std::function<void(const PlatformObject&)> m_onObject;
   std::function<void(std::shared_ptr<const FleetConfig>)> m_onConfig;
+  // Has returned before the exchange that brought the suspicion is answered;
+  // may overlap with other hooks and itself.
   std::function<void(const wire::Suspicion&)> m_onSuspicion;
   // Demand seen here; sent to entries when it has changed.
   std::function<std::vector<wire::TeamUsage>()> m_ownUsage;
--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -69,6 +69,9 @@
   // An operator's release; false when it isn't quarantined or suspected.
   bool Release(std::uint64_t aFingerprint);
 
+  // What is known of a fingerprint; nothing when it was never suspected.
+  std::optional<wire::Suspicion> Find(std::uint64_t aFingerprint) const;
+
   std::vector<SuspicionListing> List() const;
   // What has changed after aNumber, for relaying; Number is to be given next.
   std::vector<wire::Suspicion> ChangedAfter(std::uint64_t aNumber) const;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -50,6 +50,12 @@
   gates.m_useWeights = [this](const std::string& aDigest) {
     return m_weights->Use(aDigest);
   };
+  gates.m_noteLiveBytes = [this](std::uint64_t aBytes) {
+    if (m_weights) {
+      m_weights->NoteLiveBytes(aBytes);
+    }
+  };
+  gates.m_onWeightsRefused = [this] { m_weights->Recover(); };
   if (!m_settings.m_upstream.m_acceptsIdempotencyKey) {
     m_claims = std::make_shared<ClaimLog>(m_settings.m_upstream.m_service,
                                           m_settings.m_node.m_vm,
--- a/src/agent/run.cpp
+++ b/src/agent/run.cpp
@@ -1,6 +1,7 @@
 #include "run_p.h"
 
 #include "run_session_p.h"
+#include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 
 namespace siskindeal {
@@ -175,6 +176,12 @@
     CountMetric("siskindeal_upstream_crashes_total");
   }
   for (const auto& suspicion : changed) {
+    Log(LogLevel::Warning,
+        suspicion.quarantined() ? "request_quarantined" : "request_suspected",
+        { { "fingerprint", suspicion.fingerprint() },
+          { "class_of_work", suspicion.class_of_work() },
+          { "crashes", suspicion.crashes() },
+          { "alone", aSession.Request().isolated() } });
     m_gates.m_spread(suspicion);
   }
   return KnownOf(aSession.Request().fingerprint());
--- a/src/agent/run_p.h
+++ b/src/agent/run_p.h
@@ -63,6 +63,10 @@
   // Keeps the weights of this digest loaded while the answer lives; null where
   // they don't take requests.
   std::function<std::shared_ptr<void>(const std::string&)> m_useWeights;
+  // Bytes of requests and answers on the VM's link, which weights give way to.
+  std::function<void(std::uint64_t)> m_noteLiveBytes;
+  // The engine has refused weights that it was said to hold.
+  std::function<void()> m_onWeightsRefused;
   // The record of requests that run at most once; null where the upstream
   // drops duplicates itself.
   std::shared_ptr<ClaimLog> m_claims;
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -12,7 +12,8 @@
 constexpr const char* kDigestHeader = "x-weights-digest";
 constexpr std::string_view kStreamEnd = "data: [DONE]";
 constexpr std::size_t kTailBytes = 32;
-constexpr std::chrono::milliseconds kProbeTimeout{ 1000 };
+constexpr std::chrono::milliseconds kProbeTimeout{ 200 };
+constexpr int kMostProbes = 10; // after the first
 
 wire::RunVerdict
 ToWire(Verdict aVerdict)
@@ -63,6 +64,7 @@
     request.m_headers["idempotency-key"] = m_request.idempotency_key();
   }
   request.m_body = m_request.body();
+  m_service->m_gates.m_noteLiveBytes(request.m_body.size());
   request.m_timeout = std::chrono::milliseconds(m_request.deadline_ms());
   return request;
 }
@@ -256,6 +258,7 @@
 RunSession::SendBody(std::string_view aBytes)
 {
   m_bodyBytes += aBytes.size();
+  m_service->m_gates.m_noteLiveBytes(aBytes.size());
   if (m_answer) {
     m_answer->m_body.append(aBytes);
   }
@@ -284,7 +287,7 @@
       Fail(Reason::Cancelled, Verdict::MayHaveRun, "cancelled");
       return;
     case HttpOutcome::SentNoReply:
-      OnLost(aReply);
+      OnLost(aReply, kMostProbes);
       return;
   }
 }
@@ -299,6 +302,7 @@
     return;
   }
   if (!m_started && model && aReply.m_status == 409) {
+    m_service->m_gates.m_onWeightsRefused();
     Fail(Reason::DigestMismatch,
          Verdict::NotRun,
          "the engine doesn't hold the weights");
@@ -332,20 +336,24 @@
 }
 
 // The connection was lost: an upstream that refuses a connection right after
-// has crashed.
+// has crashed. One that accepts and drops it is still going down.
 void
-RunSession::OnLost(const HttpReply& aReply)
+RunSession::OnLost(const HttpReply& aReply, int aProbesLeft)
 {
   HttpClientRequest probe;
   probe.m_url = m_service->m_upstream.m_url + "/";
   probe.m_timeout = kProbeTimeout;
   const auto self = shared_from_this();
   m_service->m_http.Start(
-    std::move(probe), [self, what = aReply.m_error](const HttpReply& aProbe) {
+    std::move(probe), [self, aReply, aProbesLeft](const HttpReply& aProbe) {
+      if (aProbe.m_outcome == HttpOutcome::SentNoReply && aProbesLeft > 0) {
+        self->OnLost(aReply, aProbesLeft - 1);
+        return;
+      }
       const bool crashed = aProbe.m_outcome == HttpOutcome::NotSent;
       self->Fail(Reason::UpstreamFailed,
                  Verdict::MayHaveRun,
-                 what,
+                 aReply.m_error,
                  crashed ? self->m_service->OnCrash(*self)
                          : std::vector<wire::Suspicion>());
     });
--- a/src/agent/run_session_p.h
+++ b/src/agent/run_session_p.h
@@ -56,7 +56,7 @@
   bool OnBytes(std::string_view aBytes);
   void OnDone(const HttpReply& aReply);
   void OnAnswered(const HttpReply& aReply);
-  void OnLost(const HttpReply& aReply);
+  void OnLost(const HttpReply& aReply, int aProbesLeft);
   void SendStarted(int aStatus, const HttpHeaders& aHeaders);
   void SendBody(std::string_view aBytes);
   void Finish();
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -53,6 +53,7 @@
     m_clock,
     [this] { return m_sync->View(); },
     m_settings.m_routing,
+    m_settings.m_http.m_streams,
     m_traffic,
     [this](const wire::Suspicion& aSuspicion, std::function<void()> aDone) {
       m_sync->Spread(aSuspicion,
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -1,6 +1,7 @@
 #include "forward_p.h"
 
 #include "forward_session_p.h"
+#include "node/answer_p.h"
 #include "siskindeal/claims.h"
 
 #include <algorithm>
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kStreamsRetryAfter{ 1000 };
+
 // The newest weights of the class that take requests on the node.
 std::string
 ServingDigest(const wire::NodeRecord& aNode, const std::string& aClass)
@@ -50,6 +53,14 @@
 Forwarder::Forward(CallerRequest aRequest,
                    std::shared_ptr<HttpResponder> aResponder)
 {
+  if (aRequest.m_stream && m_streams.load() >= m_parts.m_mostStreams) {
+    RespondError(*aResponder,
+                 { Reason::Overloaded,
+                   Verdict::NotRun,
+                   "this entry has as many streams as its settings allow",
+                   kStreamsRetryAfter });
+    return;
+  }
   std::make_shared<ForwardSession>(
     shared_from_this(), std::move(aRequest), std::move(aResponder))
     ->Begin();
@@ -103,6 +114,10 @@
       return destination;
     }
   }
+  if (m_parts.m_traffic->StateOf(aRequest.m_fingerprint) !=
+      SuspicionState::None) {
+    return std::nullopt;
+  }
   // The router's table is a moment behind the view, or ahead of it.
   return destinations.front();
 }
--- a/src/entry/forward_p.h
+++ b/src/entry/forward_p.h
@@ -57,6 +57,7 @@
   const Clock& m_clock;
   std::function<std::shared_ptr<const FleetView>()> m_view;
   RoutingSettings m_routing;
+  std::size_t m_mostStreams = 0; // streamed answers at once
   std::shared_ptr<Traffic> m_traffic;
   // Sends a suspicion to the other processes; runs the task once the reachable
   // entries have it, or after a short while.
@@ -87,6 +88,7 @@
 
   const ForwardParts m_parts;
   std::atomic<std::size_t> m_inFlight{ 0 };
+  std::atomic<std::size_t> m_streams{ 0 }; // of those in flight
 };
 
 } // namespace siskindeal
--- a/src/entry/forward_session.cpp
+++ b/src/entry/forward_session.cpp
@@ -75,6 +75,9 @@
   , m_deadline(m_forwarder->m_parts.m_clock.Now() + m_request.m_timeout)
 {
   m_forwarder->m_inFlight.fetch_add(1);
+  if (m_request.m_stream) {
+    m_forwarder->m_streams.fetch_add(1);
+  }
 }
 
 ForwardSession::~ForwardSession()
@@ -82,6 +85,9 @@
   EndAttempt(RunnerOutcome::GivenUp);
   m_forwarder->m_parts.m_traffic->Leave(m_request.m_service, m_number.load());
   m_forwarder->m_inFlight.fetch_sub(1);
+  if (m_request.m_stream) {
+    m_forwarder->m_streams.fetch_sub(1);
+  }
 }
 
 void
@@ -226,8 +232,11 @@
       for (const auto& [name, value] : aEvent.started().headers()) {
         m_headers[name] = value;
       }
-      SISKINDEAL_INVARIANT(aEvent.started().digest() == m_destination.m_digest,
-                           "an answer comes from the weights it was asked of");
+      if (aEvent.started().digest() != m_destination.m_digest) {
+        m_failure.emplace(Reason::DigestMismatch,
+                          Verdict::Ran,
+                          "the agent answered from other weights");
+      }
       return;
     case wire::RunEvent::kBody:
       OnBody(aEvent.body());
--- a/src/entry/front.cpp
+++ b/src/entry/front.cpp
@@ -3,6 +3,7 @@
 #include "node/answer_p.h"
 #include "node/url_p.h"
 #include "siskindeal/digest.h"
+#include "siskindeal/quarantine.h"
 
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
@@ -62,6 +63,16 @@
   return content.is_string() ? content.get<std::string>() : content.dump();
 }
 
+// What an engine works on: equal whether the answer is streamed or whole, and
+// however the JSON is laid out.
+std::string
+WorkText(nlohmann::json aBody)
+{
+  aBody.erase("stream");
+  aBody.erase("stream_options");
+  return aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string
 QueryText(const HttpHeaders& aQuery)
 {
@@ -186,7 +197,8 @@
   ReadCommon(aRequest, result);
   result.m_path = "/v1/chat/completions";
   result.m_idempotent = result.m_key.empty();
-  result.m_fingerprint = StableHash(aRequest.m_body, StableHash(work->first));
+  result.m_fingerprint =
+    FingerprintOf(work->first, "POST", result.m_path, WorkText(body));
   result.m_prefixHash = StableHash(FirstMessage(body["messages"]));
   return result;
 }
@@ -223,8 +235,8 @@
     Refuse(Reason::KeyRequired,
            "this call may not be repeated: send an idempotency-key");
   }
-  result.m_fingerprint = StableHash(
-    result.m_path, StableHash(aRequest.m_body, StableHash(result.m_service)));
+  result.m_fingerprint = FingerprintOf(
+    result.m_service, result.m_method, result.m_path, result.m_body);
   return result;
 }
 
--- a/src/membership/exchange.cpp
+++ b/src/membership/exchange.cpp
@@ -130,11 +130,16 @@
 bool
 Exchange::ApplySuspicion(const wire::Suspicion& aSuspicion)
 {
-  auto& row = m_suspicions[aSuspicion.fingerprint()];
-  if (aSuspicion.version() <= row.m_suspicion.version()) {
+  if (!m_suspected.Merge(aSuspicion)) {
     return false;
   }
-  row = { aSuspicion, ++m_counter, {} };
+  const auto merged = m_suspected.Find(aSuspicion.fingerprint());
+  m_suspicions[aSuspicion.fingerprint()] = { *merged, ++m_counter, {} };
+  if (m_suspicions.size() > SuspicionTable::kMost) {
+    std::erase_if(m_suspicions, [this](const auto& aRow) {
+      return !m_suspected.Find(aRow.first);
+    });
+  }
   return true;
 }
 
--- a/src/membership/exchange_p.h
+++ b/src/membership/exchange_p.h
@@ -6,6 +6,7 @@
 #include "membership/membership_table_p.h"
 
 #include "siskindeal/clock.h"
+#include "siskindeal/quarantine.h"
 #include "siskindeal/random.h"
 #include "siskindeal/settings.h"
 
@@ -167,6 +168,7 @@
   Random m_random;
   MembershipTable m_table;
   ObjectCache m_objects;
+  SuspicionTable m_suspected; // merges what is told in any order
   std::map<std::uint64_t, SuspicionRow> m_suspicions; // by fingerprint
   std::vector<wire::TeamUsage> m_usage;
   std::string m_usageText;                        // serialized
--- a/src/membership/node_sync_impl.cpp
+++ b/src/membership/node_sync_impl.cpp
@@ -102,11 +102,20 @@
 {
   wire::ExchangeReply reply;
   Exchange::News news;
+  std::vector<wire::Suspicion> suspicions;
   {
     const OrderedLock lock(m_mutex);
     reply = m_exchange.OnRequest(aRequest, m_clock.Now(), news);
+    suspicions = std::exchange(news.m_suspicions, {});
     TakeNews(std::move(news));
   }
+  // Before the answer: the sender retries a suspect once it has that.
+  for (const auto& suspicion : suspicions) {
+    if (m_hooks.m_onSuspicion && m_gate.Enter()) {
+      RunNotice([&] { m_hooks.m_onSuspicion(suspicion); });
+      m_gate.Leave();
+    }
+  }
   aDone(std::move(reply));
   Notify();
 }
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -241,6 +241,16 @@
   return suspicion;
 }
 
+std::optional<wire::Suspicion>
+SuspicionTable::Find(std::uint64_t aFingerprint) const
+{
+  const auto found = m_states.find(aFingerprint);
+  if (found == m_states.end()) {
+    return std::nullopt;
+  }
+  return ToWire(aFingerprint, found->second);
+}
+
 std::vector<wire::Suspicion>
 SuspicionTable::ChangedAfter(std::uint64_t aNumber) const
 {
--- a/src/rollout/planner_orders.cpp
+++ b/src/rollout/planner_orders.cpp
@@ -237,7 +237,9 @@
       plan.m_wanted.begin(), plan.m_wanted.end(), [&](const auto* aClaim) {
         return Contains(vm.m_serving, aClaim->m_digest);
       });
-  for (const auto& [name, digest] : vm.m_servingClasses) {
+  for (const auto& serving : vm.m_servingClasses) {
+    const auto& name = serving.first;
+    const auto& digest = serving.second;
     if (wanted(digest)) {
       continue;
     }
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -63,7 +63,7 @@
   {
     const auto manifest = m_world.Publish(
       aRelease + std::to_string(m_manifests.size()), 24, 64, aBase);
-    const auto digest = manifest.Digest();
+    auto digest = manifest.Digest();
     m_manifests[digest] = manifest;
     m_input.m_releases[aRelease] = { digest, aBase };
     m_input.m_catalogue[aClass] = { aRelease, !aBase.empty() };
