Verdicts of an agent's runs, by what the upstream does

A mutation (a lost answer told as 'not run') passed every test: the table of verdicts covered the claim record only. tests/run_test.cpp plays each fault of an upstream on a plain socket: closed, reset, short, late, without end marker, from other weights, refused.

--- /dev/null
+++ b/tests/run_test.cpp
@@ -0,0 +1,228 @@
+// What an agent makes of each way in which its upstream can answer or fail.
+
+#include "agent/run_p.h"
+
+#include "support/raw_socket.h"
+
+#include <absl/synchronization/notification.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <vector>
+
+namespace siskindeal {
+namespace {
+
+constexpr const char* kDigest = "d1";
+
+// Keeps what the agent sends; told when the run is over.
+class Recorder final : public RunSink
+{
+public:
+  void Send(wire::RunEvent aEvent) override
+  {
+    m_events.push_back(std::move(aEvent));
+  }
+  void Finish() override { m_over.Notify(); }
+  void OnCancel(std::function<void()>) override {}
+
+  std::vector<wire::RunEvent> m_events;
+  absl::Notification m_over;
+};
+
+std::string
+Answer(const std::string& aHead, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\n" + aHead + "\r\n" + aBody;
+}
+
+struct Row
+{
+  const char* m_fault;
+  bool m_model;
+  bool m_stream;
+  std::function<void(RawSocket&)> m_upstream; // after it has read the request
+  const char* m_reason;                       // empty: finished whole
+  wire::RunVerdict m_verdict;
+};
+
+const std::vector<Row> kRows = {
+  { "none",
+    false,
+    false,
+    [](RawSocket& aSocket) {
+      aSocket.Send(Answer("content-length: 2\r\n", "ok"));
+    },
+    "",
+    wire::RUN_VERDICT_RAN },
+  { "connection closed with no answer",
+    false,
+    false,
+    [](RawSocket& aSocket) { aSocket.Close(); },
+    "upstream_failed",
+    wire::RUN_VERDICT_MAY_HAVE_RUN },
+  { "connection reset with no answer",
+    false,
+    false,
+    [](RawSocket& aSocket) { aSocket.Reset(); },
+    "upstream_failed",
+    wire::RUN_VERDICT_MAY_HAVE_RUN },
+  { "body shorter than its length",
+    false,
+    false,
+    [](RawSocket& aSocket) {
+      aSocket.Send(Answer("content-length: 9\r\n", "half"));
+      aSocket.Close();
+    },
+    "upstream_failed",
+    wire::RUN_VERDICT_MAY_HAVE_RUN },
+  { "no answer before the deadline",
+    false,
+    false,
+    [](RawSocket& aSocket) { aSocket.ReadAll(); },
+    "upstream_failed",
+    wire::RUN_VERDICT_MAY_HAVE_RUN },
+  { "stream whole",
+    true,
+    true,
+    [](RawSocket& aSocket) {
+      aSocket.Send(Answer("x-weights-digest: d1\r\ncontent-length: 24\r\n",
+                          "data: {}\n\ndata: [DONE]\n\n"));
+    },
+    "",
+    wire::RUN_VERDICT_RAN },
+  { "stream without its end marker",
+    true,
+    true,
+    [](RawSocket& aSocket) {
+      aSocket.Send(Answer("x-weights-digest: d1\r\ncontent-length: 10\r\n",
+                          "data: {}\n\n"));
+    },
+    "truncated_answer",
+    wire::RUN_VERDICT_MAY_HAVE_RUN },
+  { "stream from other weights",
+    true,
+    true,
+    [](RawSocket& aSocket) {
+      aSocket.Send(Answer("x-weights-digest: d2\r\ncontent-length: 14\r\n",
+                          "data: [DONE]\n\n"));
+    },
+    "digest_mismatch",
+    wire::RUN_VERDICT_RAN },
+  { "whole answer that names no weights",
+    true,
+    false,
+    [](RawSocket& aSocket) {
+      aSocket.Send(Answer("content-length: 2\r\n", "{}"));
+    },
+    "digest_mismatch",
+    wire::RUN_VERDICT_RAN },
+};
+
+std::shared_ptr<RunService>
+MakeService(HttpClient& aHttp,
+            const Clock& aClock,
+            std::uint16_t aPort,
+            bool aModel)
+{
+  UpstreamSettings upstream;
+  upstream.m_service = "svc";
+  upstream.m_url = "http://127.0.0.1:" + std::to_string(aPort);
+  upstream.m_kind =
+    aModel ? UpstreamSettings::Kind::Model : UpstreamSettings::Kind::Plain;
+  RunGates gates;
+  gates.m_useWeights = [](const std::string&) {
+    return std::make_shared<int>(0);
+  };
+  gates.m_noteLiveBytes = [](std::uint64_t) {};
+  gates.m_onWeightsRefused = [] {};
+  gates.m_spread = [](const wire::Suspicion&) {};
+  return std::make_shared<RunService>(
+    upstream, aHttp, aClock, "vm", 1, std::move(gates));
+}
+
+wire::RunRequest
+Request(const Row& aRow)
+{
+  wire::RunRequest request;
+  request.set_request_id("r");
+  request.set_attempt(1);
+  request.set_service("svc");
+  request.set_method("POST");
+  request.set_path("/work");
+  request.set_body("{}");
+  request.set_stream(aRow.m_stream);
+  request.set_deadline_ms(500);
+  request.set_expected_digest(aRow.m_model ? kDigest : "");
+  return request;
+}
+
+void
+ExpectRow(const Row& aRow, const Recorder& aRecorder)
+{
+  ASSERT_FALSE(aRecorder.m_events.empty()) << aRow.m_fault;
+  const auto& last = aRecorder.m_events.back();
+  if (*aRow.m_reason == 0) {
+    EXPECT_TRUE(last.has_finished()) << aRow.m_fault;
+    return;
+  }
+  ASSERT_TRUE(last.has_failed()) << aRow.m_fault;
+  EXPECT_EQ(last.failed().reason(), aRow.m_reason) << aRow.m_fault;
+  EXPECT_EQ(last.failed().verdict(), aRow.m_verdict) << aRow.m_fault;
+  for (const auto& event : aRecorder.m_events) {
+    EXPECT_FALSE(event.has_finished()) << aRow.m_fault;
+  }
+}
+
+TEST(Run, EachFaultOfTheUpstreamHasItsVerdict)
+{
+  const SystemClock clock;
+  for (const auto& row : kRows) {
+    RawServer upstream([&](RawSocket& aSocket, int aConnection) {
+      aSocket.ReadUntil("\r\n\r\n");
+      if (aConnection == 0) {
+        row.m_upstream(aSocket);
+      }
+    });
+    HttpClient http;
+    const auto recorder = std::make_shared<Recorder>();
+    const auto service = MakeService(http, clock, upstream.Port(), row.m_model);
+    service->OnRun(Request(row), recorder);
+    recorder->m_over.WaitForNotification();
+    ExpectRow(row, *recorder);
+    EXPECT_EQ(service->InFlight(), 0U) << row.m_fault;
+  }
+}
+
+TEST(Run, ARefusedConnectionAndAGivenUpAttemptAreNotRun)
+{
+  const SystemClock clock;
+  HttpClient http;
+  const auto recorder = std::make_shared<Recorder>();
+  const auto service = MakeService(http, clock, UnusedPort(), false);
+  service->OnRun(Request(kRows.front()), recorder);
+  recorder->m_over.WaitForNotification();
+  ASSERT_TRUE(recorder->m_events.back().has_failed());
+  EXPECT_EQ(recorder->m_events.back().failed().verdict(),
+            wire::RUN_VERDICT_NOT_RUN);
+
+  wire::CancelRequest cancel;
+  cancel.set_request_id("late");
+  cancel.set_attempt(1);
+  cancel.set_incarnation(1);
+  cancel.set_age_ms(1);
+  EXPECT_TRUE(service->OnCancel(cancel).not_started());
+  auto late = Request(kRows.front());
+  late.set_request_id("late");
+  const auto refused = std::make_shared<Recorder>();
+  service->OnRun(late, refused);
+  refused->m_over.WaitForNotification();
+  EXPECT_EQ(refused->m_events.back().failed().verdict(),
+            wire::RUN_VERDICT_NOT_RUN);
+  cancel.set_incarnation(2); // of another start of the agent
+  cancel.set_request_id("other");
+  EXPECT_FALSE(service->OnCancel(cancel).not_started());
+}
+
+} // namespace
+} // namespace siskindeal
