--- a/tests/attempt_ledger_test.cpp
+++ b/tests/attempt_ledger_test.cpp
@@ -42,7 +42,7 @@
   std::set<std::string> promised;
   std::size_t refusedPromises = 0;
   for (int step = 0; step < kSteps; ++step) {
-    now += std::chrono::milliseconds(random.Below(20));
+    now += std::chrono::milliseconds(random.Below(4));
     onTheWay.push_back({ AttemptKey("r" + std::to_string(step), 1), now });
     const auto picked = random.Below(onTheWay.size());
     const auto sent = onTheWay[picked];
