--- a/include/siskindeal/planner.h
+++ b/include/siskindeal/planner.h
@@ -144,6 +144,7 @@
   TargetStatus StatusOf(const Round& aRound, const Claim& aClaim) const;
 
   const RolloutSettings m_settings;
+  std::vector<std::size_t> m_order; // of the VMs, at the last decision
   std::unordered_map<std::string, Sent> m_sent; // by VM
   std::map<std::string, Memory> m_memory;       // by target
   std::map<std::string, std::pair<std::uint64_t, MonotonicTime>>
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -79,7 +79,7 @@
 Planner::Decide(const PlannerInput& aInput, MonotonicTime aNow, WallTime aWall)
 {
   Round round(aInput, aNow);
-  round.Number();
+  round.Number(m_order);
   Resolve(round);
   Assign(round);
   FindRollouts(round);
@@ -174,11 +174,18 @@
       problem = vm.m_vm + ": " + vm.m_problem;
     }
   }
+  std::uint32_t* count = nullptr;
+  const std::string* counted = nullptr;
   for (std::size_t i = 0; i < aRound.m_vms.size(); ++i) {
     for (const auto& [name, digest] : aRound.Vm(i).m_servingClasses) {
-      if (name == target.m_class) {
-        ++status.m_servingByRelease[digest];
+      if (name != target.m_class) {
+        continue;
       }
+      if (counted == nullptr || *counted != digest) {
+        counted = &digest;
+        count = &status.m_servingByRelease[digest];
+      }
+      ++*count;
     }
   }
   status.m_met =
--- a/src/rollout/planner_assign.cpp
+++ b/src/rollout/planner_assign.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 
 namespace siskindeal {
 
@@ -80,16 +81,20 @@
 } // namespace
 
 void
-Planner::Round::Number()
+Planner::Round::Number(std::vector<std::size_t>& aLast)
 {
-  m_order.resize(m_vms.size());
-  for (std::size_t i = 0; i < m_order.size(); ++i) {
-    m_order[i] = i;
+  if (aLast.size() != m_vms.size()) {
+    aLast.resize(m_vms.size());
+    std::iota(aLast.begin(), aLast.end(), std::size_t{ 0 });
   }
-  std::sort(m_order.begin(), m_order.end(), [&](auto aLeft, auto aRight) {
+  const auto before = [&](std::size_t aLeft, std::size_t aRight) {
     return std::tie(Vm(aLeft).m_place, Vm(aLeft).m_vm) <
            std::tie(Vm(aRight).m_place, Vm(aRight).m_vm);
-  });
+  };
+  if (!std::is_sorted(aLast.begin(), aLast.end(), before)) {
+    std::sort(aLast.begin(), aLast.end(), before);
+  }
+  m_order = aLast;
   m_place.resize(m_vms.size());
   for (std::size_t i = 0; i < m_order.size(); ++i) {
     if (i > 0 && Vm(m_order[i]).m_place != Vm(m_order[i - 1]).m_place) {
@@ -286,9 +291,12 @@
       rollout.m_byPlace.resize(aRound.m_places);
       auto& place = rollout.m_byPlace[aRound.m_place[i]];
       const auto index = static_cast<std::uint32_t>(rollout.m_members.size());
-      if (!rollout.m_fleetIndex.emplace(i, index).second) {
+      rollout.m_fleetIndex.resize(aRound.m_vms.size(), kNotMember);
+      rollout.m_placeIndex.resize(aRound.m_vms.size());
+      if (rollout.m_fleetIndex[i] != kNotMember) {
         continue;
       }
+      rollout.m_fleetIndex[i] = index;
       rollout.m_placeIndex[i] = static_cast<std::uint32_t>(place.size());
       rollout.m_members.push_back(i);
       place.push_back(i);
--- a/src/rollout/planner_p.h
+++ b/src/rollout/planner_p.h
@@ -27,12 +27,14 @@
   std::vector<const Claim*> m_wanted; // claims that it is assigned to
 };
 
+inline constexpr std::uint32_t kNotMember = UINT32_MAX;
+
 struct Planner::Rollout
 {
   std::vector<std::size_t> m_members; // reachable, by place and name
   std::vector<std::vector<std::size_t>> m_byPlace; // by number of the place
-  std::unordered_map<std::size_t, std::uint32_t> m_fleetIndex; // by VM
-  std::unordered_map<std::size_t, std::uint32_t> m_placeIndex; // by VM
+  std::vector<std::uint32_t> m_fleetIndex;         // of each VM, or kNotMember
+  std::vector<std::uint32_t> m_placeIndex; // of each VM that is a member
   std::uint64_t m_signature = 0;
   bool m_originByPlace = false;
 };
@@ -46,8 +48,9 @@
   {
   }
 
-  // Numbers VMs and places in the order of their names.
-  void Number();
+  // Numbers VMs and places in the order of their names. aLast is the order of
+  // the last decision, and becomes this one's: it seldom changes.
+  void Number(std::vector<std::size_t>& aLast);
 
   const PlannedVm& Vm(std::size_t aIndex) const
   {
