--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -40,6 +40,7 @@
                  const std::string& aLogFile)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (const auto& argument : aCommand) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
