--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -34,6 +34,24 @@
   _exit(kExecFailed);
 }
 
+// A socket bound to the address, or -1 when the port is taken there.
+int
+BindTo(std::uint32_t aHost, std::uint16_t aPort)
+{
+  const int bound = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(aHost);
+  if (bind(bound,
+           reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) == 0) {
+    return bound;
+  }
+  close(bound);
+  return -1;
+}
+
 } // namespace
 
 Process::Process(const std::vector<std::string>& aCommand,
@@ -119,22 +137,23 @@
 {
   constexpr std::uint16_t kFirst = 20000;
   constexpr std::uint16_t kLast = 30000;
+  // Never listened on: holds the number against other test programs until this
+  // one ends.
+  constexpr std::uint32_t kReservation = INADDR_LOOPBACK + 1;
   static std::mt19937 sRandom(std::random_device{}());
   while (true) {
     const auto port =
       std::uniform_int_distribution<std::uint16_t>(kFirst, kLast)(sRandom);
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool isFree = bind(probe,
-                             reinterpret_cast<const sockaddr*>(&address),
-                             sizeof(address)) == 0;
-    close(probe);
-    if (isFree) {
+    const int reserved = BindTo(kReservation, port);
+    if (reserved < 0) {
+      continue;
+    }
+    const int probe = BindTo(INADDR_LOOPBACK, port);
+    if (probe >= 0) {
+      close(probe);
       return port;
     }
+    close(reserved);
   }
 }
 
