Run test waits for a session's departure, not only its last event

Cause: a session sends its last event and then leaves the service, on the HTTP client's thread; the test read the count between the two. Ruled out: leaving before the last event, since a graceful stop waits for the count and could then end the process with an event unsent. Change: the test ends the HTTP client, which joins that thread, before it reads the count. The check is as strict as before.

--- a/tests/run_test.cpp
+++ b/tests/run_test.cpp
@@ -184,12 +184,14 @@
         row.m_upstream(aSocket);
       }
     });
-    HttpClient http;
+    auto http = std::make_unique<HttpClient>();
     const auto recorder = std::make_shared<Recorder>();
-    const auto service = MakeService(http, clock, upstream.Port(), row.m_model);
+    const auto service =
+      MakeService(*http, clock, upstream.Port(), row.m_model);
     service->OnRun(Request(row), recorder);
     recorder->m_over.WaitForNotification();
     ExpectRow(row, *recorder);
+    http.reset(); // a session leaves after its last event: wait for both
     EXPECT_EQ(service->InFlight(), 0U) << row.m_fault;
   }
 }
