NodeHandler refuses the calls that a role doesn't serve

Cause: entry, bench node and test handler each wrote out refusals for calls that they don't serve; the bench's run ended without any event, which an entry would have to read as an unknown outcome.

Change: the interface has the refusals itself, in one file, and its doc comment says what they are; an undefined run is refused as not run. rpc_test gets a case over the wire for each of the six calls.

--- a/bench/support/bench_node.cpp
+++ b/bench/support/bench_node.cpp
@@ -143,41 +143,6 @@
     });
 }
 
-void
-BenchNode::OnRun(const wire::RunRequest& aRequest,
-                 std::shared_ptr<RunSink> aSink)
-{
-  aSink->Finish();
-}
-
-void
-BenchNode::OnCancel(const wire::CancelRequest& aRequest,
-                    Done<wire::CancelReply> aDone)
-{
-  aDone({});
-}
-
-void
-BenchNode::OnOrder(const wire::OrderRequest& aRequest,
-                   Done<wire::OrderReply> aDone)
-{
-  aDone({});
-}
-
-void
-BenchNode::OnChunk(const wire::ChunkRequest& aRequest,
-                   Done<wire::ChunkReply> aDone)
-{
-  aDone({});
-}
-
-void
-BenchNode::OnHave(const wire::HaveRequest& aRequest,
-                  Done<wire::HaveReply> aDone)
-{
-  aDone({});
-}
-
 std::string
 BenchNode::StateJson()
 {
--- a/include/siskindeal/rpc.h
+++ b/include/siskindeal/rpc.h
@@ -37,7 +37,9 @@
 };
 
 // What a role answers. Calls arrive on gRPC's threads and must not block; a
-// callback may be called later, from any thread, exactly once.
+// callback may be called later, from any thread, exactly once. A call that a
+// role doesn't override is refused: runs and orders with a reason, the verdict
+// of a run being "not run"; a chunk as missing; the others with an empty reply.
 class NodeHandler
 {
 public:
@@ -47,17 +49,17 @@
   virtual ~NodeHandler() = default;
   virtual wire::GreetReply OnGreet(const wire::GreetRequest& aRequest) = 0;
   virtual void OnExchange(const wire::ExchangeRequest& aRequest,
-                          Done<wire::ExchangeReply> aDone) = 0;
+                          Done<wire::ExchangeReply> aDone);
   virtual void OnRun(const wire::RunRequest& aRequest,
-                     std::shared_ptr<RunSink> aSink) = 0;
+                     std::shared_ptr<RunSink> aSink);
   virtual void OnCancel(const wire::CancelRequest& aRequest,
-                        Done<wire::CancelReply> aDone) = 0;
+                        Done<wire::CancelReply> aDone);
   virtual void OnOrder(const wire::OrderRequest& aRequest,
-                       Done<wire::OrderReply> aDone) = 0;
+                       Done<wire::OrderReply> aDone);
   virtual void OnChunk(const wire::ChunkRequest& aRequest,
-                       Done<wire::ChunkReply> aDone) = 0;
+                       Done<wire::ChunkReply> aDone);
   virtual void OnHave(const wire::HaveRequest& aRequest,
-                      Done<wire::HaveReply> aDone) = 0;
+                      Done<wire::HaveReply> aDone);
   virtual std::string StateJson() = 0;
 };
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -353,45 +353,6 @@
   m_sync->OnExchange(aRequest, aDone);
 }
 
-void
-EntryNode::OnRun(const wire::RunRequest&, std::shared_ptr<RunSink> aSink)
-{
-  wire::RunEvent event;
-  event.mutable_failed()->set_reason(std::string(ToString(Reason::NotFound)));
-  event.mutable_failed()->set_what("an entry runs nothing itself");
-  aSink->Send(event);
-  aSink->Finish();
-}
-
-void
-EntryNode::OnCancel(const wire::CancelRequest&, Done<wire::CancelReply> aDone)
-{
-  aDone({});
-}
-
-void
-EntryNode::OnOrder(const wire::OrderRequest&, Done<wire::OrderReply> aDone)
-{
-  wire::OrderReply reply;
-  reply.set_reason(std::string(ToString(Reason::BadRequest)));
-  reply.set_what("an entry takes no orders");
-  aDone(reply);
-}
-
-void
-EntryNode::OnChunk(const wire::ChunkRequest&, Done<wire::ChunkReply> aDone)
-{
-  wire::ChunkReply reply;
-  reply.set_missing(true);
-  aDone(reply);
-}
-
-void
-EntryNode::OnHave(const wire::HaveRequest&, Done<wire::HaveReply> aDone)
-{
-  aDone({});
-}
-
 std::string
 EntryNode::StateJson()
 {
--- a/src/entry/entry_p.h
+++ b/src/entry/entry_p.h
@@ -34,16 +34,6 @@
   wire::GreetReply OnGreet(const wire::GreetRequest& aRequest) override;
   void OnExchange(const wire::ExchangeRequest& aRequest,
                   Done<wire::ExchangeReply> aDone) override;
-  void OnRun(const wire::RunRequest& aRequest,
-             std::shared_ptr<RunSink> aSink) override;
-  void OnCancel(const wire::CancelRequest& aRequest,
-                Done<wire::CancelReply> aDone) override;
-  void OnOrder(const wire::OrderRequest& aRequest,
-               Done<wire::OrderReply> aDone) override;
-  void OnChunk(const wire::ChunkRequest& aRequest,
-               Done<wire::ChunkReply> aDone) override;
-  void OnHave(const wire::HaveRequest& aRequest,
-              Done<wire::HaveReply> aDone) override;
   std::string StateJson() override;
 
 private:
--- a/tests/rpc_test.cpp
+++ b/tests/rpc_test.cpp
@@ -50,23 +50,6 @@
     aSink->Send(event);
     aSink->Finish();
   }
-  void OnCancel(const wire::CancelRequest&,
-                Done<wire::CancelReply> aDone) override
-  {
-    aDone({});
-  }
-  void OnOrder(const wire::OrderRequest&, Done<wire::OrderReply> aDone) override
-  {
-    aDone({});
-  }
-  void OnChunk(const wire::ChunkRequest&, Done<wire::ChunkReply> aDone) override
-  {
-    aDone({});
-  }
-  void OnHave(const wire::HaveRequest&, Done<wire::HaveReply> aDone) override
-  {
-    aDone({});
-  }
   std::string StateJson() override { return "{}"; }
 
   absl::Notification m_cancelled;
@@ -180,5 +163,69 @@
   handler.m_cancelled.WaitForNotification();
 }
 
+// Overrides only what it has to.
+class BareHandler : public NodeHandler
+{
+public:
+  wire::GreetReply OnGreet(const wire::GreetRequest&) override { return {}; }
+  std::string StateJson() override { return "{}"; }
+};
+
+// The reply of one call, which must succeed.
+template<typename Reply, typename Call>
+Reply
+ReplyOf(const Call& aCall)
+{
+  Reply reply;
+  absl::Notification done;
+  aCall([&](RpcStatus aStatus, Reply aReply) {
+    EXPECT_EQ(aStatus.m_outcome, RpcOutcome::Ok) << aStatus.m_what;
+    reply = std::move(aReply);
+    done.Notify();
+  });
+  done.WaitForNotification();
+  return reply;
+}
+
+TEST(Rpc, CallsThatARoleDoesNotServeAreRefused)
+{
+  BareHandler handler;
+  NodeServer server({ "127.0.0.1", 0 }, {}, handler);
+  const auto address = "127.0.0.1:" + std::to_string(server.Port());
+  NodeClient client({}, "entry-1");
+
+  const auto order = ReplyOf<wire::OrderReply>([&](auto aDone) {
+    client.Order(address, wire::OrderRequest(), kHangGuard, aDone);
+  });
+  EXPECT_FALSE(order.accepted());
+  EXPECT_EQ(order.reason(), "bad_request");
+  const auto chunk = ReplyOf<wire::ChunkReply>([&](auto aDone) {
+    client.Chunk(address, wire::ChunkRequest(), kHangGuard, aDone);
+  });
+  EXPECT_TRUE(chunk.missing());
+  ReplyOf<wire::ExchangeReply>([&](auto aDone) {
+    client.Exchange(address, wire::ExchangeRequest(), kHangGuard, aDone);
+  });
+  ReplyOf<wire::CancelReply>([&](auto aDone) {
+    client.Cancel(address, wire::CancelRequest(), kHangGuard, aDone);
+  });
+  ReplyOf<wire::HaveReply>([&](auto aDone) {
+    client.Have(address, wire::HaveRequest(), kHangGuard, aDone);
+  });
+
+  std::vector<wire::RunEvent> events;
+  absl::Notification ended;
+  const auto call = client.Run(
+    address,
+    wire::RunRequest(),
+    kHangGuard,
+    [&](const wire::RunEvent& aEvent) { events.push_back(aEvent); },
+    [&](const RpcStatus&) { ended.Notify(); });
+  ended.WaitForNotification();
+  ASSERT_EQ(events.size(), 1U);
+  EXPECT_EQ(events[0].failed().reason(), "not_found");
+  EXPECT_EQ(events[0].failed().verdict(), wire::RUN_VERDICT_NOT_RUN);
+}
+
 } // namespace
 } // namespace siskindeal
