A stream whose runner dies is gone on with

Cause: a streamed answer ended with an explicit error as soon as its runner or VM died after the first byte, though others held the same weights.

Ruled out: beginning again and dropping the text that the caller has (sampled answers differ, and the caller would see two); sending the text so far (the entry would have to keep each stream's text).

Change: the entry passes on whole events only and counts them. After a break it asks another runner of the same digest to leave out that many events (x-resume-from) and takes the answer only if the engine says that it did (x-resumed-from). At most 3 breaks a stream, paid from the retry budget, within the deadline; a suspect goes on alone on the runner that the hash names, or not at all. Keyed calls aren't resumed. The agent sends the same seed and completion id with each attempt. A run that only resumed doesn't clear a suspicion. The engine stand-in resumes; new faults crash_on_token and no_resume.

--- a/examples/standin/engine.h
+++ b/examples/standin/engine.h
@@ -70,6 +70,7 @@
   {
     std::uint64_t m_number = 0;
     std::string m_id;
+    std::string m_completionId; // of the answer
     std::int64_t m_priority = 0;
     Responder m_responder;
     std::string m_digest;
@@ -80,6 +81,7 @@
     bool m_stream = false;
     int m_tokens = 0;
     int m_sent = 0;
+    int m_resumedFrom = 0; // tokens that the answer leaves out
   };
   using ChatPointer = std::shared_ptr<Chat>;
   struct LoadReport
@@ -102,6 +104,8 @@
   void Cancel(std::uint64_t aNumber);
   void StartNext();
   void Step(const ChatPointer& aChat);
+  void BeginStream(const Chat& aChat);
+  void ReadResume(const HttpRequest& aRequest, bool aSeeded, Chat& aChat);
   void FinishChat(const ChatPointer& aChat);
   bool TouchPrefix(const std::string& aHash)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/examples/standin/engine_chat.cpp
+++ b/examples/standin/engine_chat.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kDefaultTokens = 16;
 constexpr int kMostTokens = 4096;
+constexpr int kTokensBeforeCrash = 5;     // of the fault crash_on_token
 constexpr std::size_t kContentDigits = 8; // of the weights' digest, in a token
 constexpr std::size_t kMostReports = 1000;
 constexpr std::size_t kMostEvents = 1000;
@@ -83,6 +84,7 @@
     std::clamp(body.value("max_tokens", kDefaultTokens), 1, kMostTokens);
   const auto messages = body.value("messages", nlohmann::json::array());
   chat->m_prompt = MessageText(messages, false);
+  ReadResume(aRequest, body.contains("seed"), *chat);
   chat->m_prefixHash = std::to_string(StableHash(MessageText(messages, true)));
   const auto session = Text(aRequest.m_headers, "x-session");
   bool busy = false;
@@ -118,6 +120,35 @@
   m_link->Transfer(aRequest.m_body.size(), [this, chat] { Enqueue(chat); });
 }
 
+void
+EngineStandIn::ReadResume(const HttpRequest& aRequest,
+                          bool aSeeded,
+                          Chat& aChat)
+{
+  const auto completion = Text(aRequest.m_headers, "x-completion-id");
+  aChat.m_completionId = completion.empty() ? aChat.m_id : completion;
+  const bool seeded = aSeeded || !Text(aRequest.m_headers, "x-seed").empty();
+  const auto from = Number(aRequest.m_headers, "x-resume-from", 0);
+  if (!aChat.m_stream || !seeded || from == 0 ||
+      from > static_cast<std::uint64_t>(aChat.m_tokens) ||
+      GetFaults().Take("no_resume", aRequest)) {
+    return;
+  }
+  aChat.m_resumedFrom = static_cast<int>(from);
+  aChat.m_sent = aChat.m_resumedFrom;
+}
+
+void
+EngineStandIn::BeginStream(const Chat& aChat)
+{
+  HttpHeaders headers{ { "content-type", "text/event-stream" },
+                       { "x-weights-digest", aChat.m_digest } };
+  if (aChat.m_resumedFrom > 0) {
+    headers["x-resumed-from"] = std::to_string(aChat.m_resumedFrom);
+  }
+  aChat.m_responder->BeginStream(200, headers);
+}
+
 void
 EngineStandIn::Enqueue(const ChatPointer& aChat)
 {
@@ -167,14 +198,23 @@
       return;
     }
   }
+  HttpRequest asked;
+  asked.m_body = aChat->m_prompt;
+  if (aChat->m_sent == kTokensBeforeCrash &&
+      aChat->m_resumedFrom < aChat->m_sent &&
+      GetFaults().TakeOnBody("crash_on_token", asked)) {
+    Crash(aChat->m_responder);
+    return;
+  }
+  if (aChat->m_stream && aChat->m_sent == aChat->m_resumedFrom) {
+    BeginStream(*aChat);
+  }
+  if (aChat->m_sent == aChat->m_tokens) {
+    FinishChat(aChat);
+    return;
+  }
   if (aChat->m_stream) {
-    if (aChat->m_sent == 0) {
-      aChat->m_responder->BeginStream(
-        200,
-        { { "content-type", "text/event-stream" },
-          { "x-weights-digest", aChat->m_digest } });
-    }
-    auto piece = Head(aChat->m_id, aChat->m_model, true);
+    auto piece = Head(aChat->m_completionId, aChat->m_model, true);
     const auto token = Token(aChat->m_content, aChat->m_prompt, aChat->m_sent);
     piece["choices"] = { { { "index", 0 },
                            { "delta", { { "content", token } } },
@@ -204,7 +244,7 @@
       aChat->m_responder->EndStream();
     });
   } else {
-    auto answer = Head(aChat->m_id, aChat->m_model, false);
+    auto answer = Head(aChat->m_completionId, aChat->m_model, false);
     const auto text =
       ExpectedText(aChat->m_content, aChat->m_prompt, aChat->m_tokens);
     answer["choices"] = {
--- a/examples/standin/stand_in.h
+++ b/examples/standin/stand_in.h
@@ -25,6 +25,9 @@
 //   truncate       sends half of the answer, then closes the connection
 //   freeze         neither works nor answers until the fault is cleared
 //   crash_on_body  a request whose body has the text m_value ends the stand-in
+//   crash_on_token engine: a chat whose prompt has the text m_value ends the
+//                  stand-in before its sixth token, if it made the fifth
+//   no_resume      engine: answers from the start when asked to resume
 //   watch_gap      platform: watches are answered 410
 //   corrupt_chunk  a byte of the weights sent is wrong
 struct Fault
@@ -99,6 +102,8 @@
   // What a crash loses.
   virtual void OnCrash() {}
 
+  // The stand-in dies while it works on the request of this responder.
+  void Crash(const Responder& aResponder);
   Scheduler& GetScheduler() { return m_scheduler; }
 
 private:
@@ -106,7 +111,6 @@
                                      const std::string& aClient);
   void OnRequest(HttpRequest aRequest, Responder aResponder);
   void Admit(HttpRequest aRequest, const Responder& aResponder);
-  void Crash(const Responder& aResponder);
   void OnFaultRequest(const HttpRequest& aRequest, const Responder& aResponder);
 
   const StandInOptions m_options;
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -1,5 +1,6 @@
 #include "run_session_p.h"
 
+#include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 
@@ -59,6 +60,14 @@
   if (m_service->m_upstream.m_kind == UpstreamSettings::Kind::Model) {
     request.m_headers[kDigestHeader] = m_request.expected_digest();
     request.m_headers["x-priority"] = std::to_string(m_request.priority());
+    // The same for each attempt, so that one can go on where another ended.
+    request.m_headers["x-completion-id"] = m_request.request_id();
+    request.m_headers["x-seed"] =
+      std::to_string(StableHash(m_request.request_id()));
+    if (m_request.resume_from() > 0) {
+      request.m_headers["x-resume-from"] =
+        std::to_string(m_request.resume_from());
+    }
   }
   if (!m_request.idempotency_key().empty()) {
     request.m_headers["idempotency-key"] = m_request.idempotency_key();
@@ -328,7 +337,10 @@
     return;
   }
   EndClaim(Verdict::Ran);
-  m_service->OnWhole(*this);
+  // The end of an answer alone doesn't show that the request is harmless.
+  if (m_request.resume_from() == 0) {
+    m_service->OnWhole(*this);
+  }
   wire::RunEvent event;
   event.mutable_finished()->set_body_bytes(m_bodyBytes);
   m_sink->Send(std::move(event));
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -12,13 +12,17 @@
 
 constexpr std::chrono::milliseconds kStreamsRetryAfter{ 1000 };
 
-// The newest weights of the class that take requests on the node.
+// The newest weights of the class that take requests on the node; with aWanted
+// these or none.
 std::string
-ServingDigest(const wire::NodeRecord& aNode, const std::string& aClass)
+ServingDigest(const wire::NodeRecord& aNode,
+              const std::string& aClass,
+              const std::string& aWanted)
 {
   std::string digest;
   for (const auto& serving : aNode.serving()) {
-    if (serving.class_of_work() == aClass) {
+    if (serving.class_of_work() == aClass &&
+        (aWanted.empty() || serving.digest() == aWanted)) {
       digest = serving.digest();
     }
   }
@@ -68,7 +72,8 @@
 
 std::vector<Destination>
 Forwarder::Destinations(const CallerRequest& aRequest,
-                        const std::set<std::string>& aTried) const
+                        const std::set<std::string>& aTried,
+                        const std::string& aDigest) const
 {
   std::vector<Destination> destinations;
   const auto view = m_parts.m_view();
@@ -82,7 +87,7 @@
     }
     Destination destination{ node, {} };
     if (!aRequest.m_class.empty()) {
-      destination.m_digest = ServingDigest(node, aRequest.m_class);
+      destination.m_digest = ServingDigest(node, aRequest.m_class, aDigest);
       if (destination.m_digest.empty()) {
         continue;
       }
@@ -92,21 +97,50 @@
   return destinations;
 }
 
+std::vector<std::string>
+Forwarder::LeftOut(const CallerRequest& aRequest,
+                   const std::set<std::string>& aTried,
+                   const std::vector<Destination>& aDestinations) const
+{
+  std::vector<std::string> leftOut(aTried.begin(), aTried.end());
+  // A suspect runs where every entry would send it, or not at all.
+  if (m_parts.m_traffic->StateOf(aRequest.m_fingerprint) !=
+      SuspicionState::None) {
+    return leftOut;
+  }
+  const auto all = Destinations(aRequest, aTried, {});
+  leftOut.reserve(leftOut.size() + all.size());
+  for (const auto& other : all) {
+    const auto& vm = other.m_node.vm();
+    if (std::none_of(
+          aDestinations.begin(), aDestinations.end(), [&](const auto& aOne) {
+            return aOne.m_node.vm() == vm;
+          })) {
+      leftOut.push_back(vm);
+    }
+  }
+  return leftOut;
+}
+
 std::optional<Destination>
 Forwarder::Choose(const CallerRequest& aRequest,
-                  const std::set<std::string>& aTried) const
+                  const std::set<std::string>& aTried,
+                  const std::string& aDigest) const
 {
-  auto destinations = Destinations(aRequest, aTried);
+  auto destinations = Destinations(aRequest, aTried, aDigest);
   if (destinations.empty()) {
     return std::nullopt;
   }
   if (!aRequest.m_idempotent) {
     return destinations[HomeOf(aRequest, destinations)];
   }
-  const RoutingRequest routing{ "",
-                                aRequest.m_class,
-                                aRequest.m_prefixHash,
-                                { aTried.begin(), aTried.end() } };
+  RoutingRequest routing{ "",
+                          aRequest.m_class,
+                          aRequest.m_prefixHash,
+                          { aTried.begin(), aTried.end() } };
+  if (!aDigest.empty()) {
+    routing.m_tried = LeftOut(aRequest, aTried, destinations);
+  }
   const auto vm = m_parts.m_traffic->Choose(
     aRequest.m_service, routing, aRequest.m_fingerprint);
   for (auto& destination : destinations) {
--- a/src/entry/forward_p.h
+++ b/src/entry/forward_p.h
@@ -78,13 +78,20 @@
 private:
   friend class ForwardSession;
 
-  // Agents that may run the request, those in aTried left out.
-  std::vector<Destination> Destinations(
-    const CallerRequest& aRequest,
-    const std::set<std::string>& aTried) const;
+  // Agents that may run the request, those in aTried left out; with a digest
+  // only those that answer from these weights.
+  std::vector<Destination> Destinations(const CallerRequest& aRequest,
+                                        const std::set<std::string>& aTried,
+                                        const std::string& aDigest) const;
   // Where the next attempt goes; nothing when no agent takes the request.
   std::optional<Destination> Choose(const CallerRequest& aRequest,
-                                    const std::set<std::string>& aTried) const;
+                                    const std::set<std::string>& aTried,
+                                    const std::string& aDigest) const;
+  // The runners that the router must leave out.
+  std::vector<std::string> LeftOut(
+    const CallerRequest& aRequest,
+    const std::set<std::string>& aTried,
+    const std::vector<Destination>& aDestinations) const;
 
   const ForwardParts m_parts;
   std::atomic<std::size_t> m_inFlight{ 0 };
--- a/src/entry/forward_session.cpp
+++ b/src/entry/forward_session.cpp
@@ -5,6 +5,8 @@
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 
+#include <absl/strings/numbers.h>
+
 #include <array>
 
 namespace siskindeal {
@@ -13,6 +15,19 @@
 
 constexpr std::chrono::milliseconds kGiveUpTimeout{ 500 };
 constexpr std::chrono::milliseconds kNoReplicaRetryAfter{ 1000 };
+constexpr const char* kResumedHeader = "x-resumed-from";
+
+std::optional<std::uint64_t>
+ResumedFrom(const wire::RunStarted& aStarted)
+{
+  std::uint64_t events = 0;
+  const auto found = aStarted.headers().find(kResumedHeader);
+  if (found == aStarted.headers().end() ||
+      !absl::SimpleAtoi(found->second, &events)) {
+    return std::nullopt;
+  }
+  return events;
+}
 
 Verdict
 FromWire(wire::RunVerdict aVerdict)
@@ -145,12 +160,13 @@
     Respond({ Reason::Timeout, m_verdict, "the request's deadline passed" });
     return;
   }
-  const auto destination = m_forwarder->Choose(m_request, m_tried);
+  const auto destination = m_forwarder->Choose(
+    m_request, m_tried, m_stream.HasBegun() ? m_stream.Digest() : "");
   if (!destination) {
-    Respond({ Reason::NoReplica,
-              m_verdict,
-              "no VM of the service takes this request now",
-              kNoReplicaRetryAfter });
+    RespondFailure({ Reason::NoReplica,
+                     m_verdict,
+                     "no VM of the service takes this request now",
+                     kNoReplicaRetryAfter });
     return;
   }
   Send(*destination);
@@ -178,6 +194,7 @@
   request.set_idempotent(m_request.m_idempotent);
   request.set_idempotency_key(m_request.m_key);
   request.set_fingerprint(m_request.m_fingerprint);
+  request.set_resume_from(m_stream.Events());
   request.set_isolated(m_forwarder->m_parts.m_traffic->StateOf(
                          m_request.m_fingerprint) == SuspicionState::Suspect);
   return request;
@@ -212,7 +229,7 @@
       m_call = call;
       m_callAttempt = attempt;
     }
-    hungUp = m_hungUp;
+    hungUp = m_hungUp || m_refusedAttempt == attempt;
   }
   if (hungUp) {
     call->Cancel();
@@ -227,16 +244,7 @@
   }
   switch (aEvent.event_case()) {
     case wire::RunEvent::kStarted:
-      m_status = aEvent.started().status();
-      m_headers.clear();
-      for (const auto& [name, value] : aEvent.started().headers()) {
-        m_headers[name] = value;
-      }
-      if (aEvent.started().digest() != m_destination.m_digest) {
-        m_failure.emplace(Reason::DigestMismatch,
-                          Verdict::Ran,
-                          "the agent answered from other weights");
-      }
+      OnStarted(aEvent.started());
       return;
     case wire::RunEvent::kBody:
       OnBody(aEvent.body());
@@ -257,6 +265,54 @@
   }
 }
 
+void
+ForwardSession::OnStarted(const wire::RunStarted& aStarted)
+{
+  m_status = aStarted.status();
+  if (aStarted.digest() != m_destination.m_digest) {
+    m_failure.emplace(Reason::DigestMismatch,
+                      Verdict::Ran,
+                      "the agent answered from other weights");
+    return;
+  }
+  const bool resuming = m_stream.HasBegun();
+  if (m_request.m_stream && (m_status == 200 || resuming)) {
+    const bool goesOn =
+      m_stream.Begin(aStarted.digest(), ResumedFrom(aStarted));
+    if (!goesOn || m_status != 200) {
+      RefuseResume();
+      return;
+    }
+  }
+  if (resuming) {
+    CountMetric("siskindeal_resumed_streams_total");
+    return;
+  }
+  m_headers.clear();
+  for (const auto& [name, value] : aStarted.headers()) {
+    m_headers[name] = value;
+  }
+}
+
+void
+ForwardSession::RefuseResume()
+{
+  m_failure.emplace(Reason::UpstreamFailed,
+                    Verdict::MayHaveRun,
+                    "the stream broke off and its engine can't resume it");
+  m_stream.GiveUp();
+  EndAttempt(RunnerOutcome::GivenUp);
+  std::shared_ptr<RunCall> call;
+  {
+    const OrderedLock lock(m_mutex);
+    m_refusedAttempt = m_attempt;
+    call = m_callAttempt == m_attempt ? m_call : nullptr;
+  }
+  if (call) {
+    call->Cancel();
+  }
+}
+
 void
 ForwardSession::LearnSuspicions(const wire::RunFailed& aFailed)
 {
@@ -276,13 +332,31 @@
     m_body += aBytes;
     return;
   }
-  if (!m_streaming) {
-    m_streaming = true;
-    m_headers[std::string(kVerdictHeader)] = ToString(Verdict::Ran);
-    m_headers["x-request-id"] = m_request.m_id;
-    m_responder->BeginStream(m_status, m_headers);
+  const bool begun = m_stream.HasBegun();
+  const auto events = m_stream.Take(aBytes);
+  if (!begun && m_stream.HasBegun()) {
+    BeginStream();
+  }
+  if (!events.empty()) {
+    m_responder->Write(events);
   }
-  m_responder->Write(aBytes);
+}
+
+void
+ForwardSession::BeginStream()
+{
+  m_headers[std::string(kVerdictHeader)] = ToString(Verdict::Ran);
+  m_headers["x-request-id"] = m_request.m_id;
+  m_responder->BeginStream(m_status, m_headers);
+}
+
+void
+ForwardSession::EndWhole()
+{
+  m_answered = true;
+  CountMetric("siskindeal_answered_requests_total",
+              { { "service", m_request.m_service } });
+  m_responder->EndStream();
 }
 
 void
@@ -294,14 +368,16 @@
                       "the answer is shorter than the upstream sent");
     return;
   }
-  m_answered = true;
   EndAttempt(RunnerOutcome::Answered);
-  CountMetric("siskindeal_answered_requests_total",
-              { { "service", m_request.m_service } });
-  if (m_streaming) {
-    m_responder->EndStream();
+  if (m_stream.HasBegun()) {
+    m_responder->Write(m_stream.TakeRest());
+    EndWhole();
     return;
   }
+  m_answered = true;
+  CountMetric("siskindeal_answered_requests_total",
+              { { "service", m_request.m_service } });
+  m_body += m_stream.TakeRest();
   m_headers[std::string(kVerdictHeader)] = ToString(Verdict::Ran);
   m_headers["x-request-id"] = m_request.m_id;
   m_responder->Respond(m_status, m_headers, std::move(m_body));
@@ -359,8 +435,10 @@
     aFailure.GetVerdict() == Verdict::NotRun || m_request.m_idempotent;
   const bool helps = aFailure.GetReason() != Reason::Quarantined &&
                      aFailure.GetReason() != Reason::Conflict;
-  return safe && helps && !m_streaming &&
-         m_attempt <= parts.m_routing.m_retries &&
+  const bool more = m_stream.HasBegun()
+                      ? m_stream.MayResume(aFailure.GetReason())
+                      : m_attempt <= parts.m_routing.m_retries;
+  return safe && helps && more &&
          parts.m_traffic->TakeRetry(m_request.m_service);
 }
 
@@ -376,6 +454,14 @@
       return;
     }
   }
+  m_stream.BreakOff();
+  if (m_stream.IsWhole()) {
+    EndWhole();
+    return;
+  }
+  if (m_stream.HasBegun() && !m_broken) {
+    m_broken.emplace(aFailure);
+  }
   const bool retry = MayRetry(aFailure);
   const auto& parts = m_forwarder->m_parts;
   const auto suspicions = std::exchange(m_suspicions, {});
@@ -383,10 +469,7 @@
     for (const auto& suspicion : suspicions) {
       parts.m_spread(suspicion, [] {});
     }
-    Respond({ aFailure.GetReason(),
-              m_verdict,
-              aFailure.what(),
-              aFailure.RetryAfter() });
+    RespondFailure(aFailure);
     return;
   }
   CountMetric("siskindeal_retries_total",
@@ -401,6 +484,14 @@
   parts.m_spread(suspicions.front(), [self] { self->TryNext(); });
 }
 
+void
+ForwardSession::RespondFailure(const Error& aFailure)
+{
+  const bool broken = m_broken && aFailure.GetReason() != Reason::Quarantined;
+  const Error& told = broken ? *m_broken : aFailure;
+  Respond({ told.GetReason(), m_verdict, told.what(), told.RetryAfter() });
+}
+
 void
 ForwardSession::Respond(const Error& aError)
 {
@@ -409,7 +500,7 @@
   CountMetric("siskindeal_refused_requests_total",
               { { "reason", std::string(ToString(aError.GetReason())) },
                 { "verdict", std::string(ToString(aError.GetVerdict())) } });
-  if (!m_streaming) {
+  if (!m_stream.HasBegun()) {
     RespondError(*m_responder, aError, { { "x-request-id", m_request.m_id } });
     return;
   }
--- a/src/entry/forward_session_p.h
+++ b/src/entry/forward_session_p.h
@@ -2,6 +2,7 @@
 // One caller's request on its way through an entry.
 
 #include "forward_p.h"
+#include "stream_resume_p.h"
 
 #include <optional>
 
@@ -26,13 +27,20 @@
   void Send(const Destination& aDestination);
   wire::RunRequest ToWire() const;
   void OnEvent(const wire::RunEvent& aEvent);
+  void OnStarted(const wire::RunStarted& aStarted);
+  // The attempt can't go on with the caller's stream: it is given up.
+  void RefuseResume();
   void OnBody(const std::string& aBytes);
+  void BeginStream();
+  void EndWhole();
   void OnFinished(const wire::RunFinished& aFinished);
   void OnEnd(const RpcStatus& aStatus);
   void AfterLostCall();
   void AfterFailure(const Error& aFailure);
   void LearnSuspicions(const wire::RunFailed& aFailed);
   bool MayRetry(const Error& aFailure) const;
+  // What the caller is told when nothing more is tried.
+  void RespondFailure(const Error& aFailure);
   void Respond(const Error& aError);
   void OnHangUp();
   std::chrono::milliseconds Remaining() const;
@@ -52,7 +60,8 @@
   std::optional<Error> m_failure; // of the attempt, acted on at its end
   std::vector<wire::Suspicion> m_suspicions; // learned with that failure
   bool m_sent = false;                       // an attempt counts at its runner
-  bool m_streaming = false;                  // bytes have gone to the caller
+  StreamResume m_stream;                     // what the caller has of a stream
+  std::optional<Error> m_broken;             // its first break
   bool m_answered = false;
   int m_status = 0;
   HttpHeaders m_headers;
@@ -64,6 +73,7 @@
   OrderedMutex m_mutex{ LockLevel::Session };
   std::shared_ptr<RunCall> m_call ABSL_GUARDED_BY(m_mutex);
   std::uint32_t m_callAttempt ABSL_GUARDED_BY(m_mutex) = 0;
+  std::uint32_t m_refusedAttempt ABSL_GUARDED_BY(m_mutex) = 0;
   bool m_hungUp ABSL_GUARDED_BY(m_mutex) = false;
 };
 
--- /dev/null
+++ b/src/entry/stream_resume.cpp
@@ -0,0 +1,139 @@
+#include "stream_resume_p.h"
+
+#include "siskindeal/invariant.h"
+
+#include <utility>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::string_view kData = "data:";
+constexpr std::string_view kEndMarker = "[DONE]";
+constexpr std::string_view kErrorEvent = "event: error";
+
+// The size of the first event, its empty line with it; nothing where it isn't
+// whole. aFrom says where to begin to look.
+std::optional<std::size_t>
+EventEnd(std::string_view aBytes, std::size_t aFrom)
+{
+  for (auto line = aBytes.find('\n', aFrom); line != std::string_view::npos;
+       line = aBytes.find('\n', line + 1)) {
+    auto next = line + 1;
+    if (next < aBytes.size() && aBytes[next] == '\r') {
+      ++next;
+    }
+    if (next < aBytes.size() && aBytes[next] == '\n') {
+      return next + 1;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool
+StreamResume::Begin(const std::string& aDigest,
+                    std::optional<std::uint64_t> aResumedFrom)
+{
+  if (m_begun && aDigest != m_digest) {
+    return false;
+  }
+  m_digest = aDigest;
+  m_accepted = aResumedFrom.value_or(0) == m_events;
+  return m_accepted;
+}
+
+void
+StreamResume::Count(std::string_view aEvent)
+{
+  bool data = false;
+  while (!aEvent.empty()) {
+    const auto end = aEvent.find('\n');
+    auto line = aEvent.substr(0, end);
+    aEvent.remove_prefix(end == std::string_view::npos ? aEvent.size()
+                                                       : end + 1);
+    if (line.starts_with(kErrorEvent)) {
+      m_resumable = false;
+    }
+    if (!line.starts_with(kData)) {
+      continue;
+    }
+    line.remove_prefix(kData.size());
+    line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+    if (line.starts_with(kEndMarker)) {
+      m_whole = true;
+      return;
+    }
+    data = true;
+  }
+  m_events += data ? 1 : 0;
+}
+
+std::string
+StreamResume::Take(std::string_view aBytes)
+{
+  SISKINDEAL_INVARIANT(m_accepted, "a stream goes on only where it ended");
+  if (m_whole) {
+    return {};
+  }
+  m_partial.append(aBytes);
+  std::size_t taken = 0;
+  while (!m_raw && !m_whole) {
+    const auto rest = std::string_view(m_partial).substr(taken);
+    const auto end = EventEnd(rest, taken == 0 ? m_scanned : 0);
+    if (!end) {
+      break;
+    }
+    Count(rest.substr(0, *end));
+    taken += *end;
+  }
+  if (!m_raw && m_partial.size() - taken > kMostEventBytes) {
+    m_raw = true;
+    m_resumable = false;
+  }
+  if (m_raw) {
+    taken = m_partial.size();
+  }
+  auto events = m_partial.substr(0, taken);
+  m_partial.erase(0, m_whole ? m_partial.size() : taken);
+  // The last two bytes may be the beginning of an event's end.
+  m_scanned = m_partial.size() < 2 ? 0 : m_partial.size() - 2;
+  m_begun = m_begun || !events.empty();
+  return events;
+}
+
+std::string
+StreamResume::TakeRest()
+{
+  m_scanned = 0;
+  m_begun = m_begun || !m_partial.empty();
+  return std::exchange(m_partial, {});
+}
+
+void
+StreamResume::BreakOff()
+{
+  m_partial.clear();
+  m_scanned = 0;
+  m_accepted = false;
+  m_breaks += m_begun ? 1 : 0;
+}
+
+bool
+StreamResume::MayResume(Reason aReason) const
+{
+  switch (aReason) {
+    case Reason::Unavailable:
+    case Reason::UpstreamFailed:
+    case Reason::TruncatedAnswer:
+    case Reason::Overloaded:
+    case Reason::Draining:
+    case Reason::DigestMismatch:
+      return m_resumable && !m_whole && m_breaks <= kMostBreaks;
+    default:
+      return false;
+  }
+}
+
+} // namespace siskindeal
--- a/tests/rollout_process_test.cpp
+++ b/tests/rollout_process_test.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <future>
 #include <mutex>
+#include <set>
 #include <sstream>
 
 namespace siskindeal {
@@ -65,9 +66,53 @@
 class Rollouts : public testing::Test
 {
 protected:
+  // Streams a chat and, once it has begun, crashes the engine that runs it.
+  // Returns what the caller got.
+  std::string StreamOverACrash(Fleet& aFleet, int aEngines, int aTokens);
+
   HttpClient m_client;
 };
 
+std::string
+Rollouts::StreamOverACrash(Fleet& aFleet, int aEngines, int aTokens)
+{
+  const std::string prompt = "a long answer";
+  std::promise<void> begun;
+  std::once_flag once;
+  std::string events;
+  auto request =
+    Chat(aFleet.Url("entry-1", "/v1/chat/completions"), prompt, aTokens, true);
+  request.m_timeout = kEndGuard;
+  request.m_onBytes = [&](std::string_view aBytes) {
+    events += aBytes;
+    std::call_once(once, [&] { begun.set_value(); });
+    return true;
+  };
+  std::promise<HttpReply> ended;
+  m_client.Start(request,
+                 [&](const HttpReply& aReply) { ended.set_value(aReply); });
+  EXPECT_EQ(begun.get_future().wait_for(kEndGuard), std::future_status::ready)
+    << aFleet.Logs();
+  for (int i = 0; i < aEngines; ++i) {
+    auto& engine = aFleet.Engine(i);
+    if (engine.Executions()[prompt] == 0) {
+      continue;
+    }
+    standin::Fault crash;
+    crash.m_value = "crash now";
+    engine.GetFaults().Set("crash_on_body", crash);
+    standin::Fault empty; // its weights aren't loaded again
+    empty.m_pathPrefix = "/engine/";
+    engine.GetFaults().Set("outage", empty);
+    m_client.Fetch(
+      { "POST", engine.Url() + "/v1/chat/completions", {}, crash.m_value });
+    EXPECT_EQ(engine.Crashes(), 1);
+  }
+  const auto reply = ended.get_future().get();
+  EXPECT_EQ(reply.m_outcome, HttpOutcome::Answered) << reply.m_error;
+  return events;
+}
+
 TEST_F(Rollouts, CarryARequestFromEndToEnd)
 {
   Fleet fleet(2, 2, 1);
@@ -174,5 +219,84 @@
   }
 }
 
+TEST_F(Rollouts, GoOnWithAStreamAfterItsEngineCrashes)
+{
+  constexpr int kTokens = 1000;
+  Fleet fleet(1, 3, 0);
+  const auto content = fleet.RollOut("booking-1", kWeightsBytes, 3);
+  const auto events = StreamOverACrash(fleet, 3, kTokens);
+  EXPECT_EQ(StreamText(events),
+            standin::ExpectedText(content, "a long answer", kTokens) + "[DONE]")
+    << fleet.Logs();
+  EXPECT_EQ(events.find("event: error"), std::string::npos);
+  std::set<std::string> ids;
+  std::istringstream lines(events);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind("data: {", 0) == 0) {
+      ids.insert(json::parse(line.substr(6)).at("id"));
+    }
+  }
+  EXPECT_EQ(ids.size(), 1U);
+}
+
+TEST_F(Rollouts, EndAStreamWithAnErrorWhereNoOtherVmHoldsItsWeights)
+{
+  constexpr int kTokens = 1000;
+  Fleet fleet(1, 2, 0);
+  const auto content = fleet.RollOut("booking-1", kWeightsBytes, 1);
+  const auto events = StreamOverACrash(fleet, 2, kTokens);
+  EXPECT_NE(events.find("event: error"), std::string::npos);
+  EXPECT_NE(events.find("upstream_failed"), std::string::npos) << events;
+  const auto text = StreamText(events);
+  EXPECT_EQ(text.find("[DONE]"), std::string::npos);
+  EXPECT_EQ(
+    standin::ExpectedText(content, "a long answer", kTokens).rfind(text, 0),
+    0U);
+}
+
+TEST_F(Rollouts, EndAStreamWithAnErrorWhereTheEngineCantResume)
+{
+  constexpr int kTokens = 1000;
+  Fleet fleet(1, 2, 0);
+  const auto content = fleet.RollOut("booking-1", kWeightsBytes, 2);
+  for (int i = 0; i < 2; ++i) {
+    fleet.Engine(i).GetFaults().Set("no_resume");
+  }
+  const auto events = StreamOverACrash(fleet, 2, kTokens);
+  EXPECT_NE(events.find("event: error"), std::string::npos);
+  const auto text = StreamText(events);
+  EXPECT_EQ(text.find("[DONE]"), std::string::npos);
+  EXPECT_EQ(
+    standin::ExpectedText(content, "a long answer", kTokens).rfind(text, 0),
+    0U);
+}
+
+// A stream that was resumed ends whole, which must not clear the request that
+// crashed its engine on the way.
+TEST_F(Rollouts, LoseAtMostTwoEnginesToARequestWhoseStreamIsResumed)
+{
+  constexpr int kEngines = 4;
+  constexpr int kTries = 6;
+  constexpr int kMostCrashes = 2;
+  Fleet fleet(2, kEngines, 0);
+  fleet.RollOut("booking-1", kWeightsBytes, kEngines);
+  standin::Fault fault;
+  fault.m_value = "crashes its engine";
+  for (int i = 0; i < kEngines; ++i) {
+    fleet.Engine(i).GetFaults().Set("crash_on_token", fault);
+  }
+  for (int i = 0; i < kTries; ++i) {
+    const std::string entry = i % 2 == 0 ? "entry-1" : "entry-2";
+    m_client.Fetch(
+      Chat(fleet.Url(entry, "/v1/chat/completions"), fault.m_value, 50, true));
+  }
+  int crashes = 0;
+  for (int i = 0; i < kEngines; ++i) {
+    crashes += fleet.Engine(i).Crashes();
+  }
+  EXPECT_GE(crashes, 1);
+  EXPECT_LE(crashes, kMostCrashes) << fleet.Logs();
+}
+
 } // namespace
 } // namespace siskindeal
--- a/tests/run_test.cpp
+++ b/tests/run_test.cpp
@@ -7,6 +7,7 @@
 #include <absl/synchronization/notification.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <vector>
 
@@ -226,5 +227,64 @@
   EXPECT_FALSE(service->OnCancel(cancel).not_started());
 }
 
+const Row&
+RowOf(const std::string& aFault)
+{
+  return *std::find_if(kRows.begin(), kRows.end(), [&](const Row& aRow) {
+    return aRow.m_fault == aFault;
+  });
+}
+
+// The header's line in a request.
+std::string
+HeaderLine(const std::string& aRequest, const std::string& aName)
+{
+  const auto at = aRequest.find(aName + ": ");
+  return at == std::string::npos
+           ? ""
+           : aRequest.substr(at, aRequest.find('\r', at) - at);
+}
+
+// A suspect whose stream is resumed shows nothing about its beginning.
+TEST(Run, AResumedStreamDoesNotClearItsRequest)
+{
+  const SystemClock clock;
+  const auto& whole = RowOf("stream whole");
+  std::vector<std::string> heads;
+  RawServer upstream([&](RawSocket& aSocket, int) {
+    heads.push_back(aSocket.ReadUntil("\r\n\r\n"));
+    whole.m_upstream(aSocket);
+    aSocket.Close();
+  });
+  HttpClient http;
+  const auto service = MakeService(http, clock, upstream.Port(), true);
+  wire::Suspicion suspicion;
+  suspicion.set_fingerprint(7);
+  suspicion.set_crashes(1);
+  suspicion.add_crash_ids("vm/1/1");
+  service->Merge(suspicion);
+  auto request = Request(whole);
+  request.set_fingerprint(7);
+  const auto run = [&](bool aAlone, std::uint64_t aFrom) {
+    request.set_attempt(request.attempt() + 1);
+    request.set_isolated(aAlone);
+    request.set_resume_from(aFrom);
+    const auto recorder = std::make_shared<Recorder>();
+    service->OnRun(request, recorder);
+    recorder->m_over.WaitForNotification();
+    return recorder->m_events.back().has_finished();
+  };
+  EXPECT_TRUE(run(true, 3));
+  EXPECT_FALSE(run(false, 0)); // still a suspect
+  EXPECT_TRUE(run(true, 0));
+  EXPECT_TRUE(run(false, 0)); // cleared
+  ASSERT_EQ(heads.size(), 3U);
+  EXPECT_EQ(HeaderLine(heads[0], "x-resume-from"), "x-resume-from: 3");
+  EXPECT_EQ(HeaderLine(heads[1], "x-resume-from"), "");
+  EXPECT_EQ(HeaderLine(heads[0], "x-completion-id"), "x-completion-id: r");
+  EXPECT_NE(HeaderLine(heads[0], "x-seed"), "");
+  EXPECT_EQ(HeaderLine(heads[0], "x-seed"), HeaderLine(heads[1], "x-seed"));
+}
+
 } // namespace
 } // namespace siskindeal
