One request costs at most two upstreams, also on a busy machine

Two causes, read from the agents' logs with each probe's outcome: - after a lost connection the agent probes whether the upstream refuses connections; the probe went over a connection kept from before, which a process that is going down answered with 404, so the crash went unnoticed; - after two crashes the entry knew that the request was convicted and sent the third attempt all the same; it was the agents that refused it, when the news had reached them in time. Ruled out: a probe that times out or is reset (outcome Answered in all of 8 logs). Change: probes connect anew; the entry looks at the quarantine before each attempt. A lost connection is logged with whether it was a crash.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -119,6 +119,8 @@
   std::string m_body{};
   std::chrono::milliseconds m_timeout{ 30000 };
   std::chrono::milliseconds m_connectTimeout{ 1000 };
+  // Connects anew, though a kept connection would do.
+  bool m_newConnection = false;
   // Called on the client's thread as answer bytes come; then m_body of the
   // reply stays empty. Returning false cancels. Only for 2xx answers.
   std::function<bool(std::string_view)> m_onBytes{};
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -355,6 +355,7 @@
   HttpClientRequest probe;
   probe.m_url = m_service->m_upstream.m_url + "/";
   probe.m_timeout = kProbeTimeout;
+  probe.m_newConnection = true;
   const auto self = shared_from_this();
   m_service->m_http.Start(
     std::move(probe), [self, aReply, aProbesLeft](const HttpReply& aProbe) {
@@ -363,6 +364,12 @@
         return;
       }
       const bool crashed = aProbe.m_outcome == HttpOutcome::NotSent;
+      Log(LogLevel::Warning,
+          "upstream_connection_lost",
+          { { "request_id", self->m_request.request_id() },
+            { "attempt", self->m_request.attempt() },
+            { "crashed", crashed },
+            { "what", aReply.m_error } });
       self->Fail(Reason::UpstreamFailed,
                  Verdict::MayHaveRun,
                  aReply.m_error,
--- a/src/entry/forward_session.cpp
+++ b/src/entry/forward_session.cpp
@@ -160,6 +160,13 @@
     Respond({ Reason::Timeout, m_verdict, "the request's deadline passed" });
     return;
   }
+  if (m_forwarder->m_parts.m_traffic->StateOf(m_request.m_fingerprint) ==
+      SuspicionState::Quarantined) {
+    RespondFailure({ Reason::Quarantined,
+                     m_verdict,
+                     "this request has crashed its upstreams" });
+    return;
+  }
   const auto destination = m_forwarder->Choose(
     m_request, m_tried, m_stream.HasBegun() ? m_stream.Digest() : "");
   if (!destination) {
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -55,6 +55,8 @@
   curl_easy_setopt(aEasy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(aEasy, CURLOPT_MAXAGE_CONN, kReuseSeconds);
+  curl_easy_setopt(
+    aEasy, CURLOPT_FRESH_CONNECT, m_request.m_newConnection ? 1L : 0L);
   curl_easy_setopt(
     aEasy, CURLOPT_TIMEOUT_MS, static_cast<long>(m_request.m_timeout.count()));
   curl_easy_setopt(aEasy,
--- a/tests/run_test.cpp
+++ b/tests/run_test.cpp
@@ -286,5 +286,59 @@
   EXPECT_EQ(HeaderLine(heads[0], "x-seed"), HeaderLine(heads[1], "x-seed"));
 }
 
+// An upstream that ends refuses connections before it has closed all of those
+// that it had accepted.
+TEST(Run, ACrashIsNoticedThoughAKeptConnectionStillAnswers)
+{
+  constexpr std::size_t kKept = 3; // one is lost, one takes libcurl's own retry
+  const SystemClock clock;
+  HttpClient http;
+  std::unique_ptr<HttpServer> upstream;
+  std::vector<std::shared_ptr<HttpResponder>> held;
+  std::size_t requests = 0;
+  upstream = std::make_unique<HttpServer>(
+    "127.0.0.1",
+    std::uint16_t{ 0 },
+    HttpServerLimits{ .m_threads = 1 },
+    [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& aResponder) {
+      ++requests;
+      if (requests <= kKept) {
+        held.push_back(aResponder);
+      }
+      if (requests == kKept) {
+        for (const auto& responder : held) {
+          responder->Respond(200, {}, "ok");
+        }
+        held.clear();
+      } else if (requests == kKept + 1) {
+        upstream->StopListening();
+        aResponder->Abort();
+      } else if (requests > kKept) {
+        aResponder->Respond(404, {}, "");
+      }
+    });
+  const auto service = MakeService(http, clock, upstream->Port(), false);
+  const auto run = [&](const std::string& aId) {
+    auto request = Request(kRows.front());
+    request.set_request_id(aId);
+    request.set_fingerprint(7);
+    request.set_deadline_ms(10000);
+    auto recorder = std::make_shared<Recorder>();
+    service->OnRun(request, recorder);
+    return recorder;
+  };
+  std::vector<std::shared_ptr<Recorder>> recorders;
+  for (std::size_t i = 0; i < kKept; ++i) {
+    recorders.push_back(run(std::to_string(i)));
+  }
+  for (const auto& recorder : recorders) {
+    recorder->m_over.WaitForNotification();
+  }
+  const auto crashed = run("crash");
+  crashed->m_over.WaitForNotification();
+  ASSERT_TRUE(crashed->m_events.back().has_failed());
+  EXPECT_TRUE(crashed->m_events.back().failed().upstream_crashed());
+}
+
 } // namespace
 } // namespace siskindeal
