--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -19,20 +19,37 @@
 constexpr std::size_t kMostDiscarded = 8 << 20;
 constexpr std::chrono::milliseconds kRetryAfterOverload{ 1000 };
 
+// Headers as the library hands them over, one by one.
+struct HeaderCollector
+{
+  HttpHeaders& m_headers;
+  std::string m_problem{}; // the first; empty: none
+  int m_hosts = 0;
+};
+
 MHD_Result
-CollectHeader(void* aHeaders,
+CollectHeader(void* aCollector,
               MHD_ValueKind,
               const char* aName,
-              const char* aValue)
+              std::size_t aNameSize,
+              const char* aValue,
+              std::size_t aValueSize)
 {
-  auto& headers = *static_cast<HttpHeaders*>(aHeaders);
-  const auto name = absl::AsciiStrToLower(aName);
-  const std::string value = aValue == nullptr ? "" : aValue;
-  const auto [place, added] = headers.emplace(name, value);
+  auto& collector = *static_cast<HeaderCollector*>(aCollector);
+  const auto name = absl::AsciiStrToLower({ aName, aNameSize });
+  const std::string value(aValue == nullptr ? "" : aValue, aValueSize);
+  if (!IsToken(name)) {
+    collector.m_problem = "header name: not a token";
+  } else if (HasControlCharacter(value)) {
+    collector.m_problem = name + ": control character";
+  } else if (name == "host" && ++collector.m_hosts > 1) {
+    collector.m_problem = "host: more than one";
+  }
+  const auto [place, added] = collector.m_headers.emplace(name, value);
   if (!added) {
     place->second += (name == "cookie" ? "; " : ", ") + value;
   }
-  return MHD_YES;
+  return collector.m_problem.empty() ? MHD_YES : MHD_NO;
 }
 
 std::size_t
@@ -93,9 +110,16 @@
                        const char* aVersion)
 {
   m_request.m_method = aMethod;
+  HeaderCollector collector{ m_request.m_headers };
+  MHD_get_connection_values_n(
+    aConnection, MHD_HEADER_KIND, &CollectHeader, &collector);
   try {
-    MHD_get_connection_values(
-      aConnection, MHD_HEADER_KIND, &CollectHeader, &m_request.m_headers);
+    if (!IsToken(m_request.m_method)) {
+      collector.m_problem = "method: not a token";
+    }
+    if (!collector.m_problem.empty()) {
+      throw Error(Reason::BadRequest, Verdict::NotRun, collector.m_problem);
+    }
     CheckHeaders(aConnection, aVersion);
   } catch (const Error& refusal) {
     return Refuse(aConnection, refusal);
--- a/src/http/uri.cpp
+++ b/src/http/uri.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/ascii.h>
 
+#include <algorithm>
+
 namespace siskindeal {
 
 namespace {
@@ -33,6 +35,9 @@
   decoded.reserve(aText.size());
   for (std::size_t i = 0; i < aText.size(); ++i) {
     char byte = aText[i];
+    if (byte == ' ') {
+      Refuse("request target: space");
+    }
     if (byte == '%') {
       if (i + 2 >= aText.size()) {
         Refuse("request target: bad percent escape");
@@ -84,6 +89,26 @@
 
 } // namespace
 
+bool
+IsToken(std::string_view aText)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(), [&](char aByte) {
+           return absl::ascii_isalnum(static_cast<unsigned char>(aByte)) ||
+                  kMarks.find(aByte) != std::string_view::npos;
+         });
+}
+
+bool
+HasControlCharacter(std::string_view aText)
+{
+  return std::any_of(aText.begin(), aText.end(), [](char aByte) {
+    return aByte != '\t' &&
+           absl::ascii_iscntrl(static_cast<unsigned char>(aByte));
+  });
+}
+
 RequestTarget
 ParseRequestTarget(std::string_view aRaw)
 {
--- a/src/http/uri_p.h
+++ b/src/http/uri_p.h
@@ -1,5 +1,5 @@
 #pragma once
-// Request targets of HTTP/1.1.
+// Request targets, and the characters that parts of a request may hold.
 
 #include "siskindeal/http.h"
 
@@ -16,8 +16,16 @@
 };
 
 // Reads "/path?name=value". Throws Error (BadRequest) for a target that isn't
-// absolute, a bad percent escape or a control character.
+// absolute, a bad percent escape, a space or a control character.
 RequestTarget
 ParseRequestTarget(std::string_view aRaw);
 
+// Whether aText may be a method or the name of a header (RFC 9110, 5.6.2).
+bool
+IsToken(std::string_view aText);
+
+// Whether aText holds a control character other than a tab.
+bool
+HasControlCharacter(std::string_view aText);
+
 } // namespace siskindeal
