A run leaves its agent before its last event is sent

Besides, a stop that found no run left cancelled calls at once, with last events still on their way. Ruled out: keeping the order and retrying in the entry, which costs the budget. Change: the run leaves, then sends its last event and ends the call; the RPC server gives calls in progress up to 1 s to end at a stop. The verdict test asks for the count at the last event, which is stricter than after it.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds kUpstreamTimeout{ 1000 };
 constexpr std::chrono::milliseconds kDrainStep{ 20 };
 constexpr std::chrono::milliseconds kLongestSpread{ 1000 };
+// The last events of answers that have ended, on their way out at a stop.
+constexpr std::chrono::milliseconds kLongestFlush{ 1000 };
 // Callers' requests that are on their way when the VM says that it leaves.
 constexpr std::chrono::milliseconds kLeaveGrace{ 2000 };
 
@@ -122,7 +124,7 @@
 
 AgentNode::~AgentNode()
 {
-  m_server->Shutdown(std::chrono::milliseconds(0));
+  m_server->Shutdown(kLongestFlush);
   if (m_weights) {
     m_weights->Stop();
   }
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -141,8 +141,7 @@
   event.Clear();
   event.mutable_finished()->set_body_bytes(m_bodyBytes);
   event.mutable_finished()->set_stored_answer(true);
-  m_sink->Send(std::move(event));
-  Finish();
+  Finish(std::move(event));
 }
 
 void
@@ -343,8 +342,7 @@
   }
   wire::RunEvent event;
   event.mutable_finished()->set_body_bytes(m_bodyBytes);
-  m_sink->Send(std::move(event));
-  Finish();
+  Finish(std::move(event));
 }
 
 // The connection was lost: an upstream that refuses a connection right after
@@ -400,15 +398,16 @@
                         : aSuspicions;
   failed.mutable_suspicions()->Add(known.begin(), known.end());
   failed.set_retry_after_ms(static_cast<std::uint64_t>(aRetryAfter.count()));
-  m_sink->Send(std::move(event));
-  Finish();
+  Finish(std::move(event));
 }
 
+// Leaves first: who hears of the end may send the next attempt at once.
 void
-RunSession::Finish()
+RunSession::Finish(wire::RunEvent aLast)
 {
-  m_sink->Finish();
   m_service->Leave(Key());
+  m_sink->Send(std::move(aLast));
+  m_sink->Finish();
 }
 
 } // namespace siskindeal
--- a/src/agent/run_session_p.h
+++ b/src/agent/run_session_p.h
@@ -59,7 +59,7 @@
   void OnLost(const HttpReply& aReply, int aProbesLeft);
   void SendStarted(int aStatus, const HttpHeaders& aHeaders);
   void SendBody(std::string_view aBytes);
-  void Finish();
+  void Finish(wire::RunEvent aLast);
 
   const std::shared_ptr<RunService> m_service;
   std::shared_ptr<void> m_weights;
--- a/tests/run_test.cpp
+++ b/tests/run_test.cpp
@@ -22,6 +22,9 @@
 public:
   void Send(wire::RunEvent aEvent) override
   {
+    if (m_inFlight && (aEvent.has_finished() || aEvent.has_failed())) {
+      m_inFlightAtEnd = m_inFlight();
+    }
     m_events.push_back(std::move(aEvent));
   }
   void Finish() override { m_over.Notify(); }
@@ -29,6 +32,8 @@
 
   std::vector<wire::RunEvent> m_events;
   absl::Notification m_over;
+  std::function<std::size_t()> m_inFlight; // asked at the last event
+  std::size_t m_inFlightAtEnd = 1;
 };
 
 std::string
@@ -185,15 +190,14 @@
         row.m_upstream(aSocket);
       }
     });
-    auto http = std::make_unique<HttpClient>();
+    HttpClient http;
     const auto recorder = std::make_shared<Recorder>();
-    const auto service =
-      MakeService(*http, clock, upstream.Port(), row.m_model);
+    const auto service = MakeService(http, clock, upstream.Port(), row.m_model);
+    recorder->m_inFlight = [&] { return service->InFlight(); };
     service->OnRun(Request(row), recorder);
     recorder->m_over.WaitForNotification();
     ExpectRow(row, *recorder);
-    http.reset(); // a session leaves after its last event: wait for both
-    EXPECT_EQ(service->InFlight(), 0U) << row.m_fault;
+    EXPECT_EQ(recorder->m_inFlightAtEnd, 0U) << row.m_fault;
   }
 }
 
