A crash that is over before the agent looks is noticed

Cause: an agent took an upstream for crashed only when it refused a connection right after an answer broke off. One that its supervisor restarts at once was never suspected, so that a request could cost more than two.

Ruled out: counting every broken answer as a crash (a reset connection would make suspects of all that is in flight).

The agent keeps the last one from load reports, asks the load report when an answer breaks off, and takes another start for a crash; it then looks after the weights as well. A stream that ends without its marker is looked at in the same way. The stand-ins name their start; a restart of 0 refuses no connection.

--- a/examples/standin/engine_chat.cpp
+++ b/examples/standin/engine_chat.cpp
@@ -408,14 +408,14 @@
     static_cast<std::uint64_t>(report.m_running) * kKvTokensOfChat;
   const auto age =
     std::chrono::duration_cast<std::chrono::milliseconds>(now - report.m_time);
-  Answer(aResponder,
-         200,
-         { { "running", report.m_running },
-           { "waiting", report.m_waiting },
-           { "slots", m_options.m_slots },
-           { "kv_free_tokens", kKvTokens - std::min(kKvTokens, used) },
-           { "tokens_per_second", tokensPerSecond },
-           { "age_ms", age.count() } });
+  AnswerFrom(*this,
+             aResponder,
+             { { "running", report.m_running },
+               { "waiting", report.m_waiting },
+               { "slots", m_options.m_slots },
+               { "kv_free_tokens", kKvTokens - std::min(kKvTokens, used) },
+               { "tokens_per_second", tokensPerSecond },
+               { "age_ms", age.count() } });
 }
 
 void
--- a/examples/standin/engine_weights.cpp
+++ b/examples/standin/engine_weights.cpp
@@ -60,6 +60,11 @@
 EngineStandIn::OnCrash()
 {
   const absl::MutexLock lock(&m_mutex);
+  for (const auto& [number, chat] : m_running) {
+    if (m_options.m_standIn.m_restart.count() == 0) {
+      chat->m_responder->Abort();
+    }
+  }
   m_running.clear();
   m_waiting.clear();
   m_prefixes.clear();
--- a/examples/standin/service.cpp
+++ b/examples/standin/service.cpp
@@ -35,12 +35,12 @@
   if (aRequest.m_path == "/load") {
     constexpr int kSlots = 64;
     const absl::MutexLock lock(&m_mutex);
-    Answer(aResponder,
-           200,
-           { { "running", m_running },
-             { "waiting", 0 },
-             { "slots", kSlots },
-             { "age_ms", 0 } });
+    AnswerFrom(*this,
+               aResponder,
+               { { "running", m_running },
+                 { "waiting", 0 },
+                 { "slots", kSlots },
+                 { "age_ms", 0 } });
     return;
   }
   const auto key = Text(aRequest.m_headers, "idempotency-key");
--- a/examples/standin/stand_in.cpp
+++ b/examples/standin/stand_in.cpp
@@ -1,5 +1,6 @@
 #include "standin/stand_in.h"
 
+#include "siskindeal/digest.h"
 #include "siskindeal/error.h"
 
 #include <absl/strings/numbers.h>
@@ -191,6 +192,7 @@
 
 StandIn::StandIn(StandInOptions aOptions)
   : m_options(std::move(aOptions))
+  , m_start(NewId())
 {
 }
 
@@ -244,6 +246,12 @@
   return m_port;
 }
 
+std::string
+StandIn::Instance() const
+{
+  return m_start + "." + std::to_string(m_crashes);
+}
+
 std::string
 StandIn::Url() const
 {
@@ -339,6 +347,10 @@
   }
   ++m_crashes;
   OnCrash();
+  if (m_options.m_restart.count() == 0) {
+    aResponder->Abort();
+    return;
+  }
   // Not on the server's own thread, which is joined. The responder is kept
   // until then, since dropping it would answer.
   m_scheduler.After(std::chrono::milliseconds(0),
@@ -381,6 +393,17 @@
     aStatus, { { "content-type", "application/json" } }, aBody.dump());
 }
 
+void
+AnswerFrom(const StandIn& aStandIn,
+           const Responder& aResponder,
+           const nlohmann::json& aBody)
+{
+  aResponder->Respond(200,
+                      { { "content-type", "application/json" },
+                        { "x-upstream-instance", aStandIn.Instance() } },
+                      aBody.dump());
+}
+
 void
 AnswerError(const Responder& aResponder, int aStatus, const std::string& aWhy)
 {
--- a/examples/standin/stand_in.h
+++ b/examples/standin/stand_in.h
@@ -60,14 +60,18 @@
   std::map<std::string, Fault> m_faults ABSL_GUARDED_BY(m_mutex);
 };
 
+constexpr std::chrono::milliseconds kRestart{ 1000 };
+
 // Where a stand-in listens, and whether it ends the process when it crashes; if
-// not, it counts the crash, closes every connection and listens again later.
+// not, it counts the crash, closes every connection and listens again later. A
+// restart of 0 is too fast to be seen from outside: the connections of requests
+// break, and no connection is refused.
 struct StandInOptions
 {
   std::string m_host = "127.0.0.1";
   std::uint16_t m_port = 0;
   bool m_exitOnCrash = false;
-  std::chrono::milliseconds m_restart{ 1000 }; // after a crash
+  std::chrono::milliseconds m_restart = kRestart; // after a crash
 };
 
 using Responder = std::shared_ptr<HttpResponder>;
@@ -92,6 +96,8 @@
   // Requests that a freeze holds.
   std::size_t Frozen();
   int Crashes() const { return m_crashes; }
+  // Names this start of the stand-in; another after each crash.
+  std::string Instance() const;
 
 protected:
   // Called by the constructor and the destructor of the most derived class.
@@ -117,6 +123,7 @@
   Scheduler m_scheduler;
   Faults m_faults;
   std::atomic<int> m_crashes{ 0 };
+  const std::string m_start;
   absl::Mutex m_mutex;
   std::vector<std::pair<HttpRequest, Responder>> m_frozen
     ABSL_GUARDED_BY(m_mutex);
@@ -130,6 +137,11 @@
 Answer(const Responder& aResponder, int aStatus, const nlohmann::json& aBody);
 void
 AnswerError(const Responder& aResponder, int aStatus, const std::string& aWhy);
+// The same, naming the start of the stand-in that answers.
+void
+AnswerFrom(const StandIn& aStandIn,
+           const Responder& aResponder,
+           const nlohmann::json& aBody);
 // 429 or 503 with retry-after-ms, without effect.
 void
 AnswerRetry(const Responder& aResponder,
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -224,6 +224,7 @@
     load->set_kv_free_tokens(body.value("kv_free_tokens", std::uint64_t{ 0 }));
     load->set_tokens_per_second(body.value("tokens_per_second", 0.0));
   }
+  const bool restarted = m_runs->NoteInstance(aReply.m_headers);
   bool changed = false;
   {
     const OrderedLock lock(m_mutex);
@@ -231,6 +232,9 @@
     m_upstreamAnswers = answers;
     m_load = load;
   }
+  if (restarted && !changed && m_weights) {
+    m_weights->Recover();
+  }
   if (!changed) {
     return;
   }
--- a/src/agent/run.cpp
+++ b/src/agent/run.cpp
@@ -65,6 +65,13 @@
   return true;
 }
 
+std::string
+InstanceOf(const HttpHeaders& aHeaders)
+{
+  const auto found = aHeaders.find("x-upstream-instance");
+  return found == aHeaders.end() ? std::string() : found->second;
+}
+
 RunService::RunService(const UpstreamSettings& aUpstream,
                        HttpClient& aHttp,
                        const Clock& aClock,
@@ -108,6 +115,26 @@
   Admit(session);
 }
 
+bool
+RunService::NoteInstance(const HttpHeaders& aHeaders)
+{
+  auto instance = InstanceOf(aHeaders);
+  if (instance.empty()) {
+    return false;
+  }
+  const OrderedLock lock(m_mutex);
+  const bool another = !m_instance.empty() && m_instance != instance;
+  m_instance = std::move(instance);
+  return another;
+}
+
+std::string
+RunService::Instance() const
+{
+  const OrderedLock lock(m_mutex);
+  return m_instance;
+}
+
 void
 RunService::Merge(const wire::Suspicion& aSuspicion)
 {
--- a/src/agent/run_p.h
+++ b/src/agent/run_p.h
@@ -74,6 +74,10 @@
   std::function<void(const wire::Suspicion&)> m_spread;
 };
 
+// The start of the upstream that an answer names; empty where it names none.
+std::string
+InstanceOf(const HttpHeaders& aHeaders);
+
 class RunSession;
 
 // Shared by every session; passes requests on, one HTTP call each.
@@ -87,6 +91,10 @@
              std::uint64_t aIncarnation,
              RunGates aGates);
 
+  // An answer of the upstream has come, which may name the upstream's start by
+  // the header x-upstream-instance. True when it is another than was known.
+  bool NoteInstance(const HttpHeaders& aHeaders);
+
   // What another process knows of a fingerprint.
   void Merge(const wire::Suspicion& aSuspicion);
 
@@ -118,6 +126,7 @@
   Suspicions OnCrash(const RunSession& aSession);
   void OnWhole(const RunSession& aSession);
   Suspicions KnownOf(std::uint64_t aFingerprint);
+  std::string Instance() const;
 
   const UpstreamSettings m_upstream;
   HttpClient& m_http;
@@ -135,6 +144,7 @@
   // In flight at a crash that another session has reported.
   std::set<std::string> m_crashed ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_crashes ABSL_GUARDED_BY(m_mutex) = 0;
+  std::string m_instance ABSL_GUARDED_BY(m_mutex); // last known; may be empty
   AttemptLedger m_attempts ABSL_GUARDED_BY(m_mutex);
   bool m_draining ABSL_GUARDED_BY(m_mutex) = false;
 };
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -160,6 +160,7 @@
 void
 RunSession::PassOn()
 {
+  m_instance = m_service->Instance();
   auto request = ToHttp();
   const auto self = shared_from_this();
   if (m_request.stream()) {
@@ -212,6 +213,9 @@
 void
 RunSession::OnHeaders(int aStatus, const HttpHeaders& aHeaders)
 {
+  if (const auto instance = InstanceOf(aHeaders); !instance.empty()) {
+    m_instance = instance;
+  }
   if (IsSuccess(aStatus)) {
     SendStarted(aStatus, aHeaders);
   }
@@ -295,7 +299,8 @@
       Fail(Reason::Cancelled, Verdict::MayHaveRun, "cancelled");
       return;
     case HttpOutcome::SentNoReply:
-      OnLost(aReply, kMostProbes);
+      OnLost({ Reason::UpstreamFailed, Verdict::MayHaveRun, aReply.m_error },
+             kMostProbes);
       return;
   }
 }
@@ -330,9 +335,10 @@
   }
   const bool streamed = m_request.stream() && IsSuccess(aReply.m_status);
   if (model && streamed && m_tail.find(kStreamEnd) == std::string::npos) {
-    Fail(Reason::TruncatedAnswer,
-         Verdict::MayHaveRun,
-         "the stream ended without its end marker");
+    OnLost({ Reason::TruncatedAnswer,
+             Verdict::MayHaveRun,
+             "the stream ended without its end marker" },
+           kMostProbes);
     return;
   }
   EndClaim(Verdict::Ran);
@@ -345,37 +351,56 @@
   Finish(std::move(event));
 }
 
-// The connection was lost: an upstream that refuses a connection right after
-// has crashed. One that accepts and drops it is still going down.
+// An upstream that refuses a connection right after, or that names another
+// start than before, has crashed. One that accepts and drops it is still going
+// down.
 void
-RunSession::OnLost(const HttpReply& aReply, int aProbesLeft)
+RunSession::OnLost(const Error& aFailure, int aProbesLeft)
 {
+  const bool model =
+    m_service->m_upstream.m_kind == UpstreamSettings::Kind::Model;
   HttpClientRequest probe;
-  probe.m_url = m_service->m_upstream.m_url + "/";
+  probe.m_url =
+    m_service->m_upstream.m_url + (model ? "/engine/load" : "/load");
   probe.m_timeout = kProbeTimeout;
   probe.m_newConnection = true;
   const auto self = shared_from_this();
   m_service->m_http.Start(
-    std::move(probe), [self, aReply, aProbesLeft](const HttpReply& aProbe) {
+    std::move(probe), [self, aFailure, aProbesLeft](const HttpReply& aProbe) {
       if (aProbe.m_outcome == HttpOutcome::SentNoReply && aProbesLeft > 0) {
-        self->OnLost(aReply, aProbesLeft - 1);
+        self->OnLost(aFailure, aProbesLeft - 1);
         return;
       }
-      const bool crashed = aProbe.m_outcome == HttpOutcome::NotSent;
+      const bool crashed = self->HasCrashed(aProbe);
       Log(LogLevel::Warning,
           "upstream_connection_lost",
           { { "request_id", self->m_request.request_id() },
             { "attempt", self->m_request.attempt() },
             { "crashed", crashed },
-            { "what", aReply.m_error } });
-      self->Fail(Reason::UpstreamFailed,
-                 Verdict::MayHaveRun,
-                 aReply.m_error,
+            { "what", aFailure.what() } });
+      self->Fail(aFailure.GetReason(),
+                 aFailure.GetVerdict(),
+                 aFailure.what(),
                  crashed ? self->m_service->OnCrash(*self)
                          : std::vector<wire::Suspicion>());
     });
 }
 
+bool
+RunSession::HasCrashed(const HttpReply& aProbe)
+{
+  if (aProbe.m_outcome == HttpOutcome::NotSent) {
+    return true;
+  }
+  // Its weights are gone with the start that held them.
+  if (m_service->NoteInstance(aProbe.m_headers) &&
+      m_service->m_upstream.m_kind == UpstreamSettings::Kind::Model) {
+    m_service->m_gates.m_onWeightsRefused();
+  }
+  const auto instance = InstanceOf(aProbe.m_headers);
+  return !instance.empty() && !m_instance.empty() && instance != m_instance;
+}
+
 void
 RunSession::Fail(Reason aReason,
                  Verdict aVerdict,
--- a/src/agent/run_session_p.h
+++ b/src/agent/run_session_p.h
@@ -56,7 +56,9 @@
   bool OnBytes(std::string_view aBytes);
   void OnDone(const HttpReply& aReply);
   void OnAnswered(const HttpReply& aReply);
-  void OnLost(const HttpReply& aReply, int aProbesLeft);
+  // The answer has broken off: looks whether the upstream has crashed.
+  void OnLost(const Error& aFailure, int aProbesLeft);
+  bool HasCrashed(const HttpReply& aProbe);
   void SendStarted(int aStatus, const HttpHeaders& aHeaders);
   void SendBody(std::string_view aBytes);
   void Finish(wire::RunEvent aLast);
@@ -71,6 +73,7 @@
   // Only the HTTP client's thread uses these.
   std::optional<std::uint64_t> m_ticket; // of the claim
   std::optional<StoredAnswer> m_answer;  // kept for duplicates
+  std::string m_instance; // of the upstream when the request was sent
   bool m_started = false;
   bool m_wrongWeights = false;
   std::uint64_t m_bodyBytes = 0;
--- a/tests/rollout_process_test.cpp
+++ b/tests/rollout_process_test.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::size_t kWeightsBytes = 1 << 20;
 constexpr std::chrono::seconds kEndGuard{ 60 };
+constexpr int kMostCrashes = 2; // that one request may cost
 
 HttpClientRequest
 Chat(const std::string& aUrl,
@@ -70,6 +71,8 @@
   // Returns what the caller got.
   std::string StreamOverACrash(Fleet& aFleet, int aEngines, int aTokens);
 
+  int CrashAgainAndAgain(Fleet& aFleet, int aEngines);
+
   HttpClient m_client;
 };
 
@@ -184,30 +187,37 @@
   }
 }
 
-TEST_F(Rollouts, LoseAtMostTwoEnginesToOneRequest)
+// A request whose body crashes its engine, sent again by its caller at another
+// entry each time. Returns the crashes.
+int
+Rollouts::CrashAgainAndAgain(Fleet& aFleet, int aEngines)
 {
-  constexpr int kEngines = 4;
   constexpr int kTries = 8;
-  constexpr int kMostCrashes = 2;
-  Fleet fleet(2, kEngines, 0);
-  const auto content = fleet.RollOut("booking-1", kWeightsBytes, kEngines);
   standin::Fault fault;
   fault.m_value = "crashes its engine";
-  for (int i = 0; i < kEngines; ++i) {
-    fleet.Engine(i).GetFaults().Set("crash_on_body", fault);
+  for (int i = 0; i < aEngines; ++i) {
+    aFleet.Engine(i).GetFaults().Set("crash_on_body", fault);
   }
-  // The caller asks again at another entry each time.
   for (int i = 0; i < kTries; ++i) {
     const std::string entry = i % 2 == 0 ? "entry-1" : "entry-2";
     const auto reply = m_client.Fetch(Chat(
-      fleet.Url(entry, "/v1/chat/completions"), fault.m_value, 8, i % 4 < 2));
+      aFleet.Url(entry, "/v1/chat/completions"), fault.m_value, 8, i % 4 < 2));
     EXPECT_NE(reply.m_status, 200);
     EXPECT_FALSE(VerdictOf(reply).empty());
   }
   int crashes = 0;
-  for (int i = 0; i < kEngines; ++i) {
-    crashes += fleet.Engine(i).Crashes();
+  for (int i = 0; i < aEngines; ++i) {
+    crashes += aFleet.Engine(i).Crashes();
   }
+  return crashes;
+}
+
+TEST_F(Rollouts, LoseAtMostTwoEnginesToOneRequest)
+{
+  constexpr int kEngines = 4;
+  Fleet fleet(2, kEngines, 0);
+  const auto content = fleet.RollOut("booking-1", kWeightsBytes, kEngines);
+  const auto crashes = CrashAgainAndAgain(fleet, kEngines);
   EXPECT_GE(crashes, 1);
   EXPECT_LE(crashes, kMostCrashes) << fleet.Logs();
   for (const std::string entry : { "entry-1", "entry-2" }) {
@@ -271,13 +281,24 @@
     0U);
 }
 
+// An engine that is back before its agent looks again shows by the name of its
+// start that it was gone.
+TEST_F(Rollouts, LoseAtMostTwoEnginesThatRestartAtOnce)
+{
+  constexpr int kEngines = 4;
+  Fleet fleet(2, kEngines, 0, std::chrono::milliseconds(0));
+  fleet.RollOut("booking-1", kWeightsBytes, kEngines);
+  const auto crashes = CrashAgainAndAgain(fleet, kEngines);
+  EXPECT_GE(crashes, 1);
+  EXPECT_LE(crashes, kMostCrashes) << fleet.Logs();
+}
+
 // A stream that was resumed ends whole, which must not clear the request that
 // crashed its engine on the way.
 TEST_F(Rollouts, LoseAtMostTwoEnginesToARequestWhoseStreamIsResumed)
 {
   constexpr int kEngines = 4;
   constexpr int kTries = 6;
-  constexpr int kMostCrashes = 2;
   Fleet fleet(2, kEngines, 0);
   fleet.RollOut("booking-1", kWeightsBytes, kEngines);
   standin::Fault fault;
--- a/tests/run_test.cpp
+++ b/tests/run_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <thread>
 #include <vector>
 
 namespace siskindeal {
@@ -276,6 +277,9 @@
     const auto recorder = std::make_shared<Recorder>();
     service->OnRun(request, recorder);
     recorder->m_over.WaitForNotification();
+    while (service->InFlight() > 0) { // a session leaves after its last event
+      std::this_thread::yield();
+    }
     return recorder->m_events.back().has_finished();
   };
   EXPECT_TRUE(run(true, 3));
@@ -344,5 +348,46 @@
   EXPECT_TRUE(crashed->m_events.back().failed().upstream_crashed());
 }
 
+struct RestartRow
+{
+  const char* m_case;
+  const char* m_before; // the upstream's start, as last heard
+  const char* m_after;  // as the probe says after the answer was lost
+  bool m_crashed;
+};
+
+TEST(Run, AnUpstreamThatRestartedAtOnceHasCrashed)
+{
+  const SystemClock clock;
+  for (const auto& row : std::vector<RestartRow>{
+         { "another start", "1", "2", true },
+         { "the same start", "1", "1", false },
+         { "no start named", "", "", false },
+         { "no start known before", "", "2", false },
+       }) {
+    RawServer upstream([&](RawSocket& aSocket, int aConnection) {
+      aSocket.ReadUntil("\r\n\r\n");
+      if (aConnection > 0) {
+        aSocket.Send(Answer("x-upstream-instance: " + std::string(row.m_after) +
+                              "\r\ncontent-length: 2\r\n",
+                            "{}"));
+      }
+      aSocket.Close();
+    });
+    HttpClient http;
+    const auto recorder = std::make_shared<Recorder>();
+    const auto service = MakeService(http, clock, upstream.Port(), false);
+    service->NoteInstance({ { "x-upstream-instance", row.m_before } });
+    auto request = Request(kRows.front());
+    request.set_fingerprint(7);
+    service->OnRun(request, recorder);
+    recorder->m_over.WaitForNotification();
+    const auto& failed = recorder->m_events.back().failed();
+    EXPECT_EQ(failed.reason(), "upstream_failed") << row.m_case;
+    EXPECT_EQ(failed.upstream_crashed(), row.m_crashed) << row.m_case;
+    EXPECT_EQ(failed.suspicions_size(), row.m_crashed ? 1 : 0) << row.m_case;
+  }
+}
+
 } // namespace
 } // namespace siskindeal
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -50,7 +50,10 @@
 
 } // namespace
 
-Fleet::Fleet(int aEntries, int aEngines, int aServices)
+Fleet::Fleet(int aEntries,
+             int aEngines,
+             int aServices,
+             std::chrono::milliseconds aEngineRestart)
   : m_directory(MakeDirectory())
 {
   standin::PlatformOptions platform;
@@ -63,6 +66,7 @@
   for (int i = 1; i <= aEngines; ++i) {
     standin::EngineOptions options;
     options.m_reportLag = std::chrono::milliseconds(100);
+    options.m_standIn.m_restart = aEngineRestart;
     m_engines.push_back(std::make_unique<standin::EngineStandIn>(options));
     AddVm("caddie-" + std::to_string(i), "caddie-llm", m_engines.back()->Url());
   }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -33,8 +33,12 @@
 
   // Starts entries "entry-N", model agents "caddie-N" and plain agents
   // "teesheet-N", by turns in kingston and montego, sets the configuration and
-  // waits until every process is ready for it.
-  Fleet(int aEntries, int aEngines, int aServices);
+  // waits until every process is ready for it. aEngineRestart: how long an
+  // engine is away after a crash.
+  Fleet(int aEntries,
+        int aEngines,
+        int aServices,
+        std::chrono::milliseconds aEngineRestart = standin::kRestart);
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
