--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -265,4 +265,10 @@
   return JsonOf(reply);
 }
 
+std::string
+TargetPath(const std::string& aName)
+{
+  return std::string(kTargetsPath) + "/" + aName;
+}
+
 } // namespace siskindeal
--- a/src/cli/client_p.h
+++ b/src/cli/client_p.h
@@ -71,6 +71,13 @@
 std::string
 PercentEncoded(const std::string& aText);
 
+// Where an entry answers about targets.
+inline constexpr const char* kTargetsPath = "/v1/operator/targets";
+
+// Where an entry answers about one target.
+std::string
+TargetPath(const std::string& aName);
+
 // For a command's Explanation.
 inline constexpr const char* kClientExplanation =
   "Entries and the signing key come from the file that --client or "
--- a/src/cli/config_commands.cpp
+++ b/src/cli/config_commands.cpp
@@ -1,5 +1,4 @@
-#include "cli/client_p.h"
-#include "cli/command_p.h"
+#include "cli/operator_command_p.h"
 #include "cli/table_p.h"
 #include "siskindeal/fleet_config.h"
 
@@ -39,125 +38,102 @@
   return text;
 }
 
-class ConfigShow final : public Command
+class ConfigShow final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "print the fleet's configuration";
   }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string(
-             "The JSON goes to standard output, ready for `config set`, and "
-             "its "
-             "version to\nstandard error; with --output json both are in one "
-             "object.\n\n  siskindeal config show > fleet.json\n\n") +
-           kClientExplanation;
-  }
-  void AddOptions(cxxopts::Options& aOptions) const override
-  {
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
+    return "The JSON goes to standard output, ready for `config set`, and "
+           "its "
+           "version to\nstandard error; with --output json both are in one "
+           "object.\n\n  siskindeal config show > fleet.json\n\n";
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
   {
-    const bool json = WantsJson(aArguments);
-    OperatorClient client(ClientSettingsOf(aArguments));
-    const Json object = client.Read(kConfigPath);
-    aConsole.m_out << (json ? object : object.at("value")).dump(2) << "\n";
-    if (!json) {
-      aConsole.m_error << "version " << object.at("version") << "\n";
+    const Json object = aClient.Read(kConfigPath);
+    aInvocation.m_console.m_out
+      << (aInvocation.m_json ? object : object.at("value")).dump(2) << "\n";
+    if (!aInvocation.m_json) {
+      aInvocation.m_console.m_error << "version " << object.at("version")
+                                    << "\n";
     }
     return ExitStatus::Done;
   }
 };
 
-class ConfigSet final : public Command
+class ConfigSet final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "replace the fleet's configuration";
   }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string(
-             "The file is checked whole; a bad one is refused and the old "
-             "configuration stays in\nforce. --version is the version that the "
-             "change is made to, 0 for the first; when\nsomeone else has "
-             "changed it meanwhile, nothing is changed and both are shown.\n\n"
-             "  siskindeal config set fleet.json --version 17\n\n") +
-           kClientExplanation;
-  }
-  std::string Positional() const override { return "FILE"; }
-  void AddOptions(cxxopts::Options& aOptions) const override
+    return "The file is checked whole; a bad one is refused and the old "
+           "configuration stays in\nforce. --version is the version that the "
+           "change is made to, 0 for the first; when\nsomeone else has "
+           "changed it meanwhile, nothing is changed and both are shown.\n\n"
+           "  siskindeal config set fleet.json --version 17\n\n";
+  }
+  std::optional<Argument> GetArgument() const override
   {
-    aOptions.add_options("hidden")(
-      "FILE", "configuration, a JSON file", cxxopts::value<std::string>());
-    aOptions.parse_positional({ "FILE" });
-    aOptions.add_options()("version",
-                           "the version that is changed (required)",
-                           cxxopts::value<std::uint64_t>(),
-                           "V");
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
-  }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+    return Argument{ "FILE", "configuration, a JSON file" };
+  }
+  void AddOwnOptions(cxxopts::Options& aOptions) const override
+  {
+    AddVersionOption(aOptions, "the version that is changed (required)");
+  }
+  void Check(const cxxopts::ParseResult& aArguments) const override
   {
-    const bool json = WantsJson(aArguments);
-    const std::string file = RequiredArgument(aArguments, "FILE");
-    if (aArguments.count("version") == 0) {
+    if (!VersionOf(aArguments)) {
       throw CommandError(ExitStatus::Usage,
                          "expected --version V; `siskindeal config show` "
                          "prints it, and 0 is for the first");
     }
-    const std::string text = ReadConfiguration(file);
-    OperatorClient client(ClientSettingsOf(aArguments));
-    const Json object = client.Change(
-      { "PUT", kConfigPath, aArguments["version"].as<std::uint64_t>(), text });
-    if (json) {
-      aConsole.m_out << object.dump(2) << "\n";
+  }
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
+  {
+    const std::string text = ReadConfiguration(aInvocation.m_argument);
+    const Json object = aClient.Change(
+      { "PUT", kConfigPath, *VersionOf(aInvocation.m_arguments), text });
+    if (aInvocation.m_json) {
+      aInvocation.m_console.m_out << object.dump(2) << "\n";
     } else {
-      aConsole.m_out << "configuration accepted, version "
-                     << object.at("version") << "\n";
+      aInvocation.m_console.m_out << "configuration accepted, version "
+                                  << object.at("version") << "\n";
     }
     return ExitStatus::Done;
   }
 };
 
-class ConfigStatus final : public Command
+class ConfigStatus final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "say which configuration is in force where";
   }
-  std::string Explanation() const override
-  {
-    return std::string(
-             "Exits with 0 when the newest version is in force at every "
-             "process that can be\nreached, else with 9. What can't be reached "
-             "is shown as last known.\n\n") +
-           kClientExplanation;
-  }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  std::string Details() const override
   {
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
+    return "Exits with 0 when the newest version is in force at every "
+           "process that can be\nreached, else with 9. What can't be reached "
+           "is shown as last known.\n\n";
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
   {
-    const bool json = WantsJson(aArguments);
-    OperatorClient client(ClientSettingsOf(aArguments));
-    const Json status = client.Read(kConfigStatusPath);
-    if (json) {
-      aConsole.m_out << status.dump(2) << "\n";
+    const Json status = aClient.Read(kConfigStatusPath);
+    if (aInvocation.m_json) {
+      aInvocation.m_console.m_out << status.dump(2) << "\n";
     } else {
-      PrintTable(status, aConsole.m_out);
+      PrintTable(status, aInvocation.m_console.m_out);
     }
     return InForce(status);
   }
--- a/src/cli/quarantine_commands.cpp
+++ b/src/cli/quarantine_commands.cpp
@@ -1,5 +1,4 @@
-#include "cli/client_p.h"
-#include "cli/command_p.h"
+#include "cli/operator_command_p.h"
 #include "cli/table_p.h"
 
 #include <iostream>
@@ -12,34 +11,25 @@
 
 constexpr const char* kQuarantinePath = "/v1/operator/quarantine";
 
-class QuarantineList final : public Command
+class QuarantineList final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "list requests that crashed upstreams";
   }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string(
-             "A suspect was in flight at a crash and runs alone; a quarantined "
-             "request has crashed\nan upstream again and is refused everywhere "
-             "with \"not run\".\n\n") +
-           kClientExplanation;
+    return "A suspect was in flight at a crash and runs alone; a quarantined "
+           "request has crashed\nan upstream again and is refused everywhere "
+           "with \"not run\".\n\n";
   }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
   {
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
-  }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
-  {
-    const bool json = WantsJson(aArguments);
-    OperatorClient client(ClientSettingsOf(aArguments));
-    const Json list = client.Read(kQuarantinePath).at("fingerprints");
-    if (json) {
-      aConsole.m_out << list.dump(2) << "\n";
+    const Json list = aClient.Read(kQuarantinePath).at("fingerprints");
+    if (aInvocation.m_json) {
+      aInvocation.m_console.m_out << list.dump(2) << "\n";
       return ExitStatus::Done;
     }
     TextTable table({ "FINGERPRINT", "STATE", "CLASS", "CRASHES" });
@@ -49,45 +39,36 @@
                   entry.at("class").get<std::string>(),
                   entry.at("crashes").dump() });
     }
-    table.Print(aConsole.m_out);
+    table.Print(aInvocation.m_console.m_out);
     return ExitStatus::Done;
   }
 };
 
-class QuarantineRelease final : public Command
+class QuarantineRelease final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "let a quarantined request run again";
   }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string("  siskindeal quarantine release 00a1b2c3d4e5f607\n\n") +
-           kClientExplanation;
+    return "  siskindeal quarantine release 00a1b2c3d4e5f607\n\n";
   }
-  std::string Positional() const override { return "FINGERPRINT"; }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  std::optional<Argument> GetArgument() const override
   {
-    aOptions.add_options("hidden")("FINGERPRINT",
-                                   "as quarantine list shows it",
-                                   cxxopts::value<std::string>());
-    aOptions.parse_positional({ "FINGERPRINT" });
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
+    return Argument{ "FINGERPRINT", "as quarantine list shows it" };
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
   {
-    const bool json = WantsJson(aArguments);
-    const std::string print = RequiredArgument(aArguments, "FINGERPRINT");
-    OperatorClient client(ClientSettingsOf(aArguments));
+    const std::string& print = aInvocation.m_argument;
     const Json body =
-      client.Repeatable("DELETE", std::string(kQuarantinePath) + "/" + print);
-    if (json) {
-      aConsole.m_out << body.dump(2) << "\n";
+      aClient.Repeatable("DELETE", std::string(kQuarantinePath) + "/" + print);
+    if (aInvocation.m_json) {
+      aInvocation.m_console.m_out << body.dump(2) << "\n";
     } else {
-      aConsole.m_out << print << " released\n";
+      aInvocation.m_console.m_out << print << " released\n";
     }
     return ExitStatus::Done;
   }
--- a/src/cli/state_command.cpp
+++ b/src/cli/state_command.cpp
@@ -1,5 +1,4 @@
-#include "cli/client_p.h"
-#include "cli/command_p.h"
+#include "cli/operator_command_p.h"
 
 #include <iostream>
 
@@ -7,44 +6,38 @@
 
 namespace {
 
-class StateCommand final : public Command
+class StateCommand final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "print the state of one process";
   }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string(
-             "ADDRESS is the HTTP address of an entry or an agent. The state "
-             "is "
-             "JSON: what it\nknows of the fleet, what it holds and what it "
-             "waits for, without secrets or prompts.\n\n"
-             "  siskindeal state 10.0.0.1:8080\n\n") +
-           kClientExplanation;
+    return "ADDRESS is the HTTP address of an entry or an agent. The state "
+           "is "
+           "JSON: what it\nknows of the fleet, what it holds and what it "
+           "waits for, without secrets or prompts.\n\n"
+           "  siskindeal state 10.0.0.1:8080\n\n";
   }
-  std::string Positional() const override { return "ADDRESS"; }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  std::optional<Argument> GetArgument() const override
   {
-    aOptions.add_options("hidden")(
-      "ADDRESS", "HTTP address of the process", cxxopts::value<std::string>());
-    aOptions.parse_positional({ "ADDRESS" });
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
+    return Argument{ "ADDRESS", "HTTP address of the process" };
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  void Check(const cxxopts::ParseResult& aArguments) const override
   {
-    WantsJson(aArguments);
-    Address address;
     try {
-      address = ParseAddress(RequiredArgument(aArguments, "ADDRESS"));
+      ParseAddress(aArguments["ADDRESS"].as<std::string>());
     } catch (const std::invalid_argument& error) {
       throw CommandError(ExitStatus::Usage, error.what());
     }
-    OperatorClient client(ClientSettingsOf(aArguments));
-    aConsole.m_out << client.State(address).dump(2) << "\n";
+  }
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
+  {
+    const auto address = ParseAddress(aInvocation.m_argument);
+    aInvocation.m_console.m_out << aClient.State(address).dump(2) << "\n";
     return ExitStatus::Done;
   }
 };
--- a/src/cli/target_commands.cpp
+++ b/src/cli/target_commands.cpp
@@ -1,5 +1,4 @@
-#include "cli/client_p.h"
-#include "cli/command_p.h"
+#include "cli/operator_command_p.h"
 #include "cli/target_text_p.h"
 #include "settings/values_p.h"
 
@@ -11,22 +10,6 @@
 
 using Json = nlohmann::json;
 
-constexpr const char* kTargetsPath = "/v1/operator/targets";
-
-std::string
-TargetPath(const std::string& aName)
-{
-  return std::string(kTargetsPath) + "/" + aName;
-}
-
-void
-AddNameOption(cxxopts::Options& aOptions)
-{
-  aOptions.add_options("hidden")(
-    "NAME", "the target's name", cxxopts::value<std::string>());
-  aOptions.parse_positional({ "NAME" });
-}
-
 void
 AddAmountOptions(cxxopts::Options& aOptions)
 {
@@ -120,135 +103,118 @@
   aConsole.m_out << "\n";
 }
 
-class TargetCreate final : public Command
+class TargetCommand : public OperatorCommand
+{
+protected:
+  std::optional<Argument> GetArgument() const override
+  {
+    return Argument{ "NAME", "the target's name" };
+  }
+};
+
+class TargetCreate final : public TargetCommand
 {
 public:
   std::string Summary() const override { return "state a new target"; }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string(
-             "A target says for which class of work how many VMs are to serve "
-             "the release that\nthe catalogue names as current, in which "
-             "places and by when. It never names\nweights or addresses.\n\n"
-             "  siskindeal target create sunday --class \"booking chat\" "
-             "--vms 12 --within 10m\n  siskindeal target create rounds "
-             "--class rounds --share 0.5 --place burton\n\n") +
-           kClientExplanation;
-  }
-  std::string Positional() const override { return "NAME"; }
-  void AddOptions(cxxopts::Options& aOptions) const override
+    return "A target says for which class of work how many VMs are to serve "
+           "the release that\nthe catalogue names as current, in which "
+           "places and by when. It never names\nweights or addresses.\n\n"
+           "  siskindeal target create sunday --class \"booking chat\" "
+           "--vms 12 --within 10m\n  siskindeal target create rounds "
+           "--class rounds --share 0.5 --place burton\n\n";
+  }
+  void AddOwnOptions(cxxopts::Options& aOptions) const override
   {
-    AddNameOption(aOptions);
     AddAmountOptions(aOptions);
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  void Check(const cxxopts::ParseResult& aArguments) const override
   {
-    const bool json = WantsJson(aArguments);
-    const std::string name = RequiredArgument(aArguments, "NAME");
     if (aArguments.count("class") == 0 ||
         aArguments.count("vms") + aArguments.count("share") == 0) {
       throw CommandError(ExitStatus::Usage,
                          "expected --class and either --vms or --share");
     }
+  }
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
+  {
+    const std::string& name = aInvocation.m_argument;
     Json target = { { "name", name } };
-    ApplyOptions(aArguments, target);
-    OperatorClient client(ClientSettingsOf(aArguments));
+    ApplyOptions(aInvocation.m_arguments, target);
     const Json object =
-      client.Change({ "PUT", TargetPath(name), 0, target.dump() });
-    PrintChanged("stated", name, object, json, aConsole);
+      aClient.Change({ "PUT", TargetPath(name), 0, target.dump() });
+    PrintChanged(
+      "stated", name, object, aInvocation.m_json, aInvocation.m_console);
     return ExitStatus::Done;
   }
 };
 
-class TargetRevise final : public Command
+class TargetRevise final : public TargetCommand
 {
 public:
   std::string Summary() const override { return "change a target"; }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string(
-             "What no option names stays as it is. The change is made to the "
-             "version that was\nread, or to that of --version; when someone "
-             "else has changed the target meanwhile,\nnothing is changed and "
-             "both changes are shown.\n\n"
-             "  siskindeal target revise sunday --vms 20\n\n") +
-           kClientExplanation;
+    return "What no option names stays as it is. The change is made to the "
+           "version that was\nread, or to that of --version; when someone "
+           "else has changed the target meanwhile,\nnothing is changed and "
+           "both changes are shown.\n\n"
+           "  siskindeal target revise sunday --vms 20\n\n";
   }
-  std::string Positional() const override { return "NAME"; }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  void AddOwnOptions(cxxopts::Options& aOptions) const override
   {
-    AddNameOption(aOptions);
     AddAmountOptions(aOptions);
     aOptions.add_options()("every-place", "drop the list of places");
-    aOptions.add_options()("version",
-                           "change only this version",
-                           cxxopts::value<std::uint64_t>(),
-                           "V");
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
+    AddVersionOption(aOptions, "change only this version");
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
   {
-    const bool json = WantsJson(aArguments);
-    const std::string name = RequiredArgument(aArguments, "NAME");
-    OperatorClient client(ClientSettingsOf(aArguments));
-    Json target = client.Read(TargetPath(name)).at("target");
-    const std::uint64_t version = aArguments.count("version") != 0
-                                    ? aArguments["version"].as<std::uint64_t>()
-                                    : target.at("version").get<std::uint64_t>();
+    const std::string& name = aInvocation.m_argument;
+    Json target = aClient.Read(TargetPath(name)).at("target");
+    const auto version = VersionOf(aInvocation.m_arguments)
+                           .value_or(target.at("version").get<std::uint64_t>());
     target.erase("version");
     target.erase("stated_at");
-    if (aArguments.count("every-place") != 0) {
+    if (aInvocation.m_arguments.count("every-place") != 0) {
       target.erase("places");
     }
-    ApplyOptions(aArguments, target);
+    ApplyOptions(aInvocation.m_arguments, target);
     const Json object =
-      client.Change({ "PUT", TargetPath(name), version, target.dump() });
-    PrintChanged("revised", name, object, json, aConsole);
+      aClient.Change({ "PUT", TargetPath(name), version, target.dump() });
+    PrintChanged(
+      "revised", name, object, aInvocation.m_json, aInvocation.m_console);
     return ExitStatus::Done;
   }
 };
 
-class TargetDelete final : public Command
+class TargetDelete final : public TargetCommand
 {
 public:
   std::string Summary() const override { return "withdraw a target"; }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string(
-             "What serves goes on serving; it is only no longer held to the "
-             "target.\n\n  siskindeal target delete sunday\n\n") +
-           kClientExplanation;
+    return "What serves goes on serving; it is only no longer held to the "
+           "target.\n\n  siskindeal target delete sunday\n\n";
   }
-  std::string Positional() const override { return "NAME"; }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  void AddOwnOptions(cxxopts::Options& aOptions) const override
   {
-    AddNameOption(aOptions);
-    aOptions.add_options()("version",
-                           "delete only this version",
-                           cxxopts::value<std::uint64_t>(),
-                           "V");
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
+    AddVersionOption(aOptions, "delete only this version");
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
   {
-    const bool json = WantsJson(aArguments);
-    const std::string name = RequiredArgument(aArguments, "NAME");
-    OperatorClient client(ClientSettingsOf(aArguments));
-    const std::uint64_t version = aArguments.count("version") != 0
-                                    ? aArguments["version"].as<std::uint64_t>()
-                                    : client.Read(TargetPath(name))
-                                        .at("target")
-                                        .at("version")
-                                        .get<std::uint64_t>();
-    const Json object = client.Change({ "DELETE", TargetPath(name), version });
-    PrintChanged("withdrawn", name, object, json, aConsole);
+    const std::string& name = aInvocation.m_argument;
+    auto version = VersionOf(aInvocation.m_arguments);
+    if (!version) {
+      version = aClient.Read(TargetPath(name)).at("target").at("version");
+    }
+    const Json object =
+      aClient.Change({ "DELETE", TargetPath(name), *version });
+    PrintChanged(
+      "withdrawn", name, object, aInvocation.m_json, aInvocation.m_console);
     return ExitStatus::Done;
   }
 };
--- a/src/cli/target_status.cpp
+++ b/src/cli/target_status.cpp
@@ -1,5 +1,4 @@
-#include "cli/client_p.h"
-#include "cli/command_p.h"
+#include "cli/operator_command_p.h"
 #include "cli/target_text_p.h"
 #include "settings/values_p.h"
 
@@ -13,7 +12,6 @@
 using Json = nlohmann::json;
 using Deadline = std::optional<std::chrono::steady_clock::time_point>;
 
-constexpr const char* kTargetsPath = "/v1/operator/targets";
 constexpr std::chrono::milliseconds kWatchPeriod{ 1000 };
 
 std::vector<TargetStatus>
@@ -30,7 +28,7 @@
 TargetStatus
 ReadOne(OperatorClient& aClient, const std::string& aName)
 {
-  const Json body = aClient.Read(std::string(kTargetsPath) + "/" + aName);
+  const Json body = aClient.Read(TargetPath(aName));
   if (!body.at("status").is_null()) {
     return ParseTargetStatus(body["status"].dump());
   }
@@ -157,85 +155,78 @@
   }
 }
 
-class TargetList final : public Command
+class TargetList final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "list the targets and how far each is";
   }
-  std::string Explanation() const override
+  std::string Details() const override
   {
-    return std::string("  siskindeal target list --output json\n\n") +
-           kClientExplanation;
+    return "  siskindeal target list --output json\n\n";
   }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
   {
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
-  }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
-  {
-    const bool json = WantsJson(aArguments);
-    OperatorClient client(ClientSettingsOf(aArguments));
-    PrintStatuses(ReadAll(client), json, aConsole.m_out);
+    PrintStatuses(
+      ReadAll(aClient), aInvocation.m_json, aInvocation.m_console.m_out);
     return ExitStatus::Done;
   }
 };
 
-class TargetStatusCommand final : public Command
+class TargetStatusCommand final : public OperatorCommand
 {
 public:
   std::string Summary() const override
   {
     return "say whether targets are met, or wait until one is";
   }
-  std::string Explanation() const override
+  std::string Details() const override
+  {
+    return "Without NAME every target. Exits with 0 when all shown are met, "
+           "else with 9.\n--watch shows a progress bar with an estimate "
+           "until the target is met or --timeout\nis over, also over outages "
+           "of "
+           "entries.\n\n  siskindeal target status\n  siskindeal target "
+           "status sunday --watch --timeout 10m\n\n";
+  }
+  std::optional<Argument> GetArgument() const override
   {
-    return std::string(
-             "Without NAME every target. Exits with 0 when all shown are met, "
-             "else with 9.\n--watch shows a progress bar with an estimate "
-             "until "
-             "the target is met or --timeout\nis over, also over outages of "
-             "entries.\n\n  siskindeal target status\n  siskindeal target "
-             "status sunday --watch --timeout 10m\n\n") +
-           kClientExplanation;
+    return Argument{ "NAME", "the target's name", false };
   }
-  std::string Positional() const override { return "[NAME]"; }
-  void AddOptions(cxxopts::Options& aOptions) const override
+  void AddOwnOptions(cxxopts::Options& aOptions) const override
   {
-    aOptions.add_options("hidden")(
-      "NAME", "the target's name", cxxopts::value<std::string>());
-    aOptions.parse_positional({ "NAME" });
     aOptions.add_options()("watch", "wait until the target is met");
     aOptions.add_options()("timeout",
                            "how long --watch waits, such as 10m",
                            cxxopts::value<std::string>(),
                            "TIME");
-    AddOutputOption(aOptions);
-    AddClientOptions(aOptions);
   }
-  ExitStatus Run(const cxxopts::ParseResult& aArguments,
-                 Console& aConsole) override
+  void Check(const cxxopts::ParseResult& aArguments) const override
   {
-    const bool json = WantsJson(aArguments);
-    const bool isWatch = aArguments.count("watch") != 0;
-    const Deadline deadline = DeadlineOf(aArguments);
-    if (isWatch) {
+    DeadlineOf(aArguments);
+    if (aArguments.count("watch") != 0) {
       RequiredArgument(aArguments, "NAME");
     }
-    OperatorClient client(ClientSettingsOf(aArguments));
-    if (aArguments.count("NAME") == 0) {
-      const auto statuses = ReadAll(client);
-      PrintStatuses(statuses, json, aConsole.m_out);
+  }
+  ExitStatus Ask(OperatorClient& aClient,
+                 const Invocation& aInvocation) override
+  {
+    const bool isWatch = aInvocation.m_arguments.count("watch") != 0;
+    const Deadline deadline = DeadlineOf(aInvocation.m_arguments);
+    if (aInvocation.m_argument.empty()) {
+      const auto statuses = ReadAll(aClient);
+      PrintStatuses(statuses, aInvocation.m_json, aInvocation.m_console.m_out);
       return MetStatus(statuses);
     }
-    const std::string name = aArguments["NAME"].as<std::string>();
+    const std::string& name = aInvocation.m_argument;
     if (isWatch) {
-      return WatchTarget(client, name, deadline, json, aConsole);
+      return WatchTarget(
+        aClient, name, deadline, aInvocation.m_json, aInvocation.m_console);
     }
-    return ShowOne(ReadOne(client, name), json, aConsole.m_out);
+    return ShowOne(
+      ReadOne(aClient, name), aInvocation.m_json, aInvocation.m_console.m_out);
   }
 
 private:
