--- a/src/config/fleet_config.cpp
+++ b/src/config/fleet_config.cpp
@@ -201,7 +201,7 @@
   Json json;
   try {
     json = Json::parse(aJson);
-  } catch (const Json::parse_error& failure) {
+  } catch (const Json::exception& failure) {
     throw Error(Reason::BadRequest,
                 Verdict::NotRun,
                 std::string("configuration isn't JSON: ") + failure.what());
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -36,13 +36,18 @@
 {
   try {
     const auto json = nlohmann::json::parse(aJson);
-    return CatalogueEntry{ json.at("release").get<std::string>(),
-                           json.value("adapter", false) };
+    CatalogueEntry entry{ json.at("release").get<std::string>(),
+                          json.value("adapter", false) };
+    if (!entry.m_release.empty()) {
+      return entry;
+    }
   } catch (const nlohmann::json::exception& failure) {
     throw Error(Reason::BadRequest,
                 Verdict::NotRun,
                 "catalogue entry: " + std::string(failure.what()));
   }
+  throw Error(
+    Reason::BadRequest, Verdict::NotRun, "catalogue entry: release is empty");
 }
 
 PlannedVm
--- /dev/null
+++ b/tests/input_fuzz_test.cpp
@@ -0,0 +1,344 @@
+// Whatever bytes come from outside, each reader either reads them or refuses
+// them whole by its own error. Valid inputs are changed at random, by fixed
+// seeds.
+
+#include "entry/front_p.h"
+#include "platform/object_json_p.h"
+#include "siskindeal/error.h"
+#include "siskindeal/manifest.h"
+#include "siskindeal/planner.h"
+#include "siskindeal/random.h"
+#include "siskindeal/settings.h"
+#include "siskindeal/target.h"
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <array>
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace siskindeal {
+namespace {
+
+constexpr std::uint64_t kMostEdits = 4;
+constexpr std::size_t kDeepNesting = 5000;
+
+const std::string kExamples = std::string(SISKINDEAL_SOURCE_DIR) + "/examples/";
+
+std::string
+TextOf(const std::string& aFile)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  EXPECT_TRUE(stream) << aFile;
+  return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+// Changes a text by single bytes, by dropped and repeated parts, and by values
+// that readers stumble over.
+class Mutator
+{
+public:
+  explicit Mutator(std::uint64_t aSeed)
+    : m_random(aSeed)
+  {
+  }
+
+  std::string Mutate(std::string aText)
+  {
+    for (auto edits = 1 + m_random.Below(kMostEdits); edits > 0; --edits) {
+      Edit(aText);
+    }
+    return aText;
+  }
+
+private:
+  void Edit(std::string& aText)
+  {
+    const auto at = m_random.Below(aText.size() + 1);
+    const auto length = m_random.Below(std::min<std::size_t>(
+      aText.size() - at + 1, m_random.Chance(0.1) ? aText.size() : 12));
+    switch (m_random.Below(4)) {
+      case 0:
+        aText.insert(at, 1, static_cast<char>(m_random.Below(256)));
+        break;
+      case 1:
+        aText.erase(at, length);
+        break;
+      case 2:
+        aText.insert(at, aText.substr(at, length));
+        break;
+      default:
+        ReplaceValue(aText, at);
+    }
+  }
+
+  // Puts another value in place of the number, word or text that follows aAt.
+  void ReplaceValue(std::string& aText, std::size_t aAt)
+  {
+    static const std::array<std::string, 17> kValues = {
+      "-1",          "0",        "1e999",  "99999999999999999999",
+      "-0.0",        "0.5",      "1e-320", "null",
+      "true",        "[]",       "{}",     "\"\"",
+      "\"\\u0000\"", "\"\xff\"", "[null]", "\"0s\"",
+      "2147483648"
+    };
+    const auto start = aText.find_first_of("0123456789\"tf[{", aAt);
+    if (start == std::string::npos) {
+      return;
+    }
+    const auto end = aText.find_first_of(",}]\n", start);
+    const auto value = m_random.Chance(0.02)
+                         ? std::string(kDeepNesting, '[')
+                         : kValues.at(m_random.Below(kValues.size()));
+    aText.replace(start, end == std::string::npos ? end : end - start, value);
+  }
+
+  Random m_random;
+};
+
+// Reads aRounds changed forms of aValid; aRead throws Error (BadRequest, not
+// run) or returns. Returns how many were read.
+template<typename Read>
+int
+ReadChanged(const std::string& aValid, int aRounds, Read aRead)
+{
+  aRead(aValid);
+  Mutator mutator(7);
+  int read = 0;
+  for (int round = 0; round < aRounds; ++round) {
+    const auto text = mutator.Mutate(aValid);
+    try {
+      aRead(text);
+      ++read;
+    } catch (const Error& refusal) {
+      EXPECT_EQ(refusal.GetReason(), Reason::BadRequest) << text;
+      EXPECT_EQ(refusal.GetVerdict(), Verdict::NotRun) << text;
+      EXPECT_STRNE(refusal.what(), "") << text;
+    }
+  }
+  EXPECT_LT(read, aRounds) << "no change was refused";
+  EXPECT_GT(read, 0) << "no change was read";
+  return read;
+}
+
+void
+ExpectSound(const TeamConfig& aTeam, const std::string& aText)
+{
+  EXPECT_TRUE(std::isfinite(aTeam.m_weight) && aTeam.m_weight > 0) << aText;
+  EXPECT_TRUE(std::isfinite(aTeam.m_requestsPerSecond) &&
+              aTeam.m_requestsPerSecond >= 0)
+    << aText;
+  EXPECT_TRUE(std::isfinite(aTeam.m_burst) && aTeam.m_burst >= 0) << aText;
+}
+
+TEST(InputFuzz, AConfigurationIsRefusedOrSound)
+{
+  constexpr int kRounds = 5000;
+  for (const std::string name : { "fairway", "hartwell" }) {
+    SCOPED_TRACE(name);
+    ReadChanged(TextOf(kExamples + name + "_config.json"),
+                kRounds,
+                [](const std::string& aText) {
+                  const auto config = ParseFleetConfig(aText, 1);
+                  for (const auto& [team, limits] : config.m_teams) {
+                    ExpectSound(limits, aText);
+                  }
+                  ExpectSound(config.m_otherTeams, aText);
+                  for (const auto& [work, settings] : config.m_classes) {
+                    EXPECT_EQ(config.m_services.count(settings.m_service), 1U)
+                      << aText;
+                  }
+                  for (const auto& [service, settings] : config.m_services) {
+                    EXPECT_GT(settings.m_timeout.count(), 0) << aText;
+                  }
+                });
+  }
+}
+
+TEST(InputFuzz, ATargetIsRefusedOrReadsBack)
+{
+  constexpr int kRounds = 20000;
+  ReadChanged(
+    R"({"name":"x","class":"c","share":0.5,"places":["p","q"],"within_s":5})",
+    kRounds,
+    [](const std::string& aText) {
+      const auto target = ParseTarget(aText, 1);
+      EXPECT_FALSE(target.m_name.empty()) << aText;
+      EXPECT_EQ(ToJson(ParseTarget(ToJson(target), 1)), ToJson(target))
+        << aText;
+    });
+}
+
+TEST(InputFuzz, ACatalogueEntryIsRefusedOrRead)
+{
+  constexpr int kRounds = 20000;
+  ReadChanged(R"({"release":"booking-7","adapter":false})",
+              kRounds,
+              [](const std::string& aText) {
+                EXPECT_FALSE(ParseCatalogueEntry(aText).m_release.empty())
+                  << aText;
+              });
+}
+
+TEST(InputFuzz, AManifestIsRefusedOrAddsUp)
+{
+  constexpr int kRounds = 20000;
+  const std::string digest(64, 'a');
+  ReadChanged(
+    R"({"size":15,"chunk_size":10,"base":"","origin":"m/a",)"
+    R"("chunks":[")" +
+      digest + R"(",")" + digest + R"("]})",
+    kRounds,
+    [](const std::string& aText) {
+      const auto manifest = ParseManifest(aText);
+      std::uint64_t bytes = 0;
+      for (std::uint32_t i = 0; i < manifest.m_chunkDigests.size(); ++i) {
+        bytes += manifest.ChunkBytes(i);
+      }
+      EXPECT_EQ(bytes, manifest.m_size) << aText;
+      EXPECT_EQ(ParseManifest(ToJson(manifest)).Digest(), manifest.Digest())
+        << aText;
+    });
+}
+
+// The platform client catches std::exception and counts the answer as none.
+TEST(InputFuzz, APlatformAnswerIsReadOrThrows)
+{
+  constexpr int kRounds = 20000;
+  const std::string object =
+    R"({"key":"config/fleet","version":3,"value":"{}","change_id":"c"})";
+  const std::string changes = R"({"revision":9,"objects":[)" + object + "]}";
+  const std::string vms =
+    R"({"vms":[{"vm":"a","place":"p","service":"s","rpc":"10.0.0.1:7100",)"
+    R"("leaving":false}]})";
+  Mutator mutator(7);
+  for (int round = 0; round < kRounds; ++round) {
+    try {
+      ParseObject(mutator.Mutate(object));
+    } catch (const std::exception&) {
+    }
+    try {
+      ParseChanges(mutator.Mutate(changes));
+    } catch (const std::exception&) {
+    }
+    try {
+      ParseVms(mutator.Mutate(vms));
+    } catch (const std::exception&) {
+    }
+  }
+}
+
+TEST(InputFuzz, ASettingsFileIsReadOrRefusedByLine)
+{
+  constexpr int kRounds = 2000;
+  const auto file =
+    testing::TempDir() + "settings_fuzz_" + std::to_string(getpid()) + ".toml";
+  const auto read = [&](const std::string& aText) {
+    std::ofstream(file, std::ios::binary) << aText;
+    switch (SettingsKindOf(file)) {
+      case SettingsKind::Entry:
+        ReadEntrySettings(file);
+        return;
+      case SettingsKind::Agent:
+        ReadAgentSettings(file);
+        return;
+      case SettingsKind::Client:
+        ReadClientSettings(file);
+    }
+  };
+  for (const std::string name :
+       { "fairway_entry", "hartwell_ledger_llm_agent", "fairway_client" }) {
+    SCOPED_TRACE(name);
+    const auto valid = TextOf(kExamples + name + ".toml");
+    read(valid);
+    Mutator mutator(7);
+    int refused = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      const auto text = mutator.Mutate(valid);
+      try {
+        read(text);
+      } catch (const SettingsError& error) {
+        ++refused;
+        EXPECT_NE(std::string(error.what()).find(file), std::string::npos)
+          << error.what();
+      }
+    }
+    EXPECT_GT(refused, 0);
+  }
+  std::filesystem::remove(file);
+}
+
+// Counts answers and passes nothing on.
+class CountingResponder final : public HttpResponder
+{
+public:
+  void Respond(int aStatus, HttpHeaders aHeaders, std::string) override
+  {
+    ++m_answers;
+    m_status = aStatus;
+    m_verdict = aHeaders[std::string(kVerdictHeader)];
+  }
+  void BeginStream(int, HttpHeaders) override { FAIL(); }
+  bool Write(std::string_view) override { return false; }
+  void EndStream() override {}
+  void Abort() override {}
+  void OnHangUp(std::function<void()>) override {}
+  std::size_t Buffered() const override { return 0; }
+
+  int m_answers = 0;
+  int m_status = 0;
+  std::string m_verdict;
+};
+
+TEST(InputFuzz, ACallersRequestIsRefusedOrPassedOnOnce)
+{
+  constexpr int kRounds = 20000;
+  int passed = 0;
+  FrontParts parts;
+  const auto config = std::make_shared<FleetConfig>(
+    ParseFleetConfig(TextOf(kExamples + "fairway_config.json"), 1));
+  parts.m_config = [&] { return config; };
+  parts.m_entriesJson = [] { return "{}"; };
+  parts.m_forward = [&](const CallerRequest& aRequest, const auto&) {
+    ++passed;
+    EXPECT_EQ(config->m_services.count(aRequest.m_service), 1U);
+    EXPECT_GT(aRequest.m_timeout.count(), 0);
+  };
+  Front front(parts);
+  const std::string chat =
+    R"({"model":"booking chat","stream":true,"max_tokens":8,"messages":)"
+    R"([{"role":"user","content":"four at dawn"}],"temperature":0.5})";
+  Mutator mutator(7);
+  int refused = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_path = "/v1/chat/completions";
+    request.m_headers = { { "content-type", "application/json" },
+                          { "x-deadline-ms", mutator.Mutate("5000") } };
+    request.m_body = mutator.Mutate(chat);
+    if (round % 4 == 0) {
+      request.m_path = mutator.Mutate("/v1/services/teesheet/bookings");
+      request.m_headers["idempotency-key"] = mutator.Mutate("key-1");
+    }
+    const auto responder = std::make_shared<CountingResponder>();
+    const int before = passed;
+    front.Handle(request, responder);
+    ASSERT_EQ(passed - before + responder->m_answers, 1) << request.m_body;
+    if (responder->m_answers != 0) {
+      ++refused;
+      EXPECT_TRUE(responder->m_status == 400 || responder->m_status == 404)
+        << responder->m_status << request.m_body;
+      EXPECT_EQ(responder->m_verdict, "not run") << request.m_body;
+    }
+  }
+  EXPECT_GT(passed, 0);
+  EXPECT_GT(refused, 0);
+}
+
+} // namespace
+} // namespace siskindeal
