--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -113,6 +113,39 @@
   }
 }
 
+// A table's row of a metric that says when to look at it needs a row among the
+// alarms that says what to do.
+TEST(Docs, EveryAlarmSaysWhatToDo)
+{
+  const std::string alarms = TextOf(kSource + "/docs/operating_alarms.md");
+  const std::regex metric(
+    "\\| `(siskindeal_[a-z0-9_]+)` \\|.*\\| *([^|\n]*)\\|");
+  const std::regex alarm(
+    "\\| `(siskindeal_[a-z0-9_]+)`[^|\n]*\\| *([^|\n]+)\\| *([^|\n]+)\\|");
+  std::set<std::string> answered;
+  for (std::sregex_iterator match(alarms.begin(), alarms.end(), alarm), end;
+       match != end;
+       ++match) {
+    answered.insert((*match)[1]);
+  }
+  int rows = 0;
+  for (const std::string page :
+       { "/docs/OPERATING.md", "/docs/operating_requests.md" }) {
+    const std::string text = TextOf(kSource + page);
+    for (std::sregex_iterator match(text.begin(), text.end(), metric), end;
+         match != end;
+         ++match) {
+      if ((*match)[2].length() == 0) {
+        continue;
+      }
+      ++rows;
+      EXPECT_EQ(answered.count((*match)[1]), 1U)
+        << (*match)[1] << " needs a row in docs/operating_alarms.md";
+    }
+  }
+  EXPECT_GT(rows, 0);
+}
+
 // The member that holds a key: m_bodyBytes for body_bytes.
 std::string
 MemberOf(const std::string& aKey)
