--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -150,7 +150,7 @@
   options.custom_help("[OPTIONS]");
   options.positional_help(command->Positional());
   command->AddOptions(options);
-  options.add_options()("help", "print this help");
+  options.add_options()("h,help", "print this help");
   const auto parsed =
     options.parse(static_cast<int>(aArguments.size()), aArguments.data());
   if (parsed.count("help") != 0) {
@@ -165,12 +165,18 @@
   return command->Run(parsed, aConsole);
 }
 
+bool
+IsHelp(const std::string& aWord)
+{
+  return aWord == "--help" || aWord == "-h" || aWord == "help";
+}
+
 // The command of one word, or of two where there is one.
 ExitStatus
 Dispatch(int aArgc, const char* const* aArgv, Console& aConsole)
 {
   const std::string first = aArgc > 1 ? aArgv[1] : "";
-  if (first.empty() || first == "--help" || first == "help") {
+  if (first.empty() || IsHelp(first)) {
     PrintHelp(first.empty() ? aConsole.m_error : aConsole.m_out, "");
     return first.empty() ? ExitStatus::Usage : ExitStatus::Done;
   }
@@ -187,9 +193,9 @@
       std::any_of(names.begin(), names.end(), [&](const std::string& aName) {
         return aName.rfind(first + " ", 0) == 0;
       });
-    if (isGroup && second == "--help") {
-      PrintHelp(aConsole.m_out, first);
-      return ExitStatus::Done;
+    if (isGroup && (second.empty() || IsHelp(second))) {
+      PrintHelp(second.empty() ? aConsole.m_error : aConsole.m_out, first);
+      return second.empty() ? ExitStatus::Usage : ExitStatus::Done;
     }
     throw CommandError(ExitStatus::Usage,
                        "no command \"" +
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -1,5 +1,4 @@
 #include "cli/command_p.h"
-#include "cli/target_text_p.h"
 #include "siskindeal/fleet_config.h"
 #include "siskindeal/http.h"
 #include "siskindeal/operators.h"
@@ -256,6 +255,8 @@
     }
     words.emplace_back("--help");
     const Result help = RunLine(words);
+    words.back() = "-h";
+    EXPECT_EQ(RunLine(words).m_out, help.m_out) << name;
     EXPECT_EQ(help.m_status, 0) << name;
     EXPECT_EQ(help.m_error, "") << name;
     EXPECT_NE(help.m_out.find("siskindeal " + name), std::string::npos);
@@ -265,7 +266,12 @@
   }
   EXPECT_EQ(RunLine({ "--version" }).m_out,
             "siskindeal " SISKINDEAL_VERSION "\n");
-  EXPECT_NE(RunLine({ "target", "--help" }).m_out.find("target revise"),
+  for (const Result& group :
+       { RunLine({ "target", "--help" }), RunLine({ "target", "-h" }) }) {
+    EXPECT_NE(group.m_out.find("target revise"), std::string::npos);
+    EXPECT_EQ(group.m_out.find("config set"), std::string::npos);
+  }
+  EXPECT_NE(RunLine({ "target" }).m_error.find("target revise"),
             std::string::npos);
 }
 
@@ -482,17 +488,6 @@
     << result.m_out;
 }
 
-TEST(TargetText, AnEstimateIsRoundedUp)
-{
-  const std::vector<std::pair<int, std::string>> cases = {
-    { -5, "0 s" },    { 0, "0 s" },        { 119, "119 s" }, { 120, "2 min" },
-    { 121, "3 min" }, { 7199, "120 min" }, { 7200, "2 h" },  { 7201, "3 h" },
-  };
-  for (const auto& [seconds, text] : cases) {
-    EXPECT_EQ(EstimateText(std::chrono::seconds(seconds)), text);
-  }
-}
-
 } // namespace
 
 } // namespace siskindeal
--- a/tests/input_fuzz_test.cpp
+++ b/tests/input_fuzz_test.cpp
@@ -301,7 +301,9 @@
   FrontParts parts;
   const auto config = std::make_shared<FleetConfig>(
     ParseFleetConfig(TextOf(kExamples + "fairway_config.json"), 1));
-  parts.m_config = [&] { return config; };
+  parts.m_config = [&]() -> std::shared_ptr<const FleetConfig> {
+    return std::shared_ptr<const FleetConfig>(config);
+  };
   parts.m_entriesJson = [] { return "{}"; };
   parts.m_forward = [&](const CallerRequest& aRequest, const auto&) {
     ++passed;
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -1,3 +1,4 @@
+#include "cli/target_text_p.h"
 #include "siskindeal/error.h"
 #include "siskindeal/random.h"
 #include "siskindeal/target.h"
@@ -109,6 +110,17 @@
   EXPECT_THROW(ParseTargetStatus("{}"), Error);
 }
 
+TEST(TargetText, AnEstimateIsRoundedUp)
+{
+  const std::vector<std::pair<int, std::string>> cases = {
+    { -5, "0 s" },    { 0, "0 s" },        { 119, "119 s" }, { 120, "2 min" },
+    { 121, "3 min" }, { 7199, "120 min" }, { 7200, "2 h" },  { 7201, "3 h" },
+  };
+  for (const auto& [seconds, text] : cases) {
+    EXPECT_EQ(EstimateText(std::chrono::seconds(seconds)), text);
+  }
+}
+
 } // namespace
 
 } // namespace siskindeal
