A deeply nested request no longer crashes the entry

Cause: copying and writing JSON recurses; a chat body of 500,000 nested lists, within [http] body_bytes, overflowed the stack of the thread that read it (segmentation fault in the copy of the body for its fingerprint, seen under gdb).

Ruled out: copying less, since writing recurses too; a larger stack only moves it.

Change: a body is read with a limit of 128 levels and refused as bad_request, not run. GET /v1/models gives 'created', which typed clients of that API require.

The test ended with the fault before and passes after.

--- a/src/entry/front.cpp
+++ b/src/entry/front.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::size_t kMostKeyBytes = 256;
+constexpr int kMostNesting = 128; // levels of a JSON body
 constexpr const char* kNoTeam = "default";
 
 // Headers of a caller that an upstream gets to see.
@@ -44,7 +45,15 @@
   if (type.rfind("application/json", 0) != 0) {
     Refuse(Reason::BadRequest, "content-type must be application/json");
   }
-  auto body = nlohmann::json::parse(aRequest.m_body, nullptr, false);
+  // Copying and writing JSON takes stack for each level.
+  const auto checkDepth =
+    [](int aDepth, nlohmann::json::parse_event_t, const nlohmann::json&) {
+      if (aDepth > kMostNesting) {
+        Refuse(Reason::BadRequest, "the body is nested too deeply");
+      }
+      return true;
+    };
+  auto body = nlohmann::json::parse(aRequest.m_body, checkDepth, false);
   if (body.is_discarded() || !body.is_object()) {
     Refuse(Reason::BadRequest, "the body is not a JSON object");
   }
@@ -127,6 +136,7 @@
   for (const auto& [name, work] : m_parts.m_config()->m_classes) {
     models.push_back({ { "id", name },
                        { "object", "model" },
+                       { "created", 0 },
                        { "owned_by", work.m_service } });
   }
   RespondJson(
--- a/tests/input_fuzz_test.cpp
+++ b/tests/input_fuzz_test.cpp
@@ -342,5 +342,35 @@
   EXPECT_GT(refused, 0);
 }
 
+// Readers that work level by level would run out of stack.
+TEST(InputFuzz, ADeeplyNestedRequestIsRefused)
+{
+  int passed = 0;
+  FrontParts parts;
+  const auto config = std::make_shared<const FleetConfig>(
+    ParseFleetConfig(TextOf(kExamples + "fairway_config.json"), 1));
+  parts.m_config = [&] { return std::shared_ptr(config); };
+  parts.m_forward = [&](const CallerRequest&, const auto&) { ++passed; };
+  Front front(parts);
+  const auto ask = [&](std::size_t aDepth) {
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_path = "/v1/chat/completions";
+    request.m_headers = { { "content-type", "application/json" } };
+    request.m_body =
+      R"({"model":"booking chat","messages":[{"role":"user","content":)" +
+      std::string(aDepth, '[') + std::string(aDepth, ']') + "}]}";
+    const auto responder = std::make_shared<CountingResponder>();
+    front.Handle(request, responder);
+    return responder->m_status;
+  };
+  constexpr std::size_t kOrdinary = 40;
+  constexpr std::size_t kAbsurd = 500000; // fills [http] body_bytes
+  EXPECT_EQ(ask(kOrdinary), 0);
+  EXPECT_EQ(passed, 1);
+  EXPECT_EQ(ask(kAbsurd), 400);
+  EXPECT_EQ(passed, 1);
+}
+
 } // namespace
 } // namespace siskindeal
--- a/tests/openai_client_test.cpp
+++ b/tests/openai_client_test.cpp
@@ -145,6 +145,7 @@
   for (const auto& model : list.at("data")) {
     EXPECT_EQ(model.at("object"), "model");
     EXPECT_TRUE(model.at("owned_by").is_string());
+    EXPECT_TRUE(model.at("created").is_number_integer());
     found = found || model.at("id") == "booking chat";
   }
   EXPECT_TRUE(found) << models.m_body;
