Quarantines are kept in the platform

Cause: a quarantine lived in the processes' tables alone and ended when every VM was replaced at once. Found on the way: an operator's release of a quarantine that was inferred (two crashes that nothing else shares) had no effect at the entry that released it until the next change there.

Ruled out: one object for all fingerprints (each change would conflict with each other); a delete for a release (an entry that was away would write it again).

Change: QuarantineKeeper at each entry writes quarantine/FINGERPRINT by conditional write with the operators' share of the platform's budget, merges what stands there first, and backs off while the platform is out; entries and agents take the objects in at their start and as they change. A release raises a number in the object. Release derives anew.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "node/answer_p.h"
 #include "node/process_p.h"
+#include "quarantine/quarantine_keeper_p.h"
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/platform_client.h"
@@ -89,6 +90,13 @@
   hooks.m_onSuspicion = [this](const wire::Suspicion& aSuspicion) {
     m_runs->Merge(aSuspicion);
   };
+  hooks.m_onObject = [this](const PlatformObject& aObject) {
+    const bool kept = aObject.m_key.starts_with(kQuarantinePrefix);
+    if (const auto value = kept ? ParseQuarantine(aObject.m_value)
+                                : std::optional<wire::Suspicion>()) {
+      m_runs->Merge(*value);
+    }
+  };
   const Address own{ m_settings.m_node.m_rpc.m_host, m_server->Port() };
   m_sync = std::make_unique<NodeSync>(m_settings.m_node,
                                       m_settings.m_membership,
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -48,6 +48,7 @@
                                         m_settings.m_node.m_place,
                                         m_clock,
                                         StableHash(m_settings.m_node.m_vm));
+  MakeQuarantineKeeper();
   m_forwarder = std::make_shared<Forwarder>(ForwardParts{
     m_client,
     m_clock,
@@ -91,6 +92,11 @@
   hooks.m_onSuspicion = [this](const wire::Suspicion& aSuspicion) {
     m_traffic->Merge(aSuspicion);
   };
+  hooks.m_onObject = [this](const PlatformObject& aObject) {
+    if (aObject.m_key.starts_with(kQuarantinePrefix)) {
+      m_quarantine->OnObject(aObject);
+    }
+  };
   hooks.m_ownUsage = [this] { return m_traffic->Usage(); };
   hooks.m_onUsage = [this](const std::string& aVm,
                            const std::vector<wire::TeamUsage>& aUsage) {
@@ -112,7 +118,10 @@
   m_sync->Start();
   m_leases->Start();
   m_planner->Start();
-  m_pool.Every(kTrafficTick, [this] { m_traffic->Tick(); });
+  m_pool.Every(kTrafficTick, [this] {
+    m_traffic->Tick();
+    m_quarantine->Tick(m_clock.Now());
+  });
   Log(LogLevel::Info,
       "listening",
       { { "rpc_port", m_server->Port() },
@@ -123,10 +132,30 @@
 {
   m_server->Shutdown(std::chrono::milliseconds(0));
   m_planner->Stop();
+  m_quarantine->Stop();
   m_pool.Stop();
   m_httpServer.reset();
 }
 
+void
+EntryNode::MakeQuarantineKeeper()
+{
+  QuarantineKeeper::Hooks hooks;
+  hooks.m_number = [this] { return m_traffic->SuspicionNumber(); };
+  hooks.m_all = [this] { return m_traffic->AllSuspicions(); };
+  hooks.m_stateOf = [this](std::uint64_t aFingerprint) {
+    return m_traffic->StateOf(aFingerprint);
+  };
+  hooks.m_merge = [this](const wire::Suspicion& aSuspicion) {
+    m_traffic->Merge(aSuspicion);
+  };
+  hooks.m_learned = [this](const PlatformObject& aObject) {
+    m_sync->Learned(aObject);
+  };
+  m_quarantine = std::make_shared<QuarantineKeeper>(
+    *m_platform, StableHash(m_settings.m_node.m_vm, 1), std::move(hooks));
+}
+
 void
 EntryNode::MakePlanner()
 {
--- a/src/entry/entry_p.h
+++ b/src/entry/entry_p.h
@@ -4,6 +4,7 @@
 
 #include "forward_p.h"
 #include "front_p.h"
+#include "quarantine/quarantine_keeper_p.h"
 #include "siskindeal/clock.h"
 #include "siskindeal/http.h"
 #include "siskindeal/lease.h"
@@ -39,6 +40,7 @@
 private:
   wire::NodeRecord OwnRecord() const;
   void MakePlanner();
+  void MakeQuarantineKeeper();
   void StopPlanning();
   OperatorView MakeOperatorView();
   std::string EntriesJson();
@@ -56,6 +58,7 @@
   std::unique_ptr<Platform> m_platform;
   std::unique_ptr<NodeSync> m_sync;
   std::shared_ptr<Traffic> m_traffic;
+  std::shared_ptr<QuarantineKeeper> m_quarantine;
   std::shared_ptr<Forwarder> m_forwarder;
   std::unique_ptr<Front> m_front;
   std::unique_ptr<LeaseKeeper> m_leases;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -319,6 +319,20 @@
   return m_suspicions.List();
 }
 
+std::uint64_t
+Traffic::SuspicionNumber()
+{
+  const OrderedLock lock(m_mutex);
+  return m_suspicions.Number();
+}
+
+std::vector<wire::Suspicion>
+Traffic::AllSuspicions()
+{
+  const OrderedLock lock(m_mutex);
+  return m_suspicions.All();
+}
+
 std::optional<wire::Suspicion>
 Traffic::Release(std::uint64_t aFingerprint)
 {
--- a/src/entry/traffic_p.h
+++ b/src/entry/traffic_p.h
@@ -67,6 +67,9 @@
   SuspicionState StateOf(std::uint64_t aFingerprint);
   bool Merge(const wire::Suspicion& aSuspicion);
   std::vector<SuspicionListing> Suspicions();
+  // Grows with each change of what is known; what is known.
+  std::uint64_t SuspicionNumber();
+  std::vector<wire::Suspicion> AllSuspicions();
   // The suspicion to spread; nothing when it isn't known.
   std::optional<wire::Suspicion> Release(std::uint64_t aFingerprint);
 
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -200,6 +200,7 @@
   state.m_crashes.clear();
   state.m_quarantined = false;
   Changed(state);
+  Derive();
   return true;
 }
 
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -321,6 +321,18 @@
   EXPECT_EQ(agent.StateOf(7), SuspicionState::None);
 }
 
+// In flight at two crashes with different requests beside it each time.
+TEST(Quarantine, AReleaseEndsAnInferredQuarantineAtOnce)
+{
+  const MonotonicTime now{};
+  Table table;
+  table.Crashed("a#1", { { 7, "chat" }, { 8, "chat" } }, now);
+  table.Crashed("b#1", { { 7, "chat" }, { 9, "chat" } }, now);
+  ASSERT_EQ(table.StateOf(7), SuspicionState::Quarantined);
+  EXPECT_TRUE(table.Release(7));
+  EXPECT_EQ(table.StateOf(7), SuspicionState::None);
+}
+
 TEST(Quarantine, TheGateTurnsOthersAwayAndGivesUpAWaitThatIsTooLong)
 {
   using Entry = IsolationGate::Entry;
