Deeply nested documents of every reader are refused

Change: input_fuzz_test gives each JSON reader 400,000 nested lists, alone and as a member's value. All held; the test stays as their guard.

--- a/tests/input_fuzz_test.cpp
+++ b/tests/input_fuzz_test.cpp
@@ -19,6 +19,7 @@
 #include <cmath>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iterator>
 
 namespace siskindeal {
@@ -372,5 +373,28 @@
   EXPECT_EQ(passed, 1);
 }
 
+TEST(InputFuzz, ADeeplyNestedDocumentIsRefused)
+{
+  constexpr std::size_t kDepth = 400000;
+  const auto nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::pair<std::string, std::function<void(const std::string&)>>
+    readers[] = {
+      { "teams", [](const auto& aText) { ParseFleetConfig(aText, 1); } },
+      { "places", [](const auto& aText) { ParseTarget(aText, 1); } },
+      { "release", [](const auto& aText) { ParseCatalogueEntry(aText); } },
+      { "chunks", [](const auto& aText) { ParseManifest(aText); } },
+      { "value", [](const auto& aText) { ParseObject(aText); } },
+      { "objects", [](const auto& aText) { ParseChanges(aText); } },
+      { "vms", [](const auto& aText) { ParseVms(aText); } },
+    };
+  for (const auto& [member, read] : readers) {
+    SCOPED_TRACE(member);
+    EXPECT_ANY_THROW(read(nested));
+    EXPECT_ANY_THROW(read(
+      std::string(R"({")").append(member).append(R"(":)").append(nested).append(
+        "}")));
+  }
+}
+
 } // namespace
 } // namespace siskindeal
