--- a/src/entry/front.cpp
+++ b/src/entry/front.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr std::string_view kModelPrefix = "/v1/models/";
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::size_t kMostKeyBytes = 256;
 constexpr int kMostNesting = 128; // levels of a JSON body
@@ -93,6 +94,16 @@
   return text;
 }
 
+// A class of work as the OpenAI API shows a model.
+nlohmann::json
+ModelJson(const std::string& aName, const ClassConfig& aWork)
+{
+  return { { "id", aName },
+           { "object", "model" },
+           { "created", 0 },
+           { "owned_by", aWork.m_service } };
+}
+
 } // namespace
 
 Front::Front(FrontParts aParts)
@@ -113,6 +124,11 @@
       HandleModels(*aResponder);
       return;
     }
+    if (aRequest.m_path.rfind(kModelPrefix, 0) == 0 &&
+        aRequest.m_method == "GET") {
+      HandleModel(aRequest.m_path.substr(kModelPrefix.size()), *aResponder);
+      return;
+    }
     if (aRequest.m_path == "/v1/chat/completions" &&
         aRequest.m_method == "POST") {
       m_parts.m_forward(ReadChat(aRequest), aResponder);
@@ -134,10 +150,7 @@
 {
   nlohmann::json models = nlohmann::json::array();
   for (const auto& [name, work] : m_parts.m_config()->m_classes) {
-    models.push_back({ { "id", name },
-                       { "object", "model" },
-                       { "created", 0 },
-                       { "owned_by", work.m_service } });
+    models.push_back(ModelJson(name, work));
   }
   RespondJson(
     aResponder,
@@ -145,6 +158,17 @@
     nlohmann::json{ { "object", "list" }, { "data", models } }.dump());
 }
 
+void
+Front::HandleModel(const std::string& aName, HttpResponder& aResponder) const
+{
+  const auto config = m_parts.m_config();
+  const auto work = config->m_classes.find(aName);
+  if (work == config->m_classes.end()) {
+    Refuse(Reason::NotFound, "no class of work has this name");
+  }
+  RespondJson(aResponder, 200, ModelJson(aName, work->second).dump());
+}
+
 void
 Front::ReadCommon(const HttpRequest& aRequest, CallerRequest& aResult) const
 {
--- a/src/entry/front_p.h
+++ b/src/entry/front_p.h
@@ -31,6 +31,7 @@
 
 private:
   void HandleModels(HttpResponder& aResponder) const;
+  void HandleModel(const std::string& aName, HttpResponder& aResponder) const;
   CallerRequest ReadChat(const HttpRequest& aRequest) const;
   CallerRequest ReadService(const HttpRequest& aRequest) const;
   void ReadCommon(const HttpRequest& aRequest, CallerRequest& aResult) const;
--- a/tests/openai_client_test.cpp
+++ b/tests/openai_client_test.cpp
@@ -89,13 +89,19 @@
       { "POST", m_base + "/chat/completions", ClientHeaders(), aBody.dump() });
   }
 
+  void CheckWhole();
+  void CheckStreamed();
+  void CheckError();
+  void CheckModels();
+
   Fleet m_fleet{ 1, 1, 0 };
   const std::string m_expected;
   const std::string m_base;
   HttpClient m_client;
 };
 
-TEST_F(OpenAiClient, GetsWholeAndStreamedAnswersAndErrors)
+void
+OpenAiClient::CheckWhole()
 {
   const auto whole = Post(ChatBody());
   EXPECT_EQ(whole.m_status, 200) << whole.m_body;
@@ -110,7 +116,11 @@
   EXPECT_EQ(answer["choices"][0]["message"].at("content"), m_expected);
   EXPECT_EQ(answer["choices"][0].at("finish_reason"), "stop");
   EXPECT_EQ(answer.at("usage").at("completion_tokens"), kTokens);
+}
 
+void
+OpenAiClient::CheckStreamed()
+{
   auto body = ChatBody();
   body["stream"] = true;
   body["stream_options"] = { { "include_usage", true } };
@@ -128,14 +138,23 @@
     text += chunk.at("choices").at(0).at("delta").value("content", "");
   }
   EXPECT_EQ(text, m_expected);
+}
 
+void
+OpenAiClient::CheckError()
+{
+  auto body = ChatBody();
   body["model"] = "gpt-4o";
   const auto refused = Post(body);
   EXPECT_EQ(refused.m_status, 404);
   EXPECT_TRUE(
     json::parse(refused.m_body).at("error").at("message").is_string());
   EXPECT_EQ(refused.m_headers.at(std::string(kVerdictHeader)), "not run");
+}
 
+void
+OpenAiClient::CheckModels()
+{
   const auto models =
     m_client.Fetch({ "GET", m_base + "/models", ClientHeaders() });
   EXPECT_EQ(models.m_status, 200);
@@ -149,6 +168,22 @@
     found = found || model.at("id") == "booking chat";
   }
   EXPECT_TRUE(found) << models.m_body;
+  const auto one = m_client.Fetch(
+    { "GET", m_base + "/models/booking%20chat", ClientHeaders() });
+  EXPECT_EQ(one.m_status, 200);
+  EXPECT_EQ(json::parse(one.m_body).at("id"), "booking chat");
+  EXPECT_EQ(
+    m_client.Fetch({ "GET", m_base + "/models/gpt-4o", ClientHeaders() })
+      .m_status,
+    404);
+}
+
+TEST_F(OpenAiClient, GetsAnswersErrorsAndModels)
+{
+  CheckWhole();
+  CheckStreamed();
+  CheckError();
+  CheckModels();
 }
 
 } // namespace
