An upstream's malformed report is left out; its agent is ready all the same

Cause: a load report with a member of a wrong type ({"running":"many"}) threw in the callback that also notes that the upstream answers; the agent logged callback_failed every 500 ms and its /readyz said 'the upstream doesn't answer' (seen with a small server on loopback). A malformed cache event dropped those after it, and was asked for again for ever.

Change: reports are parsed by functions that leave out what they can't read, in a file of their own. input_fuzz_test alters both reports by a fixed seed.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -6,6 +6,7 @@
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/platform_client.h"
+#include "upstream_reports_p.h"
 
 #include <nlohmann/json.hpp>
 
@@ -221,17 +222,9 @@
 AgentNode::OnLoad(const HttpReply& aReply)
 {
   const bool answers = aReply.m_outcome == HttpOutcome::Answered;
-  std::optional<wire::Load> load;
-  const auto body = nlohmann::json::parse(aReply.m_body, nullptr, false);
-  if (answers && aReply.m_status == 200 && body.is_object()) {
-    load.emplace();
-    load->set_running(body.value("running", 0U));
-    load->set_waiting(body.value("waiting", 0U));
-    load->set_slots(body.value("slots", m_settings.m_upstream.m_slots));
-    load->set_report_age_ms(body.value("age_ms", std::uint64_t{ 0 }));
-    load->set_kv_free_tokens(body.value("kv_free_tokens", std::uint64_t{ 0 }));
-    load->set_tokens_per_second(body.value("tokens_per_second", 0.0));
-  }
+  const auto load = answers && aReply.m_status == 200
+                      ? ParseLoad(aReply.m_body, m_settings.m_upstream.m_slots)
+                      : std::nullopt;
   const bool restarted = m_runs->NoteInstance(aReply.m_headers);
   bool changed = false;
   {
@@ -268,18 +261,12 @@
                   "/engine/cache-events?after=" + std::to_string(after);
   request.m_timeout = kUpstreamTimeout;
   m_http.Start(std::move(request), [this](const HttpReply& aReply) {
-    const auto body = nlohmann::json::parse(aReply.m_body, nullptr, false);
-    if (aReply.m_status != 200 || !body.is_object() ||
-        !body.contains("events")) {
+    if (aReply.m_status != 200) {
       return;
     }
+    const auto events = ParseCacheEvents(aReply.m_body);
     const OrderedLock lock(m_mutex);
-    for (const auto& item : body["events"]) {
-      wire::CacheEvent event;
-      event.set_sequence(item.value("sequence", std::uint64_t{ 0 }));
-      event.set_prefix_hash(
-        std::stoull(item.value("prefix_hash", std::string("0"))));
-      event.set_evicted(item.value("evicted", false));
+    for (const auto& event : events) {
       m_lastCacheEvent = std::max(m_lastCacheEvent, event.sequence());
       m_cacheEvents.push_back(event);
       if (m_cacheEvents.size() > kMostCacheEvents) {
--- a/tests/input_fuzz_test.cpp
+++ b/tests/input_fuzz_test.cpp
@@ -2,6 +2,7 @@
 // them whole by its own error. Valid inputs are changed at random, by fixed
 // seeds.
 
+#include "agent/upstream_reports_p.h"
 #include "entry/front_p.h"
 #include "platform/object_json_p.h"
 #include "siskindeal/error.h"
@@ -396,5 +397,35 @@
   }
 }
 
+// An upstream that reports nonsense is up all the same; its report is left out.
+TEST(InputFuzz, AnUpstreamsReportIsReadOrLeftOut)
+{
+  constexpr int kRounds = 20000;
+  constexpr std::uint32_t kSlots = 16;
+  const std::string load =
+    R"({"running":1,"waiting":2,"slots":8,"kv_free_tokens":9,"age_ms":3,)"
+    R"("tokens_per_second":4.5})";
+  const std::string events =
+    R"({"events":[{"sequence":1,"prefix_hash":"7","evicted":false},)"
+    R"({"sequence":2,"prefix_hash":"8","evicted":true}]})";
+  EXPECT_EQ(ParseLoad(load, kSlots)->slots(), 8U);
+  EXPECT_EQ(ParseLoad("{}", kSlots)->slots(), kSlots);
+  EXPECT_FALSE(ParseLoad(R"({"running":"many"})", kSlots));
+  EXPECT_EQ(ParseCacheEvents(events).size(), 2U);
+  EXPECT_EQ(
+    ParseCacheEvents(R"({"events":[3,{"sequence":1,"prefix_hash":"x"},)"
+                     R"({"sequence":2,"prefix_hash":"99999999999999999999"},)"
+                     R"({"sequence":3,"prefix_hash":"7"}]})")
+      .size(),
+    1U);
+  Mutator mutator(7);
+  int left = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    left += ParseLoad(mutator.Mutate(load), kSlots) ? 0 : 1;
+    EXPECT_LE(ParseCacheEvents(mutator.Mutate(events)).size(), 10U);
+  }
+  EXPECT_GT(left, 0);
+}
+
 } // namespace
 } // namespace siskindeal
