An entry that leaves by the platform's list doesn't name itself

Cause: a process took the platform's list for every record but its own, so that an entry that the list said was leaving went on naming itself at GET /v1/entry until it got its SIGTERM, and would have kept its leases; the others had stopped naming it. Seen by a new test: entry-1 still named itself after 60 s.

Ruled out: asking the list in the entry alone (the lease keeper and the agents' homes read the same view).

Change: the own record's liveness is concluded like the others': leaving by its own word or by the list.

--- a/src/membership/membership_table.cpp
+++ b/src/membership/membership_table.cpp
@@ -51,7 +51,8 @@
   row.m_loadChangedAt = aChangedAt;
   row.m_record = aRecord;
   row.m_direct = true;
-  row.m_liveness = aRecord.liveness();
+  row.m_liveness =
+    IsLeaving(m_ownVm, row) ? wire::LIVENESS_LEAVING : wire::LIVENESS_ALIVE;
 }
 
 bool
@@ -151,18 +152,24 @@
   return reachable;
 }
 
+// By its own word, or by the platform's list.
+bool
+MembershipTable::IsLeaving(const std::string& aVm, const NodeRow& aRow) const
+{
+  const auto listed = m_listed.find(aVm);
+  return aRow.m_record.liveness() == wire::LIVENESS_LEAVING ||
+         (listed != m_listed.end() && listed->second);
+}
+
 wire::Liveness
 MembershipTable::Conclude(const std::string& aVm,
                           NodeRow& aRow,
                           bool aReachable,
                           MonotonicTime aNow) const
 {
-  const auto listed = m_listed.find(aVm);
-  const bool leaving = aRow.m_record.liveness() == wire::LIVENESS_LEAVING ||
-                       (listed != m_listed.end() && listed->second);
   if (aReachable) {
     aRow.m_unreachableSince.reset();
-    return leaving ? wire::LIVENESS_LEAVING : wire::LIVENESS_ALIVE;
+    return IsLeaving(aVm, aRow) ? wire::LIVENESS_LEAVING : wire::LIVENESS_ALIVE;
   }
   if (!aRow.m_unreachableSince) {
     aRow.m_unreachableSince = aNow;
@@ -184,10 +191,8 @@
   const auto reachable = Reachable(aNow);
   bool changed = false;
   for (auto& [vm, row] : m_rows) {
-    if (vm == m_ownVm) {
-      continue;
-    }
-    const auto concluded = Conclude(vm, row, reachable.count(vm) != 0, aNow);
+    const bool isReachable = vm == m_ownVm || reachable.count(vm) != 0;
+    const auto concluded = Conclude(vm, row, isReachable, aNow);
     changed |= concluded != row.m_liveness;
     row.m_liveness = concluded;
   }
--- a/src/membership/membership_table_p.h
+++ b/src/membership/membership_table_p.h
@@ -69,6 +69,7 @@
 private:
   bool IsHeard(const NodeRow& aRow, MonotonicTime aNow) const;
   std::unordered_set<std::string_view> Reachable(MonotonicTime aNow) const;
+  bool IsLeaving(const std::string& aVm, const NodeRow& aRow) const;
   wire::Liveness Conclude(const std::string& aVm,
                           NodeRow& aRow,
                           bool aReachable,
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -168,6 +168,58 @@
   }
 }
 
+// The platform's list says first that VMs leave; nobody signals them.
+TEST_F(Processes, LeaveByThePlatformsListWithoutCuttingOff)
+{
+  constexpr int kReads = 20; // in a row that a leaving VM must not get
+  Fleet fleet(2, 0, 2);
+  standin::Fault freeze;
+  freeze.m_pathPrefix = "/bookings";
+  for (int i = 0; i < 2; ++i) {
+    fleet.Service(i).GetFaults().Set("freeze", freeze);
+  }
+  std::promise<HttpReply> ended;
+  m_client.Start(Booking(fleet.Url("entry-1", kBookings), "in flight"),
+                 [&](const HttpReply& aReply) { ended.set_value(aReply); });
+  auto reply = ended.get_future();
+  while (fleet.Service(0).Frozen() + fleet.Service(1).Frozen() == 0) {
+    ASSERT_EQ(reply.wait_for(kPoll), std::future_status::timeout)
+      << reply.get().m_body << fleet.Logs();
+  }
+  const int index = fleet.Service(0).Frozen() > 0 ? 0 : 1;
+  auto& service = fleet.Service(index);
+  const auto leave = [&](const std::string& aVm) {
+    const auto& vm = fleet.GetVm(aVm);
+    fleet.Platform().SetVm({ aVm, vm.m_place, vm.m_service, vm.m_rpc, true });
+  };
+  leave("teesheet-" + std::to_string(index + 1));
+  leave("entry-1");
+  const auto end = std::chrono::steady_clock::now() + kEndGuard;
+  for (const std::string entry : { "entry-1", "entry-2" }) {
+    int spared = 0;
+    while (spared < kReads) {
+      ASSERT_LT(std::chrono::steady_clock::now(), end) << fleet.Logs();
+      const auto before = service.Executions()[""];
+      const auto read =
+        m_client.Fetch({ "GET",
+                         fleet.Url(entry, "/v1/services/teesheet/reads"),
+                         { { "x-team", "pro-shops" } } });
+      EXPECT_EQ(read.m_status, 200) << read.m_body;
+      spared = service.Executions()[""] == before ? spared + 1 : 0;
+      std::this_thread::sleep_for(kPoll); // below the team's rate
+    }
+    const auto named = [&] {
+      return m_client.Fetch({ "GET", fleet.Url(entry, "/v1/entry") }).m_body;
+    };
+    while (named().find(fleet.GetVm("entry-1").m_http) != std::string::npos) {
+      ASSERT_LT(std::chrono::steady_clock::now(), end) << named();
+    }
+    EXPECT_NE(named().find(fleet.GetVm("entry-2").m_http), std::string::npos);
+  }
+  service.Unfreeze();
+  EXPECT_EQ(reply.get().m_status, 200);
+}
+
 TEST_F(Processes, KeepServingAndNeverRevertWhileThePlatformIsOut)
 {
   Fleet fleet(3, 0, 1);
