Processes greet each other; the drivers run on a given clock

No process called Greet before its first exchange, and the drivers of NodeSync and LeaseKeeper, unlike the decisions below them, had never been run under faults, since they made their calls and timers themselves.

A peer is greeted before the first exchange and again after a new start or a failed call; where no version is shared, it is unreachable here, counted, logged and explained in the state.

Found by isolation_test, which started with an entry that never heard of an agent: an exchange that reaches a process that listens and isn't ready yet got an empty answer, which was taken for an acknowledgement by a peer without a name; the caller then never sent its record again. An empty answer is a failure now.

--- a/bench/support/bench_node.cpp
+++ b/bench/support/bench_node.cpp
@@ -123,6 +123,7 @@
   reply.set_protocol(kProtocolMost);
   reply.set_vm(m_options.m_vm);
   reply.set_role(m_options.m_role);
+  reply.set_incarnation(m_ready ? m_sync->Incarnation() : 0);
   return reply;
 }
 
--- a/include/siskindeal/lease.h
+++ b/include/siskindeal/lease.h
@@ -25,6 +25,8 @@
 std::string
 TargetShardName(std::uint32_t aShard);
 
+class LeaseDriver;
+
 // Competes for the lease of every shard and renews those it has. Which process
 // is preferred for a shard follows from a hash over the live entries, so that
 // the shards spread over them.
@@ -60,8 +62,7 @@
   void Release(std::function<void()> aDone);
 
 private:
-  class Impl;
-  std::shared_ptr<Impl> m_impl;
+  std::shared_ptr<LeaseDriver> m_driver;
 };
 
 } // namespace siskindeal
--- a/include/siskindeal/node_sync.h
+++ b/include/siskindeal/node_sync.h
@@ -58,6 +58,8 @@
     m_onUsage;
 };
 
+class NodeSyncDriver;
+
 class NodeSync
 {
 public:
@@ -71,7 +73,8 @@
            Platform& aPlatform,
            WorkerPool& aPool,
            const Clock& aClock,
-           NodeSyncHooks aHooks);
+           NodeSyncHooks aHooks,
+           ProtocolRange aProtocols = {});
   // Calls in progress are dropped; no hook runs afterwards.
   ~NodeSync();
   NodeSync(const NodeSync&) = delete;
@@ -85,6 +88,8 @@
                   const NodeHandler::Done<wire::ExchangeReply>& aDone);
 
   std::shared_ptr<const FleetView> View() const;
+  // Of this start of the process, as it says in its own record.
+  std::uint64_t Incarnation() const;
   // The configuration in force; null until one is known.
   std::shared_ptr<const FleetConfig> Config() const;
   // Objects under a prefix, deleted ones left out, by key.
@@ -112,8 +117,7 @@
   std::string StateJson() const;
 
 private:
-  class Impl;
-  std::shared_ptr<Impl> m_impl;
+  std::shared_ptr<NodeSyncDriver> m_driver;
 };
 
 } // namespace siskindeal
--- a/include/siskindeal/rpc.h
+++ b/include/siskindeal/rpc.h
@@ -21,6 +21,27 @@
 inline constexpr std::uint32_t kProtocolLeast = 1;
 inline constexpr std::uint32_t kProtocolMost = 1;
 
+// The protocol versions that a process speaks.
+struct ProtocolRange
+{
+  std::uint32_t m_least = kProtocolLeast;
+  std::uint32_t m_most = kProtocolMost;
+
+  bool Overlaps(const ProtocolRange& aOther) const
+  {
+    return m_least <= aOther.m_most && aOther.m_least <= m_most;
+  }
+  // "1 to 2"
+  std::string ToString() const
+  {
+    return std::to_string(m_least) + " to " + std::to_string(m_most);
+  }
+};
+
+// How the refusal of a Greet begins whose range of versions doesn't overlap.
+inline constexpr const char* kNoCommonProtocol =
+  "no protocol version in common";
+
 // The answer to a Run call, written by the agent. Any thread may call it; it
 // keeps itself alive until Finish.
 class RunSink
@@ -70,7 +91,8 @@
   // Throws Error (Unavailable) when the address can't be bound.
   NodeServer(const Address& aListen,
              const AuthSettings& aAuth,
-             NodeHandler& aHandler);
+             NodeHandler& aHandler,
+             ProtocolRange aProtocols = {});
   ~NodeServer();
   NodeServer(const NodeServer&) = delete;
   NodeServer& operator=(const NodeServer&) = delete;
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -1,10 +1,7 @@
-#include "siskindeal/lease.h"
-
-#include "lease/lease_holder_p.h"
+#include "lease/lease_keeper_p.h"
 
 #include "siskindeal/digest.h"
 #include "siskindeal/fleet_config.h"
-#include "siskindeal/lock_order.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 
@@ -59,164 +56,153 @@
   return "targets/" + std::to_string(aShard);
 }
 
-class LeaseKeeper::Impl : public std::enable_shared_from_this<Impl>
+LeaseDriver::LeaseDriver(const std::string& aVm,
+                         const std::string& aHolder,
+                         const LeaseSettings& aSettings,
+                         Platform& aPlatform,
+                         LeaseTimer aTimer,
+                         const Clock& aClock,
+                         LeaseKeeper::ViewSource aView)
+  : m_vm(aVm)
+  , m_platform(aPlatform)
+  , m_timer(std::move(aTimer))
+  , m_clock(aClock)
+  , m_view(std::move(aView))
 {
-public:
-  Impl(const std::string& aVm,
-       const LeaseSettings& aSettings,
-       Platform& aPlatform,
-       WorkerPool& aPool,
-       const Clock& aClock,
-       ViewSource aView)
-    : m_vm(aVm)
-    , m_platform(aPlatform)
-    , m_pool(aPool)
-    , m_clock(aClock)
-    , m_view(std::move(aView))
-  {
-    const auto holder = aVm + "/" + NewId();
-    for (std::uint32_t shard = 0; shard < aSettings.m_targetShards; ++shard) {
-      const auto key = kLeasePrefix + TargetShardName(shard);
-      m_keys.push_back(key);
-      m_holders.emplace_back(
-        key, holder, aSettings.m_duration, StableHash(key, StableHash(holder)));
-      m_told.emplace_back();
-    }
+  m_keys.reserve(aSettings.m_targetShards);
+  for (std::uint32_t shard = 0; shard < aSettings.m_targetShards; ++shard) {
+    const auto key = kLeasePrefix + TargetShardName(shard);
+    m_keys.push_back(key);
+    m_holders.emplace_back(
+      key, aHolder, aSettings.m_duration, StableHash(key, StableHash(aHolder)));
+    m_told.emplace_back();
   }
+}
 
-  void TickAgain()
-  {
-    if (Tick()) {
-      m_pool.PostAfter(kTick, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->TickAgain();
-        }
-      });
-    }
+void
+LeaseDriver::TickAgain()
+{
+  if (Tick()) {
+    m_timer(kTick, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->TickAgain();
+      }
+    });
   }
+}
 
-  void Stop()
-  {
-    const OrderedLock lock(m_mutex);
-    m_stopped = true;
-  }
+void
+LeaseDriver::Stop()
+{
+  const OrderedLock lock(m_mutex);
+  m_stopped = true;
+}
 
-  void Release(std::function<void()> aDone)
-  {
-    const OrderedLock lock(m_mutex);
-    for (auto& holder : m_holders) {
-      holder.Release();
-    }
-    m_onReleased = std::move(aDone);
+void
+LeaseDriver::Release(std::function<void()> aDone)
+{
+  const OrderedLock lock(m_mutex);
+  for (auto& holder : m_holders) {
+    holder.Release();
   }
+  m_onReleased = std::move(aDone);
+}
 
-  std::optional<std::uint64_t> Token(std::uint32_t aShard)
-  {
-    const OrderedLock lock(m_mutex);
-    return aShard < m_holders.size() ? m_holders[aShard].Token(m_clock.Now())
-                                     : std::nullopt;
-  }
+std::optional<std::uint64_t>
+LeaseDriver::Token(std::uint32_t aShard)
+{
+  const OrderedLock lock(m_mutex);
+  return aShard < m_holders.size() ? m_holders[aShard].Token(m_clock.Now())
+                                   : std::nullopt;
+}
 
-  std::map<std::uint32_t, std::uint64_t> Held()
-  {
-    const OrderedLock lock(m_mutex);
-    std::map<std::uint32_t, std::uint64_t> held;
-    for (std::uint32_t shard = 0; shard < m_holders.size(); ++shard) {
-      if (const auto token = m_holders[shard].Token(m_clock.Now())) {
-        held[shard] = *token;
-      }
+std::map<std::uint32_t, std::uint64_t>
+LeaseDriver::Held()
+{
+  const OrderedLock lock(m_mutex);
+  std::map<std::uint32_t, std::uint64_t> held;
+  for (std::uint32_t shard = 0; shard < m_holders.size(); ++shard) {
+    if (const auto token = m_holders[shard].Token(m_clock.Now())) {
+      held[shard] = *token;
     }
-    return held;
   }
+  return held;
+}
 
-private:
-  // False when there is nothing left to do.
-  bool Tick()
+bool
+LeaseDriver::Tick()
+{
+  const auto view = m_view();
+  std::vector<std::pair<std::size_t, LeaseHolder::Call>> calls;
+  std::function<void()> released;
   {
-    const auto view = m_view();
-    std::vector<std::pair<std::size_t, LeaseHolder::Call>> calls;
-    std::function<void()> released;
-    {
-      const OrderedLock lock(m_mutex);
-      if (m_stopped) {
-        return false;
-      }
-      const auto now = m_clock.Now();
-      bool all = m_onReleased != nullptr;
-      for (std::size_t shard = 0; shard < m_holders.size(); ++shard) {
-        const auto rank =
-          view ? RankOf(m_vm, m_keys[shard], *view) : std::nullopt;
-        auto call = m_holders[shard].Tick(now, rank);
-        all &= m_holders[shard].Released();
-        if (call.m_kind != LeaseHolder::Call::Kind::None) {
-          calls.emplace_back(shard, std::move(call));
-        }
-        TellChange(shard, now);
-      }
-      if (all) {
-        released = std::exchange(m_onReleased, nullptr);
-        m_stopped = true;
-      }
+    const OrderedLock lock(m_mutex);
+    if (m_stopped) {
+      return false;
     }
-    for (const auto& [shard, call] : calls) {
-      Send(shard, call);
+    const auto now = m_clock.Now();
+    bool all = m_onReleased != nullptr;
+    for (std::size_t shard = 0; shard < m_holders.size(); ++shard) {
+      const auto rank =
+        view ? RankOf(m_vm, m_keys[shard], *view) : std::nullopt;
+      auto call = m_holders[shard].Tick(now, rank);
+      all &= m_holders[shard].Released();
+      if (call.m_kind != LeaseHolder::Call::Kind::None) {
+        calls.emplace_back(shard, std::move(call));
+      }
+      TellChange(shard, now);
     }
-    if (released) {
-      released();
+    if (all) {
+      released = std::exchange(m_onReleased, nullptr);
+      m_stopped = true;
     }
-    return true;
   }
-
-  void Send(std::size_t aShard, const LeaseHolder::Call& aCall)
-  {
-    const bool read = aCall.m_kind == LeaseHolder::Call::Kind::Read;
-    auto done =
-      [self = shared_from_this(), aShard, read](const PlatformReply& aReply) {
-        const OrderedLock lock(self->m_mutex);
-        const auto now = self->m_clock.Now();
-        auto& holder = self->m_holders[aShard];
-        if (read) {
-          holder.OnRead(aReply, now);
-        } else {
-          holder.OnWritten(aReply, now);
-        }
-      };
-    if (read) {
-      m_platform.Get(PlatformUse::Lease, aCall.m_write.m_key, std::move(done));
-    } else {
-      m_platform.Put(PlatformUse::Lease, aCall.m_write, std::move(done));
-    }
+  for (const auto& [shard, call] : calls) {
+    Send(shard, call);
   }
+  if (released) {
+    released();
+  }
+  return true;
+}
 
-  // Logs when a lease is won or lost.
-  void TellChange(std::size_t aShard, MonotonicTime aNow)
-    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
-  {
-    const auto token = m_holders[aShard].Token(aNow);
-    if (token == m_told[aShard]) {
-      return;
-    }
-    m_told[aShard] = token;
-    Log(LogLevel::Info,
-        token ? "lease_taken" : "lease_ended",
-        { { "lease", m_keys[aShard] }, { "token", token.value_or(0) } });
-    SetMetric("siskindeal_lease_held",
-              token ? 1 : 0,
-              { { "shard", std::to_string(aShard) } });
+void
+LeaseDriver::Send(std::size_t aShard, const LeaseHolder::Call& aCall)
+{
+  const bool read = aCall.m_kind == LeaseHolder::Call::Kind::Read;
+  auto done =
+    [self = shared_from_this(), aShard, read](const PlatformReply& aReply) {
+      const OrderedLock lock(self->m_mutex);
+      const auto now = self->m_clock.Now();
+      auto& holder = self->m_holders[aShard];
+      if (read) {
+        holder.OnRead(aReply, now);
+      } else {
+        holder.OnWritten(aReply, now);
+      }
+    };
+  if (read) {
+    m_platform.Get(PlatformUse::Lease, aCall.m_write.m_key, std::move(done));
+  } else {
+    m_platform.Put(PlatformUse::Lease, aCall.m_write, std::move(done));
   }
+}
 
-  const std::string m_vm;
-  Platform& m_platform;
-  WorkerPool& m_pool;
-  const Clock& m_clock;
-  const ViewSource m_view;
-  std::vector<std::string> m_keys; // by shard
-  OrderedMutex m_mutex{ LockLevel::Rollout };
-  std::vector<LeaseHolder> m_holders ABSL_GUARDED_BY(m_mutex);
-  std::vector<std::optional<std::uint64_t>> m_told ABSL_GUARDED_BY(m_mutex);
-  std::function<void()> m_onReleased ABSL_GUARDED_BY(m_mutex);
-  bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
-};
+void
+LeaseDriver::TellChange(std::size_t aShard, MonotonicTime aNow)
+{
+  const auto token = m_holders[aShard].Token(aNow);
+  if (token == m_told[aShard]) {
+    return;
+  }
+  m_told[aShard] = token;
+  Log(LogLevel::Info,
+      token ? "lease_taken" : "lease_ended",
+      { { "lease", m_keys[aShard] }, { "token", token.value_or(0) } });
+  SetMetric("siskindeal_lease_held",
+            token ? 1 : 0,
+            { { "shard", std::to_string(aShard) } });
+}
 
 LeaseKeeper::LeaseKeeper(const std::string& aVm,
                          const LeaseSettings& aSettings,
@@ -224,42 +210,46 @@
                          WorkerPool& aPool,
                          const Clock& aClock,
                          ViewSource aView)
-  : m_impl(std::make_shared<Impl>(aVm,
-                                  aSettings,
-                                  aPlatform,
-                                  aPool,
-                                  aClock,
-                                  std::move(aView)))
+  : m_driver(std::make_shared<LeaseDriver>(
+      aVm,
+      aVm + "/" + NewId(),
+      aSettings,
+      aPlatform,
+      [&aPool](std::chrono::milliseconds aDelay, WorkerPool::Task aTask) {
+        aPool.PostAfter(aDelay, std::move(aTask));
+      },
+      aClock,
+      std::move(aView)))
 {
 }
 
 LeaseKeeper::~LeaseKeeper()
 {
-  m_impl->Stop();
+  m_driver->Stop();
 }
 
 void
 LeaseKeeper::Start()
 {
-  m_impl->TickAgain();
+  m_driver->TickAgain();
 }
 
 std::optional<std::uint64_t>
 LeaseKeeper::Token(std::uint32_t aShard) const
 {
-  return m_impl->Token(aShard);
+  return m_driver->Token(aShard);
 }
 
 std::map<std::uint32_t, std::uint64_t>
 LeaseKeeper::Held() const
 {
-  return m_impl->Held();
+  return m_driver->Held();
 }
 
 void
 LeaseKeeper::Release(std::function<void()> aDone)
 {
-  m_impl->Release(std::move(aDone));
+  m_driver->Release(std::move(aDone));
 }
 
 } // namespace siskindeal
--- a/src/membership/exchange.cpp
+++ b/src/membership/exchange.cpp
@@ -63,15 +63,17 @@
                    wire::Role aRole,
                    std::string aAddress,
                    std::uint64_t aIncarnation,
-                   std::uint64_t aSeed)
+                   std::uint64_t aSeed,
+                   ProtocolRange aProtocols)
   : m_node(aNode)
   , m_settings(aSettings)
   , m_role(aRole)
   , m_address(std::move(aAddress))
+  , m_protocols(aProtocols)
   , m_incarnation(aIncarnation)
   , m_counter(aIncarnation << kCounterShift)
   , m_random(aSeed)
-  , m_table(aNode.m_vm, aSettings.m_unreachableAfter)
+  , m_table(aNode.m_vm, aSettings.m_unreachableAfter, aProtocols)
 {
 }
 
@@ -88,6 +90,8 @@
                                  : wire::LIVENESS_ALIVE);
   aRecord.set_incarnation(m_incarnation);
   aRecord.set_platform_failing(m_platformFailing);
+  aRecord.set_protocol_least(m_protocols.m_least);
+  aRecord.set_protocol_most(m_protocols.m_most);
   aRecord.clear_hears();
   const auto hears = m_table.Hears(aNow);
   if (m_role == wire::ROLE_AGENT) {
@@ -295,6 +299,10 @@
                   MonotonicTime aNow,
                   News& aNews)
 {
+  if (aReply.vm().empty()) { // it listens and is not ready yet
+    OnFailure(aDue, aNow);
+    return;
+  }
   auto& contact = m_contacts[aDue.m_address];
   contact.m_out = false;
   contact.m_failures = 0;
--- a/src/membership/exchange_p.h
+++ b/src/membership/exchange_p.h
@@ -46,7 +46,8 @@
            wire::Role aRole,
            std::string aAddress,
            std::uint64_t aIncarnation,
-           std::uint64_t aSeed);
+           std::uint64_t aSeed,
+           ProtocolRange aProtocols = {});
 
   // Sets what this process says of itself and its teams' usage.
   void SetOwn(wire::NodeRecord aRecord,
@@ -64,6 +65,13 @@
   // aNumber; agents too with aAgents.
   bool Acknowledged(std::uint64_t aNumber) const;
   std::uint64_t Number() const { return m_counter; }
+  std::uint64_t Incarnation() const { return m_incarnation; }
+  // The process at aAddress speaks no common version, or does again with an
+  // empty aWhy. Returns whether that is news.
+  bool SetRefused(const std::string& aAddress, const std::string& aWhy)
+  {
+    return m_table.SetRefused(aAddress, aWhy);
+  }
 
   // The calls to make now; each must be answered by OnReply or OnFailure.
   std::vector<Due> Tick(MonotonicTime aNow);
@@ -162,6 +170,7 @@
   const MembershipSettings m_settings;
   const wire::Role m_role;
   const std::string m_address;
+  const ProtocolRange m_protocols;
   std::uint64_t m_incarnation;
   // Counts what changes here; begins above every number of an earlier start.
   std::uint64_t m_counter;
--- a/src/membership/membership_table.cpp
+++ b/src/membership/membership_table.cpp
@@ -14,6 +14,8 @@
 // new.
 constexpr std::chrono::seconds kListLag{ 10 };
 
+constexpr ProtocolRange kUnsaid{ 1, 1 }; // of a record that names no versions
+
 std::pair<std::uint64_t, std::uint64_t>
 Age(const wire::NodeRecord& aRecord)
 {
@@ -32,9 +34,11 @@
 } // namespace
 
 MembershipTable::MembershipTable(std::string aOwnVm,
-                                 std::chrono::milliseconds aUnreachable)
+                                 std::chrono::milliseconds aUnreachable,
+                                 ProtocolRange aProtocols)
   : m_ownVm(std::move(aOwnVm))
   , m_unreachable(aUnreachable)
+  , m_protocols(aProtocols)
 {
 }
 
@@ -185,14 +189,41 @@
   return dropped ? wire::LIVENESS_GONE : wire::LIVENESS_UNREACHABLE;
 }
 
+bool
+MembershipTable::SetRefused(const std::string& aAddress,
+                            const std::string& aWhy)
+{
+  if (aWhy.empty()) {
+    return m_refused.erase(aAddress) != 0;
+  }
+  return m_refused.insert_or_assign(aAddress, aWhy).second;
+}
+
+std::string
+MembershipTable::ProtocolProblem(const wire::NodeRecord& aRecord) const
+{
+  const ProtocolRange theirs =
+    aRecord.protocol_most() == 0
+      ? kUnsaid
+      : ProtocolRange{ aRecord.protocol_least(), aRecord.protocol_most() };
+  if (!m_protocols.Overlaps(theirs)) {
+    return std::string(kNoCommonProtocol) + ": it speaks " + theirs.ToString() +
+           ", this process " + m_protocols.ToString();
+  }
+  const auto refused = m_refused.find(aRecord.address());
+  return refused == m_refused.end() ? std::string() : refused->second;
+}
+
 bool
 MembershipTable::Judge(MonotonicTime aNow)
 {
   const auto reachable = Reachable(aNow);
   bool changed = false;
   for (auto& [vm, row] : m_rows) {
-    const bool isReachable = vm == m_ownVm || reachable.count(vm) != 0;
-    const auto concluded = Conclude(vm, row, isReachable, aNow);
+    const bool reached =
+      vm == m_ownVm ||
+      (reachable.count(vm) != 0 && ProtocolProblem(row.m_record).empty());
+    const auto concluded = Conclude(vm, row, reached, aNow);
     changed |= concluded != row.m_liveness;
     row.m_liveness = concluded;
   }
@@ -218,7 +249,8 @@
   std::set<std::string> unreachable;
   for (const auto& [vm, row] : m_rows) {
     const auto& place = row.m_record.place();
-    if (row.m_liveness == wire::LIVENESS_UNREACHABLE) {
+    if (row.m_liveness == wire::LIVENESS_UNREACHABLE &&
+        ProtocolProblem(row.m_record).empty()) {
       unreachable.insert(place);
     } else if (row.m_liveness != wire::LIVENESS_GONE) {
       reached.insert(place);
--- a/src/membership/membership_table_p.h
+++ b/src/membership/membership_table_p.h
@@ -34,7 +34,9 @@
 class MembershipTable
 {
 public:
-  MembershipTable(std::string aOwnVm, std::chrono::milliseconds aUnreachable);
+  MembershipTable(std::string aOwnVm,
+                  std::chrono::milliseconds aUnreachable,
+                  ProtocolRange aProtocols = {});
 
   // Sets the own record, whole; it must not go back.
   void SetOwn(const wire::NodeRecord& aRecord, std::uint64_t aChangedAt);
@@ -52,6 +54,12 @@
   // The VMs that the platform's list names, and those it says are leaving.
   void SetListed(std::map<std::string, bool> aLeavingByVm, MonotonicTime aNow);
 
+  // The process at aAddress refused every protocol version spoken here, as aWhy
+  // says; empty when it no longer does. Returns whether that is news.
+  bool SetRefused(const std::string& aAddress, const std::string& aWhy);
+  // Why no protocol version is shared with a process; empty when one is.
+  std::string ProtocolProblem(const wire::NodeRecord& aRecord) const;
+
   // Concludes each record's liveness; true if any has changed.
   bool Judge(MonotonicTime aNow);
 
@@ -77,6 +85,8 @@
 
   const std::string m_ownVm;
   const std::chrono::milliseconds m_unreachable;
+  const ProtocolRange m_protocols;
+  std::map<std::string, std::string> m_refused; // by address, with the reason
   std::map<std::string, NodeRow> m_rows;
   std::map<std::string, bool> m_listed; // VM to leaving
   std::map<std::string, MonotonicTime> m_unlistedSince;
--- /dev/null
+++ b/src/membership/node_sync_calls.cpp
@@ -0,0 +1,141 @@
+// The calls to other processes: a Greet before the first exchange.
+
+#include "membership/node_sync_p.h"
+
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
+
+#include <utility>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::milliseconds kExchangeTimeout{ 600 };
+
+} // namespace
+
+void
+NodeSyncDriver::Call(Exchange::Due aCall)
+{
+  const auto call = std::make_shared<const Exchange::Due>(std::move(aCall));
+  bool greeted = false;
+  {
+    const OrderedLock lock(m_mutex);
+    greeted = m_greetings.count(call->m_address) != 0;
+  }
+  if (greeted) {
+    SendExchange(call);
+  } else {
+    Greet(call);
+  }
+}
+
+void
+NodeSyncDriver::Greet(const std::shared_ptr<const Exchange::Due>& aCall)
+{
+  wire::GreetRequest request;
+  request.set_protocol_least(m_protocols.m_least);
+  request.set_protocol_most(m_protocols.m_most);
+  request.set_release(SISKINDEAL_VERSION);
+  request.set_vm(m_vm);
+  request.set_role(m_role);
+  m_ports.m_greet(aCall->m_address,
+                  request,
+                  kExchangeTimeout,
+                  [weak = weak_from_this(), call = aCall](
+                    const RpcStatus& aStatus, const wire::GreetReply& aReply) {
+                    if (const auto self = weak.lock()) {
+                      self->m_ports.m_post([self, call, aStatus, aReply] {
+                        self->OnGreeted(call, aStatus, aReply);
+                      });
+                    }
+                  });
+}
+
+void
+NodeSyncDriver::OnGreeted(const std::shared_ptr<const Exchange::Due>& aCall,
+                          const RpcStatus& aStatus,
+                          const wire::GreetReply& aReply)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    if (aStatus.m_outcome != RpcOutcome::Ok) {
+      if (aStatus.m_what.rfind(kNoCommonProtocol, 0) == 0) {
+        RefuseProtocol(*aCall, aStatus.m_what);
+      }
+      CountMetric("siskindeal_exchange_failures_total");
+      m_exchange.OnFailure(*aCall, m_clock.Now());
+      return;
+    }
+    m_greetings[aCall->m_address] = { aReply.incarnation(), aReply.protocol() };
+    m_exchange.SetRefused(aCall->m_address, {});
+  }
+  SendExchange(aCall);
+}
+
+void
+NodeSyncDriver::RefuseProtocol(const Exchange::Due& aCall,
+                               const std::string& aWhy)
+{
+  CountMetric("siskindeal_protocol_refused_total");
+  if (m_exchange.SetRefused(aCall.m_address, aWhy)) {
+    Log(LogLevel::Error,
+        "protocol_refused",
+        { { "peer", aCall.m_vm },
+          { "address", aCall.m_address },
+          { "what", aWhy } });
+  }
+}
+
+void
+NodeSyncDriver::SendExchange(const std::shared_ptr<const Exchange::Due>& aCall)
+{
+  m_ports.m_exchange(
+    aCall->m_address,
+    aCall->m_request,
+    kExchangeTimeout,
+    [weak = weak_from_this(), call = aCall](const RpcStatus& aStatus,
+                                            wire::ExchangeReply aReply) {
+      if (const auto self = weak.lock()) {
+        self->m_ports.m_post([self, call, aStatus, reply = std::move(aReply)] {
+          self->OnCalled(*call, aStatus, reply);
+        });
+      }
+    });
+}
+
+void
+NodeSyncDriver::OnCalled(const Exchange::Due& aCall,
+                         const RpcStatus& aStatus,
+                         const wire::ExchangeReply& aReply)
+{
+  {
+    const OrderedLock lock(m_mutex);
+    const auto now = m_clock.Now();
+    // A process that isn't ready yet answers nothing.
+    if (aStatus.m_outcome != RpcOutcome::Ok || aReply.vm().empty()) {
+      // It may start anew with another release meanwhile.
+      m_greetings.erase(aCall.m_address);
+      CountMetric("siskindeal_exchange_failures_total");
+      m_exchange.OnFailure(aCall, now);
+      return;
+    }
+    const auto greeting = m_greetings.find(aCall.m_address);
+    if (greeting != m_greetings.end() &&
+        greeting->second.m_incarnation != aReply.incarnation()) {
+      const bool unsaid = greeting->second.m_incarnation == 0;
+      greeting->second.m_incarnation = aReply.incarnation();
+      if (!unsaid) {
+        m_greetings.erase(greeting);
+      }
+    }
+    Exchange::News news;
+    m_exchange.OnReply(aCall, aReply, now, news);
+    TakeNews(std::move(news));
+    TakeSpreads(now);
+  }
+  Notify();
+}
+
+} // namespace siskindeal
--- a/src/membership/node_sync_impl.cpp
+++ b/src/membership/node_sync_impl.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{ 100 };
-constexpr std::chrono::milliseconds kExchangeTimeout{ 600 };
 constexpr std::chrono::milliseconds kVmListPeriod{ 5000 };
 constexpr std::chrono::milliseconds kFailingAfter{ 3000 };
 // How long an entry that gave up reading the platform leaves it to others.
@@ -41,19 +40,20 @@
 
 } // namespace
 
-NodeSync::Impl::Impl(const NodeSettings& aNode,
-                     const MembershipSettings& aSettings,
-                     wire::Role aRole,
-                     const std::string& aAddress,
-                     NodeClient& aClient,
-                     Platform& aPlatform,
-                     WorkerPool& aPool,
-                     const Clock& aClock,
-                     NodeSyncHooks aHooks)
-  : m_role(aRole)
-  , m_client(aClient)
+NodeSyncDriver::NodeSyncDriver(const NodeSettings& aNode,
+                               const MembershipSettings& aSettings,
+                               wire::Role aRole,
+                               const std::string& aAddress,
+                               NodeSyncPorts aPorts,
+                               Platform& aPlatform,
+                               const Clock& aClock,
+                               NodeSyncHooks aHooks,
+                               ProtocolRange aProtocols)
+  : m_vm(aNode.m_vm)
+  , m_role(aRole)
+  , m_protocols(aProtocols)
+  , m_ports(std::move(aPorts))
   , m_platform(aPlatform)
-  , m_pool(aPool)
   , m_clock(aClock)
   , m_hooks(std::move(aHooks))
   , m_exchange(aNode,
@@ -61,13 +61,14 @@
                aRole,
                aAddress,
                StartedAt(aClock),
-               StableHash(NewId()))
+               m_ports.m_seed,
+               aProtocols)
   , m_view(std::make_shared<FleetView>())
 {
 }
 
 void
-NodeSync::Impl::Start()
+NodeSyncDriver::Start()
 {
   if (m_role == wire::ROLE_ENTRY) {
     for (const auto* prefix : kWatchedPrefixes) {
@@ -78,7 +79,7 @@
 }
 
 void
-NodeSync::Impl::Stop()
+NodeSyncDriver::Stop()
 {
   for (const auto& watcher : m_watchers) {
     watcher->Stop();
@@ -87,9 +88,9 @@
 }
 
 void
-NodeSync::Impl::TickSoon()
+NodeSyncDriver::TickSoon()
 {
-  m_pool.Post([weak = weak_from_this()] {
+  m_ports.m_post([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->Tick();
     }
@@ -97,7 +98,7 @@
 }
 
 void
-NodeSync::Impl::OnExchange(const wire::ExchangeRequest& aRequest,
+NodeSyncDriver::OnExchange(const wire::ExchangeRequest& aRequest,
                            const NodeHandler::Done<wire::ExchangeReply>& aDone)
 {
   wire::ExchangeReply reply;
@@ -121,7 +122,7 @@
 }
 
 void
-NodeSync::Impl::Learned(const std::vector<PlatformObject>& aObjects)
+NodeSyncDriver::Learned(const std::vector<PlatformObject>& aObjects)
 {
   {
     const OrderedLock lock(m_mutex);
@@ -137,7 +138,7 @@
 }
 
 void
-NodeSync::Impl::Spread(const wire::Suspicion& aSuspicion,
+NodeSyncDriver::Spread(const wire::Suspicion& aSuspicion,
                        std::chrono::milliseconds aLongest,
                        std::function<void(bool)> aDone)
 {
@@ -151,7 +152,7 @@
 }
 
 void
-NodeSync::Impl::Leave()
+NodeSyncDriver::Leave()
 {
   {
     const OrderedLock lock(m_mutex);
@@ -161,21 +162,28 @@
 }
 
 std::shared_ptr<const FleetView>
-NodeSync::Impl::View()
+NodeSyncDriver::View()
 {
   const OrderedLock lock(m_mutex);
   return m_view;
 }
 
+std::uint64_t
+NodeSyncDriver::Incarnation()
+{
+  const OrderedLock lock(m_mutex);
+  return m_exchange.Incarnation();
+}
+
 std::shared_ptr<const FleetConfig>
-NodeSync::Impl::Config()
+NodeSyncDriver::Config()
 {
   const OrderedLock lock(m_mutex);
   return m_config;
 }
 
 std::map<std::string, PlatformObject>
-NodeSync::Impl::Objects(const std::string& aPrefix)
+NodeSyncDriver::Objects(const std::string& aPrefix)
 {
   const OrderedLock lock(m_mutex);
   std::map<std::string, PlatformObject> objects;
@@ -186,7 +194,7 @@
 }
 
 std::shared_ptr<ObjectWatcher>
-NodeSync::Impl::MakeWatcher(const std::string& aPrefix)
+NodeSyncDriver::MakeWatcher(const std::string& aPrefix)
 {
   ObjectWatcher::Hooks hooks;
   hooks.m_held = [weak = weak_from_this(), aPrefix] {
@@ -211,14 +219,14 @@
     }
   };
   return std::make_shared<ObjectWatcher>(
-    m_platform, aPrefix, StableHash(NewId()), std::move(hooks));
+    m_platform, aPrefix, StableHash(aPrefix, m_ports.m_seed), std::move(hooks));
 }
 
 void
-NodeSync::Impl::TickAgain()
+NodeSyncDriver::TickAgain()
 {
   Tick();
-  m_pool.PostAfter(kTick, [weak = weak_from_this()] {
+  m_ports.m_postAfter(kTick, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->TickAgain();
     }
@@ -226,7 +234,7 @@
 }
 
 void
-NodeSync::Impl::Tick()
+NodeSyncDriver::Tick()
 {
   if (!m_gate.Enter()) {
     return;
@@ -263,46 +271,7 @@
 }
 
 void
-NodeSync::Impl::Call(Exchange::Due aCall)
-{
-  const auto call = std::make_shared<Exchange::Due>(std::move(aCall));
-  m_client.Exchange(
-    call->m_address,
-    call->m_request,
-    kExchangeTimeout,
-    [weak = weak_from_this(), call](const RpcStatus& aStatus,
-                                    wire::ExchangeReply aReply) {
-      if (const auto self = weak.lock()) {
-        self->m_pool.Post([self, call, aStatus, reply = std::move(aReply)] {
-          self->OnCalled(*call, aStatus, reply);
-        });
-      }
-    });
-}
-
-void
-NodeSync::Impl::OnCalled(const Exchange::Due& aCall,
-                         const RpcStatus& aStatus,
-                         const wire::ExchangeReply& aReply)
-{
-  {
-    const OrderedLock lock(m_mutex);
-    const auto now = m_clock.Now();
-    if (aStatus.m_outcome != RpcOutcome::Ok) {
-      CountMetric("siskindeal_exchange_failures_total");
-      m_exchange.OnFailure(aCall, now);
-      return;
-    }
-    Exchange::News news;
-    m_exchange.OnReply(aCall, aReply, now, news);
-    TakeNews(std::move(news));
-    TakeSpreads(now);
-  }
-  Notify();
-}
-
-void
-NodeSync::Impl::ReadVms(MonotonicTime aNow)
+NodeSyncDriver::ReadVms(MonotonicTime aNow)
 {
   {
     const OrderedLock lock(m_mutex);
@@ -320,7 +289,7 @@
 }
 
 void
-NodeSync::Impl::OnVms(const std::vector<VmListing>& aVms)
+NodeSyncDriver::OnVms(const std::vector<VmListing>& aVms)
 {
   PlatformObject list{ kVmListKey, 1, VmListToJson(aVms), {}, false };
   {
@@ -336,7 +305,7 @@
 }
 
 bool
-NodeSync::Impl::PlatformFailing(MonotonicTime aNow)
+NodeSyncDriver::PlatformFailing(MonotonicTime aNow)
 {
   const bool failing =
     std::any_of(m_watchers.begin(), m_watchers.end(), [](const auto& aOne) {
@@ -357,7 +326,7 @@
 }
 
 void
-NodeSync::Impl::TakeNews(Exchange::News aNews)
+NodeSyncDriver::TakeNews(Exchange::News aNews)
 {
   for (const auto& object : aNews.m_objects) {
     TakeObject(object);
@@ -384,7 +353,7 @@
 }
 
 void
-NodeSync::Impl::TakeObject(const PlatformObject& aObject)
+NodeSyncDriver::TakeObject(const PlatformObject& aObject)
 {
   if (aObject.m_key == kVmListKey) {
     try {
@@ -405,7 +374,7 @@
 }
 
 void
-NodeSync::Impl::TakeConfig(const PlatformObject& aObject)
+NodeSyncDriver::TakeConfig(const PlatformObject& aObject)
 {
   try {
     auto config = std::make_shared<FleetConfig>(
@@ -429,7 +398,7 @@
 }
 
 std::shared_ptr<const FleetView>
-NodeSync::Impl::MakeView()
+NodeSyncDriver::MakeView()
 {
   auto view = std::make_shared<FleetView>();
   for (const auto& [vm, row] : m_exchange.Table().Rows()) {
@@ -446,7 +415,7 @@
 }
 
 void
-NodeSync::Impl::TakeSpreads(MonotonicTime aNow)
+NodeSyncDriver::TakeSpreads(MonotonicTime aNow)
 {
   for (auto spread = m_spreads.begin(); spread != m_spreads.end();) {
     const bool all = m_exchange.Acknowledged(spread->m_number);
@@ -460,7 +429,7 @@
 }
 
 void
-NodeSync::Impl::Notify()
+NodeSyncDriver::Notify()
 {
   while (true) {
     std::function<void()> notice;
@@ -483,7 +452,7 @@
 }
 
 void
-NodeSync::Impl::RunNotice(const std::function<void()>& aNotice)
+NodeSyncDriver::RunNotice(const std::function<void()>& aNotice)
 {
   try {
     aNotice();
--- a/src/membership/node_sync_p.h
+++ b/src/membership/node_sync_p.h
@@ -21,6 +21,23 @@
   std::function<void(bool)> m_done;
 };
 
+// What the driver has done for it: calls to others, and tasks, now and later. A
+// test gives its own on a given clock.
+struct NodeSyncPorts
+{
+  template<typename Request, typename Reply>
+  using Call = std::function<void(const std::string& aAddress,
+                                  const Request&,
+                                  std::chrono::milliseconds aTimeout,
+                                  NodeClient::Done<Reply>)>;
+
+  Call<wire::GreetRequest, wire::GreetReply> m_greet;
+  Call<wire::ExchangeRequest, wire::ExchangeReply> m_exchange;
+  std::function<void(WorkerPool::Task)> m_post;
+  std::function<void(std::chrono::milliseconds, WorkerPool::Task)> m_postAfter;
+  std::uint64_t m_seed = 0;
+};
+
 // Counts the hooks that are running, so that the end can wait for them.
 class HookGate
 {
@@ -50,18 +67,18 @@
   int m_running ABSL_GUARDED_BY(m_mutex) = 0;
 };
 
-class NodeSync::Impl : public std::enable_shared_from_this<Impl>
+class NodeSyncDriver : public std::enable_shared_from_this<NodeSyncDriver>
 {
 public:
-  Impl(const NodeSettings& aNode,
-       const MembershipSettings& aSettings,
-       wire::Role aRole,
-       const std::string& aAddress,
-       NodeClient& aClient,
-       Platform& aPlatform,
-       WorkerPool& aPool,
-       const Clock& aClock,
-       NodeSyncHooks aHooks);
+  NodeSyncDriver(const NodeSettings& aNode,
+                 const MembershipSettings& aSettings,
+                 wire::Role aRole,
+                 const std::string& aAddress,
+                 NodeSyncPorts aPorts,
+                 Platform& aPlatform,
+                 const Clock& aClock,
+                 NodeSyncHooks aHooks,
+                 ProtocolRange aProtocols);
   void Start();
   void Stop();
   void TickSoon();
@@ -73,6 +90,7 @@
               std::function<void(bool)> aDone);
   void Leave();
   std::shared_ptr<const FleetView> View();
+  std::uint64_t Incarnation();
   std::shared_ptr<const FleetConfig> Config();
   std::map<std::string, PlatformObject> Objects(const std::string& aPrefix);
   std::string StateJson();
@@ -81,7 +99,23 @@
   std::shared_ptr<ObjectWatcher> MakeWatcher(const std::string& aPrefix);
   void TickAgain();
   void Tick();
+  // What was agreed with the process at an address.
+  struct Greeting
+  {
+    std::uint64_t m_incarnation = 0; // 0: not known yet
+    std::uint32_t m_protocol = 0;
+  };
+
+  // Greets the peer first, where that hasn't been done.
   void Call(Exchange::Due aCall);
+  void Greet(const std::shared_ptr<const Exchange::Due>& aCall);
+  void OnGreeted(const std::shared_ptr<const Exchange::Due>& aCall,
+                 const RpcStatus& aStatus,
+                 const wire::GreetReply& aReply);
+  // Leaves the peer alone until it may speak another version.
+  void RefuseProtocol(const Exchange::Due& aCall, const std::string& aWhy)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  void SendExchange(const std::shared_ptr<const Exchange::Due>& aCall);
   void OnCalled(const Exchange::Due& aCall,
                 const RpcStatus& aStatus,
                 const wire::ExchangeReply& aReply);
@@ -103,10 +137,12 @@
   // Runs the queued notices in order; one thread at a time does.
   void Notify() ABSL_LOCKS_EXCLUDED(m_mutex);
   static void RunNotice(const std::function<void()>& aNotice);
+
+  const std::string m_vm;
   const wire::Role m_role;
-  NodeClient& m_client;
+  const ProtocolRange m_protocols;
+  const NodeSyncPorts m_ports;
   Platform& m_platform;
-  WorkerPool& m_pool;
   const Clock& m_clock;
   const NodeSyncHooks m_hooks;
   HookGate m_gate;
@@ -117,6 +153,8 @@
   std::shared_ptr<const FleetConfig> m_config ABSL_GUARDED_BY(m_mutex);
   std::deque<std::function<void()>> m_notices ABSL_GUARDED_BY(m_mutex);
   bool m_notifying ABSL_GUARDED_BY(m_mutex) = false;
+  std::map<std::string, Greeting> m_greetings // by address
+    ABSL_GUARDED_BY(m_mutex);
   std::vector<PendingSpread> m_spreads ABSL_GUARDED_BY(m_mutex);
   MonotonicTime m_nextVms ABSL_GUARDED_BY(m_mutex);
   std::optional<MonotonicTime> m_failingSince ABSL_GUARDED_BY(m_mutex);
--- a/src/membership/node_sync_state.cpp
+++ b/src/membership/node_sync_state.cpp
@@ -5,7 +5,7 @@
 namespace siskindeal {
 
 std::string
-NodeSync::Impl::StateJson()
+NodeSyncDriver::StateJson()
 {
   nlohmann::json nodes;
   nlohmann::json objects;
@@ -19,6 +19,14 @@
                   { "sequence", row.m_record.sequence() },
                   { "config_version", row.m_record.config_version() },
                   { "platform_failing", row.m_record.platform_failing() } };
+    const auto greeting = m_greetings.find(row.m_record.address());
+    if (greeting != m_greetings.end()) {
+      nodes[vm]["protocol"] = greeting->second.m_protocol;
+    }
+    const auto problem = m_exchange.Table().ProtocolProblem(row.m_record);
+    if (!problem.empty()) {
+      nodes[vm]["unreachable_because"] = problem;
+    }
   }
   for (const auto& [key, entry] : m_exchange.Objects().All()) {
     objects[key] = { { "version", entry.m_object.m_version },
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kMessageBytes = 32 << 20;
+constexpr int kLeastPingMillis = 500; // a client pings less often
 
 // The server's side of one Run call. Owns itself until gRPC is done with it.
 class RunReactor final
@@ -156,9 +157,12 @@
 class Service final : public wire::Node::CallbackService
 {
 public:
-  Service(const AuthSettings& aAuth, NodeHandler& aHandler)
+  Service(const AuthSettings& aAuth,
+          NodeHandler& aHandler,
+          ProtocolRange aProtocols)
     : m_auth(aAuth)
     , m_handler(aHandler)
+    , m_protocols(aProtocols)
   {
   }
 
@@ -170,14 +174,17 @@
     if (!IsSigned(*aContext, "Greet")) {
       return Refuse(reactor);
     }
-    if (aRequest->protocol_most() < kProtocolLeast ||
-        aRequest->protocol_least() > kProtocolMost) {
+    const ProtocolRange theirs{ aRequest->protocol_least(),
+                                aRequest->protocol_most() };
+    if (!m_protocols.Overlaps(theirs)) {
       reactor->Finish({ grpc::StatusCode::FAILED_PRECONDITION,
-                        "no protocol version in common" });
+                        std::string(kNoCommonProtocol) + ": called with " +
+                          theirs.ToString() + ", speaks " +
+                          m_protocols.ToString() });
       return reactor;
     }
     *aReply = m_handler.OnGreet(*aRequest);
-    aReply->set_protocol(std::min(kProtocolMost, aRequest->protocol_most()));
+    aReply->set_protocol(std::min(m_protocols.m_most, theirs.m_most));
     reactor->Finish(grpc::Status::OK);
     return reactor;
   }
@@ -289,6 +296,7 @@
 
   const AuthSettings m_auth;
   NodeHandler& m_handler;
+  const ProtocolRange m_protocols;
 };
 
 } // namespace
@@ -296,13 +304,19 @@
 class NodeServer::Impl
 {
 public:
-  Impl(const Address& aListen, const AuthSettings& aAuth, NodeHandler& aHandler)
-    : m_service(aAuth, aHandler)
+  Impl(const Address& aListen,
+       const AuthSettings& aAuth,
+       NodeHandler& aHandler,
+       ProtocolRange aProtocols)
+    : m_service(aAuth, aHandler, aProtocols)
   {
     grpc::ServerBuilder builder;
     builder.AddListeningPort(
       aListen.ToString(), grpc::InsecureServerCredentials(), &m_port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kLeastPingMillis);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
     builder.SetMaxReceiveMessageSize(kMessageBytes);
     builder.RegisterService(&m_service);
     m_server = builder.BuildAndStart();
@@ -320,8 +334,9 @@
 
 NodeServer::NodeServer(const Address& aListen,
                        const AuthSettings& aAuth,
-                       NodeHandler& aHandler)
-  : m_impl(std::make_unique<Impl>(aListen, aAuth, aHandler))
+                       NodeHandler& aHandler,
+                       ProtocolRange aProtocols)
+  : m_impl(std::make_unique<Impl>(aListen, aAuth, aHandler, aProtocols))
 {
 }
 
