A whole place is cut off and rejoins, with real processes

Relays on loopback (tests/support/network) stand between the processes; they tell the place of a caller by the socket that it holds, and hold what is sent over a cut. Processes lead others to their relay by the new setting [node] advertise, which a VM behind address translation needs as well.

Found: an entry whose link to an agent went silent one way held every request routed there until its deadline of 30 s, since the membership still showed the agent by way of others. Ruled out: a shorter deadline for each try, since long answers are legitimate.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -98,7 +98,7 @@
       m_runs->Merge(*value);
     }
   };
-  const Address own{ m_settings.m_node.m_rpc.m_host, m_server->Port() };
+  const auto own = AdvertisedAddress(m_settings.m_node, m_server->Port());
   m_sync = std::make_unique<NodeSync>(m_settings.m_node,
                                       m_settings.m_membership,
                                       wire::ROLE_AGENT,
@@ -283,6 +283,7 @@
   reply.set_release(SISKINDEAL_VERSION);
   reply.set_vm(m_settings.m_node.m_vm);
   reply.set_role(wire::ROLE_AGENT);
+  reply.set_incarnation(m_started.load() ? m_sync->Incarnation() : 0);
   return reply;
 }
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -71,7 +71,7 @@
 
   m_server = std::make_unique<NodeServer>(
     m_settings.m_node.m_rpc, m_settings.m_auth, *this);
-  const Address own{ m_settings.m_node.m_rpc.m_host, m_server->Port() };
+  const auto own = AdvertisedAddress(m_settings.m_node, m_server->Port());
   // The HTTP port has to be known before the first record is sent.
   m_httpServer = std::make_unique<HttpServer>(
     m_settings.m_node.m_http.m_host,
@@ -368,6 +368,7 @@
   reply.set_release(SISKINDEAL_VERSION);
   reply.set_vm(m_settings.m_node.m_vm);
   reply.set_role(wire::ROLE_ENTRY);
+  reply.set_incarnation(m_started.load() ? m_sync->Incarnation() : 0);
   return reply;
 }
 
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -41,6 +41,13 @@
   }
 }
 
+Address
+AdvertisedAddress(const NodeSettings& aNode, std::uint16_t aPort)
+{
+  return aNode.m_advertise.m_host.empty() ? Address{ aNode.m_rpc.m_host, aPort }
+                                          : aNode.m_advertise;
+}
+
 bool
 AnswerProcessPage(const HttpRequest& aRequest,
                   HttpResponder& aResponder,
--- a/src/node/process_p.h
+++ b/src/node/process_p.h
@@ -4,6 +4,7 @@
 #include "siskindeal/http.h"
 #include "siskindeal/settings.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,6 +20,10 @@
 void
 WaitForStopSignal();
 
+// Where other processes reach this one, which listens for them on aPort.
+Address
+AdvertisedAddress(const NodeSettings& aNode, std::uint16_t aPort);
+
 // What the plain pages show.
 struct ProcessPages
 {
--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -21,6 +21,9 @@
 constexpr int kLeastReconnectMillis = 100;
 constexpr int kMostReconnectMillis = 1000;
 constexpr std::chrono::milliseconds kLongestConnect{ 2000 };
+// While a call is out, a peer that answers no ping is taken for cut off.
+constexpr int kPingMillis = 2000;
+constexpr int kPingAnswerMillis = 5000;
 
 struct Peer
 {
@@ -297,6 +300,9 @@
                      kLeastReconnectMillis);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMostReconnectMillis);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMostReconnectMillis);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kPingMillis);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kPingAnswerMillis);
+    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     arguments.SetMaxReceiveMessageSize(kMessageBytes);
     return arguments;
   }
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -38,6 +38,11 @@
       &aNode.m_rpc,
       "where siskindeal's other processes connect; port 0 picks a free one",
       Need::Required },
+    { "node",
+      "advertise",
+      &aNode.m_advertise,
+      "where siskindeal's other processes reach rpc, if not at its own "
+      "address" },
     { "node",
       "http",
       &aNode.m_http,
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,5 +1,6 @@
 #include "support/fleet.h"
 
+#include "cli/client_p.h"
 #include "siskindeal/digest.h"
 #include "siskindeal/random.h"
 
@@ -43,7 +44,7 @@
 }
 
 std::string
-Address(std::uint16_t aPort)
+Loopback(std::uint16_t aPort)
 {
   return "127.0.0.1:" + std::to_string(aPort);
 }
@@ -53,8 +54,10 @@
 Fleet::Fleet(int aEntries,
              int aEngines,
              int aServices,
-             std::chrono::milliseconds aEngineRestart)
+             std::chrono::milliseconds aEngineRestart,
+             Network* aNetwork)
   : m_directory(MakeDirectory())
+  , m_network(aNetwork)
 {
   standin::PlatformOptions platform;
   platform.m_vmLag = std::chrono::milliseconds(500);
@@ -116,8 +119,17 @@
   vm.m_service = aService;
   vm.m_upstreamUrl = aUpstreamUrl;
   vm.m_platformUrl = m_platform->OpenFor(aName);
-  vm.m_rpc = Address(FreePort());
-  vm.m_http = Address(FreePort());
+  const auto port = FreePort();
+  vm.m_listen = Loopback(port);
+  vm.m_rpc = vm.m_listen;
+  if (m_network != nullptr) {
+    vm.m_rpc = Loopback(m_network->Open(port, vm.m_place));
+    const auto scheme = vm.m_platformUrl.find("://") + 3;
+    const auto platform = ParseAddress(vm.m_platformUrl.substr(scheme));
+    vm.m_platformUrl =
+      "http://" + Loopback(m_network->Open(platform.m_port, kPlatformPlace));
+  }
+  vm.m_http = Loopback(FreePort());
   m_platform->SetVm({ aName, vm.m_place, aService, vm.m_rpc }, true);
   m_vms.emplace(aName, std::move(vm));
 }
@@ -140,7 +152,8 @@
 {
   std::ofstream file(File(aVm.m_name + ".toml"));
   file << "[node]\nvm = \"" << aVm.m_name << "\"\nplace = \"" << aVm.m_place
-       << "\"\nrpc = \"" << aVm.m_rpc << "\"\nhttp = \"" << aVm.m_http << "\"\n"
+       << "\"\nrpc = \"" << aVm.m_listen << "\"\nadvertise = \"" << aVm.m_rpc
+       << "\"\nhttp = \"" << aVm.m_http << "\"\n"
        << EntryList(false) << kAuth << "\n[platform]\nurl = \""
        << aVm.m_platformUrl << "\"\n"
        << "[membership]\nheartbeat = \"200ms\"\n"
@@ -178,6 +191,9 @@
                               "--config",
                               File(aName + ".toml") },
     File(aName + ".log"));
+  if (m_network != nullptr) {
+    m_network->SetPlace(vm.m_process->Id(), vm.m_place);
+  }
 }
 
 void
@@ -255,12 +271,34 @@
   const auto end = std::chrono::steady_clock::now() + kStartGuard;
   while (m_http.Fetch({ "GET", aUrl }).m_status != kOk) {
     if (std::chrono::steady_clock::now() > end) {
-      throw std::runtime_error(aUrl + " doesn't answer 200\n" + Logs());
+      throw std::runtime_error(aUrl + " doesn't answer 200\n" + States() +
+                               Logs());
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
 }
 
+nlohmann::json
+Fleet::State(const std::string& aVm) const
+{
+  OperatorClient client(ReadClientSettings(File("client.toml")));
+  return client.State(ParseAddress(m_vms.at(aVm).m_http));
+}
+
+std::string
+Fleet::States() const
+{
+  std::string text;
+  for (const auto& [name, vm] : m_vms) {
+    try {
+      text += name + " " + State(name)["sync"].dump() + "\n";
+    } catch (const std::exception& silent) {
+      text += name + " " + silent.what() + "\n";
+    }
+  }
+  return text;
+}
+
 std::string
 Fleet::Logs() const
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -7,8 +7,11 @@
 #include "standin/platform.h"
 #include "standin/service.h"
 #include "standin/store.h"
+#include "support/network.h"
 #include "support/process.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <memory>
 #include <string>
@@ -19,6 +22,8 @@
 class Fleet
 {
 public:
+  static constexpr const char* kPlatformPlace = "platform";
+
   struct Vm
   {
     std::string m_name;
@@ -26,7 +31,8 @@
     std::string m_service; // empty: an entry
     std::string m_upstreamUrl;
     std::string m_platformUrl; // of its own, so that it can be cut off
-    std::string m_rpc;
+    std::string m_listen;      // for the other processes
+    std::string m_rpc;         // where they reach it
     std::string m_http;
     std::unique_ptr<Process> m_process;
   };
@@ -34,11 +40,14 @@
   // Starts entries "entry-N", model agents "caddie-N" and plain agents
   // "teesheet-N", by turns in kingston and montego, sets the configuration and
   // waits until every process is ready for it. aEngineRestart: how long an
-  // engine is away after a crash.
+  // engine is away after a crash. With aNetwork, which has to outlive it, the
+  // processes reach one another and the platform, which is at kPlatformPlace,
+  // only through that.
   Fleet(int aEntries,
         int aEngines,
         int aServices,
-        std::chrono::milliseconds aEngineRestart = standin::kRestart);
+        std::chrono::milliseconds aEngineRestart = standin::kRestart,
+        Network* aNetwork = nullptr);
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -50,6 +59,7 @@
                       std::size_t aBytes,
                       int aVms);
 
+  const std::map<std::string, Vm>& Vms() const { return m_vms; }
   Vm& GetVm(const std::string& aName) { return m_vms.at(aName); }
   void StartVm(const std::string& aName);
   // Cuts a VM off from the platform, or every VM with an empty name.
@@ -61,6 +71,10 @@
   int Operator(const std::vector<std::string>& aArguments);
   // The URL of a path on the VM's HTTP address.
   std::string Url(const std::string& aVm, const std::string& aPath) const;
+  // What the VM's /state shows.
+  nlohmann::json State(const std::string& aVm) const;
+  // What the VMs that answer say of each other, for a failing test.
+  std::string States() const;
   // What the logs hold, for a failing test.
   std::string Logs() const;
 
@@ -83,6 +97,7 @@
   std::string File(const std::string& aName) const;
 
   std::string m_directory;
+  Network* const m_network;
   HttpClient m_http;
   std::unique_ptr<standin::PlatformStandIn> m_platform;
   std::unique_ptr<standin::StoreStandIn> m_store;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -21,6 +21,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  pid_t Id() const { return m_pid; }
   void Signal(int aSignal) const;
   // The exit status once the process has ended; 128 + N when signal N ended it.
   int Wait();
