The idle benchmark measures the whole roles

It had measured a reduced process. At today's size it now starts `siskindeal entry` and `siskindeal agent` with default settings and stand-ins, and measures them from outside; the reduced process stays for the slopes. `--fleet ENTRIES AGENTS` measures one size alone.

--- a/bench/idle_bench.cpp
+++ b/bench/idle_bench.cpp
@@ -1,8 +1,11 @@
 // What a process at rest costs, by role and by the size of the fleet: a share
-// of a core, resident memory and bytes of control traffic. Every process of the
-// fleet is one of this machine: the program runs itself as "--node".
+// of a core, resident memory and bytes of control traffic. At today's size the
+// processes are `siskindeal entry` and `siskindeal agent`; for the slopes,
+// which take many, the program runs itself as "--node", which is what a process
+// has for the exchange with others, and nothing else.
 
 #include "support/bench_node.h"
+#include "support/role_fleet.h"
 
 #include "siskindeal/http.h"
 #include "siskindeal/log.h"
@@ -34,7 +37,9 @@
 
 constexpr seconds kSettle{ 4 };
 constexpr seconds kWindow{ 4 };
-constexpr std::size_t kRole = 2; // arguments of a node
+constexpr seconds kSettleRoles{ 12 };
+constexpr seconds kWindowRoles{ 20 }; // the clock's ticks are 10 ms
+constexpr std::size_t kRole = 2;      // arguments of a node
 constexpr std::size_t kVm = 3;
 constexpr std::size_t kPlace = 4;
 constexpr std::size_t kPlatform = 5;
@@ -117,11 +122,8 @@
   return 0;
 }
 
-struct Figures
+struct Figures : ProcessFigures
 {
-  double m_cpuSeconds = 0;
-  double m_residentMb = 0;
-  double m_bytes = 0;
   std::size_t m_known = 0;
 };
 
@@ -202,9 +204,10 @@
   double m_bytesPerSecond = 0;
 };
 
+template<typename Measured>
 Costs
-Mean(const std::vector<Figures>& aBefore,
-     const std::vector<Figures>& aAfter,
+Mean(const std::vector<Measured>& aBefore,
+     const std::vector<Measured>& aAfter,
      double aSeconds)
 {
   Costs costs;
@@ -307,6 +310,30 @@
   return { entry, agent };
 }
 
+void
+MeasureRoles(int aEntries, int aAgents)
+{
+  const RoleFleet fleet(aEntries, aAgents);
+  std::this_thread::sleep_for(kSettleRoles);
+  const auto entriesBefore = fleet.Entries();
+  const auto agentsBefore = fleet.Agents();
+  const auto start = std::chrono::steady_clock::now();
+  std::this_thread::sleep_for(kWindowRoles);
+  const auto entriesAfter = fleet.Entries();
+  const auto agentsAfter = fleet.Agents();
+  const auto passed =
+    std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+      .count();
+  const auto size = std::to_string(aEntries) + "_entries_" +
+                    std::to_string(aAgents) + "_agents";
+  Print("siskindeal_entry_of_" + size,
+        Mean(entriesBefore, entriesAfter, passed),
+        true);
+  Print("siskindeal_agent_of_" + size,
+        Mean(agentsBefore, agentsAfter, passed),
+        true);
+}
+
 // The least-squares slope of the values over the sizes.
 double
 Slope(const std::vector<double>& aSizes, const std::vector<double>& aValues)
@@ -361,7 +388,8 @@
 void
 RunAll(const std::string& aProgram)
 {
-  Measure(aProgram, 9, 20, true); // today
+  MeasureRoles(9, 20); // today
+  Measure(aProgram, 9, 20, false);
   std::vector<double> sizes;
   std::vector<Costs> entries;
   std::vector<Costs> agents;
@@ -388,6 +416,12 @@
     return siskindeal::bench::RunNode(arguments);
   }
   siskindeal::ConfigureLog("bench", "idle", siskindeal::LogLevel::Error);
+  // One size alone: --fleet ENTRIES AGENTS
+  if (arguments.size() == 4 && arguments[1] == "--fleet") {
+    siskindeal::bench::Measure(
+      arguments[0], std::stoi(arguments[2]), std::stoi(arguments[3]), false);
+    return 0;
+  }
   siskindeal::bench::RunAll(arguments[0]);
   return 0;
 }
--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -33,9 +33,9 @@
 {
   std::string m_vm;
   std::string m_place;
-  Address m_rpc;  // for siskindeal's own processes
+  Address m_rpc;       // for siskindeal's own processes
   Address m_advertise; // where they reach it, if not at m_rpc
-  Address m_http; // entries: callers; agents: metrics, health and state
+  Address m_http;      // entries: callers; agents: metrics, health and state
   std::string m_logLevel = "info";
   std::vector<Address> m_entries; // entries to contact first, own one allowed
 };
--- a/tests/driver_run_test.cpp
+++ b/tests/driver_run_test.cpp
@@ -209,9 +209,10 @@
   constexpr std::uint64_t kSteps = 200000;
   m_fleet.SetLongestStart(seconds{ 1 });
   for (const std::string place : { "a", "b" }) {
-    for (const std::string number : { "0", "1" }) {
-      m_fleet.Add("entry-" + place + number, place, wire::ROLE_ENTRY);
-      m_fleet.Add("agent-" + place + number, place, wire::ROLE_AGENT);
+    for (const std::string number : { "-0", "-1" }) {
+      const auto vm = place + number;
+      m_fleet.Add("entry-" + vm, place, wire::ROLE_ENTRY);
+      m_fleet.Add("agent-" + vm, place, wire::ROLE_AGENT);
     }
   }
   auto& platform = m_fleet.GetPlatform();
--- a/tests/isolation_test.cpp
+++ b/tests/isolation_test.cpp
@@ -42,8 +42,9 @@
     const auto end = std::chrono::steady_clock::now() + kHangGuard;
     while (!aCondition()) {
       if (std::chrono::steady_clock::now() > end) {
-        throw std::runtime_error("never: " + aWhat + "\n" + aSeen + "\n" +
-                                 m_fleet.States() + m_fleet.Logs());
+        std::string what = "never: ";
+        what.append(aWhat).append("\n").append(aSeen).append("\n");
+        throw std::runtime_error(what + m_fleet.States() + m_fleet.Logs());
       }
       std::this_thread::sleep_for(kPoll);
     }
@@ -256,7 +257,7 @@
                                                        { kIsolated, kOther } };
   int limit = 2;
   for (const auto& [from, to] : ways) {
-    SCOPED_TRACE(from + " to " + to);
+    SCOPED_TRACE(testing::Message() << from << " to " << to);
     m_network.Cut(from, to, true);
     EXPECT_EQ(m_fleet.SetConfig(limit, config), 0) << m_fleet.Logs();
     Await("the change everywhere", [&] {
