Unused channels are closed and freed memory is given back

An entry grew by 74 kB for each process it heard of, for no known reason. heaptrack on an entry of 48 with 112 agents: 7.6 MB live at the peak, of which 3.1 MB are gRPC's read buffers (79 connections had been opened, most at the start, before the ring was known, and were never closed: nobody called DropIdle) and some 2 MB are records in exchanges; of 14 MB resident without the libraries' 26 MB the rest was free memory between them.

Change: a channel not used for 15 s is closed at the next call; each process gives freed memory back every 20 s. The benchmark's reduced process now has two arenas like the product's, and is measured after 25 s, not 4.

Ruled out: smaller read chunks (gRPC 1.51 takes 8 KiB at least).

--- a/bench/idle_bench.cpp
+++ b/bench/idle_bench.cpp
@@ -7,6 +7,7 @@
 #include "support/bench_node.h"
 #include "support/role_fleet.h"
 
+#include "node/process_p.h"
 #include "siskindeal/http.h"
 #include "siskindeal/log.h"
 
@@ -14,6 +15,7 @@
 
 #include <fcntl.h>
 #include <linux/tcp.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <spawn.h>
 #include <sys/resource.h>
@@ -35,7 +37,7 @@
 
 using std::chrono::seconds;
 
-constexpr seconds kSettle{ 4 };
+constexpr seconds kSettle{ 25 }; // until unused connections are closed
 constexpr seconds kWindow{ 4 };
 constexpr seconds kSettleRoles{ 12 };
 constexpr seconds kWindowRoles{ 20 }; // the clock's ticks are 10 ms
@@ -90,6 +92,7 @@
 RunNode(const std::vector<std::string>& aArguments)
 {
   ConfigureLog("bench", aArguments[kVm], LogLevel::Error);
+  mallopt(M_ARENA_MAX, 2); // as src/main.cpp
   BenchNodeOptions options;
   const bool entry = aArguments[kRole] == "entry";
   options.m_role = entry ? wire::ROLE_ENTRY : wire::ROLE_AGENT;
@@ -101,6 +104,7 @@
   }
   SystemClock clock;
   WorkerPool pool(2);
+  ReturnFreedMemory(pool);
   HttpClient http;
   HttpServer server(
     "127.0.0.1", 0, {}, [](HttpRequest, const auto& aResponder) {
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -125,6 +125,7 @@
     });
   m_sync->Start();
   m_pool.Every(m_settings.m_upstream.m_loadPeriod, [this] { PollUpstream(); });
+  ReturnFreedMemory(m_pool);
   Log(LogLevel::Info,
       "listening",
       { { "rpc_port", m_server->Port() },
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -122,6 +122,7 @@
     m_traffic->Tick();
     m_quarantine->Tick(m_clock.Now());
   });
+  ReturnFreedMemory(m_pool);
   Log(LogLevel::Info,
       "listening",
       { { "rpc_port", m_server->Port() },
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -7,12 +7,16 @@
 #include "siskindeal/operators.h"
 
 #include <csignal>
+#include <malloc.h>
 #include <pthread.h>
 
 namespace siskindeal {
 
 namespace {
 
+constexpr std::chrono::seconds kBetweenTrims{ 20 };
+constexpr std::size_t kKeptBytes = 256 << 10; // free, for what comes next
+
 sigset_t
 StopSignals()
 {
@@ -48,6 +52,12 @@
                                           : aNode.m_advertise;
 }
 
+void
+ReturnFreedMemory(WorkerPool& aPool)
+{
+  aPool.Every(kBetweenTrims, [] { malloc_trim(kKeptBytes); });
+}
+
 bool
 AnswerProcessPage(const HttpRequest& aRequest,
                   HttpResponder& aResponder,
--- a/src/node/process_p.h
+++ b/src/node/process_p.h
@@ -3,6 +3,7 @@
 
 #include "siskindeal/http.h"
 #include "siskindeal/settings.h"
+#include "siskindeal/worker_pool.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,6 +25,12 @@
 Address
 AdvertisedAddress(const NodeSettings& aNode, std::uint16_t aPort);
 
+// Gives memory that was freed back to the system, now and then: what a start or
+// a rush needed would stay resident otherwise, spread over the allocator's
+// pages.
+void
+ReturnFreedMemory(WorkerPool& aPool);
+
 // What the plain pages show.
 struct ProcessPages
 {
--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -21,6 +21,10 @@
 constexpr int kLeastReconnectMillis = 100;
 constexpr int kMostReconnectMillis = 1000;
 constexpr std::chrono::milliseconds kLongestConnect{ 2000 };
+// A channel costs some 40 kB of buffers at either end, so that one that hasn't
+// been used for a while is closed.
+constexpr std::chrono::seconds kIdleChannel{ 15 };
+constexpr std::chrono::seconds kBetweenSweeps{ 5 };
 // While a call is out, a peer that answers no ping is taken for cut off.
 constexpr int kPingMillis = 2000;
 constexpr int kPingAnswerMillis = 5000;
@@ -175,6 +179,10 @@
   {
     const auto now = std::chrono::steady_clock::now();
     const absl::MutexLock lock(&m_mutex);
+    if (now - m_swept >= kBetweenSweeps) {
+      m_swept = now;
+      Sweep(now - kIdleChannel);
+    }
     auto& peer = m_peers[aAddress];
     if (!peer) {
       peer = std::make_shared<Peer>();
@@ -254,15 +262,22 @@
   {
     const auto oldest = std::chrono::steady_clock::now() - aIdle;
     const absl::MutexLock lock(&m_mutex);
+    Sweep(oldest);
+  }
+
+private:
+  // Drops the channels that were last used before aOldest and aren't now.
+  void Sweep(std::chrono::steady_clock::time_point aOldest)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+  {
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
       const auto here = peer++;
-      if (here->second->m_used < oldest && here->second.use_count() == 1) {
+      if (here->second->m_used < aOldest && here->second.use_count() == 1) {
         m_peers.erase(here);
       }
     }
   }
 
-private:
   struct StateWait
   {
     std::shared_ptr<Peer> m_peer;
@@ -327,6 +342,7 @@
   absl::Mutex m_mutex;
   absl::flat_hash_map<std::string, std::shared_ptr<Peer>> m_peers
     ABSL_GUARDED_BY(m_mutex);
+  std::chrono::steady_clock::time_point m_swept ABSL_GUARDED_BY(m_mutex);
   bool m_closing ABSL_GUARDED_BY(m_mutex) = false;
   grpc::CompletionQueue m_states;
   std::thread m_watcher;
