--- a/bench/idle_bench.cpp
+++ b/bench/idle_bench.cpp
@@ -39,7 +39,7 @@
 
 constexpr seconds kSettle{ 25 }; // until unused connections are closed
 constexpr seconds kWindow{ 4 };
-constexpr seconds kSettleRoles{ 12 };
+constexpr seconds kSettleRoles{ 30 };
 constexpr seconds kWindowRoles{ 20 }; // the clock's ticks are 10 ms
 constexpr std::size_t kRole = 2;      // arguments of a node
 constexpr std::size_t kVm = 3;
