--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -1,9 +1,11 @@
 // Routing decisions: prefix cache hits and upstreams lost in virtual time over
-// the shipped decisions, and the processor time of one choice.
+// the shipped decisions, and the processor time of one choice; then the path of
+// requests through real processes.
 
 #include "siskindeal/quarantine.h"
 #include "siskindeal/routing.h"
 
+#include "support/path.h"
 #include "support/rows.h"
 
 #include <algorithm>
@@ -254,5 +256,6 @@
     ChoiceTime(runners);
   }
   UpstreamsLost();
+  PrintPathRows();
   return 0;
 }
--- a/tests/isolation_test.cpp
+++ b/tests/isolation_test.cpp
@@ -173,7 +173,7 @@
   const std::vector<std::string> m_outside{ "entry-1", "entry-3" };
   const std::vector<std::string> m_entries{ "entry-1", "entry-2", "entry-3" };
   Network m_network;
-  Fleet m_fleet{ 3, 0, 2, standin::kRestart, &m_network };
+  Fleet m_fleet{ 3, 0, 2, FleetOptions(&m_network) };
   HttpClient m_client;
 };
 
--- a/tests/rollout_process_test.cpp
+++ b/tests/rollout_process_test.cpp
@@ -287,7 +287,9 @@
 TEST_F(Rollouts, LoseAtMostTwoEnginesThatRestartAtOnce)
 {
   constexpr int kEngines = 4;
-  Fleet fleet(2, kEngines, 0, std::chrono::milliseconds(0));
+  FleetOptions options;
+  options.m_engine.m_standIn.m_restart = std::chrono::milliseconds(0);
+  Fleet fleet(2, kEngines, 0, options);
   fleet.RollOut("booking-1", kWeightsBytes, kEngines);
   const auto crashes = CrashAgainAndAgain(fleet, kEngines);
   EXPECT_GE(crashes, 1);
--- a/tests/run_test.cpp
+++ b/tests/run_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <thread>
 #include <vector>
@@ -126,11 +127,20 @@
     wire::RUN_VERDICT_RAN },
 };
 
+const Row&
+RowOf(const std::string& aFault)
+{
+  return *std::find_if(kRows.begin(), kRows.end(), [&](const Row& aRow) {
+    return aRow.m_fault == aFault;
+  });
+}
+
 std::shared_ptr<RunService>
 MakeService(HttpClient& aHttp,
             const Clock& aClock,
             std::uint16_t aPort,
-            bool aModel)
+            bool aModel,
+            std::atomic<std::uint64_t>* aLiveBytes = nullptr)
 {
   UpstreamSettings upstream;
   upstream.m_service = "svc";
@@ -141,7 +151,11 @@
   gates.m_useWeights = [](const std::string&) {
     return std::make_shared<int>(0);
   };
-  gates.m_noteLiveBytes = [](std::uint64_t) {};
+  gates.m_noteLiveBytes = [aLiveBytes](std::uint64_t aBytes) {
+    if (aLiveBytes != nullptr) {
+      aLiveBytes->fetch_add(aBytes);
+    }
+  };
   gates.m_onWeightsRefused = [] {};
   gates.m_spread = [](const wire::Suspicion&) {};
   return std::make_shared<RunService>(
@@ -202,6 +216,31 @@
   }
 }
 
+TEST(Run, LiveBytesOfBothDirectionsAreToldToTheLink)
+{
+  struct Transfer
+  {
+    const char* m_row;
+    std::uint64_t m_bytes; // "{}" there, the body back
+  };
+  const SystemClock clock;
+  for (const auto& [name, bytes] :
+       { Transfer{ "none", 4 }, Transfer{ "stream whole", 26 } }) {
+    const auto& row = RowOf(name);
+    RawServer upstream([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      row.m_upstream(aSocket);
+    });
+    std::atomic<std::uint64_t> told{ 0 };
+    HttpClient http;
+    const auto recorder = std::make_shared<Recorder>();
+    MakeService(http, clock, upstream.Port(), row.m_model, &told)
+      ->OnRun(Request(row), recorder);
+    recorder->m_over.WaitForNotification();
+    EXPECT_EQ(told.load(), bytes) << name;
+  }
+}
+
 TEST(Run, ARefusedConnectionAndAGivenUpAttemptAreNotRun)
 {
   const SystemClock clock;
@@ -232,14 +271,6 @@
   EXPECT_FALSE(service->OnCancel(cancel).not_started());
 }
 
-const Row&
-RowOf(const std::string& aFault)
-{
-  return *std::find_if(kRows.begin(), kRows.end(), [&](const Row& aRow) {
-    return aRow.m_fault == aFault;
-  });
-}
-
 // The header's line in a request.
 std::string
 HeaderLine(const std::string& aRequest, const std::string& aName)
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -51,31 +51,25 @@
 
 } // namespace
 
-Fleet::Fleet(int aEntries,
-             int aEngines,
-             int aServices,
-             std::chrono::milliseconds aEngineRestart,
-             Network* aNetwork)
-  : m_directory(MakeDirectory())
-  , m_network(aNetwork)
+Fleet::Fleet(int aEntries, int aEngines, int aServices, FleetOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_directory(MakeDirectory())
 {
   standin::PlatformOptions platform;
-  platform.m_vmLag = std::chrono::milliseconds(500);
+  platform.m_vmLag = m_options.m_vmLag;
   m_platform = std::make_unique<standin::PlatformStandIn>(platform);
   m_store = std::make_unique<standin::StoreStandIn>(standin::StoreOptions());
   for (int i = 1; i <= aEntries; ++i) {
     AddVm("entry-" + std::to_string(i), "", "");
   }
   for (int i = 1; i <= aEngines; ++i) {
-    standin::EngineOptions options;
-    options.m_reportLag = std::chrono::milliseconds(100);
-    options.m_standIn.m_restart = aEngineRestart;
-    m_engines.push_back(std::make_unique<standin::EngineStandIn>(options));
+    m_engines.push_back(
+      std::make_unique<standin::EngineStandIn>(m_options.m_engine));
     AddVm("caddie-" + std::to_string(i), "caddie-llm", m_engines.back()->Url());
   }
   for (int i = 1; i <= aServices; ++i) {
     m_services.push_back(
-      std::make_unique<standin::ServiceStandIn>(standin::ServiceOptions()));
+      std::make_unique<standin::ServiceStandIn>(m_options.m_service));
     AddVm(
       "teesheet-" + std::to_string(i), "teesheet", m_services.back()->Url());
   }
@@ -122,12 +116,13 @@
   const auto port = FreePort();
   vm.m_listen = Loopback(port);
   vm.m_rpc = vm.m_listen;
-  if (m_network != nullptr) {
-    vm.m_rpc = Loopback(m_network->Open(port, vm.m_place));
+  if (m_options.m_network != nullptr) {
+    vm.m_rpc = Loopback(m_options.m_network->Open(port, vm.m_place));
     const auto scheme = vm.m_platformUrl.find("://") + 3;
     const auto platform = ParseAddress(vm.m_platformUrl.substr(scheme));
     vm.m_platformUrl =
-      "http://" + Loopback(m_network->Open(platform.m_port, kPlatformPlace));
+      "http://" +
+      Loopback(m_options.m_network->Open(platform.m_port, kPlatformPlace));
   }
   vm.m_http = Loopback(FreePort());
   m_platform->SetVm({ aName, vm.m_place, aService, vm.m_rpc }, true);
@@ -147,6 +142,19 @@
   return "entries = [" + list + "]\n";
 }
 
+std::vector<std::string>
+Fleet::EntryNames() const
+{
+  std::vector<std::string> names;
+  names.reserve(m_vms.size());
+  for (const auto& [name, vm] : m_vms) {
+    if (vm.m_service.empty()) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 void
 Fleet::WriteSettings(const Vm& aVm) const
 {
@@ -155,13 +163,17 @@
        << "\"\nrpc = \"" << aVm.m_listen << "\"\nadvertise = \"" << aVm.m_rpc
        << "\"\nhttp = \"" << aVm.m_http << "\"\n"
        << EntryList(false) << kAuth << "\n[platform]\nurl = \""
-       << aVm.m_platformUrl << "\"\n"
-       << "[membership]\nheartbeat = \"200ms\"\n"
-       << "unreachable_after = \"1s\"\n";
+       << aVm.m_platformUrl << "\"\n";
+  if (m_options.m_quick) {
+    file << "[membership]\nheartbeat = \"200ms\"\n"
+         << "unreachable_after = \"1s\"\n";
+  }
   if (aVm.m_service.empty()) {
-    file << "[routing]\nanswer_lifetime = \"500ms\"\n"
-         << "[lease]\nduration = \"2s\"\n"
-         << "[rollout]\nstore_url = \"" << m_store->Url() << "\"\n";
+    if (m_options.m_quick) {
+      file << "[routing]\nanswer_lifetime = \"500ms\"\n"
+           << "[lease]\nduration = \"2s\"\n";
+    }
+    file << "[rollout]\nstore_url = \"" << m_store->Url() << "\"\n";
     return;
   }
   const bool model = aVm.m_service == "caddie-llm";
@@ -191,8 +203,8 @@
                               "--config",
                               File(aName + ".toml") },
     File(aName + ".log"));
-  if (m_network != nullptr) {
-    m_network->SetPlace(vm.m_process->Id(), vm.m_place);
+  if (m_options.m_network != nullptr) {
+    m_options.m_network->SetPlace(vm.m_process->Id(), vm.m_place);
   }
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -19,6 +19,26 @@
 
 namespace siskindeal {
 
+// How the processes and the stand-ins around them are set.
+struct FleetOptions
+{
+  // With a network, which has to outlive the fleet, the processes reach one
+  // another and the platform, which is at kPlatformPlace, only through that.
+  explicit FleetOptions(Network* aNetwork = nullptr)
+    : m_network(aNetwork)
+  {
+    m_engine.m_reportLag = std::chrono::milliseconds(100);
+  }
+
+  Network* m_network;
+
+  // Short intervals, so that tests are quick; otherwise the product's defaults.
+  bool m_quick = true;
+  std::chrono::milliseconds m_vmLag{ 500 };
+  standin::EngineOptions m_engine;
+  standin::ServiceOptions m_service;
+};
+
 class Fleet
 {
 public:
@@ -39,15 +59,11 @@
 
   // Starts entries "entry-N", model agents "caddie-N" and plain agents
   // "teesheet-N", by turns in kingston and montego, sets the configuration and
-  // waits until every process is ready for it. aEngineRestart: how long an
-  // engine is away after a crash. With aNetwork, which has to outlive it, the
-  // processes reach one another and the platform, which is at kPlatformPlace,
-  // only through that.
+  // waits until every process is ready for it.
   Fleet(int aEntries,
         int aEngines,
         int aServices,
-        std::chrono::milliseconds aEngineRestart = standin::kRestart,
-        Network* aNetwork = nullptr);
+        FleetOptions aOptions = FleetOptions());
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -61,6 +77,7 @@
 
   const std::map<std::string, Vm>& Vms() const { return m_vms; }
   Vm& GetVm(const std::string& aName) { return m_vms.at(aName); }
+  const Vm& GetVm(const std::string& aName) const { return m_vms.at(aName); }
   void StartVm(const std::string& aName);
   // Cuts a VM off from the platform, or every VM with an empty name.
   void CutOff(const std::string& aName);
@@ -69,6 +86,7 @@
   int SetConfig(int aRequestsPerSecond, std::uint64_t aVersion);
   // An operator's command; its exit status.
   int Operator(const std::vector<std::string>& aArguments);
+  std::vector<std::string> EntryNames() const;
   // The URL of a path on the VM's HTTP address.
   std::string Url(const std::string& aVm, const std::string& aPath) const;
   // What the VM's /state shows.
@@ -96,8 +114,8 @@
   void Await(const std::string& aUrl);
   std::string File(const std::string& aName) const;
 
+  const FleetOptions m_options;
   std::string m_directory;
-  Network* const m_network;
   HttpClient m_http;
   std::unique_ptr<standin::PlatformStandIn> m_platform;
   std::unique_ptr<standin::StoreStandIn> m_store;
