Engines that restart are noticed; the whole is checked while it arrives

Cause: chunks staged but not loaded were listed until Recover after an engine's restart. Change: a marker staged once beside the record; when it is gone, what isn't loaded is dropped. The record itself won't do, since any later write of it hides the loss. Found on the way: a request of before the restart that ended late counted against weights loaded anew (they were then never released), and a staged chunk lost while the weights served broke the invariant of Use.

--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::uint32_t kLoadAttempts = 5;
 constexpr std::chrono::milliseconds kRetryOrder{ 1000 };
-constexpr std::chrono::milliseconds kWatchPeriod{ 2000 };
 
 } // namespace
 
@@ -22,8 +21,13 @@
   {
     const OrderedLock lock(m_mutex);
     const auto found = m_held.find(aDigest);
-    if (found != m_held.end() && found->second.m_loadWhenStaged) {
-      QueueLoad(found->second, aDigest);
+    if (found != m_held.end()) {
+      auto& held = found->second;
+      const bool failing = held.m_attempts >= kLoadAttempts;
+      if ((held.m_loadWhenStaged || held.m_loadAgain) && !failing) {
+        QueueLoad(held, aDigest);
+      }
+      held.m_loadAgain = false;
     }
   }
   RunNextOrder();
@@ -126,22 +130,26 @@
 {
   bool wrong = false;
   bool retry = false;
+  std::shared_ptr<WeightsSession> session;
   {
     const OrderedLock lock(m_mutex);
     auto& held = m_held[aOrder.m_digest];
-    const auto content = held.m_session->Content();
+    session = held.m_session;
+    const auto content = session->Content();
     const bool loaded =
       aState.m_answered && std::find(aState.m_loaded.begin(),
                                      aState.m_loaded.end(),
                                      aOrder.m_digest) != aState.m_loaded.end();
     if (loaded && !content.empty() && aState.m_content == content) {
       held.m_load = LoadState::Serving;
+      held.m_attested = content;
       held.m_attempts = 0;
       held.m_problem.clear();
     } else {
       held.m_load = LoadState::Idle;
       wrong = loaded;
       retry = !aState.m_stale && ++held.m_attempts < kLoadAttempts;
+      held.m_loadAgain = wrong && retry;
       held.m_problem = wrong ? "the engine loaded other bytes than were staged"
                              : "load: " + aState.m_what;
     }
@@ -156,9 +164,10 @@
   if (wrong) {
     CountMetric("siskindeal_weights_attestations_failed_total");
     m_context->m_engine->Unload(
-      aOrder.m_digest, aOrder.m_token, [](const EngineState&) {});
-  }
-  if (retry) {
+      aOrder.m_digest, aOrder.m_token, [session](const EngineState&) {
+        session->CheckAgain();
+      });
+  } else if (retry) {
     m_context->m_io->PostAfter(
       kRetryOrder, [self = shared_from_this(), digest = aOrder.m_digest] {
         {
@@ -226,29 +235,36 @@
 std::shared_ptr<void>
 WeightsAgent::Impl::Use(const std::string& aDigest)
 {
+  std::shared_ptr<WeightsSession> session;
   {
     const OrderedLock lock(m_mutex);
     const auto found = m_held.find(aDigest);
     if (found == m_held.end() || found->second.m_load != LoadState::Serving) {
       return nullptr;
     }
-    SISKINDEAL_INVARIANT(!found->second.m_session->Content().empty(),
+    session = found->second.m_session;
+    SISKINDEAL_INVARIANT(!found->second.m_attested.empty(),
                          "only weights verified whole are served");
     ++found->second.m_uses;
   }
   // The pointer only has to be other than null; the deleter does the work.
-  return { this, [self = shared_from_this(), aDigest](Impl*) {
-            self->Release(aDigest);
+  return { this, [self = shared_from_this(), aDigest, session](Impl*) {
+            self->Release(aDigest, session);
           } };
 }
 
 void
-WeightsAgent::Impl::Release(const std::string& aDigest)
+WeightsAgent::Impl::Release(const std::string& aDigest,
+                            const std::shared_ptr<WeightsSession>& aSession)
 {
   {
     const OrderedLock lock(m_mutex);
     const auto found = m_held.find(aDigest);
-    if (found == m_held.end() || --found->second.m_uses > 0 ||
+    if (found == m_held.end() || found->second.m_session != aSession) {
+      return; // the engine lost these weights meanwhile
+    }
+    SISKINDEAL_INVARIANT(found->second.m_uses > 0, "a use is released once");
+    if (--found->second.m_uses > 0 ||
         found->second.m_load != LoadState::Releasing) {
       return;
     }
@@ -258,53 +274,4 @@
   m_context->m_io->Post([self = shared_from_this()] { self->RunNextOrder(); });
 }
 
-void
-WeightsAgent::Impl::WatchEngine()
-{
-  std::uint64_t epoch = 0;
-  {
-    const OrderedLock lock(m_mutex);
-    if (m_stopped) {
-      return;
-    }
-    epoch = m_epoch;
-  }
-  m_context->m_engine->State(
-    [self = shared_from_this(), epoch](const EngineState& aState) {
-      self->OnEngineState(epoch, aState);
-      self->m_context->m_io->PostAfter(kWatchPeriod,
-                                       [self] { self->WatchEngine(); });
-    });
-}
-
-void
-WeightsAgent::Impl::OnEngineState(std::uint64_t aEpoch,
-                                  const EngineState& aState)
-{
-  std::vector<std::string> lost;
-  {
-    const OrderedLock lock(m_mutex);
-    if (!aState.m_answered || aEpoch != m_epoch || m_orderRunning) {
-      return;
-    }
-    for (auto at = m_held.begin(); at != m_held.end();) {
-      const bool loaded = at->second.m_load == LoadState::Serving ||
-                          at->second.m_load == LoadState::Releasing;
-      const bool there =
-        std::find(aState.m_loaded.begin(), aState.m_loaded.end(), at->first) !=
-        aState.m_loaded.end();
-      if (!loaded || there) {
-        ++at;
-        continue;
-      }
-      lost.push_back(at->first);
-      at->second.m_session->End();
-      at = m_held.erase(at);
-    }
-  }
-  for (const auto& digest : lost) {
-    Log(LogLevel::Warning, "engine_lost_weights", { { "digest", digest } });
-  }
-}
-
 } // namespace siskindeal
--- a/src/agent/fetcher.cpp
+++ b/src/agent/fetcher.cpp
@@ -42,6 +42,7 @@
                aPolicy,
                LimitsOf(m_context->m_settings.m_weights),
                StableHash(m_context->m_settings.m_node.m_vm + m_digest))
+  , m_stream(std::make_shared<Sha256Stream>())
 {
 }
 
@@ -131,8 +132,9 @@
         "an agent holds a bounded window of chunks");
     }
   }
+  CheckNext();
   if (complete) {
-    return BeginCheck();
+    return EndCheck();
   }
   StartPulls(pulls);
   StartPolls(polls);
@@ -326,151 +328,6 @@
   m_context->m_io->Post([self = shared_from_this()] { self->Pump(); });
 }
 
-void
-WeightsSession::Serve(const wire::ChunkRequest& aRequest,
-                      std::function<void(wire::ChunkReply)> aDone)
-{
-  wire::ChunkReply reply;
-  bool held = false;
-  {
-    const OrderedLock lock(m_mutex);
-    reply.set_have(m_download.Have().ToBytes());
-    held = m_download.Have().Has(aRequest.index());
-  }
-  reply.set_missing(!held);
-  if (!held) {
-    return aDone(std::move(reply));
-  }
-  if (!m_context->TakeUploadSlot()) {
-    reply.set_busy(true);
-    return aDone(std::move(reply));
-  }
-  const auto wait = m_context->Reserve(m_manifest.ChunkBytes(aRequest.index()));
-  m_context->m_io->PostAfter(
-    wait, [self = shared_from_this(), index = aRequest.index(), aDone] {
-      self->ReadForPeer(index, aDone);
-    });
-}
-
-void
-WeightsSession::ReadForPeer(std::uint32_t aIndex,
-                            std::function<void(wire::ChunkReply)> aDone)
-{
-  m_context->m_engine->Read(
-    m_digest,
-    aIndex,
-    [self = shared_from_this(), aIndex, aDone](Engine::Staged aStaged) {
-      self->m_context->m_io->Post(
-        [self, aIndex, aDone, staged = std::move(aStaged)]() mutable {
-          self->m_context->ReturnUploadSlot();
-          wire::ChunkReply reply;
-          const bool whole =
-            staged.m_bytes && self->IsChunk(aIndex, *staged.m_bytes);
-          if (whole) {
-            reply.set_bytes(std::move(*staged.m_bytes));
-          } else {
-            reply.set_missing(true);
-            if (staged.m_answered) {
-              self->DropChunk(aIndex);
-            }
-          }
-          {
-            const OrderedLock lock(self->m_mutex);
-            reply.set_have(self->m_download.Have().ToBytes());
-          }
-          aDone(std::move(reply));
-        });
-    });
-}
-
-void
-WeightsSession::DropChunk(std::uint32_t aIndex)
-{
-  Log(LogLevel::Warning,
-      "staged_chunk_lost",
-      { { "digest", m_digest }, { "chunk", aIndex } });
-  {
-    const OrderedLock lock(m_mutex);
-    m_download.Drop(aIndex);
-    if (m_stage != Stage::Staged && m_stage != Stage::Checking) {
-      return;
-    }
-    m_stage = Stage::Fetching;
-    m_content.clear();
-    m_problem = "engine: a staged chunk was lost";
-  }
-  Tick();
-}
-
-void
-WeightsSession::BeginCheck()
-{
-  CheckNext(0, std::make_shared<Sha256Stream>());
-}
-
-void
-WeightsSession::CheckNext(std::uint32_t aIndex,
-                          std::shared_ptr<Sha256Stream> aStream)
-{
-  if (CurrentStage() != Stage::Checking) {
-    return;
-  }
-  m_context->m_engine->Read(
-    m_digest,
-    aIndex,
-    [self = shared_from_this(), aIndex, aStream](Engine::Staged aStaged) {
-      self->m_context->m_io->Post(
-        [self, aIndex, aStream, staged = std::move(aStaged)] {
-          self->OnChecked(aIndex, aStream, staged);
-        });
-    });
-}
-
-void
-WeightsSession::OnChecked(std::uint32_t aIndex,
-                          const std::shared_ptr<Sha256Stream>& aStream,
-                          const Engine::Staged& aStaged)
-{
-  if (!aStaged.m_answered) {
-    m_context->m_io->PostAfter(kRetryEngine,
-                               [self = shared_from_this(), aIndex, aStream] {
-                                 self->CheckNext(aIndex, aStream);
-                               });
-    return;
-  }
-  if (!aStaged.m_bytes || !IsChunk(aIndex, *aStaged.m_bytes)) {
-    return DropChunk(aIndex);
-  }
-  aStream->Add(*aStaged.m_bytes);
-  if (aIndex + 1 < m_manifest.ChunkCount()) {
-    return CheckNext(aIndex + 1, aStream);
-  }
-  {
-    const OrderedLock lock(m_mutex);
-    if (m_stage != Stage::Checking) {
-      return;
-    }
-    SISKINDEAL_INVARIANT(m_download.Complete(),
-                         "only a whole manifest counts as staged");
-    m_stage = Stage::Staged;
-    m_content = aStream->Finish();
-  }
-  Log(LogLevel::Info, "weights_staged", { { "digest", m_digest } });
-  m_onStaged();
-}
-
-wire::HaveReply
-WeightsSession::Have(const wire::HaveRequest& aRequest)
-{
-  const OrderedLock lock(m_mutex);
-  m_download.PeerRefuses(aRequest.vm(), aRequest.refused());
-  wire::HaveReply reply;
-  reply.set_known(true);
-  reply.set_have(m_download.Have().ToBytes());
-  reply.set_fetching(m_download.FetchingFromOrigin().ToBytes());
-  return reply;
-}
-
 wire::Progress
 WeightsSession::Progress()
 {
--- a/src/agent/weights_agent_p.h
+++ b/src/agent/weights_agent_p.h
@@ -54,7 +54,9 @@
     std::string m_shard;       // of the last order
     std::uint64_t m_token = 0; // of the last order
     LoadState m_load = LoadState::Idle;
+    std::string m_attested; // the content that the engine loaded
     bool m_loadWhenStaged = false;
+    bool m_loadAgain = false; // once what is staged was read back again
     std::uint32_t m_uses = 0;
     std::uint32_t m_attempts = 0; // of the load, in a row
     std::uint64_t m_touched = 0;  // order of last use
@@ -97,9 +99,14 @@
   void OnLoaded(const EngineOrder& aOrder, const EngineState& aState);
   void OnUnloaded(const EngineOrder& aOrder, const EngineState& aState);
   void EndOrder();
-  void Release(const std::string& aDigest);
+  void Release(const std::string& aDigest,
+               const std::shared_ptr<WeightsSession>& aSession);
   void WatchEngine();
   void OnEngineState(std::uint64_t aEpoch, const EngineState& aState);
+  // Notices an engine that restarted: what was staged there is gone.
+  void CheckMarker();
+  void StageMarker();
+  void DropUnloaded();
 
   // Restart.
   void OnRecord(const WeightsRecord& aRecord, bool aFound);
@@ -115,6 +122,7 @@
   OrderedMutex m_mutex{ LockLevel::Rollout };
   bool m_ready ABSL_GUARDED_BY(m_mutex) = false;
   bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
+  bool m_marked ABSL_GUARDED_BY(m_mutex) = false; // the engine has the marker
   std::map<std::string, std::uint64_t> m_tokens ABSL_GUARDED_BY(m_mutex);
   std::map<std::string, Held> m_held ABSL_GUARDED_BY(m_mutex); // by digest
   std::string m_current ABSL_GUARDED_BY(m_mutex); // of the last fetch order
--- a/src/agent/weights_recovery.cpp
+++ b/src/agent/weights_recovery.cpp
@@ -157,6 +157,7 @@
   }
   Log(LogLevel::Info, "orders_taken");
   Persist([](bool) {});
+  StageMarker();
   WatchEngine();
 }
 
--- a/src/agent/weights_session_p.h
+++ b/src/agent/weights_session_p.h
@@ -48,8 +48,8 @@
   enum class Stage
   {
     Preparing, // asks the engine what it holds already
-    Fetching,
-    Checking, // reads the whole back
+    Fetching,  // and reads back in order what it holds
+    Checking,  // holds all; reads the rest back
     Staged,
     Ended,
   };
@@ -65,6 +65,8 @@
                 const ChunkTurns& aTurns,
                 bool aAllowOrigin);
   void End();
+  // Reads the whole back once more; aOnStaged runs again when it is right.
+  void CheckAgain();
 
   void Serve(const wire::ChunkRequest& aRequest,
              std::function<void(wire::ChunkReply)> aDone);
@@ -93,11 +95,11 @@
                  const std::string& aFetching);
   void ReadForPeer(std::uint32_t aIndex,
                    std::function<void(wire::ChunkReply)> aDone);
-  void BeginCheck();
-  void CheckNext(std::uint32_t aIndex, std::shared_ptr<Sha256Stream> aStream);
-  void OnChecked(std::uint32_t aIndex,
-                 const std::shared_ptr<Sha256Stream>& aStream,
-                 const Engine::Staged& aStaged);
+  // Reads the next chunk back, if it is held and none is being read.
+  void CheckNext();
+  void OnChecked(std::uint32_t aIndex, const Engine::Staged& aStaged);
+  void EndCheck();
+  void RestartCheck() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void DropChunk(std::uint32_t aIndex);
   bool IsChunk(std::uint32_t aIndex, const std::string& aBytes) const;
 
@@ -109,6 +111,9 @@
   OrderedMutex m_mutex{ LockLevel::Session };
   Stage m_stage ABSL_GUARDED_BY(m_mutex) = Stage::Preparing;
   Download m_download ABSL_GUARDED_BY(m_mutex);
+  std::shared_ptr<Sha256Stream> m_stream ABSL_GUARDED_BY(m_mutex);
+  std::uint32_t m_checked ABSL_GUARDED_BY(m_mutex) = 0; // chunks in m_stream
+  bool m_reading ABSL_GUARDED_BY(m_mutex) = false;
   std::string m_content ABSL_GUARDED_BY(m_mutex);
   std::string m_problem ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_originBytes ABSL_GUARDED_BY(m_mutex) = 0;
