Turns of failing VMs are taken over while the rest flows

News of a lost peer, and of chunks that a place may not take, counted as gains and held the takeover back; one VM took over a whole turn; a taken turn was given back as soon as any of its chunks was seen anywhere; failing peers kept half the window. Change: gains count by turn, from peers that aren't lost; a turn is shared out by chunk among the others; it is given back when one of the chunks taken over is drawn elsewhere; two failures in a row make a peer lost, and a lost peer is asked for one chunk when nothing else is left; chunks that are late are asked of a second peer; after a change of turns peers are asked before anything is drawn. Where each copy counts, one chunk may be untaken by peers, not a window.

--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -136,7 +136,7 @@
 struct WeightsSettings
 {
   std::string m_storeUrl;
-  std::uint32_t m_window = 4;             // chunks in memory at once
+  std::uint32_t m_window = 8;             // chunks in memory at once
   std::uint32_t m_uploadSlots = 4;        // chunks served to peers at once
   std::uint64_t m_linkBytesPerSecond = 0; // 0: not shaped by the agent
   std::chrono::milliseconds m_chunkTimeout{ 5000 };
--- a/src/rollout/download.cpp
+++ b/src/rollout/download.cpp
@@ -12,9 +12,13 @@
 constexpr std::chrono::milliseconds kLongestAvoid{ 8000 };
 constexpr std::chrono::milliseconds kBusyAvoid{ 30 };
 constexpr std::chrono::milliseconds kShortestTimeout{ 1000 };
+constexpr std::chrono::milliseconds kSettle{ 250 }; // after turns have changed
 constexpr int kTimeoutLatencies = 10;
+constexpr int kLateLatencies = 3; // until a chunk is asked for again
+constexpr std::chrono::milliseconds kLeastLate{ 200 };
+constexpr int kPollsALatency = 2;
 constexpr int kSmoothing = 8;
-constexpr std::uint32_t kLostFailures = 3; // in a row
+constexpr std::uint32_t kLostFailures = 2; // in a row
 constexpr std::ptrdiff_t kRefusals = 2;    // peers that need to agree
 
 std::chrono::nanoseconds
@@ -75,11 +79,17 @@
   m_view.m_peers = std::move(views);
   m_peers = std::move(states);
   CountAll();
-  m_view.m_turns = aTurns;
-  m_view.m_turns.m_fleetCount = std::max(1U, aTurns.m_fleetCount);
-  m_view.m_turns.m_placeCount = std::max(1U, aTurns.m_placeCount);
+  auto turns = aTurns;
+  turns.m_fleetCount = std::max(1U, aTurns.m_fleetCount);
+  turns.m_placeCount = std::max(1U, aTurns.m_placeCount);
+  if (!m_turnGains.empty() && !(turns == m_view.m_turns)) {
+    Settle(aNow);
+  }
+  m_view.m_turns = turns;
   m_allowOrigin = aAllowOrigin;
   m_lastGain = aNow;
+  m_turnGains.assign(OriginTurns(turns), aNow);
+  m_crossGains.assign(turns.m_placeCount, aNow);
 }
 
 void
@@ -87,7 +97,69 @@
 {
   m_view.m_have.Add(aChunk);
   m_view.m_wanted.Remove(aChunk);
+  NoteGain(aChunk, true, aNow);
+}
+
+// Turns that change in mid-flight: what peers have drawn under the old ones is
+// asked first, so that it isn't drawn again.
+void
+Download::Settle(MonotonicTime aNow)
+{
+  m_drawAfter = aNow + kSettle;
+  for (auto& [vm, state] : m_peers) {
+    state.m_pollAt = aNow;
+  }
+}
+
+// After a time in which nothing came, every turn is given its time anew.
+void
+Download::NoteGain(std::uint32_t aChunk, bool aInPlace, MonotonicTime aNow)
+{
+  if (m_turnGains.empty()) {
+    m_lastGain = aNow;
+    return;
+  }
+  if (aNow - m_lastGain >= m_limits.m_takeoverAfter) {
+    std::fill(m_turnGains.begin(), m_turnGains.end(), aNow);
+    std::fill(m_crossGains.begin(), m_crossGains.end(), aNow);
+  }
   m_lastGain = aNow;
+  m_turnGains[aChunk % m_turnGains.size()] = aNow;
+  if (aInPlace) {
+    m_crossGains[aChunk % m_crossGains.size()] = aNow;
+  }
+}
+
+bool
+Download::MayTake(const PeerView& aPeer) const
+{
+  return !aPeer.m_lost &&
+         (aPeer.m_samePlace || !m_view.m_turns.m_originByPlace);
+}
+
+void
+Download::RefreshStarved(MonotonicTime aNow)
+{
+  m_view.m_starved = aNow - m_lastGain;
+  m_view.m_turnStarved.clear();
+  m_view.m_crossStarved.clear();
+  const auto inPlace =
+    std::count_if(m_view.m_peers.begin(),
+                  m_view.m_peers.end(),
+                  [](const auto& aPeer) { return aPeer.m_samePlace; });
+  const auto& turns = m_view.m_turns;
+  const auto known = turns.m_originByPlace ? static_cast<std::size_t>(inPlace)
+                                           : m_view.m_peers.size();
+  if (known + 1 >= OriginTurns(turns)) {
+    for (const auto gain : m_turnGains) {
+      m_view.m_turnStarved.push_back(aNow - gain);
+    }
+  }
+  if (inPlace + 1 >= static_cast<std::ptrdiff_t>(turns.m_placeCount)) {
+    for (const auto gain : m_crossGains) {
+      m_view.m_crossStarved.push_back(aNow - gain);
+    }
+  }
 }
 
 void
@@ -102,11 +174,11 @@
 Download::Next(MonotonicTime aNow)
 {
   std::vector<Pull> pulls;
-  if (m_view.m_wanted.Count() == 0) {
+  if (Complete()) {
     return pulls;
   }
   RefreshUsable(aNow);
-  m_view.m_starved = aNow - m_lastGain;
+  RefreshStarved(aNow);
   m_view.m_unshared = Unshared();
   while (m_pulls.size() < m_limits.m_window) {
     const auto choice = m_policy->Next(m_view, m_random);
@@ -115,14 +187,73 @@
     }
     pulls.push_back(StartPull(*choice, aNow));
   }
+  AskAgain(pulls, aNow);
   return pulls;
 }
 
+// Slots that are left ask a second peer for what the first hasn't sent in time.
+void
+Download::AskAgain(std::vector<Pull>& aPulls, MonotonicTime aNow)
+{
+  const auto late =
+    std::max(std::chrono::nanoseconds(kLeastLate), m_latency * kLateLatencies);
+  std::vector<std::uint32_t> chunks;
+  for (auto& [id, pull] : m_pulls) {
+    const bool asked = !pull.m_vm.empty() && !pull.m_again;
+    if (asked && aNow - pull.m_start >= late) {
+      chunks.push_back(pull.m_chunk);
+    }
+  }
+  for (const auto chunk : chunks) {
+    if (m_pulls.size() >= m_limits.m_window) {
+      return;
+    }
+    if (const auto peer = SecondHolder(chunk)) {
+      for (auto& [id, pull] : m_pulls) {
+        pull.m_again = pull.m_again || pull.m_chunk == chunk;
+      }
+      aPulls.push_back(StartPull({ chunk, peer }, aNow));
+      m_pulls[aPulls.back().m_id].m_again = true;
+    }
+  }
+}
+
+std::optional<std::size_t>
+Download::SecondHolder(std::uint32_t aChunk) const
+{
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < m_view.m_peers.size(); ++i) {
+    const auto& peer = m_view.m_peers[i];
+    const bool asked =
+      std::any_of(m_pulls.begin(), m_pulls.end(), [&](const auto& aPull) {
+        return aPull.second.m_chunk == aChunk &&
+               aPull.second.m_vm == peer.m_info.m_vm;
+      });
+    if (asked || !peer.m_usable || peer.m_lost || !peer.m_samePlace ||
+        !peer.m_have.Has(aChunk)) {
+      continue;
+    }
+    if (!best || peer.m_inFlight < m_view.m_peers[*best].m_inFlight) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+bool
+Download::IsAsked(std::uint32_t aChunk) const
+{
+  return std::any_of(m_pulls.begin(), m_pulls.end(), [&](const auto& aPull) {
+    return aPull.second.m_chunk == aChunk;
+  });
+}
+
 Pull
 Download::StartPull(const ChunkChoice& aChoice, MonotonicTime aNow)
 {
-  SISKINDEAL_INVARIANT(m_view.m_wanted.Has(aChoice.m_chunk),
-                       "a chunk is asked for once at a time");
+  SISKINDEAL_INVARIANT(m_view.m_wanted.Has(aChoice.m_chunk) ||
+                         (aChoice.m_peer && IsAsked(aChoice.m_chunk)),
+                       "a chunk is drawn from the origin once at a time");
   Pull pull{ ++m_lastPull, aChoice.m_chunk, std::nullopt, PullTimeout() };
   PullState state{ aChoice.m_chunk, "", aNow };
   if (aChoice.m_peer) {
@@ -179,7 +310,7 @@
 Download::Failed(std::uint64_t aPull, PullFailure aFailure, MonotonicTime aNow)
 {
   const auto state = Take(aPull);
-  if (!m_view.m_have.Has(state.m_chunk)) {
+  if (!m_view.m_have.Has(state.m_chunk) && !IsAsked(state.m_chunk)) {
     m_view.m_wanted.Add(state.m_chunk);
   }
   if (state.m_vm.empty()) {
@@ -309,8 +440,9 @@
   }
   auto have = ChunkSet::FromBytes(aHave, m_manifest.ChunkCount());
   have.ForEach([&](std::uint32_t aChunk) {
-    if (!peer->m_have.Has(aChunk) && !m_view.m_have.Has(aChunk)) {
-      m_lastGain = aNow;
+    if (MayTake(*peer) && !peer->m_have.Has(aChunk) &&
+        !m_view.m_have.Has(aChunk)) {
+      NoteGain(aChunk, peer->m_samePlace, aNow);
     }
   });
   m_drawn.erase(std::remove_if(m_drawn.begin(),
@@ -378,6 +510,7 @@
 Download::RefreshUsable(MonotonicTime aNow)
 {
   m_view.m_originUsable = m_allowOrigin && aNow >= m_origin.m_avoidUntil;
+  m_view.m_settling = aNow < m_drawAfter;
   for (auto& peer : m_view.m_peers) {
     const auto& state = m_peers[peer.m_info.m_vm];
     peer.m_usable = !state.m_corrupt && aNow >= state.m_avoidUntil;
@@ -405,7 +538,7 @@
 std::chrono::nanoseconds
 Download::PollPeriod() const
 {
-  return std::clamp(std::chrono::nanoseconds(m_latency),
+  return std::clamp(std::chrono::nanoseconds(m_latency / kPollsALatency),
                     std::chrono::nanoseconds(m_limits.m_shortestPoll),
                     std::chrono::nanoseconds(m_limits.m_longestPoll));
 }
--- a/src/rollout/download_p.h
+++ b/src/rollout/download_p.h
@@ -97,6 +97,7 @@
     std::uint32_t m_chunk = 0;
     std::string m_vm; // empty: the origin
     MonotonicTime m_start;
+    bool m_again = false; // another peer was asked as well
   };
 
   struct PeerState
@@ -116,8 +117,15 @@
   void Judge(PeerView& aPeer);
   void Avoid(PeerState& aState, MonotonicTime aNow);
   PullState Take(std::uint64_t aPull);
+  void AskAgain(std::vector<Pull>& aPulls, MonotonicTime aNow);
+  std::optional<std::size_t> SecondHolder(std::uint32_t aChunk) const;
+  bool IsAsked(std::uint32_t aChunk) const;
   Pull StartPull(const ChunkChoice& aChoice, MonotonicTime aNow);
   std::uint32_t Unshared() const;
+  bool MayTake(const PeerView& aPeer) const;
+  void Settle(MonotonicTime aNow);
+  void NoteGain(std::uint32_t aChunk, bool aInPlace, MonotonicTime aNow);
+  void RefreshStarved(MonotonicTime aNow);
   std::chrono::milliseconds PullTimeout() const;
   std::chrono::nanoseconds PollPeriod() const;
 
@@ -133,6 +141,9 @@
   std::uint64_t m_lastPull = 0;
   std::vector<std::uint32_t> m_drawn; // from the origin, seen at no peer yet
   MonotonicTime m_lastGain;
+  std::vector<MonotonicTime> m_turnGains;  // by turn at the origin
+  std::vector<MonotonicTime> m_crossGains; // by turn of the place
+  MonotonicTime m_drawAfter;
   std::chrono::nanoseconds m_latency{ 0 }; // of any chunk, smoothed
 };
 
--- a/src/rollout/policy_p.h
+++ b/src/rollout/policy_p.h
@@ -31,8 +31,23 @@
   std::uint32_t m_placeIndex = 0;
   std::uint32_t m_placeCount = 1;
   bool m_originByPlace = false;
+
+  bool operator==(const ChunkTurns&) const = default;
 };
 
+// How many VMs take turns at the origin, and which turn is this VM's.
+inline std::uint32_t
+OriginTurns(const ChunkTurns& aTurns)
+{
+  return aTurns.m_originByPlace ? aTurns.m_placeCount : aTurns.m_fleetCount;
+}
+
+inline std::uint32_t
+OriginTurn(const ChunkTurns& aTurns)
+{
+  return aTurns.m_originByPlace ? aTurns.m_placeIndex : aTurns.m_fleetIndex;
+}
+
 // What a download knows of a peer.
 struct PeerView
 {
@@ -67,11 +82,16 @@
   std::vector<ChunkHolders> m_holders; // by chunk
   ChunkTurns m_turns;
   bool m_originUsable = false;
-  bool m_refused = false; // peers take nothing from this VM
+  bool m_settling = false; // turns have just changed
+  bool m_refused = false;  // peers take nothing from this VM
   std::uint32_t m_originInFlight = 0;
   std::uint32_t m_unshared = 0; // drawn from the origin, seen at no peer yet
   std::uint32_t m_window = 0;
   std::chrono::nanoseconds m_starved{ 0 }; // since anything last came to hand
+  // By turn, since a chunk of the turn last came to hand, and since one last
+  // came to the place; empty where not all VMs that have turns are peers.
+  std::vector<std::chrono::nanoseconds> m_turnStarved;
+  std::vector<std::chrono::nanoseconds> m_crossStarved;
   std::chrono::nanoseconds m_takeoverAfter{ 0 };
 };
 
--- a/src/rollout/swarm.cpp
+++ b/src/rollout/swarm.cpp
@@ -1,7 +1,10 @@
 #include "rollout/policy_p.h"
 
 #include <algorithm>
+#include <compare>
+#include <map>
 #include <set>
+#include <vector>
 
 namespace siskindeal {
 
@@ -12,13 +15,38 @@
 // Of takeover periods without a gain, after which a VM draws ahead of its
 // peers.
 constexpr int kPatience = 4;
+constexpr int kRefusedPatience = 16; // of a VM whose chunks peers refuse
+constexpr double kLostCost = 1000;   // against a peer that isn't lost
+// Chunks drawn and taken by no peer yet, where each copy from the origin
+// counts: a VM that fails then takes at most these with it.
+constexpr std::uint32_t kMostUnshared = 1;
 
+// Of the window, from one peer.
 std::uint32_t
-Share(std::uint32_t aWindow)
+MostFromPeer(std::uint32_t aWindow)
 {
   return std::max(1U, aWindow / 2);
 }
 
+// Of the window, from the origin. The origin is shared by all: more at once
+// only make each wait longer and take slots from peers' chunks.
+std::uint32_t
+MostFromOrigin(std::uint32_t aWindow)
+{
+  return std::max(1U, aWindow / 4);
+}
+
+// What a VM takes of one turn, at the origin or of its place.
+struct Share
+{
+  std::uint32_t m_turn = 0;
+  std::uint32_t m_rank = 0; // 0: the turn is its own
+
+  auto operator<=>(const Share&) const = default;
+};
+
+using Chunks = std::set<std::uint32_t>;
+
 // Whether a peer holds or draws the chunk, so that this VM needn't draw it.
 bool
 IsKnown(const DownloadView& aView, std::uint32_t aChunk)
@@ -29,7 +57,8 @@
   return inPlace || (elsewhere && !aView.m_turns.m_originByPlace);
 }
 
-// The usable holder that is expected to answer first.
+// The usable holder that is expected to answer first. A lost peer is asked for
+// one chunk at a time, and only where no other holds it.
 std::optional<std::size_t>
 BestHolder(const DownloadView& aView,
            std::uint32_t aChunk,
@@ -40,13 +69,15 @@
   double bestCost = 0;
   for (std::size_t i = 0; i < aView.m_peers.size(); ++i) {
     const auto& peer = aView.m_peers[i];
+    const auto most = peer.m_lost ? 1 : MostFromPeer(aView.m_window);
     if (!peer.m_usable || peer.m_samePlace != aSamePlace ||
-        !peer.m_have.Has(aChunk) || peer.m_inFlight >= Share(aView.m_window)) {
+        !peer.m_have.Has(aChunk) || peer.m_inFlight >= most) {
       continue;
     }
     const auto latency =
       std::chrono::duration<double>(peer.m_latency).count() + 1e-3;
-    const auto cost = latency * (1 + peer.m_inFlight) * (0.5 + aRandom.Unit());
+    const auto cost = latency * (1 + peer.m_inFlight) * (0.5 + aRandom.Unit()) *
+                      (peer.m_lost ? kLostCost : 1);
     if (!best || cost < bestCost) {
       best = i;
       bestCost = cost;
@@ -77,105 +108,156 @@
     if (auto choice = FromPlace(aView, aRandom)) {
       return choice;
     }
-    return TakeOver(aView, aRandom);
+    return FromLost(aView, aRandom);
   }
 
 private:
   static bool MayDraw(const DownloadView& aView)
   {
-    return aView.m_originUsable &&
-           aView.m_originInFlight < Share(aView.m_window);
+    return aView.m_originUsable && !aView.m_settling &&
+           aView.m_originInFlight < MostFromOrigin(aView.m_window);
   }
 
   // What no peer has taken yet would be drawn again if this VM failed.
   static bool DrawsAhead(const DownloadView& aView)
   {
+    const auto most = aView.m_turns.m_originByPlace
+                        ? aView.m_window
+                        : std::min(aView.m_window, kMostUnshared);
     const bool ahead =
-      aView.m_refused ||
-      aView.m_unshared + aView.m_originInFlight >= aView.m_window;
-    return ahead && aView.m_starved < aView.m_takeoverAfter * kPatience;
+      aView.m_refused || aView.m_unshared + aView.m_originInFlight >= most;
+    const auto patience = aView.m_refused ? kRefusedPatience : kPatience;
+    return ahead && aView.m_starved < aView.m_takeoverAfter * patience;
   }
 
-  static bool AnyKnown(const DownloadView& aView,
-                       std::uint32_t aTurn,
-                       std::uint32_t aCount)
+  // The VMs after the one whose turn a chunk is take over by rank, 1 first; the
+  // ranks differ from chunk to chunk, so that all share in it. 0 is the turn's
+  // own VM.
+  static std::uint32_t Rank(std::uint32_t aChunk,
+                            std::uint32_t aIndex,
+                            std::uint32_t aCount)
   {
-    for (auto chunk = aTurn; chunk < aView.m_wanted.Size(); chunk += aCount) {
-      if (aView.m_wanted.Has(chunk) && IsKnown(aView, chunk)) {
-        return true;
-      }
+    const auto distance = (aIndex + aCount - aChunk % aCount) % aCount;
+    if (distance == 0) {
+      return 0;
     }
-    return false;
+    return 1 + (distance - 1 + aChunk / aCount) % (aCount - 1);
   }
 
-  // Whose turns this VM has: its own, and those of VMs it has taken over from.
-  static std::uint32_t OriginTurns(const ChunkTurns& aTurns)
+  static std::optional<ChunkChoice> DrawOwn(const DownloadView& aView)
   {
-    return aTurns.m_originByPlace ? aTurns.m_placeCount : aTurns.m_fleetCount;
+    const auto count = OriginTurns(aView.m_turns);
+    for (auto chunk = OriginTurn(aView.m_turns); chunk < aView.m_wanted.Size();
+         chunk += count) {
+      if (aView.m_wanted.Has(chunk) && !IsKnown(aView, chunk)) {
+        return ChunkChoice{ chunk, std::nullopt };
+      }
+    }
+    return std::nullopt;
   }
 
-  static std::uint32_t OriginTurn(const ChunkTurns& aTurns)
+  // Whether another VM came to hold or draw a chunk that was taken over.
+  static bool OtherDraws(const DownloadView& aView, const Chunks& aTaken)
   {
-    return aTurns.m_originByPlace ? aTurns.m_placeIndex : aTurns.m_fleetIndex;
+    return std::any_of(aTaken.begin(), aTaken.end(), [&](auto aChunk) {
+      return aView.m_wanted.Has(aChunk) && IsKnown(aView, aChunk);
+    });
   }
 
   std::optional<ChunkChoice> FromOrigin(const DownloadView& aView)
   {
+    if (!(m_turns == aView.m_turns)) {
+      m_turns = aView.m_turns;
+      m_takenOver.clear();
+      m_takenOverInPlace.clear();
+    }
     if (!MayDraw(aView) || DrawsAhead(aView)) {
       return std::nullopt;
     }
-    const auto count = OriginTurns(aView.m_turns);
-    if (auto choice = DrawTurn(aView, OriginTurn(aView.m_turns), count)) {
+    if (auto choice = DrawOwn(aView)) {
       return choice;
     }
-    std::erase_if(m_takenOver, [&](auto aTurn) {
-      return AnyKnown(aView, aTurn, count); // someone else draws there
+    std::erase_if(m_takenOver, [&](const auto& aShare) {
+      return OtherDraws(aView, aShare.second);
     });
-    for (const auto turn : m_takenOver) {
-      if (auto choice = DrawTurn(aView, turn, count)) {
-        return choice;
+    for (auto& [share, chunks] : m_takenOver) {
+      const auto due = Due(aView, share);
+      chunks.insert(due.begin(), due.end());
+      if (!due.empty()) {
+        return ChunkChoice{ due.front(), std::nullopt };
       }
     }
-    return std::nullopt;
+    return TakeOverTurn(aView);
   }
 
-  static std::optional<ChunkChoice> DrawTurn(const DownloadView& aView,
-                                             std::uint32_t aTurn,
-                                             std::uint32_t aCount)
+  // Draws what is due at the origin by VMs from which nothing has come.
+  std::optional<ChunkChoice> TakeOverTurn(const DownloadView& aView)
   {
-    for (auto chunk = aTurn; chunk < aView.m_wanted.Size(); chunk += aCount) {
-      if (aView.m_wanted.Has(chunk) && !IsKnown(aView, chunk)) {
-        return ChunkChoice{ chunk, std::nullopt };
+    const auto count = OriginTurns(aView.m_turns);
+    for (std::uint32_t turn = 0; turn < count; ++turn) {
+      const auto starved = aView.m_turnStarved.empty()
+                             ? aView.m_starved
+                             : aView.m_turnStarved[turn];
+      const auto ranks = starved / aView.m_takeoverAfter;
+      for (std::uint32_t rank = 1; rank < count && rank <= ranks; ++rank) {
+        const auto due = Due(aView, { turn, rank });
+        if (!due.empty()) {
+          const auto first = due.front();
+          m_takenOver[{ turn, rank }] = { due.begin(), due.end() };
+          return ChunkChoice{ first, std::nullopt };
+        }
       }
     }
     return std::nullopt;
   }
 
+  // What nobody holds or draws of a share.
+  static std::vector<std::uint32_t> Due(const DownloadView& aView,
+                                        const Share& aShare)
+  {
+    const auto count = OriginTurns(aView.m_turns);
+    const auto index = OriginTurn(aView.m_turns);
+    std::vector<std::uint32_t> due;
+    for (auto chunk = aShare.m_turn; chunk < aView.m_wanted.Size();
+         chunk += count) {
+      if (aView.m_wanted.Has(chunk) && !IsKnown(aView, chunk) &&
+          Rank(chunk, index, count) == aShare.m_rank) {
+        due.push_back(chunk);
+      }
+    }
+    return due;
+  }
+
   std::optional<ChunkChoice> FromElsewhere(const DownloadView& aView,
-                                           Random& aRandom) const
+                                           Random& aRandom)
   {
     if (aView.m_turns.m_originByPlace && aView.m_originUsable) {
       return std::nullopt;
     }
-    if (auto choice = CrossTurn(aView, aView.m_turns.m_placeIndex, aRandom)) {
+    if (auto choice =
+          Cross(aView, { aView.m_turns.m_placeIndex, 0 }, aRandom)) {
       return choice;
     }
-    for (const auto turn : m_takenOverInPlace) {
-      if (auto choice = CrossTurn(aView, turn, aRandom)) {
+    for (const auto& share : m_takenOverInPlace) {
+      if (auto choice = Cross(aView, share, aRandom)) {
         return choice;
       }
     }
-    return std::nullopt;
+    return TakeOverCrossing(aView, aRandom);
   }
 
-  static std::optional<ChunkChoice> CrossTurn(const DownloadView& aView,
-                                              std::uint32_t aTurn,
-                                              Random& aRandom)
+  // Of a share in the crossings into this VM's place.
+  static std::optional<ChunkChoice> Cross(const DownloadView& aView,
+                                          const Share& aShare,
+                                          Random& aRandom)
   {
-    for (auto chunk = aTurn; chunk < aView.m_wanted.Size();
-         chunk += aView.m_turns.m_placeCount) {
+    const auto count = aView.m_turns.m_placeCount;
+    const auto index = aView.m_turns.m_placeIndex;
+    for (auto chunk = aShare.m_turn; chunk < aView.m_wanted.Size();
+         chunk += count) {
       if (!aView.m_wanted.Has(chunk) ||
-          aView.m_holders[chunk].m_samePlace > 0) {
+          aView.m_holders[chunk].m_samePlace > 0 ||
+          Rank(chunk, index, count) != aShare.m_rank) {
         continue;
       }
       if (const auto peer = BestHolder(aView, chunk, false, aRandom)) {
@@ -185,6 +267,26 @@
     return std::nullopt;
   }
 
+  // Crosses for VMs of the place from which nothing has come.
+  std::optional<ChunkChoice> TakeOverCrossing(const DownloadView& aView,
+                                              Random& aRandom)
+  {
+    const auto count = aView.m_turns.m_placeCount;
+    for (std::uint32_t turn = 0; turn < count; ++turn) {
+      const auto starved = aView.m_crossStarved.empty()
+                             ? aView.m_starved
+                             : aView.m_crossStarved[turn];
+      const auto ranks = starved / aView.m_takeoverAfter;
+      for (std::uint32_t rank = 1; rank < count && rank <= ranks; ++rank) {
+        if (auto choice = Cross(aView, { turn, rank }, aRandom)) {
+          m_takenOverInPlace.insert({ turn, rank });
+          return choice;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
   static std::optional<ChunkChoice> FromPlace(const DownloadView& aView,
                                               Random& aRandom)
   {
@@ -212,49 +314,30 @@
     return best;
   }
 
-  // The further a VM's index is behind the one whose turn it is, the longer it
-  // waits, so that few take over at once.
-  static bool MayTakeOver(const DownloadView& aView,
-                          std::uint32_t aChunk,
-                          std::uint32_t aIndex,
-                          std::uint32_t aCount)
-  {
-    const auto rank = (aIndex + aCount - aChunk % aCount) % aCount;
-    return aView.m_starved >= aView.m_takeoverAfter * std::max(1U, rank);
-  }
-
-  std::optional<ChunkChoice> TakeOver(const DownloadView& aView,
-                                      Random& aRandom)
+  // Nothing else is left to ask for: a peer that failed may have recovered.
+  static std::optional<ChunkChoice> FromLost(const DownloadView& aView,
+                                             Random& aRandom)
   {
-    if (aView.m_starved < aView.m_takeoverAfter) {
-      return std::nullopt;
-    }
-    const auto& turns = aView.m_turns;
-    const auto count = OriginTurns(turns);
-    for (std::uint32_t chunk = 0; chunk < aView.m_wanted.Size(); ++chunk) {
+    const bool any = std::any_of(
+      aView.m_peers.begin(), aView.m_peers.end(), [](const auto& aPeer) {
+        return aPeer.m_lost && aPeer.m_usable && aPeer.m_samePlace &&
+               aPeer.m_inFlight == 0;
+      });
+    for (std::uint32_t chunk = 0; any && chunk < aView.m_wanted.Size();
+         ++chunk) {
       if (!aView.m_wanted.Has(chunk)) {
         continue;
       }
-      if (aView.m_holders[chunk].m_samePlace > 0) {
-        continue;
-      }
-      const auto peer = BestHolder(aView, chunk, false, aRandom);
-      if (peer &&
-          MayTakeOver(aView, chunk, turns.m_placeIndex, turns.m_placeCount)) {
-        m_takenOverInPlace.insert(chunk % turns.m_placeCount);
+      if (const auto peer = BestHolder(aView, chunk, true, aRandom)) {
         return ChunkChoice{ chunk, peer };
       }
-      if (!IsKnown(aView, chunk) && MayDraw(aView) && !DrawsAhead(aView) &&
-          MayTakeOver(aView, chunk, OriginTurn(turns), count)) {
-        m_takenOver.insert(chunk % count);
-        return ChunkChoice{ chunk, std::nullopt };
-      }
     }
     return std::nullopt;
   }
 
-  std::set<std::uint32_t> m_takenOver;        // turns at the origin
-  std::set<std::uint32_t> m_takenOverInPlace; // turns to cross
+  ChunkTurns m_turns;                  // of the last choice
+  std::map<Share, Chunks> m_takenOver; // at the origin
+  std::set<Share> m_takenOverInPlace;  // of the crossings
 };
 
 const Registration<RolloutPolicy> kRegistered("swarm", [] {
--- a/tests/weights_agent_test.cpp
+++ b/tests/weights_agent_test.cpp
@@ -207,6 +207,30 @@
   }
 }
 
+// What a place hears of chunks that it can't take doesn't hold a takeover back.
+TEST(WeightsAgent, TurnsOfAFailingVmAreTakenOverWhileTheRestFlows)
+{
+  for (const bool corrupts : { false, true }) {
+    for (const bool byPlace : { false, true }) {
+      SCOPED_TRACE(std::string(corrupts ? "corrupt" : "stalled") +
+                   (byPlace ? " by place" : ""));
+      Fleet fleet(13, 12);
+      fleet.m_world.m_originByPlace = byPlace;
+      fleet.OrderAll(7);
+      fleet.m_world.RunFor(std::chrono::milliseconds(60));
+      auto& broken =
+        corrupts ? fleet.m_world.m_corrupt : fleet.m_world.m_stalled;
+      broken = { fleet.m_vms[1] };
+      const auto start = fleet.m_world.m_clock.Now();
+      ASSERT_TRUE(
+        fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+      const auto took = fleet.m_world.m_clock.Now() - start;
+      EXPECT_LE(took, std::chrono::seconds(byPlace ? 6 : 10)); // given clock
+      EXPECT_LE(fleet.OriginCopies(), byPlace ? 3.5 : 1.05);
+    }
+  }
+}
+
 TEST(WeightsAgent, AnEngineThatLoadsOtherBytesNeverServes)
 {
   Fleet fleet(4, 3);
@@ -272,6 +296,80 @@
     kHangGuard));
 }
 
+TEST(WeightsAgent, WhatARestartedEngineLostIsListedNoMore)
+{
+  Fleet fleet(9, 3);
+  fleet.m_world.m_loadWhenStaged = false;
+  fleet.OrderAll(7);
+  const auto vm = fleet.m_vms[0];
+  const auto staged = [&] {
+    return fleet.m_world.RecordOf(vm).staged_digests_size();
+  };
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return staged() == 1; }, kHangGuard));
+  fleet.m_world.EngineOf(vm) = {};
+  // A token that is kept right afterwards hides nothing.
+  fleet.m_world.Agent(vm).ObserveFencingToken("other", 1);
+  EXPECT_TRUE(
+    fleet.m_world.RunUntil([&] { return staged() == 0; }, kHangGuard));
+  fleet.m_world.m_loadWhenStaged = true;
+  fleet.OrderAll(7);
+  EXPECT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  EXPECT_EQ(fleet.m_world.RecordOf(vm).fencing_token(), 7);
+}
+
+// A request of before an engine's restart ends while the weights serve again.
+TEST(WeightsAgent, ALateRequestDoesNotCountAgainstWeightsLoadedAnew)
+{
+  Fleet fleet(10, 3);
+  const auto vm = fleet.m_vms[0];
+  const auto digest = fleet.m_manifest.Digest();
+  fleet.OrderAll(7);
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  auto late = fleet.m_world.Agent(vm).Use(digest);
+  fleet.m_world.EngineOf(vm) = {};
+  ASSERT_TRUE(fleet.m_world.RunUntil(
+    [&] { return !fleet.m_world.Agent(vm).IsServing(digest); }, kHangGuard));
+  fleet.m_world.RunFor(std::chrono::seconds(5));
+  fleet.OrderAll(7);
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  late.reset();
+  wire::OrderRequest unload;
+  unload.set_shard("s");
+  unload.set_fencing_token(7);
+  unload.mutable_unload()->set_digest(digest);
+  EXPECT_TRUE(fleet.m_world.Order(vm, unload).accepted());
+  EXPECT_TRUE(fleet.m_world.RunUntil(
+    [&] { return fleet.m_world.EngineOf(vm).m_loaded.count(digest) == 0; },
+    kHangGuard));
+}
+
+// A peer's request finds a staged chunk gone while the weights serve.
+TEST(WeightsAgent, WeightsServeOnWhileALostChunkIsFetchedAgain)
+{
+  Fleet fleet(12, 3);
+  fleet.OrderAll(7);
+  ASSERT_TRUE(
+    fleet.m_world.RunUntil([&] { return fleet.AllServe(); }, kHangGuard));
+  const auto vm = fleet.m_vms[0];
+  const auto digest = fleet.m_manifest.Digest();
+  auto& staged = fleet.m_world.EngineOf(vm).m_staging[digest];
+  staged.erase(5);
+  wire::ChunkRequest request;
+  request.set_digest(digest);
+  request.set_index(5);
+  fleet.m_world.Agent(vm).OnChunk(request, [](const wire::ChunkReply&) {});
+  ASSERT_TRUE(fleet.m_world.RunUntil(
+    [&] { return fleet.m_world.RecordOf(vm).staged_digests_size() == 0; },
+    kHangGuard));
+  EXPECT_NE(fleet.m_world.Agent(vm).Use(digest), nullptr);
+  EXPECT_TRUE(
+    fleet.m_world.RunUntil([&] { return staged.count(5) == 1; }, kHangGuard));
+}
+
 TEST(WeightsAgent, AnAdapterLoadsOnlyOnItsPinnedBase)
 {
   Fleet fleet(8, 3);
