--- a/bench/rollout_bench.cpp
+++ b/bench/rollout_bench.cpp
@@ -2,6 +2,7 @@
 // with and without faults.
 
 #include "siskindeal/log.h"
+#include "support/agent_memory.h"
 #include "support/rollout_run.h"
 #include "support/rows.h"
 
@@ -104,5 +105,9 @@
       bench::Report(each, bench::RunRollout(each, bytes));
     }
   }
+  if (names.empty() ||
+      std::find(names.begin(), names.end(), "memory") != names.end()) {
+    bench::MeasureAgentMemory();
+  }
   return 0;
 }
--- a/src/rollout/swarm.cpp
+++ b/src/rollout/swarm.cpp
@@ -1,9 +1,9 @@
 #include "rollout/policy_p.h"
 
 #include <algorithm>
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace siskindeal {
@@ -42,7 +42,10 @@
   std::uint32_t m_turn = 0;
   std::uint32_t m_rank = 0; // 0: the turn is its own
 
-  auto operator<=>(const Share&) const = default;
+  bool operator<(const Share& aOther) const
+  {
+    return std::tie(m_turn, m_rank) < std::tie(aOther.m_turn, aOther.m_rank);
+  }
 };
 
 using Chunks = std::set<std::uint32_t>;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -244,9 +244,11 @@
 }
 
 std::string
-Fleet::RollOut(const std::string& aRelease, std::size_t aBytes, int aVms)
+Fleet::RollOut(const std::string& aRelease,
+               std::size_t aBytes,
+               int aVms,
+               std::uint64_t aChunkBytes)
 {
-  constexpr std::uint64_t kChunkBytes = 64 << 10;
   Random random(StableHash(aRelease));
   std::string bytes(aBytes, '\0');
   for (auto& byte : bytes) {
@@ -254,7 +256,7 @@
   }
   auto content = Sha256Hex(bytes);
   m_store->PublishBytes(
-    aRelease, aRelease + ".bin", std::move(bytes), kChunkBytes);
+    aRelease, aRelease + ".bin", std::move(bytes), aChunkBytes);
   m_platform->SetObject("catalogue/booking chat",
                         R"({"release":")" + aRelease + R"(","adapter":false})");
   const auto vms = std::to_string(aVms);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -73,7 +73,8 @@
   // the SHA-256 of the weights.
   std::string RollOut(const std::string& aRelease,
                       std::size_t aBytes,
-                      int aVms);
+                      int aVms,
+                      std::uint64_t aChunkBytes = 64 << 10);
 
   const std::map<std::string, Vm>& Vms() const { return m_vms; }
   Vm& GetVm(const std::string& aName) { return m_vms.at(aName); }
