A VM that came to serve meanwhile doesn't change over by itself

A fetch order says that the VM loads by itself when it serves nothing; by the time the chunks were staged it served the release before. Change: an agent loads by itself only while nothing else than the base is loaded or about to be; what was loaded before a restart is still loaded again.

--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -24,7 +24,9 @@
     if (found != m_held.end()) {
       auto& held = found->second;
       const bool failing = held.m_attempts >= kLoadAttempts;
-      if ((held.m_loadWhenStaged || held.m_loadAgain) && !failing) {
+      const bool byItself =
+        held.m_loadWhenStaged && !ServesOther(aDigest, held);
+      if ((byItself || held.m_loadAgain) && !failing) {
         QueueLoad(held, aDigest);
       }
       held.m_loadAgain = false;
@@ -33,6 +35,18 @@
   RunNextOrder();
 }
 
+bool
+WeightsAgent::Impl::ServesOther(const std::string& aDigest,
+                                const Held& aHeld) const
+{
+  const auto& base = aHeld.m_session->GetManifest().m_baseDigest;
+  return std::any_of(m_held.begin(), m_held.end(), [&](const auto& aOther) {
+    const auto& [digest, held] = aOther;
+    return digest != aDigest && digest != base &&
+           held.m_load != LoadState::Idle;
+  });
+}
+
 void
 WeightsAgent::Impl::QueueLoad(Held& aHeld, const std::string& aDigest)
 {
--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -221,7 +221,7 @@
     held.m_loadWhenStaged = order.load_when_staged();
     held.m_touched = ++m_touches;
     m_current = digest;
-    if (held.m_loadWhenStaged &&
+    if (held.m_loadWhenStaged && !ServesOther(digest, held) &&
         session->CurrentStage() == WeightsSession::Stage::Staged) {
       QueueLoad(held, digest);
     }
--- a/src/agent/weights_agent_p.h
+++ b/src/agent/weights_agent_p.h
@@ -91,6 +91,10 @@
 
   // Engine orders.
   void OnStaged(const std::string& aDigest);
+  // Whether other weights than its base are loaded, or are about to be: then
+  // the planner says when this VM changes over.
+  bool ServesOther(const std::string& aDigest, const Held& aHeld) const
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void QueueLoad(Held& aHeld, const std::string& aDigest)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void RunNextOrder();
--- a/src/agent/weights_recovery.cpp
+++ b/src/agent/weights_recovery.cpp
@@ -140,6 +140,7 @@
         held.m_shard = aEntry.m_shard;
         held.m_token = self->m_tokens[aEntry.m_shard];
         held.m_loadWhenStaged = aEntry.m_loaded;
+        held.m_loadAgain = aEntry.m_loaded; // the engine may have it still
       }
       session->Start();
     });
