Chats of tests and benches are built and read in one place

The request, the reader of a stream's text and the waiting for its first bytes stood in the process test, twice there, and in the benches' callers. What the tests expect is unchanged; a stream that hasn't begun fails its test after its end, no longer at once, since the chat in progress must outlive it.

--- /dev/null
+++ b/tests/support/chat.cpp
@@ -0,0 +1,64 @@
+#include "support/chat.h"
+
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+
+namespace siskindeal {
+
+using nlohmann::json;
+
+HttpClientRequest
+ChatRequest(const std::string& aUrl,
+            const std::string& aPrompt,
+            int aTokens,
+            bool aStream)
+{
+  const json body = { { "model", "booking chat" },
+                      { "stream", aStream },
+                      { "max_tokens", aTokens },
+                      { "messages",
+                        { { { "role", "user" }, { "content", aPrompt } } } } };
+  return { "POST",
+           aUrl,
+           { { "content-type", "application/json" },
+             { "x-team", "pro-shops" } },
+           body.dump() };
+}
+
+std::string
+StreamText(const std::string& aEvents)
+{
+  constexpr std::string_view kData = "data: ";
+  std::string text;
+  std::istringstream lines(aEvents);
+  for (std::string line; std::getline(lines, line);) {
+    if (line == "data: [DONE]") {
+      text += "[DONE]";
+    } else if (line.rfind("data: {", 0) == 0) {
+      const auto event = json::parse(line.substr(kData.size()));
+      const auto choices = event.value("choices", json());
+      text += choices.empty() ? "" : choices[0]["delta"].value("content", "");
+    }
+  }
+  return text;
+}
+
+StreamedChat::StreamedChat(HttpClient& aClient, HttpClientRequest aRequest)
+{
+  aRequest.m_onBytes = [this](std::string_view aBytes) {
+    m_events += aBytes;
+    std::call_once(m_once, [this] { m_begun.set_value(); });
+    return true;
+  };
+  aClient.Start(std::move(aRequest),
+                [this](const HttpReply& aReply) { m_ended.set_value(aReply); });
+}
+
+bool
+StreamedChat::HasBegun(std::chrono::seconds aLongest)
+{
+  return m_begun.get_future().wait_for(aLongest) == std::future_status::ready;
+}
+
+} // namespace siskindeal
