--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -177,6 +177,44 @@
   DrainSettings m_drain;
 };
 
+// [gateway]: what a gateway has beside [node] and [platform].
+struct GatewayRoleSettings
+{
+  Address m_ready;     // where the platform asks whether it takes callers
+  Address m_directory; // where callers ask for addresses to connect to
+  std::map<std::string, std::string> m_regions; // of each place
+  std::chrono::milliseconds m_answerLifetime{ 1000 }; // of a directory answer
+  std::chrono::milliseconds m_revokeWithin{ 5000 };   // keys, from their removal
+  std::chrono::milliseconds m_versionWithin{ 8000 };  // weights, from their naming
+  double m_graceSeconds = 8;                          // from SIGTERM to SIGKILL
+  double m_retryRatio = 0.2; // further sends a request, over all gateways
+  double m_retryWindowSeconds = 10;
+  double m_retrySlack = 100; // further sends a window beside the ratio
+};
+
+struct GatewaySettings
+{
+  NodeSettings m_node;
+  PlatformSettings m_platform;
+  GatewayRoleSettings m_gateway;
+};
+
+// [stager]: what a stager has beside [node] and [platform].
+struct StagerRoleSettings
+{
+  Address m_runner;      // the model runner of this VM
+  std::string m_service; // that it belongs to
+  std::map<std::string, std::string> m_regions;      // of each place
+  std::chrono::milliseconds m_versionWithin{ 8000 }; // weights, from their naming
+};
+
+struct StagerSettings
+{
+  NodeSettings m_node;
+  PlatformSettings m_platform;
+  StagerRoleSettings m_stager;
+};
+
 // The operators' client: what [client] and [auth] of its file say.
 struct ClientSettings
 {
@@ -194,7 +232,7 @@
   std::string m_default; // empty: none
   std::string m_help;
   bool m_required = false;
-  std::string m_usedBy; // "entry", "agent", "client", with ", " between
+  std::string m_usedBy; // roles, "client", with ", " between
 };
 
 // Every key there is, in the manual's order.
@@ -209,12 +247,15 @@
   using std::runtime_error::runtime_error;
 };
 
-// Which of the three kinds of file one is, by its sections: [client] is in a
-// client's, [upstream] in an agent's. Throws SettingsError when it isn't TOML.
+// Which kind of file one is, by its sections: [client] is in a client's,
+// [upstream] in an agent's, [gateway] and [stager] in those of their roles.
+// Throws SettingsError when it isn't TOML.
 enum class SettingsKind
 {
   Entry,
   Agent,
+  Gateway,
+  Stager,
   Client,
 };
 SettingsKind
@@ -225,6 +266,10 @@
 ReadEntrySettings(const std::string& aFile);
 AgentSettings
 ReadAgentSettings(const std::string& aFile);
+GatewaySettings
+ReadGatewaySettings(const std::string& aFile);
+StagerSettings
+ReadStagerSettings(const std::string& aFile);
 ClientSettings
 ReadClientSettings(const std::string& aFile);
 
--- a/src/cli/config_check.cpp
+++ b/src/cli/config_check.cpp
@@ -98,6 +98,16 @@
     case SettingsKind::Agent:
       CheckAgent(aChecked, aListeners);
       break;
+    case SettingsKind::Gateway:
+      AddNode(ReadGatewaySettings(aChecked.m_file).m_node,
+              aChecked.m_file,
+              aListeners);
+      break;
+    case SettingsKind::Stager:
+      AddNode(ReadStagerSettings(aChecked.m_file).m_node,
+              aChecked.m_file,
+              aListeners);
+      break;
     case SettingsKind::Client:
       ReadClientSettings(aChecked.m_file);
       break;
@@ -112,6 +122,10 @@
       return "entry settings";
     case SettingsKind::Agent:
       return "agent settings";
+    case SettingsKind::Gateway:
+      return "gateway settings";
+    case SettingsKind::Stager:
+      return "stager settings";
     case SettingsKind::Client:
       return "client settings";
   }
--- /dev/null
+++ b/src/dispatch/placement_p.h
@@ -0,0 +1,77 @@
+#pragma once
+// Where a request goes, or that it is refused: by the predicted time to its
+// first byte at each runner. Pure: time and randomness are given.
+
+#include "dispatch/runner_table_p.h"
+#include "siskindeal/random.h"
+
+#include <set>
+#include <variant>
+
+namespace siskindeal {
+
+// What placing needs to know of a request.
+struct RequestShape
+{
+  std::string m_service;
+  std::string m_model; // empty: none
+  std::uint32_t m_promptTokens = 0;
+  std::chrono::milliseconds m_target{ 0 };   // to the first byte
+  std::chrono::milliseconds m_timeLeft{ 0 }; // until the caller gives up
+  bool m_cameBack = false;                   // refused before, or resumed
+  std::uint64_t m_leastVersion = 0;          // of the weights; 0: any
+};
+
+struct Placement
+{
+  std::string m_runner; // id
+  std::chrono::milliseconds m_predicted{ 0 };
+  RunnerLoad m_load; // of the runner, without this request
+};
+
+struct PlaceRefusal
+{
+  std::string m_reason;
+  std::chrono::milliseconds m_retryAfter{ 0 };
+  std::chrono::milliseconds m_predicted{ 0 }; // at the best runner; 0: none
+};
+
+using Decision = std::variant<Placement, PlaceRefusal>;
+
+class Placer
+{
+public:
+  Placer(std::string aPlace,
+         std::map<std::string, std::string> aRegions,
+         std::uint64_t aSeed)
+    : m_place(std::move(aPlace))
+    , m_regions(std::move(aRegions))
+    , m_random(aSeed)
+  {
+  }
+
+  // Chooses among the runners of the request's service, without those in
+  // aTried. aService may hold the engine's figures.
+  Decision Place(const RequestShape& aShape,
+                 const ServiceRecord& aService,
+                 RunnerTable& aRunners,
+                 const std::set<std::string>& aTried,
+                 MonotonicTime aNow);
+
+  // The predicted time to the first byte at one runner.
+  std::chrono::duration<double, std::milli> Predict(
+    const RequestShape& aShape,
+    const ServiceRecord& aService,
+    const RunnerState& aRunner) const;
+
+private:
+  double DistanceMs(const std::string& aPlace) const;
+  std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aExcess,
+                                       std::chrono::milliseconds aTimeLeft);
+
+  std::string m_place;
+  std::map<std::string, std::string> m_regions; // by place
+  Random m_random;
+};
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/dispatch/runner_table.cpp
@@ -0,0 +1,131 @@
+#include "dispatch/runner_table_p.h"
+
+#include "siskindeal/log.h"
+
+#include <set>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Entries that lapsed while the list was away are back 2 s after its return.
+constexpr milliseconds kLapseReturn{ 2300 };
+
+} // namespace
+
+bool
+RunnerTable::MayHaveLapsed(MonotonicTime aNow) const
+{
+  return m_troubleAt && aNow - *m_troubleAt < kLapseReturn;
+}
+
+void
+RunnerTable::NoteListTrouble(MonotonicTime aNow)
+{
+  m_troubleAt = aNow;
+}
+
+void
+RunnerTable::Replace(const std::vector<RunnerRecord>& aRunners,
+                     MonotonicTime aNow)
+{
+  std::set<std::string> listed;
+  for (const RunnerRecord& runner : aRunners) {
+    listed.insert(runner.m_id);
+    Put(runner);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, state] : m_runners) {
+    if (listed.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    Remove(id, aNow);
+  }
+}
+
+void
+RunnerTable::Put(const RunnerRecord& aRunner)
+{
+  auto& state = m_runners[aRunner.m_id];
+  const bool reborn = state.m_record.m_created != aRunner.m_created &&
+                      !state.m_record.m_id.empty();
+  const bool moved = !state.m_record.m_id.empty() &&
+                     !(state.m_record.m_address == aRunner.m_address);
+  if (state.m_record.m_id.empty() || reborn || moved ||
+      state.m_record.m_draining != aRunner.m_draining) {
+    Log(LogLevel::Info,
+        "runner listed",
+        { { "runner", aRunner.m_id },
+          { "service", aRunner.m_service },
+          { "address", aRunner.m_address.ToString() },
+          { "draining", aRunner.m_draining },
+          { "reborn", reborn } });
+  }
+  state.m_record = aRunner;
+  state.m_missingSince.reset();
+}
+
+void
+RunnerTable::Remove(const std::string& aId, MonotonicTime aNow)
+{
+  const auto found = m_runners.find(aId);
+  if (found == m_runners.end()) {
+    return;
+  }
+  if (!found->second.m_missingSince) {
+    found->second.m_missingSince = aNow;
+    Log(LogLevel::Info,
+        "runner left the list",
+        { { "runner", aId }, { "kept", MayHaveLapsed(aNow) } });
+  }
+  if (!MayHaveLapsed(aNow)) {
+    m_runners.erase(found);
+  }
+}
+
+void
+RunnerTable::Sweep(MonotonicTime aNow)
+{
+  if (MayHaveLapsed(aNow)) {
+    return;
+  }
+  std::erase_if(m_runners, [](const auto& aEntry) {
+    return aEntry.second.m_missingSince.has_value();
+  });
+}
+
+RunnerState*
+RunnerTable::Find(const std::string& aId)
+{
+  const auto found = m_runners.find(aId);
+  return found == m_runners.end() ? nullptr : &found->second;
+}
+
+RunnerState*
+RunnerTable::FindByAddress(const Address& aAddress)
+{
+  for (auto& [id, state] : m_runners) {
+    if (state.m_record.m_address == aAddress) {
+      return &state;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<RunnerState*>
+RunnerTable::Usable(const std::string& aService)
+{
+  std::vector<RunnerState*> usable;
+  for (auto& [id, state] : m_runners) {
+    if (state.m_record.m_service == aService && !state.m_record.m_draining) {
+      usable.push_back(&state);
+    }
+  }
+  return usable;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/gateway/gateway_p.h
@@ -0,0 +1,114 @@
+#pragma once
+// A gateway's process: it takes callers' requests and sends each to a runner.
+// One loop runs all of it.
+
+#include "dispatch/placement_p.h"
+#include "dispatch/retry_budget_p.h"
+#include "gateway/peers_p.h"
+#include "gateway/route_index_p.h"
+#include "net/datagrams_p.h"
+#include "net/http_server_p.h"
+#include "siskindeal/log.h"
+#include "site/object_feed_p.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <set>
+
+namespace siskindeal {
+
+class CallerExchange;
+
+class Gateway
+{
+public:
+  explicit Gateway(const GatewaySettings& aSettings);
+  ~Gateway();
+
+  // Serves until a stop signal has come and what was in progress has ended.
+  void Run();
+
+  // For exchanges.
+  Loop& EventLoop() { return m_loop; }
+  const std::shared_ptr<const RouteIndex>& Routes() const { return m_routes; }
+  RunnerTable& Runners() { return m_runners; }
+  Placer& Placing() { return m_placer; }
+  SharedRetryBudget& Retries() { return m_retries; }
+  const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
+  Random& Chance() { return m_random; }
+  // Whether the configuration is recent enough to accept keys by it.
+  bool ConfigIsFresh() const;
+  std::chrono::milliseconds ConfigAge() const;
+  // The version of a model that requests must run on from now on; 0: any.
+  std::uint64_t LeastVersion(const std::string& aModel) const;
+  void Add(const std::shared_ptr<CallerExchange>& aExchange);
+  void Remove(const std::shared_ptr<CallerExchange>& aExchange);
+  // One line about a request, unless too many were written just now.
+  void LogRequest(LogLevel aLevel,
+                  std::string_view aEvent,
+                  std::initializer_list<LogField> aFields);
+
+private:
+  struct Named
+  {
+    std::uint64_t m_version = 0;
+    std::uint64_t m_before = 0;
+    std::chrono::milliseconds m_since{ 0 }; // boot time
+  };
+
+  void OnConfig(const SiteObject& aObject);
+  void OnRunner(const SiteObject& aObject);
+  void OnRunners(const std::vector<SiteObject>& aObjects);
+  void OnVersion(const SiteObject& aObject);
+  void OnGateway(const SiteObject& aObject);
+  void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
+  void OnStagerNotice(const v1::StagerNotice& aNotice);
+  void Register();
+  void SendBeacon();
+  void ApplyPeerLoads();
+  void Tick();
+  void AnswerReady(const std::shared_ptr<ServerConnection>& aConnection);
+  void AnswerDirectory(const std::shared_ptr<ServerConnection>& aConnection);
+  void AnswerPages(const std::shared_ptr<ServerConnection>& aConnection);
+  std::string StateJson() const;
+  bool TakesCallers() const;
+  void Leave();
+  void MaybeStop();
+  std::shared_ptr<ObjectFeed> Feed(std::string_view aKind,
+                                   FeedPace aPace,
+                                   FeedEvents aEvents);
+
+  GatewaySettings m_settings;
+  Address m_store;
+  Loop m_loop{ 1 };
+  std::shared_ptr<ConnectionPool> m_pool;
+  Random m_random;
+  std::shared_ptr<const RouteIndex> m_routes; // null before the first config
+  RunnerTable m_runners;
+  bool m_haveRunners = false;
+  Placer m_placer;
+  SharedRetryBudget m_retries;
+  GatewayPeers m_peers;
+  std::map<std::string, Named> m_named; // by model
+  std::uint64_t m_incarnation;
+  std::set<std::shared_ptr<CallerExchange>> m_exchanges;
+  std::optional<MonotonicTime> m_leavingSince;
+  double m_logTokens = 0;
+  std::uint64_t m_logDropped = 0;
+  MonotonicTime m_tickAt{};
+  std::uint32_t m_ticks = 0;
+  Timer m_ticker;
+  Timer m_registerTimer;
+  boost::asio::signal_set m_signals;
+  std::unique_ptr<HttpListener> m_callers;
+  std::unique_ptr<HttpListener> m_ready;
+  std::unique_ptr<HttpListener> m_directory;
+  std::unique_ptr<HttpListener> m_pages;
+  std::unique_ptr<DatagramSocket> m_datagrams;
+  std::shared_ptr<ObjectFeed> m_configFeed;
+  std::shared_ptr<ObjectFeed> m_runnerFeed;
+  std::shared_ptr<ObjectFeed> m_versionFeed;
+  std::shared_ptr<ObjectFeed> m_gatewayFeed;
+};
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/net/http_connection.cpp
@@ -0,0 +1,550 @@
+#include "net/http_connection_p.h"
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <array>
+
+namespace siskindeal {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kHeadBytes = 64 << 10; // of an answer
+constexpr std::uint64_t kMostBodyBytes = 256ULL << 20;
+constexpr milliseconds kSilence{ 3000 }; // of an upstream's machine
+// A kept connection is closed this much before the upstream says it will, so
+// that a call doesn't cross its close.
+constexpr double kIdleShare = 0.6;
+constexpr milliseconds kDefaultIdle{ 4000 };
+
+std::string_view
+View(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+// "timeout=N" of Keep-Alive.
+std::optional<milliseconds>
+KeepAliveTimeout(const std::string* aField)
+{
+  if (aField == nullptr) {
+    return std::nullopt;
+  }
+  const auto at = aField->find("timeout=");
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const int seconds = std::atoi(aField->c_str() + at + 8);
+  return milliseconds(seconds * 1000);
+}
+
+} // namespace
+
+// Hands what Beast parses to the connection.
+class HttpConnection::Parser final : public http::basic_parser<false>
+{
+public:
+  Parser()
+  {
+    header_limit(kHeadBytes);
+    body_limit(kMostBodyBytes);
+    eager(true);
+  }
+
+  AnswerHead m_head;
+  std::string m_body; // decoded and not yet handed on
+  bool m_haveHead = false;
+
+private:
+  using StringView = boost::beast::string_view;
+  using Error = boost::beast::error_code;
+
+  void on_request_impl(http::verb, StringView, StringView, int, Error&) override
+  {
+  }
+  void on_response_impl(int aCode, StringView aReason, int, Error&) override
+  {
+    m_head.m_status = aCode;
+    m_head.m_reason = std::string(View(aReason));
+  }
+  void on_field_impl(http::field,
+                     StringView aName,
+                     StringView aValue,
+                     Error&) override
+  {
+    m_head.m_fields.Add(View(aName), View(aValue));
+  }
+  void on_header_impl(Error&) override { m_haveHead = true; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
+                         Error&) override
+  {
+    if (aLength) {
+      m_head.m_length = *aLength;
+    }
+  }
+  std::size_t on_body_impl(StringView aBody, Error&) override
+  {
+    m_body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, StringView, Error&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 StringView aBody,
+                                 Error&) override
+  {
+    m_body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_finish_impl(Error&) override {}
+};
+
+HttpConnection::HttpConnection(Loop& aLoop, const Tcp::endpoint& aRemote)
+  : m_loop(aLoop)
+  , m_remote(aRemote)
+  , m_socket(aLoop)
+  , m_timer(aLoop)
+  , m_idleLimit(kDefaultIdle)
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+void
+HttpConnection::Begin(OutgoingCall aCall,
+                      milliseconds aConnectTimeout,
+                      CallEvents aEvents)
+{
+  m_call = std::move(aCall);
+  m_events = std::move(aEvents);
+  m_inCall = true;
+  m_reusable = false;
+  m_sentAny = false;
+  m_paused = false;
+  NewParser();
+  if (!m_connected) {
+    Connect(aConnectTimeout);
+    return;
+  }
+  boost::asio::post(m_loop, [self = shared_from_this()] {
+    if (!self->m_closed) {
+      self->Write();
+      return;
+    }
+    self->Emit(CallFailed{ CallFailure::NotSent, "closed while idle" });
+  });
+}
+
+void
+HttpConnection::Connect(milliseconds aTimeout)
+{
+  m_timer.expires_after(aTimeout);
+  m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
+    if (!aError && !self->m_connected) {
+      self->Fail("no connection in time");
+    }
+  });
+  m_socket.async_connect(m_remote,
+                         [self = shared_from_this()](const NetError& aError) {
+                           if (self->m_closed) {
+                             return;
+                           }
+                           self->m_timer.cancel();
+                           if (aError) {
+                             self->Fail("connect: " + aError.message());
+                             return;
+                           }
+                           self->m_connected = true;
+                           PrepareSocket(self->m_socket, kSilence);
+                           self->Read();
+                           self->Write();
+                         });
+}
+
+void
+HttpConnection::Write()
+{
+  m_writing = true;
+  m_sentAny = true;
+  const std::array<boost::asio::const_buffer, 2> buffers = {
+    boost::asio::buffer(m_call.m_head), boost::asio::buffer(m_call.m_body)
+  };
+  boost::asio::async_write(
+    m_socket,
+    buffers,
+    [self = shared_from_this()](const NetError& aError, std::size_t) {
+      self->m_writing = false;
+      // An answer may come before the body is written; the reader decides.
+      if (aError && self->m_inCall && !self->m_closed && !self->m_reading) {
+        self->Fail("write: " + aError.message());
+      }
+    });
+}
+
+void
+HttpConnection::Read()
+{
+  if (m_reading || m_closed || m_paused) {
+    return;
+  }
+  m_reading = true;
+  AwaitBytes(
+    m_socket, m_in, [self = shared_from_this()](const NetError& aError) {
+      self->m_reading = false;
+      self->OnRead(aError);
+    });
+}
+
+void
+HttpConnection::OnRead(const NetError& aError)
+{
+  if (m_closed) {
+    return;
+  }
+  if (!m_inCall) {
+    Close(); // closed by the other side, or bytes that answer nothing
+    return;
+  }
+  if (!m_in.empty()) {
+    Parse();
+  }
+  if (m_closed || !m_inCall) {
+    return;
+  }
+  if (!aError) {
+    Read();
+    return;
+  }
+  // A body without length ends with its connection, unless that was reset.
+  if (aError == boost::asio::error::eof && m_parser->m_haveHead && !m_foreign &&
+      m_parser->need_eof()) {
+    boost::beast::error_code error;
+    m_parser->put_eof(error);
+    if (!error && m_parser->is_done()) {
+      OnEnd();
+      return;
+    }
+  }
+  Fail("read: " + aError.message());
+}
+
+void
+HttpConnection::NewParser()
+{
+  m_parser = std::make_unique<Parser>();
+  m_foreign = false;
+}
+
+void
+HttpConnection::Parse()
+{
+  const auto self = shared_from_this();
+  while (!m_closed && m_inCall && !m_in.empty()) {
+    const bool hadHead = m_parser->m_haveHead;
+    boost::beast::error_code error;
+    const std::size_t used =
+      m_parser->put(boost::asio::buffer(m_in.data(), m_in.size()), error);
+    m_in.erase(0, used);
+    if (error && error != http::error::need_more) {
+      Fail("parse: " + error.message());
+      return;
+    }
+    if (!hadHead && m_parser->m_haveHead) {
+      OnHead();
+    }
+    if (m_closed || !m_inCall) {
+      return;
+    }
+    if (!m_parser->m_body.empty()) {
+      m_chunk.swap(m_parser->m_body);
+      m_parser->m_body.clear();
+      if (!m_foreign) {
+        Emit(AnswerBody{ m_chunk });
+      }
+    }
+    if (m_closed || !m_inCall) {
+      return;
+    }
+    if (m_parser->is_done()) {
+      if (m_foreign || m_parser->m_head.m_status / 100 == 1) {
+        NewParser();
+        continue;
+      }
+      OnEnd();
+      return;
+    }
+    if (used == 0) {
+      return; // needs more bytes
+    }
+  }
+}
+
+void
+HttpConnection::OnHead()
+{
+  const AnswerHead& head = m_parser->m_head;
+  if (head.m_status / 100 == 1) {
+    m_foreign = true;
+    return;
+  }
+  if (!m_call.m_echo.empty()) {
+    const std::string* echo = head.m_fields.Find(m_call.m_echoName);
+    m_foreign = echo != nullptr && *echo != m_call.m_echo;
+  }
+  if (!m_foreign) {
+    Emit(head);
+  }
+}
+
+void
+HttpConnection::OnEnd()
+{
+  const auto self = shared_from_this();
+  const HttpFields& fields = m_parser->m_head.m_fields;
+  const auto limit = KeepAliveTimeout(fields.Find("keep-alive"));
+  if (limit) {
+    m_idleLimit = std::chrono::duration_cast<milliseconds>(*limit * kIdleShare);
+  }
+  // Bytes that are left over belong to no request, and a body that is only
+  // partly written would be followed by foreign bytes.
+  const bool keep = m_parser->keep_alive() && !m_parser->need_eof() &&
+                    m_in.empty() && !m_writing && m_idleLimit > milliseconds(0);
+  m_inCall = false;
+  m_reusable = keep;
+  m_idleSince = std::chrono::steady_clock::now();
+  m_parser.reset();
+  m_in = {};
+  if (!keep) {
+    Close();
+  } else {
+    Read();
+  }
+  const CallEvents events = std::move(m_events);
+  m_events = nullptr;
+  if (events) {
+    events(AnswerEnd{});
+  }
+}
+
+void
+HttpConnection::Fail(std::string aReason)
+{
+  if (m_closed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const CallFailure how =
+    m_sentAny ? CallFailure::MayHaveRun : CallFailure::NotSent;
+  m_inCall = false;
+  const CallEvents events = std::move(m_events);
+  m_events = nullptr;
+  Close();
+  if (events) {
+    events(CallFailed{ how, std::move(aReason) });
+  }
+}
+
+void
+HttpConnection::Emit(const CallEvent& aEvent)
+{
+  if (m_events) {
+    const CallEvents events = m_events; // the receiver may abort the call
+    events(aEvent);
+  }
+}
+
+void
+HttpConnection::Abort()
+{
+  m_events = nullptr;
+  m_inCall = false;
+  Close();
+}
+
+void
+HttpConnection::PauseReading(bool aPaused)
+{
+  m_paused = aPaused;
+  if (!aPaused && m_inCall && m_connected) {
+    Read();
+  }
+}
+
+void
+HttpConnection::Close()
+{
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  m_reusable = false;
+  NetError ignored;
+  m_timer.cancel(ignored);
+  m_socket.close(ignored);
+  if (const auto onClose = std::move(m_onIdleClose)) {
+    onClose();
+  }
+}
+
+std::shared_ptr<HttpConnection>
+ConnectionPool::Take(const Address& aAddress)
+{
+  auto& idle = m_idle[aAddress.ToString()];
+  const auto now = std::chrono::steady_clock::now();
+  while (!idle.empty()) {
+    const auto connection = std::move(idle.back());
+    idle.pop_back();
+    connection->m_onIdleClose = nullptr;
+    if (connection->Reusable() &&
+        now - connection->IdleSince() < connection->IdleLimit()) {
+      return connection;
+    }
+    connection->Abort();
+  }
+  return std::make_shared<HttpConnection>(m_loop, EndpointOf(aAddress));
+}
+
+void
+ConnectionPool::Give(const Address& aAddress,
+                     const std::shared_ptr<HttpConnection>& aConnection)
+{
+  if (aConnection->Reusable()) {
+    m_idle[aAddress.ToString()].push_back(aConnection);
+  }
+}
+
+void
+ConnectionPool::Sweep()
+{
+  const auto now = std::chrono::steady_clock::now();
+  for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+    auto& idle = entry->second;
+    std::erase_if(idle, [&](const auto& aConnection) {
+      const bool keep =
+        aConnection->Reusable() &&
+        now - aConnection->IdleSince() < aConnection->IdleLimit();
+      if (!keep) {
+        aConnection->Abort();
+      }
+      return !keep;
+    });
+    entry = idle.empty() ? m_idle.erase(entry) : std::next(entry);
+  }
+}
+
+std::size_t
+ConnectionPool::Idle() const
+{
+  std::size_t count = 0;
+  for (const auto& [address, idle] : m_idle) {
+    count += idle.size();
+  }
+  return count;
+}
+
+namespace {
+
+// One whole call; keeps itself alive until it has its answer.
+class WholeCall : public std::enable_shared_from_this<WholeCall>
+{
+public:
+  WholeCall(Loop& aLoop,
+            std::shared_ptr<ConnectionPool> aPool,
+            Address aAddress,
+            std::function<void(WholeAnswer)> aDone)
+    : m_timer(aLoop)
+    , m_pool(std::move(aPool))
+    , m_address(std::move(aAddress))
+    , m_done(std::move(aDone))
+  {
+  }
+
+  void Begin(OutgoingCall aCall, milliseconds aTimeout)
+  {
+    m_timer.expires_after(aTimeout);
+    m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
+      if (!aError && self->m_done) {
+        self->m_connection->Abort();
+        self->Finish("no answer in time");
+      }
+    });
+    m_connection = m_pool->Take(m_address);
+    m_connection->Begin(
+      std::move(aCall),
+      aTimeout,
+      [self = shared_from_this()](const CallEvent& aEvent) {
+        std::visit([&](const auto& aWhat) { self->On(aWhat); }, aEvent);
+      });
+  }
+
+private:
+  void On(const AnswerHead& aHead)
+  {
+    m_answer.m_status = aHead.m_status;
+    m_answer.m_fields = aHead.m_fields;
+  }
+  void On(const AnswerBody& aBody) { m_answer.m_body += aBody.m_bytes; }
+  void On(const AnswerEnd&)
+  {
+    m_pool->Give(m_address, m_connection);
+    Finish({});
+  }
+  void On(const CallFailed& aFailure) { Finish(aFailure.m_reason); }
+
+  void Finish(std::string aFailure)
+  {
+    m_timer.cancel();
+    if (!aFailure.empty()) {
+      m_answer.m_status = 0;
+      m_answer.m_failure = std::move(aFailure);
+    }
+    const auto done = std::move(m_done);
+    m_done = nullptr;
+    if (done) {
+      done(std::move(m_answer));
+    }
+  }
+
+  Timer m_timer;
+  std::shared_ptr<ConnectionPool> m_pool;
+  Address m_address;
+  std::function<void(WholeAnswer)> m_done;
+  std::shared_ptr<HttpConnection> m_connection;
+  WholeAnswer m_answer;
+};
+
+} // namespace
+
+void
+CallWhole(Loop& aLoop,
+          const std::shared_ptr<ConnectionPool>& aPool,
+          const Address& aAddress,
+          std::string_view aMethod,
+          std::string_view aTarget,
+          std::string aBody,
+          milliseconds aTimeout,
+          std::function<void(WholeAnswer)> aDone)
+{
+  OutgoingCall call;
+  call.m_head.append(aMethod).append(" ").append(aTarget).append(
+    " HTTP/1.1\r\n");
+  AppendField(call.m_head, "Host", aAddress.ToString());
+  if (!aBody.empty()) {
+    AppendField(call.m_head, "Content-Type", "application/json");
+  }
+  if (!aBody.empty() || aMethod != "GET") {
+    AppendField(call.m_head, "Content-Length", std::to_string(aBody.size()));
+  }
+  call.m_head += "\r\n";
+  call.m_body = std::move(aBody);
+  std::make_shared<WholeCall>(aLoop, aPool, aAddress, std::move(aDone))
+    ->Begin(std::move(call), aTimeout);
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/net/http_fields.cpp
@@ -0,0 +1,75 @@
+#include "net/http_fields_p.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+
+namespace siskindeal {
+
+namespace {
+
+absl::string_view
+View(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+// RFC 9110, 7.6.1. Content-Length and Trailer are set anew with the body.
+constexpr std::array<std::string_view, 10> kOfOneConnection = {
+  "connection", "keep-alive",        "proxy-connection", "transfer-encoding",
+  "te",         "trailer",           "upgrade",          "content-length",
+  "expect",     "proxy-authenticate"
+};
+
+} // namespace
+
+const std::string*
+HttpFields::Find(std::string_view aName) const
+{
+  for (const auto& [name, value] : m_fields) {
+    if (SameName(name, aName)) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+bool
+SameName(std::string_view aFirst, std::string_view aSecond)
+{
+  return absl::EqualsIgnoreCase(View(aFirst), View(aSecond));
+}
+
+bool
+HasWord(const std::string* aList, std::string_view aWord)
+{
+  if (aList == nullptr) {
+    return false;
+  }
+  for (const auto& part : absl::StrSplit(*aList, ',')) {
+    if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(part), View(aWord))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+IsOfOneConnection(std::string_view aName, const HttpFields& aFields)
+{
+  return std::any_of(kOfOneConnection.begin(),
+                     kOfOneConnection.end(),
+                     [&](auto aKnown) { return SameName(aName, aKnown); }) ||
+         HasWord(aFields.Find("connection"), aName);
+}
+
+void
+AppendField(std::string& aHead, std::string_view aName, std::string_view aValue)
+{
+  aHead.append(aName).append(": ").append(aValue).append("\r\n");
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,502 @@
+#include "net/http_server_p.h"
+
+#include "siskindeal/log.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace siskindeal {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMostReadAhead = 64 << 10; // of requests still to come
+constexpr milliseconds kSilence{ 6000 };         // of a caller's machine
+constexpr milliseconds kCloseLinger{ 500 };
+constexpr milliseconds kAcceptPause{ 50 }; // once descriptors have run out
+
+std::string_view
+View(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::string_view
+ReasonOf(int aStatus)
+{
+  return View(http::obsolete_reason(http::int_to_status(aStatus)));
+}
+
+} // namespace
+
+class ServerConnection::Parser final : public http::basic_parser<true>
+{
+public:
+  explicit Parser(const ClientLimits& aLimits)
+  {
+    header_limit(static_cast<std::uint32_t>(aLimits.m_headerBytes));
+    body_limit(aLimits.m_bodyBytes);
+    eager(true);
+  }
+
+  IncomingRequest m_request;
+  bool m_haveHead = false;
+  bool m_continued = false;
+
+private:
+  using StringView = boost::beast::string_view;
+  using Error = boost::beast::error_code;
+
+  void on_request_impl(http::verb,
+                       StringView aMethod,
+                       StringView aTarget,
+                       int,
+                       Error&) override
+  {
+    m_request.m_method = std::string(View(aMethod));
+    m_request.m_target = std::string(View(aTarget));
+  }
+  void on_response_impl(int, StringView, int, Error&) override {}
+  void on_field_impl(http::field,
+                     StringView aName,
+                     StringView aValue,
+                     Error&) override
+  {
+    m_request.m_fields.Add(View(aName), View(aValue));
+  }
+  void on_header_impl(Error&) override { m_haveHead = true; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override
+  {
+  }
+  std::size_t on_body_impl(StringView aBody, Error&) override
+  {
+    m_request.m_body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, StringView, Error&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 StringView aBody,
+                                 Error&) override
+  {
+    m_request.m_body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_finish_impl(Error&) override {}
+};
+
+ServerConnection::ServerConnection(Loop& aLoop,
+                                   Tcp::socket aSocket,
+                                   HttpListener& aListener)
+  : m_socket(std::move(aSocket))
+  , m_timer(aLoop)
+  , m_listener(aListener)
+{
+}
+
+void
+ServerConnection::Start()
+{
+  m_listener.m_connections.insert(this);
+  PrepareSocket(m_socket, kSilence);
+  ArmIdleTimer(m_listener.m_limits.m_idleTimeout, false);
+  Read();
+}
+
+void
+ServerConnection::ArmIdleTimer(milliseconds aTime, bool aInHead)
+{
+  m_timer.expires_after(aTime);
+  m_timer.async_wait(
+    [self = shared_from_this(), aInHead](const NetError& aError) {
+      if (aError || self->m_inRequest || self->m_closed) {
+        return;
+      }
+      if (aInHead) {
+        self->Refuse(408, "the request took too long to arrive");
+      } else {
+        self->Close();
+      }
+    });
+}
+
+void
+ServerConnection::Read()
+{
+  if (m_reading || m_closed || m_in.size() > kMostReadAhead) {
+    return;
+  }
+  m_reading = true;
+  AwaitBytes(
+    m_socket, m_in, [self = shared_from_this()](const NetError& aError) {
+      self->m_reading = false;
+      self->OnRead(aError);
+    });
+}
+
+void
+ServerConnection::OnRead(const NetError& aError)
+{
+  if (m_closed) {
+    return;
+  }
+  if (aError) {
+    Gone();
+    return;
+  }
+  if (m_closing) {
+    m_in.clear(); // what comes after the last answer is read and dropped
+  } else if (!m_inRequest) {
+    Parse();
+  }
+  Read();
+}
+
+void
+ServerConnection::Parse()
+{
+  const auto self = shared_from_this();
+  if (m_in.empty() || m_closed || m_closing) {
+    return;
+  }
+  if (!m_parser) {
+    m_parser = std::make_shared<Parser>(m_listener.m_limits);
+    ArmIdleTimer(m_listener.m_limits.m_headerTimeout, true);
+  }
+  const auto parser = m_parser;
+  while (!m_in.empty() && !parser->is_done()) {
+    boost::beast::error_code error;
+    const std::size_t used =
+      parser->put(boost::asio::buffer(m_in.data(), m_in.size()), error);
+    m_in.erase(0, used);
+    if (error == http::error::header_limit) {
+      return Refuse(431, "the header is too large");
+    }
+    if (error == http::error::body_limit) {
+      return Refuse(413, "the body is too large");
+    }
+    if (error && error != http::error::need_more) {
+      return Refuse(400, error.message());
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  if (!parser->m_haveHead) {
+    return;
+  }
+  if (!parser->is_done()) {
+    ArmIdleTimer(m_listener.m_limits.m_idleTimeout, true);
+    const std::string* expect = parser->m_request.m_fields.Find("expect");
+    if (expect != nullptr && !parser->m_continued) {
+      parser->m_continued = true;
+      m_out += "HTTP/1.1 100 Continue\r\n\r\n";
+      Write();
+    }
+    return;
+  }
+  m_timer.cancel();
+  m_keepAlive = parser->keep_alive();
+  m_request = std::move(parser->m_request);
+  m_request.m_arrived = std::chrono::steady_clock::now();
+  m_parser.reset();
+  m_inRequest = true;
+  if (m_request.m_fields.Find("host") == nullptr) {
+    m_inRequest = false;
+    return Refuse(400, "no Host");
+  }
+  m_listener.m_handler(self);
+}
+
+void
+ServerConnection::Refuse(int aStatus, std::string_view aReason)
+{
+  Log(LogLevel::Info,
+      "request refused",
+      { { "status", aStatus }, { "reason", aReason } });
+  m_inRequest = true;
+  m_keepAlive = false;
+  m_parser.reset();
+  SendWhole(aStatus, ReasonOf(aStatus), {}, aReason);
+}
+
+void
+ServerConnection::SendWhole(int aStatus,
+                            std::string_view aReason,
+                            const HttpFields& aFields,
+                            std::string_view aBody)
+{
+  SendHead(aStatus, aReason, aFields, aBody.size());
+  m_out += aBody;
+  FinishAnswer();
+}
+
+void
+ServerConnection::SendHead(int aStatus,
+                           std::string_view aReason,
+                           const HttpFields& aFields,
+                           std::optional<std::uint64_t> aLength)
+{
+  if (m_closed) {
+    NoteSent();
+    return;
+  }
+  if (m_listener.m_sayClose) {
+    m_keepAlive = false;
+  }
+  m_chunked = !aLength.has_value();
+  m_out += "HTTP/1.1 " + std::to_string(aStatus) + " ";
+  m_out += aReason.empty() ? ReasonOf(aStatus) : aReason;
+  m_out += "\r\n";
+  for (const auto& [name, value] : aFields) {
+    AppendField(m_out, name, value);
+  }
+  if (!m_keepAlive) {
+    AppendField(m_out, "Connection", "close");
+  }
+  const bool hasBody = aStatus != 204 && aStatus != 304;
+  if (m_chunked) {
+    AppendField(m_out, "Transfer-Encoding", "chunked");
+  } else if (hasBody) {
+    AppendField(m_out, "Content-Length", std::to_string(*aLength));
+  }
+  m_out += "\r\n";
+}
+
+void
+ServerConnection::SendPart(std::string_view aBytes)
+{
+  if (m_closed || aBytes.empty()) {
+    return;
+  }
+  if (m_chunked) {
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", aBytes.size());
+    m_out += size;
+    m_out += aBytes;
+    m_out += "\r\n";
+  } else {
+    m_out += aBytes;
+  }
+  Write();
+}
+
+void
+ServerConnection::SendEnd()
+{
+  if (m_closed) {
+    return;
+  }
+  if (m_chunked) {
+    m_out += "0\r\n\r\n";
+  }
+  FinishAnswer();
+}
+
+void
+ServerConnection::BreakOff()
+{
+  m_onGone = nullptr;
+  m_keepAlive = false;
+  m_inRequest = false;
+  if (!m_closed) {
+    m_closing = true;
+    Write();
+  }
+}
+
+void
+ServerConnection::FinishAnswer()
+{
+  m_onGone = nullptr;
+  m_onDrained = nullptr;
+  m_inRequest = false;
+  m_request = {};
+  if (!m_keepAlive) {
+    m_closing = true;
+  }
+  Write();
+  if (m_closing || m_closed) {
+    return;
+  }
+  ArmIdleTimer(m_listener.m_limits.m_idleTimeout, false);
+  if (!m_in.empty()) {
+    boost::asio::post(m_timer.get_executor(), [self = shared_from_this()] {
+      if (!self->m_inRequest) {
+        self->Parse();
+      }
+    });
+  }
+  Read();
+}
+
+void
+ServerConnection::Write()
+{
+  if (m_closed || !m_outWriting.empty()) {
+    return;
+  }
+  if (m_out.empty()) {
+    if (!m_inRequest) {
+      NoteSent();
+    }
+    if (m_closing) {
+      CloseGently();
+    }
+    return;
+  }
+  m_outWriting.swap(m_out);
+  boost::asio::async_write(
+    m_socket,
+    boost::asio::buffer(m_outWriting),
+    [self = shared_from_this()](const NetError& aError, std::size_t) {
+      self->m_outWriting = {};
+      if (aError) {
+        self->Gone();
+        return;
+      }
+      self->Write();
+      if (self->m_outWriting.empty() && self->m_onDrained) {
+        const auto onDrained = self->m_onDrained;
+        onDrained();
+      }
+    });
+}
+
+void
+ServerConnection::NoteSent()
+{
+  if (const auto onSent = std::exchange(m_onSent, nullptr)) {
+    onSent();
+  }
+}
+
+void
+ServerConnection::CloseGently()
+{
+  // A close with unread bytes would reset the connection and could take the
+  // last answer with it.
+  NetError ignored;
+  m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  m_timer.expires_after(kCloseLinger);
+  m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
+    if (!aError) {
+      self->Close();
+    }
+  });
+  Read();
+}
+
+void
+ServerConnection::CloseWhenIdle()
+{
+  m_keepAlive = false;
+  if (!m_inRequest && !m_parser && m_in.empty()) {
+    m_closing = true;
+    Write();
+  }
+}
+
+void
+ServerConnection::Gone()
+{
+  const auto self = shared_from_this();
+  const auto onGone = std::move(m_onGone);
+  m_onGone = nullptr;
+  Close();
+  if (onGone) {
+    onGone();
+  }
+}
+
+void
+ServerConnection::Close()
+{
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  m_onDrained = nullptr;
+  m_listener.m_connections.erase(this);
+  NoteSent();
+  NetError ignored;
+  m_timer.cancel(ignored);
+  m_socket.close(ignored);
+}
+
+HttpListener::HttpListener(Loop& aLoop,
+                           const Address& aAddress,
+                           Handler aHandler)
+  : m_loop(aLoop)
+  , m_acceptor(aLoop)
+  , m_pause(aLoop)
+  , m_handler(std::move(aHandler))
+{
+  constexpr int kBacklog = 1024;
+  const Tcp::endpoint endpoint = EndpointOf(aAddress);
+  m_acceptor.open(endpoint.protocol());
+  m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+  m_acceptor.bind(endpoint);
+  m_acceptor.listen(kBacklog);
+  Accept();
+}
+
+void
+HttpListener::Accept()
+{
+  m_acceptor.async_accept([this](const NetError& aError, Tcp::socket aSocket) {
+    if (!m_acceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      m_pause.expires_after(kAcceptPause);
+      m_pause.async_wait([this](const NetError& aCancelled) {
+        if (!aCancelled) {
+          Accept();
+        }
+      });
+      return;
+    }
+    if (m_connections.size() < m_mostConnections) {
+      std::make_shared<ServerConnection>(m_loop, std::move(aSocket), *this)
+        ->Start();
+    }
+    Accept();
+  });
+}
+
+void
+HttpListener::Stop()
+{
+  NetError ignored;
+  m_acceptor.close(ignored);
+  m_sayClose = true;
+}
+
+void
+HttpListener::CloseIdle()
+{
+  const std::set<ServerConnection*> connections = m_connections;
+  for (ServerConnection* connection : connections) {
+    if (m_connections.count(connection) > 0) {
+      connection->CloseWhenIdle();
+    }
+  }
+}
+
+std::size_t
+HttpListener::Requests() const
+{
+  std::size_t count = 0;
+  for (const ServerConnection* connection : m_connections) {
+    count += connection->InRequest() ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,87 @@
+#include "net/loop_p.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <stdexcept>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 32 << 10; // taken at once
+
+void
+SetOption(int aSocket, int aLevel, int aName, int aValue)
+{
+  ::setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+} // namespace
+
+Tcp::endpoint
+EndpointOf(const Address& aAddress)
+{
+  NetError error;
+  const auto host = boost::asio::ip::make_address(aAddress.m_host, error);
+  if (error) {
+    throw std::invalid_argument("expected an IP number, got \"" +
+                                aAddress.m_host + "\"");
+  }
+  return { host, aAddress.m_port };
+}
+
+void
+PrepareSocket(Tcp::socket& aSocket, std::chrono::milliseconds aSilence)
+{
+  constexpr int kProbes = 2;
+  const int seconds =
+    std::max<int>(1, static_cast<int>(aSilence.count()) / 1000 / (kProbes + 1));
+  NetError ignored;
+  aSocket.non_blocking(true, ignored);
+  const int handle = aSocket.native_handle();
+  SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  SetOption(
+    handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aSilence.count()));
+  SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+void
+AwaitBytes(Tcp::socket& aSocket,
+           std::string& aIn,
+           std::function<void(const NetError&)> aDone)
+{
+  aSocket.async_wait(
+    Tcp::socket::wait_read,
+    [&aSocket, &aIn, done = std::move(aDone)](const NetError& aError) {
+      NetError error = aError;
+      if (!error) {
+        static std::array<char, kReadBytes> sBytes; // one loop a process
+        const std::size_t got =
+          aSocket.read_some(boost::asio::buffer(sBytes), error);
+        aIn.append(sBytes.data(), got);
+      }
+      const bool again = error == boost::asio::error::would_block;
+      done(again ? NetError{} : error);
+    });
+}
+
+std::chrono::milliseconds
+BootTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/net/loop_p.h
@@ -0,0 +1,46 @@
+#pragma once
+// The one thread of a gateway or stager and its sockets. Its machines have a
+// quarter of a core each, so a second thread would only add switches.
+
+#include "siskindeal/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace siskindeal {
+
+using Loop = boost::asio::io_context;
+using Tcp = boost::asio::ip::tcp;
+using Timer = boost::asio::steady_timer;
+using NetError = boost::system::error_code;
+using MonotonicClockPoint = std::chrono::steady_clock::time_point;
+
+// Throws std::invalid_argument for a host that isn't an IP number.
+Tcp::endpoint
+EndpointOf(const Address& aAddress);
+
+// Makes a connected socket ready for AwaitBytes, and lets the kernel end it
+// when its other side has gone silent: unanswered data or probes for aSilence
+// do.
+void
+PrepareSocket(Tcp::socket& aSocket, std::chrono::milliseconds aSilence);
+
+// Waits until the other side has sent something, appends it to aIn and calls
+// aDone; with eof or another error when there is nothing more. Between calls a
+// connection that waits holds no buffer. aDone is never called from inside.
+void
+AwaitBytes(Tcp::socket& aSocket,
+           std::string& aIn,
+           std::function<void(const NetError&)> aDone);
+
+// Time that also counts while the machine is suspended. The steady clock
+// doesn't, so it can't tell how old a piece of knowledge is.
+std::chrono::milliseconds
+BootTime();
+
+} // namespace siskindeal
--- a/src/settings/describe.cpp
+++ b/src/settings/describe.cpp
@@ -61,6 +61,7 @@
         return "one of " + text;
       },
       [](const SecretsField&) { return std::string("table of texts"); },
+      [](const NamesField&) { return std::string("table of texts"); },
     },
     aSetting.m_field);
 }
@@ -94,6 +95,7 @@
       },
       [](const WordField& aField) { return Quoted(*aField.m_value); },
       [](const SecretsField&) { return std::string(); },
+      [](const NamesField&) { return std::string(); },
     },
     aSetting.m_field);
 }
@@ -103,6 +105,8 @@
 {
   EntrySettings entry;
   AgentSettings agent;
+  GatewaySettings gateway;
+  StagerSettings stager;
   ClientSettings client;
   std::vector<SettingDescription> descriptions;
   const auto add = [&](const SettingTable& aTable, const std::string& aUser) {
@@ -127,6 +131,8 @@
   };
   add(TableOf(entry), "entry");
   add(TableOf(agent), "agent");
+  add(TableOf(gateway), "gateway");
+  add(TableOf(stager), "stager");
   add(TableOf(client), "client");
   return descriptions;
 }
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -163,6 +163,20 @@
   return secrets;
 }
 
+std::map<std::string, std::string>
+Names(const toml::node& aNode)
+{
+  const auto* table = aNode.as_table();
+  if (table == nullptr) {
+    throw WrongType("a table of names to texts", aNode);
+  }
+  std::map<std::string, std::string> names;
+  for (const auto& [name, value] : *table) {
+    names.emplace(name.str(), TextOf(value, "a text"));
+  }
+  return names;
+}
+
 std::string
 Word(const toml::node& aNode, const WordField& aField, const Setting& aSetting)
 {
@@ -368,6 +382,7 @@
         *aField.m_value = Word(aNode, aField, aSetting);
       },
       [&](const SecretsField& aField) { *aField.m_value = Secrets(aNode); },
+      [&](const NamesField& aField) { *aField.m_value = Names(aNode); },
     },
     aSetting.m_field);
 }
--- a/src/settings/schema_p.h
+++ b/src/settings/schema_p.h
@@ -35,6 +35,12 @@
   std::map<std::string, std::string>* m_value;
 };
 
+// Names to texts.
+struct NamesField
+{
+  std::map<std::string, std::string>* m_value;
+};
+
 using SettingField = std::variant<std::string*,
                                   std::uint32_t*,
                                   std::uint64_t*,
@@ -47,7 +53,8 @@
                                   UrlField,
                                   BytesField,
                                   WordField,
-                                  SecretsField>;
+                                  SecretsField,
+                                  NamesField>;
 
 enum class Need
 {
@@ -74,12 +81,16 @@
 
 using SettingTable = std::vector<Setting>;
 
-// The tables of the three kinds of file, bound to the given settings.
+// The tables of the kinds of file, bound to the given settings.
 SettingTable
 TableOf(EntrySettings& aSettings);
 SettingTable
 TableOf(AgentSettings& aSettings);
 SettingTable
+TableOf(GatewaySettings& aSettings);
+SettingTable
+TableOf(StagerSettings& aSettings);
+SettingTable
 TableOf(ClientSettings& aSettings);
 
 // The type of a setting as the manual names it.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -87,6 +87,12 @@
   if (reader.HasSection("client")) {
     return SettingsKind::Client;
   }
+  if (reader.HasSection("gateway")) {
+    return SettingsKind::Gateway;
+  }
+  if (reader.HasSection("stager")) {
+    return SettingsKind::Stager;
+  }
   return reader.HasSection("upstream") ? SettingsKind::Agent
                                        : SettingsKind::Entry;
 }
@@ -118,6 +124,28 @@
   return settings;
 }
 
+GatewaySettings
+ReadGatewaySettings(const std::string& aFile)
+{
+  GatewaySettings settings;
+  SettingsReader reader(aFile);
+  reader.Fill(TableOf(settings), "gateway");
+  CheckNode(settings.m_node, reader);
+  reader.Finish();
+  return settings;
+}
+
+StagerSettings
+ReadStagerSettings(const std::string& aFile)
+{
+  StagerSettings settings;
+  SettingsReader reader(aFile);
+  reader.Fill(TableOf(settings), "stager");
+  CheckNode(settings.m_node, reader);
+  reader.Finish();
+  return settings;
+}
+
 ClientSettings
 ReadClientSettings(const std::string& aFile)
 {
--- /dev/null
+++ b/src/stager/stager_fetch.cpp
@@ -0,0 +1,302 @@
+// The stager's way from the list of pieces to all of them lying at the runner.
+
+#include "siskindeal/digest.h"
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
+#include "stager/stager_p.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kListTime{ 1500 };
+constexpr milliseconds kPieceTime{ 2000 };
+constexpr milliseconds kListRetry{ 300 };
+constexpr std::uint32_t kMostBadPieces = 8; // then the list itself is doubted
+// Pieces that a peer passes on: /pieces/MODEL/VERSION/NUMBER.
+constexpr std::string_view kPiecesPath = "/pieces/";
+
+MonotonicTime
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+void
+Stager::BeginVersion()
+{
+  ++m_epoch;
+  m_plan.reset();
+  m_badPieces = 0;
+  Enter(Stage::Listing);
+  ListPieces();
+}
+
+void
+Stager::ListPieces()
+{
+  m_retryAt = Now() + kListTime + kListRetry;
+  if (!m_origin) {
+    ReadConfig();
+    m_retryAt = Now() + kListRetry;
+    return;
+  }
+  CallWhole(m_loop,
+            m_pool,
+            *m_origin,
+            "GET",
+            dialect::PieceListPath(m_model, m_target),
+            {},
+            kListTime,
+            [this, epoch = m_epoch](const WholeAnswer& aAnswer) {
+              if (epoch == m_epoch && m_stage == Stage::Listing) {
+                OnPieceList(aAnswer);
+              }
+            });
+}
+
+void
+Stager::OnPieceList(const WholeAnswer& aAnswer)
+{
+  m_retryAt = Now() + kListRetry;
+  if (aAnswer.m_status != 200) {
+    Log(LogLevel::Warning,
+        "list of pieces not had",
+        { { "status", aAnswer.m_status }, { "reason", aAnswer.m_failure } });
+    ReadConfig(); // the origin may have moved
+    return;
+  }
+  try {
+    m_pieces = dialect::DecodePieceList(aAnswer.m_body);
+  } catch (const std::invalid_argument& error) {
+    Log(LogLevel::Warning,
+        "list of pieces left out",
+        { { "reason", std::string_view(error.what()) } });
+    return;
+  }
+  if (m_pieces.m_digests.empty() || m_pieces.m_model != m_model ||
+      (m_target != 0 && m_pieces.m_version != m_target)) {
+    Log(LogLevel::Warning,
+        "list of pieces left out",
+        { { "reason", "it is of other weights" },
+          { "version", m_pieces.m_version } });
+    return;
+  }
+  m_target = m_pieces.m_version;
+  m_plan = std::make_unique<FetchPlan>(m_settings.m_node.m_vm,
+                                       m_region,
+                                       m_originRegion,
+                                       VersionKey(),
+                                       m_pieces.m_digests.size(),
+                                       Now());
+  Enter(Stage::Checking);
+  // What lies there is of the version that is loaded; with none loaded it may
+  // be of any.
+  if (Loaded() != 0 && Loaded() != m_target) {
+    Enter(Stage::Fetching);
+    FetchMore();
+    return;
+  }
+  CheckPiece(0);
+}
+
+void
+Stager::CheckPiece(std::size_t aPiece)
+{
+  if (aPiece >= m_pieces.m_digests.size()) {
+    AfterCheck();
+    return;
+  }
+  CallRunner("GET",
+             dialect::StageGetPath(m_model, aPiece),
+             {},
+             [this, epoch = m_epoch, aPiece](const WholeAnswer& aAnswer) {
+               if (epoch == m_epoch) {
+                 OnChecked(aPiece, aAnswer);
+               }
+             });
+}
+
+void
+Stager::OnChecked(std::size_t aPiece, const WholeAnswer& aAnswer)
+{
+  if (aAnswer.m_status == 200 &&
+      Sha256Hex(aAnswer.m_body) == m_pieces.m_digests[aPiece]) {
+    m_plan->Have(aPiece);
+  } else {
+    if (m_plan->Held()[aPiece]) {
+      Log(LogLevel::Warning, "staged piece is spoilt", { { "piece", aPiece } });
+    }
+    m_plan->Lost(aPiece);
+  }
+  CheckPiece(aPiece + 1);
+}
+
+// All pieces at the runner have been read, or the runner is free of work.
+void
+Stager::AfterCheck()
+{
+  if (m_stage == Stage::Draining) {
+    Enter(Stage::Verifying);
+    CheckPiece(0);
+    return;
+  }
+  if (!m_plan->Complete()) {
+    Enter(Stage::Fetching);
+    FetchMore();
+  } else if (m_stage == Stage::Verifying) {
+    OrderLoad();
+  } else {
+    OnComplete();
+  }
+}
+
+void
+Stager::OnComplete()
+{
+  Enter(Loaded() >= m_target ? Stage::Resting : Stage::Staged);
+}
+
+void
+Stager::FetchMore()
+{
+  if (m_plan->Complete()) {
+    OnComplete();
+    return;
+  }
+  while (const auto fetch = m_plan->Next(FetchPeers(), Now(), m_random)) {
+    Fetch(*fetch);
+  }
+}
+
+void
+Stager::Fetch(const PieceFetch& aFetch)
+{
+  Address from;
+  std::string target;
+  if (aFetch.m_from.empty()) {
+    from = *m_origin;
+    target = dialect::PiecePath(m_model, m_target, aFetch.m_piece);
+  } else {
+    from = m_peers[aFetch.m_from].m_stager.m_address;
+    target = std::string(kPiecesPath) + m_model + "/" +
+             std::to_string(m_target) + "/" + std::to_string(aFetch.m_piece);
+  }
+  CallWhole(m_loop,
+            m_pool,
+            from,
+            "GET",
+            target,
+            {},
+            kPieceTime,
+            [this, epoch = m_epoch, aFetch](const WholeAnswer& aAnswer) {
+              if (epoch == m_epoch && m_plan) {
+                OnPiece(aFetch, aAnswer);
+              }
+            });
+}
+
+void
+Stager::OnPiece(const PieceFetch& aFetch, const WholeAnswer& aAnswer)
+{
+  const bool good =
+    aAnswer.m_status == 200 &&
+    Sha256Hex(aAnswer.m_body) == m_pieces.m_digests[aFetch.m_piece];
+  CountMetric("siskindeal_stager_pieces_total",
+              { { "from", aFetch.m_from.empty() ? "origin" : "peer" },
+                { "good", good ? "yes" : "no" } });
+  if (!good) {
+    Log(LogLevel::Info,
+        "piece not had",
+        { { "piece", aFetch.m_piece },
+          { "from", aFetch.m_from.empty() ? "origin" : aFetch.m_from },
+          { "status", aAnswer.m_status },
+          { "reason", aAnswer.m_failure } });
+    m_plan->Ended(aFetch, false, Now());
+    if (aAnswer.m_status == 200 && ++m_badPieces >= kMostBadPieces) {
+      BeginVersion();
+    }
+    return;
+  }
+  CallRunner("PUT",
+             dialect::StagePutPath(m_model, aFetch.m_piece),
+             aAnswer.m_body,
+             [this, epoch = m_epoch, aFetch](const WholeAnswer& aStored) {
+               if (epoch == m_epoch && m_plan) {
+                 OnStored(aFetch, aStored.m_status / 100 == 2);
+               }
+             });
+}
+
+void
+Stager::OnStored(const PieceFetch& aFetch, bool aStored)
+{
+  m_plan->Ended(aFetch, aStored, Now());
+  if (m_stage == Stage::Fetching) {
+    FetchMore();
+  }
+}
+
+void
+Stager::AnswerPiece(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  const std::string& target = aConnection->Request().m_target;
+  const std::vector<std::string> parts = absl::StrSplit(target, '/');
+  std::uint64_t version = 0;
+  std::size_t piece = 0;
+  // "", "pieces", model, version, number
+  const bool known =
+    parts.size() == 5 && target.rfind(std::string(kPiecesPath), 0) == 0 &&
+    parts[2] == m_model && absl::SimpleAtoi(parts[3], &version) &&
+    absl::SimpleAtoi(parts[4], &piece) && m_plan &&
+    version == m_pieces.m_version && piece < m_plan->Held().size() &&
+    m_plan->Held()[piece];
+  if (!known) {
+    aConnection->SendWhole(404, {}, {}, "not held");
+    return;
+  }
+  m_uploads.emplace_back(aConnection, piece);
+  if (!m_uploading) {
+    UploadNext();
+  }
+}
+
+void
+Stager::UploadNext()
+{
+  m_uploading.reset();
+  if (m_uploads.empty()) {
+    return;
+  }
+  const auto [connection, piece] = m_uploads.front();
+  m_uploads.pop_front();
+  Upload(connection, piece);
+}
+
+void
+Stager::Upload(const std::shared_ptr<ServerConnection>& aConnection,
+               std::size_t aPiece)
+{
+  m_uploading = aConnection;
+  CallRunner("GET",
+             dialect::StageGetPath(m_model, aPiece),
+             {},
+             [this, aConnection](const WholeAnswer& aAnswer) {
+               const int status = aAnswer.m_status == 200 ? 200 : 502;
+               aConnection->m_onSent = [this, aConnection] {
+                 if (m_uploading == aConnection) {
+                   UploadNext();
+                 }
+               };
+               aConnection->SendWhole(status, {}, {}, aAnswer.m_body);
+             });
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/stager/stager_p.h
@@ -0,0 +1,135 @@
+#pragma once
+// A stager's process, beside one model runner: it brings named weights to the
+// runner, passes pieces on to its peers and tells gateways what the runner
+// holds. Pieces lie at the runner; none is kept here.
+
+#include "net/datagrams_p.h"
+#include "net/http_server_p.h"
+#include "site/object_feed_p.h"
+#include "stager/fetch_plan_p.h"
+#include "stager/load_turn_p.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace siskindeal {
+
+class Stager
+{
+public:
+  explicit Stager(const StagerSettings& aSettings);
+  ~Stager();
+
+  // Serves until a stop signal comes.
+  void Run();
+
+private:
+  enum class Stage
+  {
+    Resting,  // the runner has what is named
+    Listing,  // asks which pieces there are
+    Checking, // looks which of them lie at the runner
+    Fetching,
+    Staged,    // all are there; waits for its turn
+    Draining,  // its turn: the runner gets no new work
+    Verifying, // reads all pieces back
+    Loading,   // the runner takes them
+  };
+
+  struct Peer
+  {
+    StagerPeer m_stager;
+    v1::StagerNotice m_notice;
+  };
+
+  void OnVersion(const SiteObject& aObject);
+  void ReadConfig();
+  void OnConfig(const WholeAnswer& aAnswer);
+  void ReadPeers();
+  void OnPeers(const WholeAnswer& aAnswer);
+  void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
+  void Tell();
+  void Tick();
+  void PollRunner();
+  void OnReport(const WholeAnswer& aAnswer);
+  void Step();
+  void BeginVersion();
+  void ListPieces();
+  void OnPieceList(const WholeAnswer& aAnswer);
+  void CheckPiece(std::size_t aPiece);
+  void OnChecked(std::size_t aPiece, const WholeAnswer& aAnswer);
+  void AfterCheck();
+  void FetchMore();
+  void OnComplete();
+  void Fetch(const PieceFetch& aFetch);
+  void OnPiece(const PieceFetch& aFetch, const WholeAnswer& aAnswer);
+  void OnStored(const PieceFetch& aFetch, bool aStored);
+  void MaybeTakeTurn();
+  void OrderLoad();
+  void OnOrdered(const WholeAnswer& aAnswer);
+  void AnswerPages(const std::shared_ptr<ServerConnection>& aConnection);
+  void AnswerPiece(const std::shared_ptr<ServerConnection>& aConnection);
+  void UploadNext();
+  void Upload(const std::shared_ptr<ServerConnection>& aConnection,
+              std::size_t aPiece);
+  std::string StateJson() const;
+  std::vector<StagerPeer> FetchPeers() const;
+  std::string VersionKey() const;
+  std::uint64_t Loaded() const;
+  void Enter(Stage aStage);
+  bool KeepsRunnerFree() const;
+  void CallRunner(std::string_view aMethod,
+                  const std::string& aTarget,
+                  std::string aBody,
+                  std::function<void(WholeAnswer)> aDone);
+
+  StagerSettings m_settings;
+  Address m_store;
+  Loop m_loop{ 1 };
+  std::shared_ptr<ConnectionPool> m_pool;
+  Random m_random;
+  std::string m_region;
+  std::optional<ServiceRecord> m_service;
+  std::optional<Address> m_origin;
+  std::string m_originRegion;
+  std::string m_model;
+  std::map<std::string, std::uint64_t> m_named; // by model
+  std::uint64_t m_target = 0;                   // being brought to the runner
+  std::chrono::milliseconds m_namedAt{ 0 };     // boot time
+  EngineReport m_report;
+  bool m_runnerAnswers = false;
+  bool m_polling = false;
+  MonotonicTime m_pollAt{};
+  Stage m_stage = Stage::Resting;
+  std::uint64_t m_epoch = 0; // answers to an earlier fetch are left out
+  PieceList m_pieces;
+  std::unique_ptr<FetchPlan> m_plan;
+  std::uint32_t m_badPieces = 0;
+  MonotonicTime m_stageAt{};
+  MonotonicTime m_retryAt{};
+  std::map<std::string, Peer> m_peers;        // by VM
+  std::map<std::string, Address> m_peerHosts; // listed, maybe not heard yet
+  bool m_mayCut = false; // every stream of the service can be resumed
+  std::map<std::string, MonotonicTime> m_gateways; // heard, by address
+  std::map<std::string, Address> m_gatewayAddresses;
+  // Pieces that peers wait for; one goes out at a time, since answers of the
+  // runner share the link.
+  std::deque<std::pair<std::shared_ptr<ServerConnection>, std::size_t>>
+    m_uploads;
+  std::shared_ptr<ServerConnection> m_uploading;
+  MonotonicTime m_toldAt{};
+  MonotonicTime m_peersReadAt{};
+  MonotonicTime m_configReadAt{};
+  Timer m_ticker;
+  boost::asio::signal_set m_signals;
+  std::unique_ptr<HttpListener> m_pages;
+  std::unique_ptr<DatagramSocket> m_datagrams;
+  std::shared_ptr<ObjectFeed> m_versionFeed;
+};
+
+} // namespace siskindeal
--- a/tests/input_fuzz_test.cpp
+++ b/tests/input_fuzz_test.cpp
@@ -248,6 +248,12 @@
       case SettingsKind::Agent:
         ReadAgentSettings(file);
         return;
+      case SettingsKind::Gateway:
+        ReadGatewaySettings(file);
+        return;
+      case SettingsKind::Stager:
+        ReadStagerSettings(file);
+        return;
       case SettingsKind::Client:
         ReadClientSettings(file);
     }
