Stagers pace their uploads on the link

Cause: pieces went into the socket as fast as it took them, so the runner's events waited behind them for over 120 ms (pass_ms) while weights were fetched. Ruled out: the gateways (first event and gaps were on time), parallel fetches alone (limiting them to one at a time left 40 % late). Change: the existing LinkShaper books each piece on the VM's link.

--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -206,6 +206,7 @@
   std::string m_service; // that it belongs to
   std::map<std::string, std::string> m_regions;      // of each place
   std::chrono::milliseconds m_versionWithin{ 8000 }; // weights, from their naming
+  double m_linkMegabits = 0; // a second, of this VM's link; 0: not paced
 };
 
 struct StagerSettings
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -480,6 +480,13 @@
       "longest time from the naming of new weights until the runner has them",
       Need::Optional,
       kDuration },
+    { "stager",
+      "link_megabits",
+      &aStager.m_linkMegabits,
+      "megabits a second of this VM's link, which pieces share with the "
+      "runner's answers; 0 doesn't pace them",
+      Need::Optional,
+      kAnySize },
   };
 }
 
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -30,6 +30,7 @@
 // What still runs then is cut and goes on at other runners, where it may.
 constexpr milliseconds kDrainBeforeCut{ 600 };
 constexpr milliseconds kLoadTime{ 2500 }; // then the order is given again
+constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr FeedPace kVersionPace{ milliseconds(10000), milliseconds(300) };
 
 MonotonicTime
@@ -106,6 +107,9 @@
   , m_pool(std::make_shared<ConnectionPool>(m_loop))
   , m_random(StableHash(NewId()))
   , m_region(RegionOf(aSettings, aSettings.m_node.m_place))
+  , m_link(static_cast<std::uint64_t>(aSettings.m_stager.m_linkMegabits *
+                                      kBytesPerMegabit))
+  , m_uploadTimer(m_loop)
   , m_ticker(m_loop)
   , m_signals(m_loop, SIGTERM, SIGINT)
 {
--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -277,14 +277,25 @@
   }
   const auto [connection, piece] = m_uploads.front();
   m_uploads.pop_front();
-  Upload(connection, piece);
+  m_uploading = connection;
+  const auto wait = m_link.Reserve(m_pieces.m_pieceBytes, Now());
+  if (wait.count() <= 0) {
+    Upload(connection, piece);
+    return;
+  }
+  m_uploadTimer.expires_after(wait);
+  m_uploadTimer.async_wait(
+    [this, connection = connection, piece = piece](const NetError& aError) {
+      if (!aError) {
+        Upload(connection, piece);
+      }
+    });
 }
 
 void
 Stager::Upload(const std::shared_ptr<ServerConnection>& aConnection,
                std::size_t aPiece)
 {
-  m_uploading = aConnection;
   CallRunner("GET",
              dialect::StageGetPath(m_model, aPiece),
              {},
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -8,6 +8,7 @@
 #include "site/object_feed_p.h"
 #include "stager/fetch_plan_p.h"
 #include "stager/load_turn_p.h"
+#include "weights/link_shaper_p.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -122,6 +123,8 @@
   std::deque<std::pair<std::shared_ptr<ServerConnection>, std::size_t>>
     m_uploads;
   std::shared_ptr<ServerConnection> m_uploading;
+  LinkShaper m_link;
+  Timer m_uploadTimer;
   MonotonicTime m_toldAt{};
   MonotonicTime m_peersReadAt{};
   MonotonicTime m_configReadAt{};
