Each named version has a due time of its own

Change: NamedVersions keeps a time for each; processes tell each other ages, since one that starts anew can't know them; a stager finishes a version that is under way first.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds kRevokeMargin{ 1300 };
 // Old weights get no new requests this long before they must not.
 constexpr milliseconds kVersionMargin{ 700 };
+// Of a named version that was there when the list was read, until a process that
+// has seen it named tells.
+constexpr milliseconds kAssumedAge{ 3000 };
 // A leaving gateway takes callers that kept its address for so many lifetimes
 // of an answer.
 constexpr int kKeptLifetimes = 3;
@@ -146,9 +149,6 @@
   const auto onConfig = [this](const SiteObject& aObject) {
     OnConfig(aObject);
   };
-  const auto onVersion = [this](const SiteObject& aObject) {
-    OnVersion(aObject);
-  };
   const auto onGateway = [this](const SiteObject& aObject) {
     OnGateway(aObject);
   };
@@ -161,7 +161,15 @@
            [this](const SiteObject& aObject) { OnRunner(aObject); },
            [this] { m_runners.NoteListTrouble(Now()); } });
   m_versionFeed = Feed(
-    dialect::kVersionKind, kVersionPace, { each(onVersion), onVersion, [] {} });
+    dialect::kVersionKind,
+    kVersionPace,
+    { each([this](const SiteObject& aObject) {
+        OnVersion(aObject, kAssumedAge);
+      }),
+      [this](const SiteObject& aObject) {
+        OnVersion(aObject, milliseconds(0));
+      },
+      [] {} });
   m_gatewayFeed =
     Feed(kGatewayKind, kGatewayPace, { each(onGateway), onGateway, [] {} });
   for (const Address& entry : m_settings.m_node.m_entries) {
@@ -239,21 +247,20 @@
 }
 
 void
-Gateway::OnVersion(const SiteObject& aObject)
+Gateway::OnVersion(const SiteObject& aObject, milliseconds aAge)
 {
   if (aObject.m_deleted) {
     return;
   }
   try {
     const NamedVersion named = dialect::DecodeVersion(aObject);
-    Named& known = m_named[named.m_model];
-    if (named.m_version <= known.m_version) {
-      return;
+    if (m_named.Note(named.m_model, named.m_version, BootTime() - aAge)) {
+      Log(LogLevel::Info,
+          "weights named",
+          { { "model", named.m_model },
+            { "version", named.m_version },
+            { "assumed_age_ms", aAge.count() } });
     }
-    Log(LogLevel::Info,
-        "weights named",
-        { { "model", named.m_model }, { "version", named.m_version } });
-    known = { named.m_version, known.m_version, BootTime() };
   } catch (const std::invalid_argument& error) {
     Log(LogLevel::Warning,
         "named weights left out",
@@ -262,6 +269,17 @@
   }
 }
 
+void
+Gateway::NoteNamed(
+  const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
+{
+  for (const v1::NamedAge& named : aNamed) {
+    m_named.Note(named.model(),
+                 named.version(),
+                 BootTime() - milliseconds(named.age_ms()));
+  }
+}
+
 void
 Gateway::OnGateway(const SiteObject& aObject)
 {
@@ -334,10 +352,12 @@
 Gateway::OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom)
 {
   if (aDatagram.has_gateway()) {
+    NoteNamed(aDatagram.gateway().named());
     if (m_peers.Hear(aDatagram.gateway(), aFrom, Now())) {
       m_retries.SetEntries(m_peers.Count());
     }
   } else if (aDatagram.has_stager()) {
+    NoteNamed(aDatagram.stager().named());
     OnStagerNotice(aDatagram.stager());
   }
 }
@@ -380,6 +400,9 @@
     load.set_requests(state.m_own.m_requests);
     load.set_prompt_tokens(state.m_own.m_promptTokens);
   }
+  if (m_ticks % kTicksPerSecond == 0) {
+    TellNamed(m_named, BootTime(), *beacon.mutable_named());
+  }
   for (const Address& address : m_peers.Everyone()) {
     if (address.m_host != m_settings.m_node.m_rpc.m_host) {
       m_datagrams->Send(datagram, address);
@@ -469,14 +492,10 @@
 std::uint64_t
 Gateway::LeastVersion(const std::string& aModel) const
 {
-  const auto found = m_named.find(aModel);
-  if (found == m_named.end()) {
-    return 0;
-  }
-  const Named& named = found->second;
-  const bool due = BootTime() - named.m_since >=
-                   m_settings.m_gateway.m_versionWithin - kVersionMargin;
-  return due ? named.m_version : 0;
+  return m_named.NamedFor(
+    aModel,
+    m_settings.m_gateway.m_versionWithin - kVersionMargin,
+    BootTime());
 }
 
 void
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -2,6 +2,7 @@
 // A gateway's process: it takes callers' requests and sends each to a runner.
 // One loop runs all of it.
 
+#include "dispatch/named_versions_p.h"
 #include "dispatch/placement_p.h"
 #include "dispatch/retry_budget_p.h"
 #include "gateway/peers_p.h"
@@ -49,17 +50,12 @@
                   std::initializer_list<LogField> aFields);
 
 private:
-  struct Named
-  {
-    std::uint64_t m_version = 0;
-    std::uint64_t m_before = 0;
-    std::chrono::milliseconds m_since{ 0 }; // boot time
-  };
-
   void OnConfig(const SiteObject& aObject);
   void OnRunner(const SiteObject& aObject);
   void OnRunners(const std::vector<SiteObject>& aObjects);
-  void OnVersion(const SiteObject& aObject);
+  // aAge: how long ago it was named, as far as is known.
+  void OnVersion(const SiteObject& aObject, std::chrono::milliseconds aAge);
+  void NoteNamed(const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
   void OnGateway(const SiteObject& aObject);
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
   void OnStagerNotice(const v1::StagerNotice& aNotice);
@@ -89,7 +85,7 @@
   Placer m_placer;
   SharedRetryBudget m_retries;
   GatewayPeers m_peers;
-  std::map<std::string, Named> m_named; // by model
+  NamedVersions m_named;
   std::uint64_t m_incarnation;
   std::set<std::shared_ptr<CallerExchange>> m_exchanges;
   std::optional<MonotonicTime> m_leavingSince;
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -17,6 +17,20 @@
 
 } // namespace
 
+void
+TellNamed(const NamedVersions& aNamed,
+          std::chrono::milliseconds aBootTime,
+          google::protobuf::RepeatedPtrField<v1::NamedAge>& aTo)
+{
+  for (const auto& [model, times] : aNamed.All()) {
+    const auto& [version, at] = *times.rbegin();
+    v1::NamedAge& named = *aTo.Add();
+    named.set_model(model);
+    named.set_version(version);
+    named.set_age_ms(static_cast<std::uint32_t>((aBootTime - at).count()));
+  }
+}
+
 DatagramSocket::DatagramSocket(Loop& aLoop,
                                const Address& aAddress,
                                Receiver aReceiver)
--- a/src/net/datagrams_p.h
+++ b/src/net/datagrams_p.h
@@ -3,6 +3,7 @@
 // lost; what they carry is told again and again.
 
 #include "datagram.pb.h"
+#include "dispatch/named_versions_p.h"
 #include "net/loop_p.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -13,6 +14,12 @@
 
 namespace siskindeal {
 
+// Adds the newest version named for each model, and how long ago it was.
+void
+TellNamed(const NamedVersions& aNamed,
+          std::chrono::milliseconds aBootTime,
+          google::protobuf::RepeatedPtrField<v1::NamedAge>& aTo);
+
 class DatagramSocket
 {
 public:
--- a/src/stager/load_turn.cpp
+++ b/src/stager/load_turn.cpp
@@ -10,7 +10,9 @@
 
 // Requests run up to some seconds, and end before the weights are taken.
 constexpr std::chrono::milliseconds kLastStart{ 3000 };
-constexpr std::size_t kShareOut = 4; // one in so many runners at once
+// One in so many runners is out at once.
+constexpr std::size_t kShareOut = 4;
+constexpr std::size_t kShareOutInHaste = 2;
 
 std::uint64_t
 Order(const std::string& aVm, const std::string& aKey)
@@ -28,7 +30,8 @@
     return true;
   }
   const std::size_t runners = aInputs.m_peers.size() + 1;
-  const std::size_t most = std::max<std::size_t>(1, runners / kShareOut);
+  const std::size_t share = aInputs.m_newerWaits ? kShareOutInHaste : kShareOut;
+  const std::size_t most = std::max<std::size_t>(1, runners / share);
   const std::uint64_t own = Order(aInputs.m_vm, aInputs.m_versionKey);
   const auto before = std::count_if(
     aInputs.m_peers.begin(), aInputs.m_peers.end(), [&](const auto& aPeer) {
--- a/src/stager/load_turn_p.h
+++ b/src/stager/load_turn_p.h
@@ -23,6 +23,7 @@
   std::string m_vm;
   std::string m_versionKey;
   bool m_empty = false; // the runner serves no weights at all
+  bool m_newerWaits = false; // a newer version can't begin before this one
   std::chrono::milliseconds m_sinceNamed{ 0 };
   std::chrono::milliseconds m_within{ 0 }; // to be done by then
   std::vector<TurnPeer> m_peers;           // heard lately
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -30,6 +30,10 @@
 // What still runs then is cut and goes on at other runners, where it may.
 constexpr milliseconds kDrainBeforeCut{ 600 };
 constexpr milliseconds kLoadTime{ 2500 }; // then the order is given again
+// A version that was named so long before the next one has most of its pieces in
+// the fleet; the next one can wait so long and still be there in time.
+constexpr milliseconds kUnderWay{ 1500 };
+constexpr milliseconds kNewerWaits{ 2200 };
 constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr FeedPace kVersionPace{ milliseconds(10000), milliseconds(300) };
 
@@ -168,12 +172,9 @@
   }
   try {
     const NamedVersion named = dialect::DecodeVersion(aObject);
-    auto& known = m_named[named.m_model];
-    if (named.m_version <= known) {
+    if (!m_named.Note(named.m_model, named.m_version, BootTime())) {
       return;
     }
-    known = named.m_version;
-    m_namedAt = BootTime();
     Log(LogLevel::Info,
         "weights named",
         { { "model", named.m_model }, { "version", named.m_version } });
@@ -336,6 +337,7 @@
                   : m_stage == Stage::Staged ? v1::TURN_STAGED
                                              : v1::TURN_SERVING);
   notice.set_still_running(m_report.m_running);
+  TellNamed(m_named, BootTime(), *notice.mutable_named());
   const MonotonicTime now = Now();
   for (const auto& [host, address] : m_peerHosts) {
     m_datagrams->Send(datagram, address);
@@ -431,12 +433,31 @@
       { { "stage", Name(static_cast<int>(aStage)) },
         { "version", m_target },
         { "loaded", Loaded() },
-        { "since_named_ms", (BootTime() - m_namedAt).count() } });
+        { "since_named_ms", SinceNamed(m_target).count() } });
   m_stage = aStage;
   m_stageAt = Now();
   Tell();
 }
 
+milliseconds
+Stager::SinceNamed(std::uint64_t aVersion) const
+{
+  return BootTime() - m_named.NamedAt(m_model, aVersion);
+}
+
+// Whether the version being brought goes first although a newer one is named:
+// it is well on its way, will be due before the newer one can be there, and the
+// newer one still has time.
+bool
+Stager::FinishesTargetFirst(std::uint64_t aNewest) const
+{
+  const milliseconds newer = SinceNamed(aNewest);
+  const milliseconds apart = SinceNamed(m_target) - newer;
+  return m_stage != Stage::Resting && m_stage != Stage::Listing &&
+         Loaded() < m_target && m_named.NamedAt(m_model, m_target).count() > 0 &&
+         apart >= kUnderWay && newer < kNewerWaits;
+}
+
 // Goes on with what the runner needs next.
 void
 Stager::Step()
@@ -444,9 +465,9 @@
   if (m_model.empty() || !m_runnerAnswers) {
     return;
   }
-  const auto named = m_named.find(m_model);
-  const std::uint64_t newest = named == m_named.end() ? 0 : named->second;
-  if (newest > m_target && m_stage != Stage::Loading) {
+  const std::uint64_t newest = m_named.Newest(m_model);
+  if (newest > m_target && m_stage != Stage::Loading &&
+      !FinishesTargetFirst(newest)) {
     m_target = newest;
     BeginVersion();
     return;
@@ -500,7 +521,8 @@
   inputs.m_vm = m_settings.m_node.m_vm;
   inputs.m_versionKey = VersionKey();
   inputs.m_empty = Loaded() == 0;
-  inputs.m_sinceNamed = BootTime() - m_namedAt;
+  inputs.m_sinceNamed = SinceNamed(m_target);
+  inputs.m_newerWaits = m_named.Newest(m_model) > m_target;
   inputs.m_within = m_settings.m_stager.m_versionWithin;
   for (const auto& [vm, peer] : m_peers) {
     if (now - peer.m_stager.m_heardAt < kPeerSilence) {
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -49,6 +49,8 @@
   };
 
   void OnVersion(const SiteObject& aObject);
+  bool FinishesTargetFirst(std::uint64_t aNewest) const;
+  std::chrono::milliseconds SinceNamed(std::uint64_t aVersion) const;
   void ReadConfig();
   void OnConfig(const WholeAnswer& aAnswer);
   void ReadPeers();
@@ -99,9 +101,8 @@
   std::optional<Address> m_origin;
   std::string m_originRegion;
   std::string m_model;
-  std::map<std::string, std::uint64_t> m_named; // by model
-  std::uint64_t m_target = 0;                   // being brought to the runner
-  std::chrono::milliseconds m_namedAt{ 0 };     // boot time
+  NamedVersions m_named;
+  std::uint64_t m_target = 0; // being brought to the runner
   EngineReport m_report;
   bool m_runnerAnswers = false;
   bool m_polling = false;
