--- a/src/dispatch/named_versions.cpp
+++ b/src/dispatch/named_versions.cpp
@@ -42,6 +42,17 @@
   return 0;
 }
 
+std::uint64_t
+NamedVersions::After(const std::string& aModel, std::uint64_t aVersion) const
+{
+  const auto found = m_models.find(aModel);
+  if (found == m_models.end()) {
+    return 0;
+  }
+  const auto next = found->second.upper_bound(aVersion);
+  return next == found->second.end() ? 0 : next->first;
+}
+
 std::uint64_t
 NamedVersions::Newest(const std::string& aModel) const
 {
--- a/src/dispatch/named_versions_p.h
+++ b/src/dispatch/named_versions_p.h
@@ -23,6 +23,8 @@
                          std::chrono::milliseconds aAge,
                          std::chrono::milliseconds aNow) const;
 
+  // The version after aVersion; 0 when there is none.
+  std::uint64_t After(const std::string& aModel, std::uint64_t aVersion) const;
   std::uint64_t Newest(const std::string& aModel) const;
   // When a version was named; zero for one that isn't known.
   std::chrono::milliseconds NamedAt(const std::string& aModel,
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds kLeastRetryAfter{ 200 };
 constexpr milliseconds kRetrySpread{ 600 };
 constexpr double kRetryShareOfTimeLeft = 0.3; // callers wait no longer
+constexpr double kWaitDoubt = 2; // a wait may be so many times the predicted
 constexpr double kTieMs = 4; // differences below it are decided by chance
 
 double
@@ -83,15 +84,19 @@
   return usual * (1 + 0.3 * requests / aSlots + waiting / aSlots);
 }
 
+// Whether the request may begin on what the runner holds, aWait from now.
 bool
-HoldsVersion(const RequestShape& aShape, const RunnerState& aRunner)
+HoldsVersion(const RequestShape& aShape, const RunnerState& aRunner, Ms aWait)
 {
   if (aShape.m_model.empty()) {
     return true;
   }
-  const auto found = aRunner.m_record.m_versions.find(aShape.m_model);
-  return found != aRunner.m_record.m_versions.end() && found->second > 0 &&
-         found->second >= aShape.m_leastVersion;
+  const std::uint64_t held = aRunner.VersionOf(aShape.m_model);
+  const bool nextIsDue =
+    aShape.m_nextVersion > 0 && aWait * kWaitDoubt > aShape.m_nextDueIn;
+  const std::uint64_t least =
+    nextIsDue ? aShape.m_nextVersion : aShape.m_leastVersion;
+  return held > 0 && held >= least;
 }
 
 } // namespace
@@ -140,16 +145,15 @@
   const RunnerState* best = nullptr;
   double bestCost = 0;
   bool bestAvoided = false;
-  std::size_t there = 0;
   for (const RunnerState* runner : aRunners.Usable(aShape.m_service)) {
+    const Ms predicted = Predict(aShape, aService, *runner);
     if (aTried.count(runner->m_record.m_id) > 0 ||
-        !HoldsVersion(aShape, *runner)) {
+        !HoldsVersion(aShape, *runner, predicted)) {
       continue;
     }
-    ++there;
     const bool avoided =
       runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow;
-    const double cost = Predict(aShape, aService, *runner).count() +
+    const double cost = predicted.count() +
                         DistanceMs(runner->m_record.m_place) +
                         kTieMs * m_random.Unit();
     if (best == nullptr || (bestAvoided && !avoided) ||
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -41,6 +41,13 @@
   // Set while it is not in the list, since the list may have lapsed.
   std::optional<MonotonicTime> m_missingSince;
 
+  // The weights of a model that the runner has, by all that is known; 0: none.
+  std::uint64_t VersionOf(const std::string& aModel) const
+  {
+    const auto found = m_record.m_versions.find(aModel);
+    return found == m_record.m_versions.end() ? 0 : found->second;
+  }
+
   std::uint32_t Requests() const
   {
     return m_own.m_requests + m_others.m_requests;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -202,7 +202,7 @@
 {
   const MonotonicTime now = Now();
   m_shape.m_timeLeft = TimeLeft(now);
-  m_shape.m_leastVersion = m_gateway.LeastVersion(m_shape.m_model);
+  m_gateway.SetVersions(m_shape);
   if (m_sends > 0 || m_phase == Phase::Streaming) {
     m_shape.m_cameBack = true;
   }
@@ -291,8 +291,9 @@
     AppendField(head, dialect::kLastEventId, std::to_string(*m_lastEvent));
   }
   if (m_shape.m_leastVersion > 0) {
-    AppendField(
-      head, dialect::kExpectVersion, std::to_string(m_shape.m_leastVersion));
+    // A runner refuses any other version than the one named here.
+    const std::uint64_t held = aRunner.VersionOf(m_shape.m_model);
+    AppendField(head, dialect::kExpectVersion, std::to_string(held));
   }
   if (m_routes->Service(m_service).m_engine) {
     AppendField(head, dialect::kPriority, std::to_string(PriorityNumber()));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,8 +28,11 @@
 // A key is refused this long before its removal must be in force, since a watch
 // may miss changes for a second before it ends.
 constexpr milliseconds kRevokeMargin{ 1300 };
+// Callers are told other addresses once the configuration is this old, before
+// their keys are refused. A watch that hears nothing leaves it 2.3 s old.
+constexpr milliseconds kSteerAge{ 3000 };
 // Old weights get no new requests this long before they must not.
-constexpr milliseconds kVersionMargin{ 700 };
+constexpr milliseconds kVersionMargin{ 600 };
 // Of a named version that was there when the list was read, until a process that
 // has seen it named tells.
 constexpr milliseconds kAssumedAge{ 3000 };
@@ -390,7 +393,7 @@
   beacon.set_vm(m_settings.m_node.m_vm);
   beacon.set_incarnation(m_incarnation);
   beacon.set_callers(m_settings.m_node.m_http.ToString());
-  beacon.set_serving(TakesCallers());
+  beacon.set_serving(TakesCallers() && ConfigAge() <= kSteerAge);
   for (const auto& [id, state] : m_runners.All()) {
     if (state.m_own == RunnerLoad{}) {
       continue;
@@ -489,13 +492,17 @@
   return known ? BootTime() - *known : milliseconds(-1);
 }
 
-std::uint64_t
-Gateway::LeastVersion(const std::string& aModel) const
+void
+Gateway::SetVersions(RequestShape& aShape) const
 {
-  return m_named.NamedFor(
-    aModel,
-    m_settings.m_gateway.m_versionWithin - kVersionMargin,
-    BootTime());
+  const milliseconds now = BootTime();
+  const milliseconds within =
+    m_settings.m_gateway.m_versionWithin - kVersionMargin;
+  aShape.m_leastVersion = m_named.NamedFor(aShape.m_model, within, now);
+  aShape.m_nextVersion =
+    m_named.After(aShape.m_model, aShape.m_leastVersion);
+  aShape.m_nextDueIn =
+    within - (now - m_named.NamedAt(aShape.m_model, aShape.m_nextVersion));
 }
 
 void
@@ -548,7 +555,7 @@
     return;
   }
   std::vector<Address> addresses = m_peers.Serving(Now());
-  if (TakesCallers()) {
+  if (TakesCallers() && (ConfigAge() <= kSteerAge || addresses.empty())) {
     addresses.push_back(m_settings.m_node.m_http);
   }
   if (addresses.empty()) {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -40,8 +40,8 @@
   // Whether the configuration is recent enough to accept keys by it.
   bool ConfigIsFresh() const;
   std::chrono::milliseconds ConfigAge() const;
-  // The version of a model that requests must run on from now on; 0: any.
-  std::uint64_t LeastVersion(const std::string& aModel) const;
+  // Sets which weights the request may run on.
+  void SetVersions(RequestShape& aShape) const;
   void Add(const std::shared_ptr<CallerExchange>& aExchange);
   void Remove(const std::shared_ptr<CallerExchange>& aExchange);
   // One line about a request, unless too many were written just now.
--- a/src/stager/load_turn.cpp
+++ b/src/stager/load_turn.cpp
@@ -3,16 +3,43 @@
 #include "siskindeal/digest.h"
 
 #include <algorithm>
+#include <array>
 
 namespace siskindeal {
 
 namespace {
 
-// Requests run up to some seconds, and end before the weights are taken.
-constexpr std::chrono::milliseconds kLastStart{ 3000 };
-// One in so many runners is out at once.
-constexpr std::size_t kShareOut = 4;
-constexpr std::size_t kShareOutInHaste = 2;
+using std::chrono::milliseconds;
+
+// From the order until the runner serves again and others have heard so.
+constexpr milliseconds kOutToLoad{ 450 };
+constexpr milliseconds kShortestDrain{ 100 };
+constexpr milliseconds kLongestDrain{ 600 };
+// One in so many runners is out at once: the first that fits the time left.
+constexpr std::array<std::size_t, 4> kSharesOut = { 6, 4, 3, 2 };
+
+// How many are out at once, and how long each drains.
+struct Rounds
+{
+  std::size_t m_most = 1;
+  milliseconds m_drain{ 0 };
+};
+
+Rounds
+PlanRounds(std::size_t aRunners, std::size_t aRemaining, milliseconds aTimeLeft)
+{
+  Rounds rounds{ std::max<std::size_t>(1, aRunners), kShortestDrain };
+  for (const std::size_t share : kSharesOut) {
+    const std::size_t most = std::max<std::size_t>(1, aRunners / share);
+    const auto count =
+      static_cast<std::int64_t>((aRemaining + most - 1) / most);
+    const milliseconds each = aTimeLeft / std::max<std::int64_t>(1, count);
+    if (each >= kOutToLoad + kShortestDrain) {
+      return { most, std::min(kLongestDrain, each - kOutToLoad) };
+    }
+  }
+  return rounds;
+}
 
 std::uint64_t
 Order(const std::string& aVm, const std::string& aKey)
@@ -22,23 +49,26 @@
 
 } // namespace
 
-bool
-MayLoadNow(const TurnInputs& aInputs)
+Turn
+DecideTurn(const TurnInputs& aInputs)
 {
-  if (aInputs.m_empty ||
-      aInputs.m_sinceNamed >= aInputs.m_within - kLastStart) {
-    return true;
+  if (aInputs.m_empty) {
+    return { true, milliseconds(0) };
   }
+  const auto done =
+    std::count_if(aInputs.m_peers.begin(),
+                  aInputs.m_peers.end(),
+                  [](const auto& aPeer) { return aPeer.m_loaded; });
   const std::size_t runners = aInputs.m_peers.size() + 1;
-  const std::size_t share = aInputs.m_newerWaits ? kShareOutInHaste : kShareOut;
-  const std::size_t most = std::max<std::size_t>(1, runners / share);
+  const Rounds rounds = PlanRounds(
+    runners, runners - static_cast<std::size_t>(done), aInputs.m_timeLeft);
   const std::uint64_t own = Order(aInputs.m_vm, aInputs.m_versionKey);
   const auto before = std::count_if(
     aInputs.m_peers.begin(), aInputs.m_peers.end(), [&](const auto& aPeer) {
       return aPeer.m_loading ||
              (aPeer.m_staged && Order(aPeer.m_vm, aInputs.m_versionKey) < own);
     });
-  return static_cast<std::size_t>(before) < most;
+  return { static_cast<std::size_t>(before) < rounds.m_most, rounds.m_drain };
 }
 
 } // namespace siskindeal
--- a/src/stager/load_turn_p.h
+++ b/src/stager/load_turn_p.h
@@ -14,6 +14,7 @@
 struct TurnPeer
 {
   std::string m_vm;
+  bool m_loaded = false;  // its runner has the version
   bool m_staged = false;  // waits for its turn
   bool m_loading = false; // takes no new work
 };
@@ -23,13 +24,18 @@
   std::string m_vm;
   std::string m_versionKey;
   bool m_empty = false; // the runner serves no weights at all
-  bool m_newerWaits = false; // a newer version can't begin before this one
-  std::chrono::milliseconds m_sinceNamed{ 0 };
-  std::chrono::milliseconds m_within{ 0 }; // to be done by then
-  std::vector<TurnPeer> m_peers;           // heard lately
+  std::chrono::milliseconds m_timeLeft{ 0 }; // until all must be done
+  std::vector<TurnPeer> m_peers;             // heard lately
 };
 
-bool
-MayLoadNow(const TurnInputs& aInputs);
+struct Turn
+{
+  bool m_now = false;
+  // How long the runner takes no new work before what still runs is cut.
+  std::chrono::milliseconds m_drain{ 0 };
+};
+
+Turn
+DecideTurn(const TurnInputs& aInputs);
 
 } // namespace siskindeal
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -26,9 +26,8 @@
 constexpr milliseconds kConfigRetry{ 1000 };
 constexpr milliseconds kRunnerTime{ 800 };
 constexpr milliseconds kStoreTime{ 1500 };
-constexpr milliseconds kLongestDrain{ 2500 };
-// What still runs then is cut and goes on at other runners, where it may.
-constexpr milliseconds kDrainBeforeCut{ 600 };
+constexpr milliseconds kLongestDrain{ 2500 }; // of work that can't go on
+constexpr milliseconds kDoneBefore{ 700 };    // the version is due
 constexpr milliseconds kLoadTime{ 2500 }; // then the order is given again
 // A version that was named so long before the next one has most of its pieces in
 // the fleet; the next one can wait so long and still be there in time.
@@ -494,8 +493,7 @@
     case Stage::Draining: {
       const bool free = m_report.m_running + m_report.m_waiting == 0 &&
                         m_pollAt > m_stageAt && !m_polling;
-      const milliseconds longest = m_mayCut ? kDrainBeforeCut : kLongestDrain;
-      if (free || now - m_stageAt >= longest) {
+      if (free || now - m_stageAt >= m_drain) {
         AfterCheck();
       }
       break;
@@ -521,19 +519,25 @@
   inputs.m_vm = m_settings.m_node.m_vm;
   inputs.m_versionKey = VersionKey();
   inputs.m_empty = Loaded() == 0;
-  inputs.m_sinceNamed = SinceNamed(m_target);
-  inputs.m_newerWaits = m_named.Newest(m_model) > m_target;
-  inputs.m_within = m_settings.m_stager.m_versionWithin;
+  inputs.m_timeLeft = m_settings.m_stager.m_versionWithin - kDoneBefore -
+                      SinceNamed(m_target);
+  if (m_named.Newest(m_model) > m_target) {
+    inputs.m_timeLeft = std::min(
+      inputs.m_timeLeft, kNewerWaits - SinceNamed(m_named.Newest(m_model)));
+  }
   for (const auto& [vm, peer] : m_peers) {
     if (now - peer.m_stager.m_heardAt < kPeerSilence) {
       inputs.m_peers.push_back({ vm,
+                                 peer.m_notice.loaded() >= m_target,
                                  peer.m_notice.turn() == v1::TURN_STAGED,
                                  peer.m_notice.turn() == v1::TURN_LOADING });
     }
   }
-  if (!MayLoadNow(inputs)) {
+  const Turn turn = DecideTurn(inputs);
+  if (!turn.m_now) {
     return;
   }
+  m_drain = m_mayCut ? turn.m_drain : kLongestDrain;
   Enter(Stage::Draining);
 }
 
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -113,6 +113,7 @@
   std::unique_ptr<FetchPlan> m_plan;
   std::uint32_t m_badPieces = 0;
   MonotonicTime m_stageAt{};
+  std::chrono::milliseconds m_drain{ 0 }; // of this turn
   MonotonicTime m_retryAt{};
   std::map<std::string, Peer> m_peers;        // by VM
   std::map<std::string, Address> m_peerHosts; // listed, maybe not heard yet
