--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -11,8 +11,8 @@
 
 // Latency that a request may lose rather than send its bytes further: bytes
 // between regions cost more than ones between places.
-constexpr double kOtherRegionMs = 25;
-constexpr double kOtherPlaceMs = 5;
+constexpr double kOtherRegionMs = 80;
+constexpr double kOtherPlaceMs = 15;
 // A plain service's usual time until one has been seen.
 constexpr Ms kUnknownTime{ 30 };
 constexpr double kFirstTokenMs = 12; // of an engine, beside the prompt
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,8 +33,8 @@
 constexpr milliseconds kSteerAge{ 3000 };
 // Old weights get no new requests this long before they must not.
 constexpr milliseconds kVersionMargin{ 600 };
-// Of a named version that was there when the list was read, until a process that
-// has seen it named tells.
+// Of a named version that was there when the list was read, until a process
+// that has seen it named tells.
 constexpr milliseconds kAssumedAge{ 3000 };
 // A leaving gateway takes callers that kept its address for so many lifetimes
 // of an answer.
@@ -95,6 +95,28 @@
   , m_registerTimer(m_loop)
   , m_signals(m_loop, SIGTERM, SIGINT)
 {
+  m_callers = std::make_unique<HttpListener>(
+    m_loop, m_settings.m_node.m_http, [this](const auto& aConnection) {
+      std::make_shared<CallerExchange>(*this, aConnection)->Start();
+    });
+  m_ready = std::make_unique<HttpListener>(
+    m_loop, m_settings.m_gateway.m_ready, [this](const auto& aConnection) {
+      AnswerReady(aConnection);
+    });
+  m_directory = std::make_unique<HttpListener>(
+    m_loop, m_settings.m_gateway.m_directory, [this](const auto& aConnection) {
+      AnswerDirectory(aConnection);
+    });
+  m_pages = std::make_unique<HttpListener>(
+    m_loop, m_settings.m_node.m_rpc, [this](const auto& aConnection) {
+      AnswerPages(aConnection);
+    });
+  m_datagrams = std::make_unique<DatagramSocket>(
+    m_loop,
+    m_settings.m_node.m_rpc,
+    [this](const v1::Datagram& aDatagram, const Address& aFrom) {
+      OnDatagram(aDatagram, aFrom);
+    });
 }
 
 Gateway::~Gateway() = default;
@@ -120,28 +142,6 @@
       Leave();
     }
   });
-  m_callers = std::make_unique<HttpListener>(
-    m_loop, m_settings.m_node.m_http, [this](const auto& aConnection) {
-      std::make_shared<CallerExchange>(*this, aConnection)->Start();
-    });
-  m_ready = std::make_unique<HttpListener>(
-    m_loop, m_settings.m_gateway.m_ready, [this](const auto& aConnection) {
-      AnswerReady(aConnection);
-    });
-  m_directory = std::make_unique<HttpListener>(
-    m_loop, m_settings.m_gateway.m_directory, [this](const auto& aConnection) {
-      AnswerDirectory(aConnection);
-    });
-  m_pages = std::make_unique<HttpListener>(
-    m_loop, m_settings.m_node.m_rpc, [this](const auto& aConnection) {
-      AnswerPages(aConnection);
-    });
-  m_datagrams = std::make_unique<DatagramSocket>(
-    m_loop,
-    m_settings.m_node.m_rpc,
-    [this](const v1::Datagram& aDatagram, const Address& aFrom) {
-      OnDatagram(aDatagram, aFrom);
-    });
   const auto each = [](const auto& aChange) {
     return [aChange](const std::vector<SiteObject>& aObjects) {
       for (const SiteObject& object : aObjects) {
@@ -163,16 +163,15 @@
          { [this](const auto& aObjects) { OnRunners(aObjects); },
            [this](const SiteObject& aObject) { OnRunner(aObject); },
            [this] { m_runners.NoteListTrouble(Now()); } });
-  m_versionFeed = Feed(
-    dialect::kVersionKind,
-    kVersionPace,
-    { each([this](const SiteObject& aObject) {
-        OnVersion(aObject, kAssumedAge);
-      }),
-      [this](const SiteObject& aObject) {
-        OnVersion(aObject, milliseconds(0));
-      },
-      [] {} });
+  m_versionFeed = Feed(dialect::kVersionKind,
+                       kVersionPace,
+                       { each([this](const SiteObject& aObject) {
+                           OnVersion(aObject, kAssumedAge);
+                         }),
+                         [this](const SiteObject& aObject) {
+                           OnVersion(aObject, milliseconds(0));
+                         },
+                         [] {} });
   m_gatewayFeed =
     Feed(kGatewayKind, kGatewayPace, { each(onGateway), onGateway, [] {} });
   for (const Address& entry : m_settings.m_node.m_entries) {
@@ -499,8 +498,7 @@
   const milliseconds within =
     m_settings.m_gateway.m_versionWithin - kVersionMargin;
   aShape.m_leastVersion = m_named.NamedFor(aShape.m_model, within, now);
-  aShape.m_nextVersion =
-    m_named.After(aShape.m_model, aShape.m_leastVersion);
+  aShape.m_nextVersion = m_named.After(aShape.m_model, aShape.m_leastVersion);
   aShape.m_nextDueIn =
     within - (now - m_named.NamedAt(aShape.m_model, aShape.m_nextVersion));
 }
@@ -628,6 +626,12 @@
   SendBeacon();
 }
 
+void
+Gateway::AskToLeave()
+{
+  boost::asio::post(m_loop, [this] { Leave(); });
+}
+
 void
 Gateway::MaybeStop()
 {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -29,6 +29,13 @@
   // Serves until a stop signal has come and what was in progress has ended.
   void Run();
 
+  // Begins a planned stop, as SIGTERM does; from any thread.
+  void AskToLeave();
+  // Where it listens, once it runs; for settings with port 0.
+  std::uint16_t CallersPort() const { return m_callers->Port(); }
+  std::uint16_t DirectoryPort() const { return m_directory->Port(); }
+  std::uint16_t ReadyPort() const { return m_ready->Port(); }
+
   // For exchanges.
   Loop& EventLoop() { return m_loop; }
   const std::shared_ptr<const RouteIndex>& Routes() const { return m_routes; }
@@ -55,7 +62,8 @@
   void OnRunners(const std::vector<SiteObject>& aObjects);
   // aAge: how long ago it was named, as far as is known.
   void OnVersion(const SiteObject& aObject, std::chrono::milliseconds aAge);
-  void NoteNamed(const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
+  void NoteNamed(
+    const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
   void OnGateway(const SiteObject& aObject);
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
   void OnStagerNotice(const v1::StagerNotice& aNotice);
--- a/src/stager/load_turn.cpp
+++ b/src/stager/load_turn.cpp
@@ -26,13 +26,12 @@
 };
 
 Rounds
-PlanRounds(std::size_t aRunners, std::size_t aRemaining, milliseconds aTimeLeft)
+PlanRounds(std::size_t aRunners, std::size_t aWaiting, milliseconds aTimeLeft)
 {
   Rounds rounds{ std::max<std::size_t>(1, aRunners), kShortestDrain };
   for (const std::size_t share : kSharesOut) {
     const std::size_t most = std::max<std::size_t>(1, aRunners / share);
-    const auto count =
-      static_cast<std::int64_t>((aRemaining + most - 1) / most);
+    const auto count = static_cast<std::int64_t>((aWaiting + most - 1) / most);
     const milliseconds each = aTimeLeft / std::max<std::int64_t>(1, count);
     if (each >= kOutToLoad + kShortestDrain) {
       return { most, std::min(kLongestDrain, each - kOutToLoad) };
@@ -55,13 +54,13 @@
   if (aInputs.m_empty) {
     return { true, milliseconds(0) };
   }
-  const auto done =
-    std::count_if(aInputs.m_peers.begin(),
-                  aInputs.m_peers.end(),
-                  [](const auto& aPeer) { return aPeer.m_loaded; });
+  const auto begun = std::count_if(
+    aInputs.m_peers.begin(), aInputs.m_peers.end(), [](const auto& aPeer) {
+      return aPeer.m_loaded || aPeer.m_loading;
+    });
   const std::size_t runners = aInputs.m_peers.size() + 1;
   const Rounds rounds = PlanRounds(
-    runners, runners - static_cast<std::size_t>(done), aInputs.m_timeLeft);
+    runners, runners - static_cast<std::size_t>(begun), aInputs.m_timeLeft);
   const std::uint64_t own = Order(aInputs.m_vm, aInputs.m_versionKey);
   const auto before = std::count_if(
     aInputs.m_peers.begin(), aInputs.m_peers.end(), [&](const auto& aPeer) {
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -28,9 +28,9 @@
 constexpr milliseconds kStoreTime{ 1500 };
 constexpr milliseconds kLongestDrain{ 2500 }; // of work that can't go on
 constexpr milliseconds kDoneBefore{ 700 };    // the version is due
-constexpr milliseconds kLoadTime{ 2500 }; // then the order is given again
-// A version that was named so long before the next one has most of its pieces in
-// the fleet; the next one can wait so long and still be there in time.
+constexpr milliseconds kLoadTime{ 2500 };     // then the order is given again
+// A version that was named so long before the next one has most of its pieces
+// in the fleet; the next one can wait so long and still be there in time.
 constexpr milliseconds kUnderWay{ 1500 };
 constexpr milliseconds kNewerWaits{ 2200 };
 constexpr double kBytesPerMegabit = 1e6 / 8;
@@ -453,8 +453,9 @@
   const milliseconds newer = SinceNamed(aNewest);
   const milliseconds apart = SinceNamed(m_target) - newer;
   return m_stage != Stage::Resting && m_stage != Stage::Listing &&
-         Loaded() < m_target && m_named.NamedAt(m_model, m_target).count() > 0 &&
-         apart >= kUnderWay && newer < kNewerWaits;
+         Loaded() < m_target &&
+         m_named.NamedAt(m_model, m_target).count() > 0 && apart >= kUnderWay &&
+         newer < kNewerWaits;
 }
 
 // Goes on with what the runner needs next.
@@ -519,8 +520,8 @@
   inputs.m_vm = m_settings.m_node.m_vm;
   inputs.m_versionKey = VersionKey();
   inputs.m_empty = Loaded() == 0;
-  inputs.m_timeLeft = m_settings.m_stager.m_versionWithin - kDoneBefore -
-                      SinceNamed(m_target);
+  inputs.m_timeLeft =
+    m_settings.m_stager.m_versionWithin - kDoneBefore - SinceNamed(m_target);
   if (m_named.Newest(m_model) > m_target) {
     inputs.m_timeLeft = std::min(
       inputs.m_timeLeft, kNewerWaits - SinceNamed(m_named.Newest(m_model)));
--- /dev/null
+++ b/tests/dispatch_test.cpp
@@ -0,0 +1,265 @@
+// Decisions of a gateway: which runners there are, where a request goes, how
+// often it is sent again.
+
+#include "dispatch/named_versions_p.h"
+#include "dispatch/placement_p.h"
+#include "dispatch/retry_budget_p.h"
+
+#include <gtest/gtest.h>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr MonotonicTime kStart{ std::chrono::hours(1) };
+const std::string kModel = "booking-7b";
+
+RunnerRecord
+Runner(const std::string& aId, const std::string& aPlace = "kin-a")
+{
+  RunnerRecord runner;
+  runner.m_id = aId;
+  runner.m_service = "caddie";
+  runner.m_address = { "10.0.0.1",
+                       static_cast<std::uint16_t>(1000 + aId.size()) };
+  runner.m_place = aPlace;
+  runner.m_slots = 16;
+  runner.m_versions[kModel] = 1;
+  return runner;
+}
+
+ServiceRecord
+Engine()
+{
+  ServiceRecord service;
+  service.m_name = "caddie";
+  EngineFigures engine;
+  engine.m_slots = 16;
+  engine.m_stepMs = 6.73;
+  engine.m_promptTokensPerMs = 30.6;
+  engine.m_stepsPerPass = 6;
+  engine.m_usualPromptTokens = 964;
+  engine.m_usualAnswerTokens = 119;
+  service.m_engine = engine;
+  return service;
+}
+
+RequestShape
+Shape()
+{
+  RequestShape shape;
+  shape.m_service = "caddie";
+  shape.m_model = kModel;
+  shape.m_promptTokens = 1000;
+  shape.m_target = milliseconds(400);
+  shape.m_timeLeft = milliseconds(6000);
+  return shape;
+}
+
+Placer
+NewPlacer()
+{
+  return { "kin-a", { { "kin-a", "kingston" }, { "mbj-a", "montego" } }, 7 };
+}
+
+std::string
+RunnerOf(const Decision& aDecision)
+{
+  const auto* placement = std::get_if<Placement>(&aDecision);
+  return placement == nullptr ? "refused" : placement->m_runner;
+}
+
+TEST(RunnerTable, ARunnerThatLeavesTheListIsGoneAtOnce)
+{
+  RunnerTable table;
+  table.Replace({ Runner("a"), Runner("b") }, kStart);
+  table.Remove("a", kStart);
+  EXPECT_EQ(table.Usable("caddie").size(), 1U);
+}
+
+TEST(RunnerTable, EntriesThatLapsedWithTheStoreAreKeptUntilTheyMayBeBack)
+{
+  RunnerTable table;
+  table.Replace({ Runner("a"), Runner("b") }, kStart);
+  table.NoteListTrouble(kStart);
+  table.Replace({}, kStart + milliseconds(500));
+  EXPECT_EQ(table.Usable("caddie").size(), 2U);
+  table.Put(Runner("a"));
+  table.Sweep(kStart + milliseconds(5000));
+  ASSERT_EQ(table.Usable("caddie").size(), 1U);
+  EXPECT_EQ(table.Usable("caddie").front()->m_record.m_id, "a");
+}
+
+TEST(RunnerTable, ADrainingRunnerGetsNoWork)
+{
+  RunnerTable table;
+  RunnerRecord draining = Runner("a");
+  draining.m_draining = true;
+  table.Replace({ draining }, kStart);
+  EXPECT_TRUE(table.Usable("caddie").empty());
+}
+
+TEST(Placement, GoesToTheRunnerWithTheLeastPredictedWait)
+{
+  RunnerTable table;
+  table.Replace({ Runner("a"), Runner("bb") }, kStart);
+  table.Find("a")->m_own = { 12, 6000 };
+  table.Find("bb")->m_others = { 3, 500 };
+  Placer placer = NewPlacer();
+  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)), "bb");
+}
+
+TEST(Placement, StaysInItsRegionWhileThatCostsLittle)
+{
+  RunnerTable table;
+  table.Replace({ Runner("near", "kin-a"), Runner("far", "mbj-a") }, kStart);
+  Placer placer = NewPlacer();
+  table.Find("near")->m_own = { 1, 0 };
+  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)),
+            "near");
+  table.Find("near")->m_own = { 14, 9000 };
+  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)),
+            "far");
+}
+
+TEST(Placement, RefusesWhatWouldBeLateAndSaysWhenToComeBack)
+{
+  RunnerTable table;
+  table.Replace({ Runner("a") }, kStart);
+  table.Find("a")->m_others = { 40, 20000 };
+  Placer placer = NewPlacer();
+  const Decision decision = placer.Place(Shape(), Engine(), table, {}, kStart);
+  const auto* refusal = std::get_if<PlaceRefusal>(&decision);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_GT(refusal->m_retryAfter, milliseconds(0));
+  EXPECT_LT(refusal->m_retryAfter, milliseconds(2000)); // a third of its time
+}
+
+TEST(Placement, ACallerThatCameBackGoesBeforeANewcomer)
+{
+  RunnerTable table;
+  table.Replace({ Runner("a") }, kStart);
+  table.Find("a")->m_others = { 19, 3000 };
+  Placer placer = NewPlacer();
+  RequestShape shape = Shape();
+  EXPECT_EQ(RunnerOf(placer.Place(shape, Engine(), table, {}, kStart)),
+            "refused");
+  shape.m_cameBack = true;
+  EXPECT_EQ(RunnerOf(placer.Place(shape, Engine(), table, {}, kStart)), "a");
+}
+
+TEST(Placement, ARunnerThatFailedOrLoadsGetsWorkOnlyIfNoOtherCan)
+{
+  RunnerTable table;
+  table.Replace({ Runner("a"), Runner("bb") }, kStart);
+  table.Find("a")->m_avoidUntil = kStart + milliseconds(100);
+  table.Find("bb")->m_own = { 10, 4000 };
+  Placer placer = NewPlacer();
+  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)), "bb");
+  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, { "bb" }, kStart)),
+            "a");
+}
+
+struct VersionCase
+{
+  const char* m_name;
+  std::uint64_t m_held;
+  std::uint64_t m_least;
+  std::uint64_t m_next;
+  int m_nextDueInMs;
+  bool m_placed;
+};
+
+TEST(Placement, HoldsRequestsToTheWeightsThatAreDue)
+{
+  const VersionCase cases[] = {
+    { "nothing named", 1, 0, 0, 0, true },
+    { "no weights at all", 0, 0, 0, 0, false },
+    { "an older version than is due", 1, 2, 0, 0, false },
+    { "a newer version than is due", 3, 2, 0, 0, true },
+    { "the next is due while it would wait", 1, 0, 2, 50, false },
+    { "the next is due later", 1, 0, 2, 3000, true },
+  };
+  for (const VersionCase& versions : cases) {
+    SCOPED_TRACE(versions.m_name);
+    RunnerTable table;
+    RunnerRecord runner = Runner("a");
+    runner.m_versions[kModel] = versions.m_held;
+    table.Replace({ runner }, kStart);
+    Placer placer = NewPlacer();
+    RequestShape shape = Shape();
+    shape.m_leastVersion = versions.m_least;
+    shape.m_nextVersion = versions.m_next;
+    shape.m_nextDueIn = milliseconds(versions.m_nextDueInMs);
+    const Decision decision = placer.Place(shape, Engine(), table, {}, kStart);
+    EXPECT_EQ(std::holds_alternative<Placement>(decision), versions.m_placed);
+  }
+}
+
+TEST(NamedVersions, EachIsDueFromItsOwnNaming)
+{
+  NamedVersions named;
+  EXPECT_TRUE(named.Note(kModel, 2, milliseconds(1000)));
+  EXPECT_TRUE(named.Note(kModel, 3, milliseconds(3000)));
+  EXPECT_FALSE(named.Note(kModel, 3, milliseconds(3500)));
+  EXPECT_EQ(named.NamedFor(kModel, milliseconds(8000), milliseconds(8999)), 0U);
+  EXPECT_EQ(named.NamedFor(kModel, milliseconds(8000), milliseconds(9000)), 2U);
+  EXPECT_EQ(named.NamedFor(kModel, milliseconds(8000), milliseconds(11000)),
+            3U);
+  EXPECT_EQ(named.After(kModel, 2), 3U);
+  EXPECT_EQ(named.After(kModel, 3), 0U);
+}
+
+TEST(NamedVersions, AProcessThatKnowsAnEarlierTimeIsBelieved)
+{
+  NamedVersions named;
+  named.Note(kModel, 2, milliseconds(5000));
+  named.Note(kModel, 2, milliseconds(1000));
+  EXPECT_EQ(named.NamedAt(kModel, 2), milliseconds(1000));
+}
+
+// However requests and failures come, and whichever gateway gets them, all
+// together stay within the shared allowance.
+TEST(SharedRetryBudget, AllGatewaysTogetherStayWithinTheAllowance)
+{
+  constexpr std::size_t kGateways = 9;
+  constexpr int kSteps = 60000;
+  const RetryAllowance allowance{ 0.2, milliseconds(10000), 106 };
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    SCOPED_TRACE(seed);
+    Random random(seed);
+    std::vector<SharedRetryBudget> budgets;
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      budgets.emplace_back(allowance);
+      budgets.back().SetEntries(kGateways);
+    }
+    std::deque<MonotonicTime> requests;
+    std::deque<MonotonicTime> retries;
+    MonotonicTime now = kStart;
+    for (int step = 0; step < kSteps; ++step) {
+      now += milliseconds(random.Below(10));
+      SharedRetryBudget& budget = budgets[random.Below(kGateways)];
+      if (random.Chance(0.3)) {
+        budget.NoteRequest("caddie", now);
+        requests.push_back(now);
+      } else if (budget.TakeRetry("caddie", now)) {
+        retries.push_back(now);
+      }
+      for (auto* times : { &requests, &retries }) {
+        while (!times->empty() && now - times->front() > allowance.m_window) {
+          times->pop_front();
+        }
+      }
+      ASSERT_LE(static_cast<double>(retries.size()),
+                allowance.m_ratio * static_cast<double>(requests.size()) +
+                  allowance.m_slack);
+    }
+    EXPECT_FALSE(retries.empty());
+  }
+}
+
+} // namespace
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/gateway_parts_test.cpp
@@ -0,0 +1,190 @@
+// Parts of a gateway that need no network: routes and keys, streams cut into
+// events, the other gateways, and the platform's words.
+
+#include "gateway/event_splitter_p.h"
+#include "gateway/peers_p.h"
+#include "gateway/route_index_p.h"
+#include "platform/dialect.h"
+
+#include <gtest/gtest.h>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr MonotonicTime kStart{ std::chrono::hours(1) };
+
+SiteObject
+Object(const std::string& aSpec)
+{
+  SiteObject object;
+  object.m_name = "main";
+  object.m_spec = aSpec;
+  return object;
+}
+
+const std::string kConfig = R"({"version":7,"routes":[
+  {"name":"a","host":"x.example","path_prefix":"/one/","kind":"streaming",
+   "timeout_ms":6000,"target_latency_ms":400,"priority":1,"service":"s",
+   "max_attempts":2,"anonymous":false,"resumable":true,"target_gap_ms":300},
+  {"name":"b","host":"x.example","path_prefix":"/one/two/","kind":"idempotent",
+   "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+  {"name":"c","host":"y.example","path_prefix":"/","kind":"new kind",
+   "service":"t"}],
+  "services":[{"name":"s","max_conns":434,"engine":{"slots":16,"step_ms":6.73,
+   "read_per_s":30600.0,"stride":6,"usual":{"prompt":964,"answer":119},
+   "models":[{"name":"m","warm_s":0.3}]}},
+   {"name":"t"},{"name":"o","origin":"172.20.0.3:8006","zone":"kin-a"}],
+  "limits":{"max_header_bytes":1000},
+  "tenants":[{"name":"team","api_keys":["k1","k2"],"priority":2}]})";
+
+TEST(Dialect, ReadsAConfiguration)
+{
+  const SiteConfig config = dialect::DecodeConfig(Object(kConfig));
+  EXPECT_EQ(config.m_version, 7U);
+  ASSERT_EQ(config.m_routes.size(), 3U);
+  EXPECT_TRUE(config.m_routes[0].MayRepeat());
+  EXPECT_EQ(config.m_routes[1].m_shares.size(), 2U);
+  // A kind that isn't known may not be repeated.
+  EXPECT_FALSE(config.m_routes[2].MayRepeat());
+  EXPECT_EQ(config.m_services.at("s").m_engine->m_promptTokensPerMs, 30.6);
+  EXPECT_EQ(config.m_services.at("o").m_origin->ToString(), "172.20.0.3:8006");
+  EXPECT_EQ(config.m_limits.m_headerBytes, 1000U);
+  EXPECT_EQ(config.m_teams.front().m_priority, 2);
+}
+
+TEST(Dialect, RefusesWhatItCannotRead)
+{
+  const char* const bodies[] = {
+    "",
+    "[]",
+    "{",
+    R"({"version":"x"})",
+    R"({"version":1,"routes":[{}]})",
+    R"({"version":1,"routes":[],"services":[{"name":"o","origin":"nowhere"}]})"
+  };
+  for (const char* body : bodies) {
+    SCOPED_TRACE(body);
+    EXPECT_THROW(dialect::DecodeConfig(Object(body)), std::invalid_argument);
+    EXPECT_THROW(dialect::DecodeRunner(Object(body)), std::invalid_argument);
+    EXPECT_THROW(dialect::DecodeList(body), std::invalid_argument);
+    EXPECT_THROW(dialect::DecodeWatch(body), std::invalid_argument);
+    EXPECT_THROW(dialect::DecodePieceList(body), std::invalid_argument);
+  }
+}
+
+TEST(Dialect, LeavesOutRunnersThatCantBe)
+{
+  const char* const runners[] = {
+    R"({"service":"s","address":"no address","state":"ready"})",
+    R"({"service":"s","address":"10.0.0.1:80","state":"unheard of"})",
+    R"({"address":"10.0.0.1:80","state":"ready"})",
+    R"({"service":7,"address":"10.0.0.1:80","state":"ready"})"
+  };
+  for (const char* runner : runners) {
+    SCOPED_TRACE(runner);
+    EXPECT_THROW(dialect::DecodeRunner(Object(runner)), std::invalid_argument);
+  }
+}
+
+TEST(Dialect, ReadsHeadersThatAreWellFormedOnly)
+{
+  EXPECT_EQ(dialect::DecodeLoad("3,1,16")->m_waiting, 1U);
+  EXPECT_EQ(dialect::DecodeTokens("1460,80")->m_prompt, 1460U);
+  for (const char* text : { "", "1", "a,b", "1,2,3,4", "-1,2", "1,,2" }) {
+    SCOPED_TRACE(text);
+    EXPECT_FALSE(dialect::DecodeLoad(text));
+    EXPECT_FALSE(dialect::DecodeTokens(text));
+  }
+}
+
+struct RouteCase
+{
+  const char* m_host;
+  const char* m_target;
+  const char* m_route; // empty: none
+};
+
+TEST(RouteIndex, TakesTheLongestPrefixOfTheHost)
+{
+  const RouteIndex index(dialect::DecodeConfig(Object(kConfig)));
+  const RouteCase cases[] = {
+    { "x.example", "/one/a", "a" },
+    { "x.example", "/one/two/b", "b" },
+    { "x.example", "/one/twoo", "a" },
+    { "x.example", "/one", "" },
+    { "x.example", "/", "" },
+    { "X.Example:80", "/one/", "a" },
+    { "y.example", "/any/thing", "c" },
+    { "z.example", "/one/", "" },
+    { "x.example", "/q?p=/one/two/", "" },
+    { "x.example", "", "" },
+  };
+  for (const RouteCase& route : cases) {
+    SCOPED_TRACE(std::string(route.m_host) + " " + route.m_target);
+    const Route* found = index.Find(route.m_host, route.m_target);
+    EXPECT_EQ(found == nullptr ? "" : found->m_name, route.m_route);
+  }
+  EXPECT_EQ(index.TeamOf("k2")->m_name, "team");
+  EXPECT_EQ(index.TeamOf("k3"), nullptr);
+}
+
+TEST(EventSplitter, CutsAtWholeEventsHoweverBytesArrive)
+{
+  const std::string stream = "id: 4\ndata: a\n\nx: 1\nid:5\ndata: b\n\n"
+                             "data: none\r\n\r\nid: 6\ndata: half";
+  for (std::size_t step = 1; step <= stream.size(); ++step) {
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    for (std::size_t at = 0; at < stream.size(); at += step) {
+      for (StreamEvent& event : splitter.Feed(stream.substr(at, step))) {
+        events.push_back(std::move(event));
+      }
+    }
+    ASSERT_EQ(events.size(), 3U) << step;
+    EXPECT_EQ(events[0].m_id, 4U);
+    EXPECT_EQ(events[1].m_id, 5U);
+    EXPECT_FALSE(events[2].m_id);
+    EXPECT_EQ(splitter.Pending(), std::string("id: 6\ndata: half").size());
+  }
+}
+
+v1::GatewayBeacon
+Beacon(const std::string& aVm, std::uint64_t aIncarnation, bool aServing)
+{
+  v1::GatewayBeacon beacon;
+  beacon.set_vm(aVm);
+  beacon.set_incarnation(aIncarnation);
+  beacon.set_callers("10.0.0.2:80");
+  beacon.set_serving(aServing);
+  auto& load = *beacon.add_loads();
+  load.set_runner("r");
+  load.set_requests(3);
+  load.set_prompt_tokens(100);
+  return beacon;
+}
+
+TEST(GatewayPeers, NamesOnlyThoseThatServeAndAreHeard)
+{
+  const Address from{ "10.0.0.2", 7700 };
+  GatewayPeers peers("me");
+  peers.Register("a", from);
+  EXPECT_TRUE(peers.Serving(kStart).empty()) << "registered, never heard";
+  EXPECT_TRUE(peers.Hear(Beacon("a", 5, true), from, kStart));
+  EXPECT_EQ(peers.Serving(kStart).size(), 1U);
+  EXPECT_EQ(peers.Loads(kStart).at("r").m_requests, 3U);
+  EXPECT_TRUE(peers.Serving(kStart + milliseconds(600)).empty()) << "silent";
+  EXPECT_TRUE(peers.Loads(kStart + milliseconds(600)).empty());
+  EXPECT_TRUE(peers.Hear(Beacon("a", 5, false), from, kStart));
+  EXPECT_TRUE(peers.Serving(kStart).empty()) << "leaving";
+  EXPECT_TRUE(peers.Hear(Beacon("a", 6, true), from, kStart));
+  EXPECT_FALSE(peers.Hear(Beacon("a", 5, false), from, kStart)) << "delayed";
+  EXPECT_EQ(peers.Serving(kStart).size(), 1U);
+  EXPECT_FALSE(peers.Hear(Beacon("me", 9, true), from, kStart)) << "own";
+}
+
+} // namespace
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/site.cpp
@@ -0,0 +1,257 @@
+#include "support/site.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/post.hpp>
+
+#include <future>
+
+namespace siskindeal {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWatchTick{ 20 };
+
+// The value of a key of the query; empty when there is none.
+std::string
+QueryOf(const std::string& aTarget, const std::string& aKey)
+{
+  const auto at = aTarget.find('?');
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::vector<std::string> parts =
+    absl::StrSplit(aTarget.substr(at + 1), '&');
+  for (const std::string& part : parts) {
+    if (part.rfind(aKey + "=", 0) == 0) {
+      return part.substr(aKey.size() + 1);
+    }
+  }
+  return {};
+}
+
+std::uint64_t
+NumberOf(const std::string& aText)
+{
+  std::uint64_t number = 0;
+  (void)absl::SimpleAtoi(aText, &number);
+  return number;
+}
+
+json
+ObjectJson(const std::string& aName,
+           std::uint64_t aRevision,
+           std::uint64_t aCreated,
+           const json& aSpec)
+{
+  return {
+    { "metadata",
+      { { "name", aName }, { "rev", aRevision }, { "created", aCreated } } },
+    { "spec", aSpec }
+  };
+}
+
+} // namespace
+
+SiteStandIn::SiteStandIn()
+  : m_timer(m_loop)
+  , m_work(m_loop.get_executor())
+{
+  m_store = std::make_unique<HttpListener>(
+    m_loop, Address{ "127.0.0.1", 0 }, [this](const auto& aConnection) {
+      Answer(aConnection);
+    });
+  m_storeAddress = { "127.0.0.1", m_store->Port() };
+  m_thread = std::thread([this] {
+    ServeWatches();
+    m_loop.run();
+  });
+}
+
+SiteStandIn::~SiteStandIn()
+{
+  m_loop.stop();
+  m_thread.join();
+}
+
+void
+SiteStandIn::On(const std::function<void()>& aWhat)
+{
+  std::promise<void> done;
+  boost::asio::post(m_loop, [&] {
+    aWhat();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void
+SiteStandIn::Put(const std::string& aKind,
+                 const std::string& aName,
+                 const json& aSpec)
+{
+  On([&] { Change1(aKind, aName, &aSpec); });
+}
+
+void
+SiteStandIn::Remove(const std::string& aKind, const std::string& aName)
+{
+  On([&] { Change1(aKind, aName, nullptr); });
+}
+
+void
+SiteStandIn::SetSilent(bool aSilent)
+{
+  On([&] { m_silent = aSilent; });
+}
+
+Address
+SiteStandIn::AddRunner(const std::string& aId,
+                       const std::string& aService,
+                       Play aPlay,
+                       const json& aMore)
+{
+  Address address{ "127.0.0.1", 0 };
+  On([&] {
+    m_runners.push_back(
+      std::make_unique<HttpListener>(m_loop, address, std::move(aPlay)));
+    address.m_port = m_runners.back()->Port();
+    json spec = { { "service", aService },
+                  { "address", address.ToString() },
+                  { "zone", "here" },
+                  { "slots", 4 },
+                  { "state", "ready" } };
+    if (aMore.is_object()) {
+      spec.update(aMore);
+    }
+    Change1("servers", aId, &spec);
+  });
+  return address;
+}
+
+void
+SiteStandIn::Change1(const std::string& aKind,
+                     const std::string& aName,
+                     const json* aSpec)
+{
+  ++m_revision;
+  auto& objects = m_objects[aKind];
+  Object& object = objects[aName];
+  object.m_created = object.m_created == 0 ? m_revision : object.m_created;
+  object.m_revision = m_revision;
+  object.m_spec = aSpec == nullptr ? object.m_spec : *aSpec;
+  const json event = {
+    { "deleted", aSpec == nullptr },
+    { "object", ObjectJson(aName, m_revision, object.m_created, object.m_spec) }
+  };
+  m_changes.push_back({ aKind, event, m_revision });
+  if (aSpec == nullptr) {
+    objects.erase(aName);
+  }
+}
+
+void
+SiteStandIn::Answer(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  if (m_silent) {
+    return;
+  }
+  const IncomingRequest& request = aConnection->Request();
+  const std::string path =
+    request.m_target.substr(0, request.m_target.find('?'));
+  // "", "siskindeal", "objects", kind, name
+  const std::vector<std::string> parts = absl::StrSplit(path, '/');
+  if (parts.size() < 4 || parts[2] != "objects") {
+    aConnection->SendWhole(404, {}, {}, "");
+    return;
+  }
+  if (request.m_method != "GET") {
+    Write(aConnection, parts[3], parts.size() > 4 ? parts[4] : "");
+    return;
+  }
+  const std::string since = QueryOf(request.m_target, "watch");
+  if (since.empty()) {
+    List(aConnection, parts[3]);
+    return;
+  }
+  const milliseconds wait(NumberOf(QueryOf(request.m_target, "wait_ms")));
+  m_watches.push_back({ aConnection,
+                        parts[3],
+                        NumberOf(since),
+                        std::chrono::steady_clock::now() + wait });
+}
+
+void
+SiteStandIn::List(const std::shared_ptr<ServerConnection>& aConnection,
+                  const std::string& aKind)
+{
+  json items = json::array();
+  for (const auto& [name, object] : m_objects[aKind]) {
+    items.push_back(
+      ObjectJson(name, object.m_revision, object.m_created, object.m_spec));
+  }
+  aConnection->SendWhole(
+    200,
+    {},
+    {},
+    json{ { "items", items }, { "has_more", false }, { "at", m_revision } }
+      .dump());
+}
+
+void
+SiteStandIn::Write(const std::shared_ptr<ServerConnection>& aConnection,
+                   const std::string& aKind,
+                   std::string aName)
+{
+  const json body = json::parse(aConnection->Request().m_body);
+  const bool creates = aName.empty();
+  if (creates) {
+    aName = body.at("metadata").at("name").get<std::string>();
+  }
+  if (creates && m_objects[aKind].count(aName) > 0) {
+    aConnection->SendWhole(409, {}, {}, "{}");
+    return;
+  }
+  Change1(aKind, aName, &body.at("spec"));
+  aConnection->SendWhole(200, {}, {}, "{}");
+}
+
+bool
+SiteStandIn::ServeWatch(const Watch& aWatch, bool aTimeUp)
+{
+  json events = json::array();
+  for (const Change& change : m_changes) {
+    if (change.m_kind == aWatch.m_kind && change.m_revision > aWatch.m_since) {
+      events.push_back(change.m_event);
+    }
+  }
+  if (events.empty() && !aTimeUp) {
+    return false;
+  }
+  aWatch.m_connection->SendWhole(
+    200, {}, {}, json{ { "events", events }, { "at", m_revision } }.dump());
+  return true;
+}
+
+void
+SiteStandIn::ServeWatches()
+{
+  m_timer.expires_after(kWatchTick);
+  m_timer.async_wait([this](const NetError& aError) {
+    if (!aError) {
+      ServeWatches();
+    }
+  });
+  if (m_silent) {
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(m_watches, [&](const Watch& aWatch) {
+    return ServeWatch(aWatch, now >= aWatch.m_until);
+  });
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/site.h
@@ -0,0 +1,99 @@
+#pragma once
+// A users' platform for tests of gateways and stagers: its store and scripted
+// runners, on loopback, in the manner that platform/dialect.h speaks.
+
+#include "net/http_server_p.h"
+#include "platform/dialect.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace siskindeal {
+
+class SiteStandIn
+{
+public:
+  // Plays a runner's answer to one request; runs on the stand-in's thread.
+  using Play = std::function<void(const std::shared_ptr<ServerConnection>&)>;
+
+  SiteStandIn();
+  ~SiteStandIn();
+  SiteStandIn(const SiteStandIn&) = delete;
+  SiteStandIn& operator=(const SiteStandIn&) = delete;
+
+  Address Store() const { return m_storeAddress; }
+
+  // Writes an object, as the operator or a runner does.
+  void Put(const std::string& aKind,
+           const std::string& aName,
+           const nlohmann::json& aSpec);
+  void Remove(const std::string& aKind, const std::string& aName);
+  // From now on the store accepts calls and never answers them.
+  void SetSilent(bool aSilent);
+
+  // Starts a runner of a service and lists it under aId.
+  Address AddRunner(const std::string& aId,
+                    const std::string& aService,
+                    Play aPlay,
+                    const nlohmann::json& aMore = {});
+
+  // Runs aWhat on the stand-in's thread and waits for it.
+  void On(const std::function<void()>& aWhat);
+
+  Loop m_loop;
+
+private:
+  struct Object
+  {
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_created = 0;
+    nlohmann::json m_spec;
+  };
+  struct Change
+  {
+    std::string m_kind;
+    nlohmann::json m_event;
+    std::uint64_t m_revision = 0;
+  };
+  struct Watch
+  {
+    std::shared_ptr<ServerConnection> m_connection;
+    std::string m_kind;
+    std::uint64_t m_since = 0;
+    MonotonicClockPoint m_until{};
+  };
+
+  void Answer(const std::shared_ptr<ServerConnection>& aConnection);
+  void List(const std::shared_ptr<ServerConnection>& aConnection,
+            const std::string& aKind);
+  void Write(const std::shared_ptr<ServerConnection>& aConnection,
+             const std::string& aKind,
+             std::string aName);
+  void Change1(const std::string& aKind,
+               const std::string& aName,
+               const nlohmann::json* aSpec);
+  void ServeWatches();
+  bool ServeWatch(const Watch& aWatch, bool aTimeUp);
+
+  std::map<std::string, std::map<std::string, Object>> m_objects; // by kind
+  std::deque<Change> m_changes;
+  std::deque<Watch> m_watches;
+  std::uint64_t m_revision = 100;
+  bool m_silent = false;
+  Timer m_timer;
+  Address m_storeAddress;
+  std::unique_ptr<HttpListener> m_store;
+  std::vector<std::unique_ptr<HttpListener>> m_runners;
+  boost::asio::executor_work_guard<Loop::executor_type> m_work;
+  std::thread m_thread;
+};
+
+} // namespace siskindeal
