Admission that keeps newcomers on time; gateways of a region tell each change

Change: newcomers up to 0.9 of the target, callers that come back up to 0.4: they are late already. SIGHUP reads the settings again.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -18,14 +18,15 @@
 constexpr double kFirstTokenMs = 12; // of an engine, beside the prompt
 constexpr double kFallbackSlots = 8; // of a runner that tells none
 // A request is refused once its first byte is expected later than this share of
-// its target; one that was refused before may come in later.
-constexpr double kNewcomerShare = 1.0;
-constexpr double kReturnerShare = 2.5;
+// its target. One that comes back would be late in any case: it gets what room
+// newcomers leave, or those would all be late too.
+constexpr double kNewcomerShare = 0.9;
+constexpr double kReturnerShare = 0.4;
 constexpr milliseconds kLeastRetryAfter{ 200 };
 constexpr milliseconds kRetrySpread{ 600 };
 constexpr double kRetryShareOfTimeLeft = 0.3; // callers wait no longer
 constexpr double kWaitDoubt = 2; // a wait may be so many times the predicted
-constexpr double kTieMs = 4; // differences below it are decided by chance
+constexpr double kTieMs = 4;     // differences below it are decided by chance
 
 double
 SlotsOf(const ServiceRecord& aService, const RunnerState& aRunner)
@@ -67,8 +68,9 @@
                        static_cast<double>(aRunner.m_others.m_promptTokens);
   const double waiting = std::max(0.0, requests - aSlots + 1);
   const double wait = waiting * ResidenceMs(aEngine, aSlots) / aSlots;
-  const double running = std::min(1.0, requests);
-  return kFirstTokenMs + wait + running * pass +
+  // The pass that runs ends first; the prompt is then read with the next one.
+  const double passes = requests > 0 ? 1.5 : 1;
+  return kFirstTokenMs + wait + passes * pass +
          PrefillMs(aEngine, ahead + aShape.m_promptTokens);
 }
 
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -19,7 +19,7 @@
   std::chrono::milliseconds m_target{ 0 };   // to the first byte
   std::chrono::milliseconds m_timeLeft{ 0 }; // until the caller gives up
   bool m_cameBack = false;                   // refused before, or resumed
-  std::uint64_t m_leastVersion = 0; // of the weights; 0: any
+  std::uint64_t m_leastVersion = 0;          // of the weights; 0: any
   // A newer version that requests must run on once m_nextDueIn has passed; one
   // that would still wait then isn't sent to older weights. 0: none.
   std::uint64_t m_nextVersion = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,7 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{ 20 };
-constexpr std::uint32_t kTicksPerBeacon = 5;
+constexpr std::uint32_t kTicksPerBeacon = 7; // to gateways of other regions
 constexpr std::uint32_t kTicksPerSecond = 50;
 constexpr FeedPace kConfigPace{ milliseconds(2000), milliseconds(250) };
 constexpr FeedPace kRunnerPace{ milliseconds(8000), milliseconds(400) };
@@ -32,7 +32,7 @@
 // their keys are refused. A watch that hears nothing leaves it 2.3 s old.
 constexpr milliseconds kSteerAge{ 3000 };
 // Old weights get no new requests this long before they must not.
-constexpr milliseconds kVersionMargin{ 600 };
+constexpr milliseconds kVersionMargin{ 1000 };
 // Of a named version that was there when the list was read, until a process
 // that has seen it named tells.
 constexpr milliseconds kAssumedAge{ 3000 };
@@ -68,6 +68,14 @@
       .count());
 }
 
+std::string
+RegionOf(const GatewaySettings& aSettings)
+{
+  const auto& regions = aSettings.m_gateway.m_regions;
+  const auto found = regions.find(aSettings.m_node.m_place);
+  return found == regions.end() ? aSettings.m_node.m_place : found->second;
+}
+
 RetryAllowance
 AllowanceOf(const GatewayRoleSettings& aSettings)
 {
@@ -77,10 +85,25 @@
            aSettings.m_retrySlack };
 }
 
+void
+AddLoads(const RunnerTable& aRunners, v1::GatewayBeacon& aBeacon)
+{
+  for (const auto& [id, state] : aRunners.All()) {
+    if (state.m_own == RunnerLoad{}) {
+      continue;
+    }
+    auto& load = *aBeacon.add_loads();
+    load.set_runner(id);
+    load.set_requests(state.m_own.m_requests);
+    load.set_prompt_tokens(state.m_own.m_promptTokens);
+  }
+}
+
 } // namespace
 
-Gateway::Gateway(const GatewaySettings& aSettings)
+Gateway::Gateway(const GatewaySettings& aSettings, std::string aSettingsFile)
   : m_settings(aSettings)
+  , m_settingsFile(std::move(aSettingsFile))
   , m_store(StoreAddress(aSettings.m_platform.m_url))
   , m_pool(std::make_shared<ConnectionPool>(m_loop))
   , m_random(StableHash(NewId()))
@@ -89,11 +112,12 @@
              StableHash(NewId()))
   , m_retries(AllowanceOf(aSettings.m_gateway))
   , m_peers(aSettings.m_node.m_vm)
+  , m_region(RegionOf(aSettings))
   , m_incarnation(NewIncarnation())
   , m_logTokens(kLogBurst)
   , m_ticker(m_loop)
   , m_registerTimer(m_loop)
-  , m_signals(m_loop, SIGTERM, SIGINT)
+  , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
   m_callers = std::make_unique<HttpListener>(
     m_loop, m_settings.m_node.m_http, [this](const auto& aConnection) {
@@ -137,11 +161,7 @@
       "start",
       { { "callers", m_settings.m_node.m_http.ToString() },
         { "incarnation", m_incarnation } });
-  m_signals.async_wait([this](const NetError& aError, int) {
-    if (!aError) {
-      Leave();
-    }
-  });
+  AwaitSignal();
   const auto each = [](const auto& aChange) {
     return [aChange](const std::vector<SiteObject>& aObjects) {
       for (const SiteObject& object : aObjects) {
@@ -384,42 +404,63 @@
   }
 }
 
-void
-Gateway::SendBeacon()
+v1::Datagram
+Gateway::Beacon() const
 {
   v1::Datagram datagram;
   v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
   beacon.set_vm(m_settings.m_node.m_vm);
   beacon.set_incarnation(m_incarnation);
+  beacon.set_region(m_region);
   beacon.set_callers(m_settings.m_node.m_http.ToString());
   beacon.set_serving(TakesCallers() && ConfigAge() <= kSteerAge);
-  for (const auto& [id, state] : m_runners.All()) {
-    if (state.m_own == RunnerLoad{}) {
-      continue;
-    }
-    auto& load = *beacon.add_loads();
-    load.set_runner(id);
-    load.set_requests(state.m_own.m_requests);
-    load.set_prompt_tokens(state.m_own.m_promptTokens);
+  return datagram;
+}
+
+// Gateways of one region mostly choose among the same runners, so they hear of
+// each change at once; those of other regions more seldom.
+void
+Gateway::TellRegion()
+{
+  v1::Datagram datagram = Beacon();
+  AddLoads(m_runners, *datagram.mutable_gateway());
+  std::string told = datagram.SerializeAsString();
+  if (told == m_toldRegion) {
+    return;
   }
+  m_toldRegion = std::move(told);
+  for (const Address& address : m_peers.InRegion(m_region)) {
+    m_datagrams->Send(datagram, address);
+  }
+}
+
+void
+Gateway::TellEveryone()
+{
+  v1::Datagram datagram = Beacon();
+  AddLoads(m_runners, *datagram.mutable_gateway());
   if (m_ticks % kTicksPerSecond == 0) {
-    TellNamed(m_named, BootTime(), *beacon.mutable_named());
+    TellNamed(
+      m_named, BootTime(), *datagram.mutable_gateway()->mutable_named());
   }
   for (const Address& address : m_peers.Everyone()) {
     if (address.m_host != m_settings.m_node.m_rpc.m_host) {
       m_datagrams->Send(datagram, address);
     }
   }
-  // Stagers tell back to the gateways that they hear, now and then.
-  if (m_ticks % kTicksPerSecond != 0) {
+}
+
+// Stagers tell back to the gateways that they hear.
+void
+Gateway::TellStagers()
+{
+  v1::Datagram datagram = Beacon();
+  TellNamed(m_named, BootTime(), *datagram.mutable_gateway()->mutable_named());
+  if (!m_routes) {
     return;
   }
-  beacon.clear_loads();
   for (const auto& [id, state] : m_runners.All()) {
-    const auto& services = m_routes ? m_routes->Config().m_services
-                                    : std::map<std::string, ServiceRecord>{};
-    const auto service = services.find(state.m_record.m_service);
-    if (service != services.end() && service->second.m_engine) {
+    if (m_routes->Service(state.m_record.m_service).m_engine) {
       m_datagrams->Send(
         datagram,
         { state.m_record.m_address.m_host, m_settings.m_node.m_rpc.m_port });
@@ -455,12 +496,15 @@
     std::min(kLogBurst,
              m_logTokens + kLogLinesPerSecond *
                              std::chrono::duration<double>(kTick).count());
+  ApplyPeerLoads();
   if (m_ticks % kTicksPerBeacon == 0) {
-    SendBeacon();
-    ApplyPeerLoads();
-    m_runners.Sweep(now);
+    TellEveryone();
+  } else {
+    TellRegion();
   }
   if (m_ticks % kTicksPerSecond == 0) {
+    TellStagers();
+    m_runners.Sweep(now);
     m_pool->Sweep();
     if (m_logDropped > 0) {
       Log(LogLevel::Warning, "lines left out", { { "lines", m_logDropped } });
@@ -614,6 +658,41 @@
   }.dump(2);
 }
 
+void
+Gateway::AwaitSignal()
+{
+  m_signals.async_wait([this](const NetError& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      Reload();
+    } else {
+      Leave();
+    }
+    AwaitSignal();
+  });
+}
+
+// Takes over what may change while the process runs: all of [gateway] but its
+// addresses. Settings that are refused change nothing.
+void
+Gateway::Reload()
+{
+  if (m_settingsFile.empty()) {
+    return;
+  }
+  try {
+    const GatewaySettings settings = ReadGatewaySettings(m_settingsFile);
+    m_settings.m_gateway = settings.m_gateway;
+    Log(LogLevel::Info, "settings read again");
+  } catch (const SettingsError& error) {
+    Log(LogLevel::Error,
+        "settings refused",
+        { { "reason", std::string_view(error.what()) } });
+  }
+}
+
 void
 Gateway::Leave()
 {
@@ -623,7 +702,7 @@
   m_leavingSince = Now();
   Log(LogLevel::Info, "leaving", { { "exchanges", m_exchanges.size() } });
   m_callers->SayClose();
-  SendBeacon();
+  TellEveryone();
 }
 
 void
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -23,7 +23,9 @@
 class Gateway
 {
 public:
-  explicit Gateway(const GatewaySettings& aSettings);
+  // aSettingsFile is read again at SIGHUP; empty: none.
+  explicit Gateway(const GatewaySettings& aSettings,
+                   std::string aSettingsFile = {});
   ~Gateway();
 
   // Serves until a stop signal has come and what was in progress has ended.
@@ -68,7 +70,10 @@
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
   void OnStagerNotice(const v1::StagerNotice& aNotice);
   void Register();
-  void SendBeacon();
+  v1::Datagram Beacon() const;
+  void TellRegion();
+  void TellEveryone();
+  void TellStagers();
   void ApplyPeerLoads();
   void Tick();
   void AnswerReady(const std::shared_ptr<ServerConnection>& aConnection);
@@ -76,6 +81,8 @@
   void AnswerPages(const std::shared_ptr<ServerConnection>& aConnection);
   std::string StateJson() const;
   bool TakesCallers() const;
+  void AwaitSignal();
+  void Reload();
   void Leave();
   void MaybeStop();
   std::shared_ptr<ObjectFeed> Feed(std::string_view aKind,
@@ -83,6 +90,7 @@
                                    FeedEvents aEvents);
 
   GatewaySettings m_settings;
+  std::string m_settingsFile;
   Address m_store;
   Loop m_loop{ 1 };
   std::shared_ptr<ConnectionPool> m_pool;
@@ -93,6 +101,8 @@
   Placer m_placer;
   SharedRetryBudget m_retries;
   GatewayPeers m_peers;
+  std::string m_region;
+  std::string m_toldRegion; // the last beacon's loads, serialized
   NamedVersions m_named;
   std::uint64_t m_incarnation;
   std::set<std::shared_ptr<CallerExchange>> m_exchanges;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -48,6 +48,7 @@
   peer.m_address = aFrom;
   peer.m_incarnation = aBeacon.incarnation();
   peer.m_serving = aBeacon.serving();
+  peer.m_region = aBeacon.region();
   peer.m_heardAt = aNow;
   try {
     peer.m_callers = ParseAddress(aBeacon.callers());
@@ -83,6 +84,18 @@
   return all;
 }
 
+std::vector<Address>
+GatewayPeers::InRegion(const std::string& aRegion) const
+{
+  std::vector<Address> near;
+  for (const auto& [vm, peer] : m_peers) {
+    if (peer.m_region == aRegion) {
+      near.push_back(peer.m_address);
+    }
+  }
+  return near;
+}
+
 std::map<std::string, RunnerLoad>
 GatewayPeers::Loads(MonotonicTime aNow) const
 {
--- a/src/gateway/peers_p.h
+++ b/src/gateway/peers_p.h
@@ -32,8 +32,9 @@
 
   // Where callers may connect, besides here.
   std::vector<Address> Serving(MonotonicTime aNow) const;
-  // Where to send datagrams to.
+  // Where to send datagrams to: all, or those heard to be in a region.
   std::vector<Address> Everyone() const;
+  std::vector<Address> InRegion(const std::string& aRegion) const;
   // What all others have sent to each runner.
   std::map<std::string, RunnerLoad> Loads(MonotonicTime aNow) const;
 
@@ -44,6 +45,7 @@
   {
     Address m_address; // for datagrams
     Address m_callers;
+    std::string m_region;
     std::uint64_t m_incarnation = 0;
     bool m_serving = false;
     MonotonicTime m_heardAt{};
--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -21,7 +21,7 @@
     ConfigureLog("gateway",
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel));
-    Gateway gateway(settings);
+    Gateway gateway(settings, aSettingsFile);
     gateway.Run();
     return 0;
   }
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds kRunnerTime{ 800 };
 constexpr milliseconds kStoreTime{ 1500 };
 constexpr milliseconds kLongestDrain{ 2500 }; // of work that can't go on
-constexpr milliseconds kDoneBefore{ 700 };    // the version is due
+constexpr milliseconds kDoneBefore{ 1000 };   // the version is due
 constexpr milliseconds kLoadTime{ 2500 };     // then the order is given again
 // A version that was named so long before the next one has most of its pieces
 // in the fleet; the next one can wait so long and still be there in time.
@@ -114,7 +114,7 @@
                                       kBytesPerMegabit))
   , m_uploadTimer(m_loop)
   , m_ticker(m_loop)
-  , m_signals(m_loop, SIGTERM, SIGINT)
+  , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
 }
 
@@ -126,11 +126,7 @@
   Log(LogLevel::Info,
       "start",
       { { "runner", m_settings.m_stager.m_runner.ToString() } });
-  m_signals.async_wait([this](const NetError& aError, int) {
-    if (!aError) {
-      m_loop.stop();
-    }
-  });
+  AwaitSignal();
   m_pages = std::make_unique<HttpListener>(
     m_loop, m_settings.m_node.m_rpc, [this](const auto& aConnection) {
       AnswerPages(aConnection);
@@ -163,6 +159,21 @@
   Log(LogLevel::Info, "stop");
 }
 
+void
+Stager::AwaitSignal()
+{
+  m_signals.async_wait([this](const NetError& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal != SIGHUP) { // nothing of its settings changes while it runs
+      m_loop.stop();
+      return;
+    }
+    AwaitSignal();
+  });
+}
+
 void
 Stager::OnVersion(const SiteObject& aObject)
 {
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -48,6 +48,7 @@
     v1::StagerNotice m_notice;
   };
 
+  void AwaitSignal();
   void OnVersion(const SiteObject& aObject);
   bool FinishesTargetFirst(std::uint64_t aNewest) const;
   std::chrono::milliseconds SinceNamed(std::uint64_t aVersion) const;
