Spoilt pieces are noticed by their holder; begun streams keep their place

A stream to be gone on with counted as one that came back and was refused under load; a runner's own 500 was replaced by 502 when no second runner could take the request. Change: a piece's digest is checked before it is passed on, a spoilt one is fetched again; a version of which three quarters are here goes first for 3.5 s.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -22,6 +22,8 @@
 // newcomers leave, or those would all be late too.
 constexpr double kNewcomerShare = 0.9;
 constexpr double kReturnerShare = 0.4;
+// What was begun elsewhere has used capacity already; refusing it wastes that.
+constexpr double kGoesOnShare = 2.5;
 constexpr milliseconds kLeastRetryAfter{ 200 };
 constexpr milliseconds kRetrySpread{ 600 };
 constexpr double kRetryShareOfTimeLeft = 0.3; // callers wait no longer
@@ -172,7 +174,9 @@
   }
   const auto predicted =
     std::chrono::duration_cast<milliseconds>(Predict(aShape, aService, *best));
-  const double share = aShape.m_cameBack ? kReturnerShare : kNewcomerShare;
+  const double share = aShape.m_goesOn     ? kGoesOnShare
+                       : aShape.m_cameBack ? kReturnerShare
+                                           : kNewcomerShare;
   const auto limit = std::chrono::duration_cast<milliseconds>(
     std::max(aShape.m_target, milliseconds(100)) * share);
   if (predicted > limit || predicted > aShape.m_timeLeft) {
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -18,7 +18,8 @@
   std::uint32_t m_promptTokens = 0;
   std::chrono::milliseconds m_target{ 0 };   // to the first byte
   std::chrono::milliseconds m_timeLeft{ 0 }; // until the caller gives up
-  bool m_cameBack = false;                   // refused before, or resumed
+  bool m_cameBack = false;                   // was refused before
+  bool m_goesOn = false;                     // was begun at another runner
   std::uint64_t m_leastVersion = 0;          // of the weights; 0: any
   // A newer version that requests must run on once m_nextDueIn has passed; one
   // that would still wait then isn't sent to older weights. 0: none.
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -71,7 +71,7 @@
 PassedOn(const HttpFields& aFields)
 {
   HttpFields passed;
-  for (const auto& [name, value] : aFields) {
+  for (const auto& [name, value] : aFields.All()) {
     if (!IsOfOneConnection(name, aFields)) {
       passed.Add(name, value);
     }
@@ -185,7 +185,7 @@
     std::uint64_t id = 0;
     if (absl::SimpleAtoi(*last, &id)) {
       m_lastEvent = id;
-      m_shape.m_cameBack = true;
+      m_shape.m_goesOn = true;
     }
   }
 }
@@ -197,24 +197,31 @@
                   std::chrono::duration_cast<milliseconds>(m_end - aNow));
 }
 
-void
-CallerExchange::Dispatch()
+Decision
+CallerExchange::Decide()
 {
   const MonotonicTime now = Now();
   m_shape.m_timeLeft = TimeLeft(now);
   m_gateway.SetVersions(m_shape);
   if (m_sends > 0 || m_phase == Phase::Streaming) {
-    m_shape.m_cameBack = true;
+    m_shape.m_goesOn = true;
   }
-  const Decision decision = m_gateway.Placing().Place(
+  return m_gateway.Placing().Place(
     m_shape, m_routes->Service(m_service), m_gateway.Runners(), m_tried, now);
+}
+
+void
+CallerExchange::Dispatch()
+{
   std::visit(Overloaded{ [&](const Placement& aPlacement) {
                           SendTo(*m_gateway.Runners().Find(aPlacement.m_runner),
                                  aPlacement);
                         },
                          [&](const PlaceRefusal& aRefusal) {
                            m_predicted = aRefusal.m_predicted;
-                           if (m_mayHaveRun) {
+                           if (m_haveAnswer) {
+                             Deliver();
+                           } else if (m_mayHaveRun) {
                              Fail(m_lastReason);
                            } else {
                              Refuse(kUnavailable,
@@ -222,7 +229,7 @@
                                     aRefusal.m_retryAfter);
                            }
                          } },
-             decision);
+             Decide());
 }
 
 void
@@ -238,6 +245,7 @@
   m_sentAt = m_progressAt = now;
   m_tried.insert(m_runner);
   m_answer = {};
+  m_haveAnswer = false;
   m_body.clear();
   m_splitter = {};
   m_streamRun = false;
@@ -266,7 +274,7 @@
                                                           : m_route->m_priority;
   // Work that goes on, or comes again, is let in before new work of its rank.
   const int rank = std::clamp(own, 0, kLast / 2) * 2 + 1;
-  return m_shape.m_cameBack ? rank - 1 : rank;
+  return m_shape.m_cameBack || m_shape.m_goesOn ? rank - 1 : rank;
 }
 
 std::string
@@ -276,7 +284,7 @@
   head.reserve(1024);
   head.append(m_request.m_method).append(" ").append(m_request.m_target);
   head += " HTTP/1.1\r\n";
-  for (const auto& [name, value] : m_request.m_fields) {
+  for (const auto& [name, value] : m_request.m_fields.All()) {
     if (!IsOfOneConnection(name, m_request.m_fields) && !IsSetAnew(name)) {
       AppendField(head, name, value);
     }
@@ -508,6 +516,7 @@
   if (failed && m_route->MayRepeat() && m_runs < m_route->m_maxAttempts &&
       m_gateway.Retries().TakeRetry(m_service, Now())) {
     m_lastReason = "answered " + std::to_string(status);
+    m_haveAnswer = true;
     Dispatch();
     return;
   }
@@ -687,7 +696,8 @@
       : std::max({ kLeastSilence,
                    m_route->m_targetLatency * kTargets,
                    m_predicted * 2 + kLeastSilence });
-  if (aNow - m_progressAt > silence && m_runs + 1 < m_route->m_maxAttempts) {
+  if (aNow - m_progressAt > silence && m_runs + 1 < m_route->m_maxAttempts &&
+      std::holds_alternative<Placement>(Decide())) {
     m_run->Abort();
     OnBrokenRun(CallFailure::MayHaveRun, "no answer in time");
   }
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -33,6 +33,7 @@
   bool CheckKey(const RouteIndex& aRoutes);
   void ReadHeaders();
   void Dispatch();
+  Decision Decide();
   void SendTo(RunnerState& aRunner, const Placement& aPlacement);
   std::string Head(const RunnerState& aRunner) const;
   int PriorityNumber() const;
@@ -94,6 +95,8 @@
   std::uint32_t m_runs = 0;  // that may have run
   std::uint32_t m_sends = 0; // all
   bool m_mayHaveRun = false;
+  // The last run ended with a whole answer, a failure of the runner's own.
+  bool m_haveAnswer = false;
   bool m_firstRun = true;
   std::optional<std::uint64_t> m_lastEvent; // passed on
   std::uint32_t m_events = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -148,7 +148,7 @@
 std::shared_ptr<ObjectFeed>
 Gateway::Feed(std::string_view aKind, FeedPace aPace, FeedEvents aEvents)
 {
-  const auto feed = std::make_shared<ObjectFeed>(
+  auto feed = std::make_shared<ObjectFeed>(
     m_loop, m_pool, m_store, std::string(aKind), aPace, std::move(aEvents));
   feed->Start();
   return feed;
@@ -730,9 +730,8 @@
   }
   m_callers->Stop();
   m_callers->CloseIdle();
-  if (m_exchanges.empty() && m_callers->Connections() == 0) {
-    m_loop.stop();
-  } else if (since > most) {
+  const bool idle = m_exchanges.empty() && m_callers->Connections() == 0;
+  if (idle || since > most) {
     m_loop.stop();
   }
 }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -398,7 +398,7 @@
   auto& idle = m_idle[aAddress.ToString()];
   const auto now = std::chrono::steady_clock::now();
   while (!idle.empty()) {
-    const auto connection = std::move(idle.back());
+    auto connection = std::move(idle.back());
     idle.pop_back();
     connection->m_onIdleClose = nullptr;
     if (connection->Reusable() &&
--- a/src/net/http_fields_p.h
+++ b/src/net/http_fields_p.h
@@ -19,8 +19,10 @@
   // The first value of a name, in any case; null when there is none.
   const std::string* Find(std::string_view aName) const;
 
-  auto begin() const { return m_fields.begin(); }
-  auto end() const { return m_fields.end(); }
+  const std::vector<std::pair<std::string, std::string>>& All() const
+  {
+    return m_fields;
+  }
 
 private:
   std::vector<std::pair<std::string, std::string>> m_fields;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -253,7 +253,7 @@
   m_out += "HTTP/1.1 " + std::to_string(aStatus) + " ";
   m_out += aReason.empty() ? ReasonOf(aStatus) : aReason;
   m_out += "\r\n";
-  for (const auto& [name, value] : aFields) {
+  for (const auto& [name, value] : aFields.All()) {
     AppendField(m_out, name, value);
   }
   if (!m_keepAlive) {
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -33,6 +33,10 @@
 // in the fleet; the next one can wait so long and still be there in time.
 constexpr milliseconds kUnderWay{ 1500 };
 constexpr milliseconds kNewerWaits{ 2200 };
+// It waits longer for a version of which so much is here.
+constexpr double kNearlyThere = 0.75;
+constexpr milliseconds kNewerWaitsLonger{ 3500 };
+constexpr milliseconds kLeastTurns{ 1000 }; // for all runners to load it
 constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr FeedPace kVersionPace{ milliseconds(10000), milliseconds(300) };
 
@@ -455,6 +459,17 @@
   return BootTime() - m_named.NamedAt(m_model, aVersion);
 }
 
+double
+Stager::HeldShare() const
+{
+  if (!m_plan) {
+    return 0;
+  }
+  const PieceSet& held = m_plan->Held();
+  return static_cast<double>(std::count(held.begin(), held.end(), true)) /
+         static_cast<double>(held.size());
+}
+
 // Whether the version being brought goes first although a newer one is named:
 // it is well on its way, will be due before the newer one can be there, and the
 // newer one still has time.
@@ -466,7 +481,8 @@
   return m_stage != Stage::Resting && m_stage != Stage::Listing &&
          Loaded() < m_target &&
          m_named.NamedAt(m_model, m_target).count() > 0 && apart >= kUnderWay &&
-         newer < kNewerWaits;
+         newer <
+           (HeldShare() >= kNearlyThere ? kNewerWaitsLonger : kNewerWaits);
 }
 
 // Goes on with what the runner needs next.
@@ -489,6 +505,8 @@
       // With no list yet it isn't known what can be passed on to peers.
       if (Loaded() == 0 || Loaded() < m_target || !m_plan) {
         BeginVersion();
+      } else if (!m_plan->Complete()) {
+        Enter(Stage::Fetching); // a piece was found spoilt
       }
       break;
     case Stage::Listing:
@@ -535,7 +553,8 @@
     m_settings.m_stager.m_versionWithin - kDoneBefore - SinceNamed(m_target);
   if (m_named.Newest(m_model) > m_target) {
     inputs.m_timeLeft = std::min(
-      inputs.m_timeLeft, kNewerWaits - SinceNamed(m_named.Newest(m_model)));
+      inputs.m_timeLeft,
+      std::max(kLeastTurns, kNewerWaits - SinceNamed(m_named.Newest(m_model))));
   }
   for (const auto& [vm, peer] : m_peers) {
     if (now - peer.m_stager.m_heardAt < kPeerSilence) {
--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -296,18 +296,29 @@
 Stager::Upload(const std::shared_ptr<ServerConnection>& aConnection,
                std::size_t aPiece)
 {
-  CallRunner("GET",
-             dialect::StageGetPath(m_model, aPiece),
-             {},
-             [this, aConnection](const WholeAnswer& aAnswer) {
-               const int status = aAnswer.m_status == 200 ? 200 : 502;
-               aConnection->m_onSent = [this, aConnection] {
-                 if (m_uploading == aConnection) {
-                   UploadNext();
-                 }
-               };
-               aConnection->SendWhole(status, {}, {}, aAnswer.m_body);
-             });
+  CallRunner(
+    "GET",
+    dialect::StageGetPath(m_model, aPiece),
+    {},
+    [this, aConnection, aPiece, epoch = m_epoch](const WholeAnswer& aAnswer) {
+      // What is spoilt here is fetched again, not passed on.
+      const bool good = aAnswer.m_status == 200 && epoch == m_epoch && m_plan &&
+                        Sha256Hex(aAnswer.m_body) == m_pieces.m_digests[aPiece];
+      if (!good && epoch == m_epoch && m_plan) {
+        Log(LogLevel::Warning,
+            "staged piece is spoilt",
+            { { "piece", aPiece }, { "status", aAnswer.m_status } });
+        m_plan->Lost(aPiece);
+      }
+      const int status = good ? 200 : 404;
+      aConnection->m_onSent = [this, aConnection] {
+        if (m_uploading == aConnection) {
+          UploadNext();
+        }
+      };
+      aConnection->SendWhole(
+        status, {}, {}, good ? aAnswer.m_body : std::string());
+    });
 }
 
 } // namespace siskindeal
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -51,6 +51,7 @@
   void AwaitSignal();
   void OnVersion(const SiteObject& aObject);
   bool FinishesTargetFirst(std::uint64_t aNewest) const;
+  double HeldShare() const;
   std::chrono::milliseconds SinceNamed(std::uint64_t aVersion) const;
   void ReadConfig();
   void OnConfig(const WholeAnswer& aAnswer);
--- a/tests/fetch_plan_test.cpp
+++ b/tests/fetch_plan_test.cpp
@@ -174,6 +174,19 @@
   }
 }
 
+// The only copy of a piece turned bad before anyone took it.
+TEST(FetchPlan, APieceThatWasLostIsFetchedAgain)
+{
+  World world(4, 6);
+  world.RunUntilComplete(milliseconds(20000));
+  for (auto& plan : world.m_plans) {
+    plan->Lost(7);
+  }
+  EXPECT_FALSE(world.Complete());
+  world.RunUntilComplete(milliseconds(20000));
+  EXPECT_TRUE(world.Complete());
+}
+
 TEST(FetchPlan, AStagerAloneFetchesAllFromTheOriginInTheEnd)
 {
   World world(3, 2);
