--- a/include/siskindeal/log.h
+++ b/include/siskindeal/log.h
@@ -1,5 +1,5 @@
 #pragma once
-// Structured logs: one JSON object a line on standard error, through Boost.Log.
+// Structured logs: one JSON object a line, through Boost.Log.
 // No secrets and no prompt text are logged.
 
 #include <cstdint>
@@ -58,9 +58,19 @@
   LogValue m_value;
 };
 
-// Sets what every line of this process carries, and the least level written.
+enum class LogStream
+{
+  StandardError,
+  StandardOutput,
+};
+
+// Sets what every line of this process carries, the least level written and
+// where lines go. Call it before the first line.
 void
-ConfigureLog(std::string_view aRole, std::string_view aVm, LogLevel aLeast);
+ConfigureLog(std::string_view aRole,
+             std::string_view aVm,
+             LogLevel aLeast,
+             LogStream aStream = LogStream::StandardError);
 
 // The level named "debug", "info", "warning" or "error"; throws
 // std::invalid_argument for any other name.
--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -163,4 +163,14 @@
   bool m_more = false; // ask again after the last name
 };
 
+// The region of a place, by a table of places; the place itself when it isn't
+// there.
+std::string
+RegionOf(const std::map<std::string, std::string>& aRegions,
+         const std::string& aPlace);
+
+// The address in a URL by IP number and port.
+Address
+AddressOfUrl(const std::string& aUrl);
+
 } // namespace siskindeal
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -15,22 +15,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kNoDeadline{ 30000 }; // callers that state none
-constexpr milliseconds kShortRetry{ 300 };   // until a lost dependency is back
-constexpr std::uint32_t kMostSends = 5;
 // A caller whose stated time is shorter than its first try's was refused
 // before.
 constexpr double kFirstTryShare = 0.9;
 
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kTimedOut = 504;
-
-MonotonicTime
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 const std::string&
 ChooseService(const Route& aRoute, Random& aRandom)
 {
@@ -66,25 +54,6 @@
   return false;
 }
 
-// The fields of a runner's answer that the caller gets.
-HttpFields
-PassedOn(const HttpFields& aFields)
-{
-  HttpFields passed;
-  for (const auto& [name, value] : aFields.All()) {
-    if (!IsOfOneConnection(name, aFields)) {
-      passed.Add(name, value);
-    }
-  }
-  return passed;
-}
-
-bool
-IsSuccess(int aStatus)
-{
-  return aStatus / 100 == 2;
-}
-
 } // namespace
 
 CallerExchange::CallerExchange(Gateway& aGateway,
@@ -104,10 +73,10 @@
   if (const std::string* id = m_request.m_fields.Find(dialect::kAttemptId)) {
     m_id = *id;
   }
-  m_end = Now() + kNoDeadline;
+  m_end = LoopNow() + kNoDeadline;
   if (Admit()) {
     ReadHeaders();
-    m_gateway.Retries().NoteRequest(m_service, Now());
+    m_gateway.Retries().NoteRequest(m_service, LoopNow());
     Dispatch();
   }
 }
@@ -200,7 +169,7 @@
 Decision
 CallerExchange::Decide()
 {
-  const MonotonicTime now = Now();
+  const MonotonicTime now = LoopNow();
   m_shape.m_timeLeft = TimeLeft(now);
   m_gateway.SetVersions(m_shape);
   if (m_sends > 0 || m_phase == Phase::Streaming) {
@@ -235,7 +204,7 @@
 void
 CallerExchange::SendTo(RunnerState& aRunner, const Placement& aPlacement)
 {
-  const MonotonicTime now = Now();
+  const MonotonicTime now = LoopNow();
   constexpr milliseconds kConnectTime{ 400 };
   ++m_sends;
   m_runner = aRunner.m_record.m_id;
@@ -290,7 +259,7 @@
     }
   }
   AppendField(
-    head, dialect::kDeadlineMs, std::to_string(TimeLeft(Now()).count()));
+    head, dialect::kDeadlineMs, std::to_string(TimeLeft(LoopNow()).count()));
   AppendField(head, dialect::kExpectRunner, aRunner.m_record.m_id);
   if (m_team != nullptr) {
     AppendField(head, dialect::kTeam, m_team->m_name);
@@ -338,416 +307,7 @@
   }
   const std::uint32_t doublings =
     std::min(runner->m_failuresInRow++, kMostDoublings);
-  runner->m_avoidUntil = Now() + kFirstAvoid * (1U << doublings);
-}
-
-void
-CallerExchange::On(const AnswerHead& aHead)
-{
-  m_answer = aHead;
-  m_progressAt = Now();
-  NoteHead();
-  const std::string* type = aHead.m_fields.Find("content-type");
-  m_streamRun = m_route->m_repeat == Repeat::Streaming &&
-                IsSuccess(aHead.m_status) && type != nullptr &&
-                type->rfind("text/event-stream", 0) == 0;
-}
-
-void
-CallerExchange::NoteHead()
-{
-  RunnerState* runner = m_gateway.Runners().Find(m_runner);
-  if (runner == nullptr) {
-    return;
-  }
-  if (const std::string* text = m_answer.m_fields.Find(dialect::kLoad)) {
-    if (const auto load = dialect::DecodeLoad(*text)) {
-      runner->m_toldRequests = load->m_running + load->m_waiting;
-      runner->m_toldAt = Now();
-    }
-  }
-  const std::string* version = m_answer.m_fields.Find(dialect::kVersions);
-  std::uint64_t number = 0;
-  if (version != nullptr && !m_shape.m_model.empty() &&
-      absl::SimpleAtoi(*version, &number) && number > 0) {
-    auto& held = runner->m_record.m_versions[m_shape.m_model];
-    held = std::max(held, number);
-  }
-}
-
-void
-CallerExchange::On(const AnswerBody& aBody)
-{
-  m_progressAt = Now();
-  if (!m_streamRun) {
-    m_body += aBody.m_bytes;
-    return;
-  }
-  const auto run = m_run;
-  for (const StreamEvent& event : m_splitter.Feed(aBody.m_bytes)) {
-    OnEvent(event);
-    if (m_phase == Phase::Done || m_run != run) {
-      return;
-    }
-  }
-}
-
-void
-CallerExchange::OnEvent(const StreamEvent& aEvent)
-{
-  // A run that goes on may tell events again; each is passed on once.
-  if (aEvent.m_id && m_lastEvent && *aEvent.m_id <= *m_lastEvent) {
-    return;
-  }
-  if (aEvent.m_id && m_lastEvent && *aEvent.m_id != *m_lastEvent + 1) {
-    m_run->Abort();
-    OnBrokenRun(CallFailure::MayHaveRun, "an event of the stream is missing");
-    return;
-  }
-  if (m_promptCounted) {
-    if (RunnerState* runner = m_gateway.Runners().Find(m_runner)) {
-      runner->m_own.m_promptTokens -=
-        std::min(runner->m_own.m_promptTokens, m_shape.m_promptTokens);
-    }
-    m_promptCounted = false;
-  }
-  if (m_phase == Phase::Waiting) {
-    StartStream();
-  }
-  if (m_phase != Phase::Streaming) {
-    return;
-  }
-  const MonotonicTime now = Now();
-  if (m_events++ == 0) {
-    m_first = now - m_request.m_arrived;
-  } else {
-    m_worstGap = std::max(
-      m_worstGap, std::chrono::duration<double, std::milli>(now - m_eventAt));
-  }
-  m_eventAt = now;
-  if (aEvent.m_id) {
-    m_lastEvent = aEvent.m_id;
-  }
-  m_caller->SendPart(aEvent.m_bytes);
-  constexpr std::size_t kMostUnsent = 256 << 10;
-  if (m_caller->Unsent() > kMostUnsent) {
-    m_run->PauseReading(true);
-    m_caller->m_onDrained = [self = shared_from_this()] {
-      if (self->m_run) {
-        self->m_run->PauseReading(false);
-      }
-    };
-  }
-}
-
-void
-CallerExchange::StartStream()
-{
-  if (m_answer.m_fields.Find(dialect::kSignature) == nullptr) {
-    m_run->Abort();
-    OnBrokenRun(CallFailure::MayHaveRun, "the answer has no signature");
-    return;
-  }
-  m_phase = Phase::Streaming;
-  m_caller->SendHead(m_answer.m_status,
-                     m_answer.m_reason,
-                     PassedOn(m_answer.m_fields),
-                     m_answer.m_length);
-}
-
-void
-CallerExchange::On(const AnswerEnd&)
-{
-  m_gateway.Pool()->Give(m_address, m_run);
-  if (m_streamRun) {
-    OnStreamEnd();
-  } else {
-    OnWholeAnswer();
-  }
-}
-
-void
-CallerExchange::OnStreamEnd()
-{
-  if (m_splitter.Pending() > 0 || m_phase == Phase::Waiting) {
-    OnBrokenRun(CallFailure::MayHaveRun, "the stream ended inside an event");
-    return;
-  }
-  GiveUpRunner(false);
-  m_caller->SendEnd();
-  Finish("answered");
-}
-
-void
-CallerExchange::OnWholeAnswer()
-{
-  const int status = m_answer.m_status;
-  const bool notRun =
-    status == 421 ||
-    ((status == kUnavailable || status == 429 || status == 400) &&
-     m_answer.m_fields.Find(dialect::kNotRun) != nullptr);
-  if (notRun) {
-    OnRefusedByRunner();
-    return;
-  }
-  const bool isSigned = m_answer.m_fields.Find(dialect::kSignature) != nullptr;
-  if (IsSuccess(status) && !isSigned) {
-    OnBrokenRun(CallFailure::MayHaveRun, "the answer has no signature");
-    return;
-  }
-  if (m_phase == Phase::Streaming) {
-    OnBrokenRun(CallFailure::MayHaveRun,
-                "going on with the stream was answered " +
-                  std::to_string(status));
-    return;
-  }
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runner)) {
-    constexpr double kNewShare = 0.1;
-    const std::chrono::duration<double, std::milli> took = Now() - m_sentAt;
-    runner->m_usualTime =
-      runner->m_usualTime.count() == 0
-        ? took
-        : runner->m_usualTime * (1 - kNewShare) + took * kNewShare;
-  }
-  GiveUpRunner(false);
-  m_mayHaveRun = true;
-  ++m_runs;
-  const bool failed = status / 100 == 5;
-  if (failed && m_route->MayRepeat() && m_runs < m_route->m_maxAttempts &&
-      m_gateway.Retries().TakeRetry(m_service, Now())) {
-    m_lastReason = "answered " + std::to_string(status);
-    m_haveAnswer = true;
-    Dispatch();
-    return;
-  }
-  // These statuses promise callers that nothing ran, which only this process
-  // can say of the whole request.
-  if (status == kUnavailable || status == 429 || status == 408) {
-    Fail("answered " + std::to_string(status));
-    return;
-  }
-  Deliver();
-}
-
-void
-CallerExchange::OnRefusedByRunner()
-{
-  GiveUpRunner(false);
-  m_lastReason =
-    "refused by the runner with " + std::to_string(m_answer.m_status);
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runner)) {
-    constexpr milliseconds kAfterRefusal{ 150 };
-    runner->m_avoidUntil =
-      std::max(runner->m_avoidUntil, Now() + kAfterRefusal);
-  }
-  if (m_answer.m_status == 400) {
-    Refuse(400, "refused by the runner", milliseconds(0));
-    return;
-  }
-  if (m_sends < kMostSends && m_gateway.Retries().TakeRetry(m_service, Now())) {
-    Dispatch();
-    return;
-  }
-  if (m_mayHaveRun) {
-    Fail(m_lastReason);
-  } else {
-    Refuse(kUnavailable, m_lastReason, kShortRetry);
-  }
-}
-
-void
-CallerExchange::On(const CallFailed& aFailure)
-{
-  OnBrokenRun(aFailure.m_how, aFailure.m_reason);
-}
-
-bool
-CallerExchange::MayTryAgain(CallFailure aHow)
-{
-  if (m_sends >= kMostSends) {
-    return false;
-  }
-  if (aHow == CallFailure::NotSent) {
-    return true; // no runner saw it
-  }
-  const std::uint32_t mostRuns = m_phase == Phase::Streaming
-                                   ? m_route->m_maxAttempts + 1
-                                   : m_route->m_maxAttempts;
-  return m_route->MayRepeat() && m_runs < mostRuns &&
-         m_gateway.Retries().TakeRetry(m_service, Now());
-}
-
-void
-CallerExchange::OnBrokenRun(CallFailure aHow, const std::string& aReason)
-{
-  GiveUpRunner(true);
-  m_lastReason = aReason;
-  if (aHow == CallFailure::MayHaveRun) {
-    m_mayHaveRun = true;
-    ++m_runs;
-  }
-  m_gateway.LogRequest(LogLevel::Info,
-                       "run failed",
-                       { { "id", m_id },
-                         { "runner", m_runner },
-                         { "reason", aReason },
-                         { "may_have_run", aHow == CallFailure::MayHaveRun },
-                         { "events", m_events } });
-  if (MayTryAgain(aHow)) {
-    Dispatch();
-    return;
-  }
-  Fail(aReason);
-}
-
-void
-CallerExchange::Deliver()
-{
-  m_caller->SendWhole(
-    m_answer.m_status, m_answer.m_reason, PassedOn(m_answer.m_fields), m_body);
-  Finish("answered");
-}
-
-void
-CallerExchange::Refuse(int aStatus,
-                       std::string_view aReason,
-                       milliseconds aRetryAfter)
-{
-  HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  if (!m_id.empty()) {
-    fields.Add(dialect::kAttemptId, m_id);
-  }
-  if (aRetryAfter.count() > 0) {
-    fields.Add("Retry-After",
-               absl::StrFormat(
-                 "%.3f", std::chrono::duration<double>(aRetryAfter).count()));
-  }
-  m_lastReason = aReason;
-  m_caller->SendWhole(aStatus, {}, fields, dialect::EncodeError(aReason));
-  Finish("refused");
-}
-
-void
-CallerExchange::Fail(std::string_view aReason)
-{
-  m_lastReason = aReason;
-  if (m_phase == Phase::Streaming) {
-    m_caller->BreakOff();
-    Finish("broken off");
-    return;
-  }
-  if (!m_mayHaveRun) {
-    Refuse(kUnavailable, aReason, kShortRetry);
-    return;
-  }
-  HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  if (!m_id.empty()) {
-    fields.Add(dialect::kAttemptId, m_id);
-  }
-  m_caller->SendWhole(kBadGateway, {}, fields, dialect::EncodeError(aReason));
-  Finish("failed");
-}
-
-void
-CallerExchange::OnTimeUp()
-{
-  if (m_run) {
-    m_run->Abort();
-    GiveUpRunner(false);
-    m_mayHaveRun = true;
-  }
-  if (m_phase == Phase::Streaming || !m_mayHaveRun) {
-    Fail("its time is up");
-    return;
-  }
-  HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  if (!m_id.empty()) {
-    fields.Add(dialect::kAttemptId, m_id);
-  }
-  m_lastReason = "its time is up";
-  m_caller->SendWhole(
-    kTimedOut, {}, fields, dialect::EncodeError(m_lastReason));
-  Finish("timed out");
-}
-
-void
-CallerExchange::Tick(MonotonicTime aNow)
-{
-  if (m_phase == Phase::Done) {
-    return;
-  }
-  if (aNow >= m_end) {
-    OnTimeUp();
-    return;
-  }
-  if (!m_run || !m_route->MayRepeat()) {
-    return;
-  }
-  // A runner that says nothing for long is left for another one.
-  constexpr milliseconds kLeastSilence{ 450 };
-  constexpr int kTargets = 3;
-  constexpr int kGaps = 4;
-  const milliseconds silence =
-    m_events > 0 && m_phase == Phase::Streaming
-      ? std::max(kLeastSilence, m_route->m_targetGap * kGaps)
-      : std::max({ kLeastSilence,
-                   m_route->m_targetLatency * kTargets,
-                   m_predicted * 2 + kLeastSilence });
-  if (aNow - m_progressAt > silence && m_runs + 1 < m_route->m_maxAttempts &&
-      std::holds_alternative<Placement>(Decide())) {
-    m_run->Abort();
-    OnBrokenRun(CallFailure::MayHaveRun, "no answer in time");
-  }
-}
-
-void
-CallerExchange::OnCallerGone()
-{
-  if (m_phase == Phase::Done) {
-    return;
-  }
-  if (m_run) {
-    m_run->Abort();
-    GiveUpRunner(false);
-  }
-  Finish("caller left");
-}
-
-void
-CallerExchange::Finish(std::string_view aOutcome)
-{
-  const auto self = shared_from_this();
-  const std::chrono::duration<double> took = Now() - m_request.m_arrived;
-  m_phase = Phase::Done;
-  m_run.reset();
-  m_caller->m_onGone = nullptr;
-  m_gateway.Remove(self);
-  const std::string route = m_route == nullptr ? "" : m_route->m_name;
-  CountMetric("siskindeal_gateway_requests_total",
-              { { "outcome", std::string(aOutcome) } });
-  ObserveSeconds("siskindeal_gateway_request_seconds", took.count());
-  m_gateway.LogRequest(
-    LogLevel::Info,
-    "request",
-    { { "id", m_id },
-      { "outcome", aOutcome },
-      { "reason", m_lastReason },
-      { "route", route },
-      { "runner", m_runner },
-      { "sends", m_sends },
-      { "events", m_events },
-      { "predicted_ms", m_predicted.count() },
-      { "requests_there", m_loadBefore.m_requests },
-      { "tokens_there", m_loadBefore.m_promptTokens },
-      { "prompt_tokens", m_shape.m_promptTokens },
-      { "first_ms", m_first.count() },
-      { "worst_gap_ms", m_worstGap.count() },
-      { "ms", took.count() * 1000 },
-      { "config", m_routes ? m_routes->Config().m_version : 0 },
-      { "config_age_ms", m_gateway.ConfigAge().count() } });
+  runner->m_avoidUntil = LoopNow() + kFirstAvoid * (1U << doublings);
 }
 
 } // namespace siskindeal
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -11,6 +11,14 @@
 
 namespace siskindeal {
 
+inline constexpr int kUnavailable = 503;
+// Until a lost dependency is back.
+inline constexpr std::chrono::milliseconds kShortRetry{ 300 };
+
+// The fields of a runner's answer that the caller gets.
+HttpFields
+PassedOn(const HttpFields& aFields);
+
 class CallerExchange : public std::enable_shared_from_this<CallerExchange>
 {
 public:
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -20,6 +20,9 @@
 
 class CallerExchange;
 
+inline constexpr std::string_view kGatewayKind =
+  "gateways"; // objects of our own
+
 class Gateway
 {
 public:
@@ -72,7 +75,7 @@
   void Register();
   v1::Datagram Beacon() const;
   void TellRegion();
-  void TellEveryone();
+  void TellEveryone(bool aWithNamed);
   void TellStagers();
   void ApplyPeerLoads();
   void Tick();
@@ -81,6 +84,8 @@
   void AnswerPages(const std::shared_ptr<ServerConnection>& aConnection);
   std::string StateJson() const;
   bool TakesCallers() const;
+  // Whether callers should be told this address.
+  bool IsNamed() const;
   void AwaitSignal();
   void Reload();
   void Leave();
--- /dev/null
+++ b/src/gateway/gateway_pages.cpp
@@ -0,0 +1,106 @@
+// What a gateway answers besides callers' requests: whether it is ready, which
+// addresses there are, its metrics and its state.
+
+#include "gateway/gateway_p.h"
+#include "siskindeal/metrics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMostListed = 64; // addresses in an answer
+} // namespace
+
+void
+Gateway::AnswerReady(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  const std::string_view target = aConnection->Request().m_target;
+  if (target.substr(0, target.find('?')) != dialect::kReadyPath) {
+    aConnection->SendWhole(404, {}, {}, "no such page");
+    return;
+  }
+  if (TakesCallers()) {
+    aConnection->SendWhole(200, {}, {}, "ready");
+  } else {
+    aConnection->SendWhole(
+      503, {}, {}, m_leavingSince ? "leaving" : "nothing is known yet");
+  }
+}
+
+void
+Gateway::AnswerDirectory(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  const std::string_view target = aConnection->Request().m_target;
+  if (target.substr(0, target.find('?')) != dialect::kResolvePath) {
+    aConnection->SendWhole(404, {}, {}, "no such page");
+    return;
+  }
+  std::vector<Address> addresses = m_peers.Serving(LoopNow());
+  if (IsNamed() || (TakesCallers() && addresses.empty())) {
+    addresses.push_back(m_settings.m_node.m_http);
+  }
+  if (addresses.empty()) {
+    aConnection->SendWhole(503, {}, {}, "no gateway serves");
+    return;
+  }
+  // Fisher-Yates, so that a cut list isn't the same for all.
+  for (std::size_t i = addresses.size(); i > 1; --i) {
+    std::swap(addresses[i - 1], addresses[m_random.Below(i)]);
+  }
+  addresses.resize(std::min(addresses.size(), kMostListed));
+  HttpFields fields;
+  fields.Add("Content-Type", "application/json");
+  aConnection->SendWhole(
+    200,
+    {},
+    fields,
+    dialect::EncodeDirectory(addresses, m_settings.m_gateway.m_answerLifetime));
+}
+
+void
+Gateway::AnswerPages(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  const std::string& target = aConnection->Request().m_target;
+  if (target == "/metrics") {
+    aConnection->SendWhole(200, {}, {}, MetricsText());
+  } else if (target == "/state") {
+    aConnection->SendWhole(200, {}, {}, StateJson());
+  } else {
+    aConnection->SendWhole(404, {}, {}, "no such page");
+  }
+}
+
+std::string
+Gateway::StateJson() const
+{
+  nlohmann::json runners = nlohmann::json::array();
+  for (const auto& [id, state] : m_runners.All()) {
+    runners.push_back({ { "id", id },
+                        { "service", state.m_record.m_service },
+                        { "address", state.m_record.m_address.ToString() },
+                        { "draining", state.m_record.m_draining },
+                        { "missing", state.m_missingSince.has_value() },
+                        { "own", state.m_own.m_requests },
+                        { "others", state.m_others.m_requests },
+                        { "told", state.m_toldRequests },
+                        { "versions", state.m_record.m_versions } });
+  }
+  return nlohmann::json{
+    { "vm", m_settings.m_node.m_vm },
+    { "config", m_routes ? m_routes->Config().m_version : 0 },
+    { "config_age_ms", ConfigAge().count() },
+    { "exchanges", m_exchanges.size() },
+    { "gateways", m_peers.Count() },
+    { "idle_connections", m_pool->Idle() },
+    { "leaving", m_leavingSince.has_value() },
+    { "runners", std::move(runners) }
+  }.dump(2);
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/gateway/gateway_site.cpp
@@ -0,0 +1,181 @@
+// What a gateway reads of the platform's store, and its registration there.
+
+#include "gateway/gateway_p.h"
+
+#include <nlohmann/json.hpp>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRegisterAgain{ 700 };
+} // namespace
+
+void
+Gateway::OnConfig(const SiteObject& aObject)
+{
+  if (aObject.m_name != dialect::kConfigName || aObject.m_deleted) {
+    return;
+  }
+  try {
+    SiteConfig config = dialect::DecodeConfig(aObject);
+    if (m_routes && config.m_version <= m_routes->Config().m_version) {
+      return;
+    }
+    Log(LogLevel::Info,
+        "configuration in force",
+        { { "version", config.m_version },
+          { "routes", config.m_routes.size() },
+          { "teams", config.m_teams.size() } });
+    for (HttpListener* listener :
+         { m_callers.get(), m_ready.get(), m_directory.get() }) {
+      listener->m_limits = config.m_limits;
+    }
+    m_routes = std::make_shared<const RouteIndex>(std::move(config));
+  } catch (const std::invalid_argument& error) {
+    Log(LogLevel::Error,
+        "configuration left out",
+        { { "reason", std::string_view(error.what()) } });
+  }
+}
+
+void
+Gateway::OnRunner(const SiteObject& aObject)
+{
+  if (aObject.m_deleted) {
+    m_runners.Remove(aObject.m_name, LoopNow());
+    return;
+  }
+  try {
+    m_runners.Put(dialect::DecodeRunner(aObject));
+  } catch (const std::invalid_argument& error) {
+    Log(LogLevel::Warning,
+        "runner left out",
+        { { "name", aObject.m_name },
+          { "reason", std::string_view(error.what()) } });
+  }
+}
+
+void
+Gateway::OnRunners(const std::vector<SiteObject>& aObjects)
+{
+  std::vector<RunnerRecord> runners;
+  for (const SiteObject& object : aObjects) {
+    try {
+      runners.push_back(dialect::DecodeRunner(object));
+    } catch (const std::invalid_argument& error) {
+      Log(LogLevel::Warning,
+          "runner left out",
+          { { "name", object.m_name },
+            { "reason", std::string_view(error.what()) } });
+    }
+  }
+  m_haveRunners = true;
+  m_runners.Replace(runners, LoopNow());
+}
+
+void
+Gateway::OnVersion(const SiteObject& aObject, milliseconds aAge)
+{
+  if (aObject.m_deleted) {
+    return;
+  }
+  try {
+    const NamedVersion named = dialect::DecodeVersion(aObject);
+    if (m_named.Note(named.m_model, named.m_version, BootTime() - aAge)) {
+      Log(LogLevel::Info,
+          "weights named",
+          { { "model", named.m_model },
+            { "version", named.m_version },
+            { "assumed_age_ms", aAge.count() } });
+    }
+  } catch (const std::invalid_argument& error) {
+    Log(LogLevel::Warning,
+        "named weights left out",
+        { { "name", aObject.m_name },
+          { "reason", std::string_view(error.what()) } });
+  }
+}
+
+void
+Gateway::NoteNamed(
+  const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
+{
+  for (const v1::NamedAge& named : aNamed) {
+    m_named.Note(named.model(),
+                 named.version(),
+                 BootTime() - milliseconds(named.age_ms()));
+  }
+}
+
+void
+Gateway::OnGateway(const SiteObject& aObject)
+{
+  if (aObject.m_deleted) {
+    m_peers.Unregister(aObject.m_name);
+    return;
+  }
+  try {
+    const auto spec = nlohmann::json::parse(aObject.m_spec);
+    m_peers.Register(aObject.m_name,
+                     ParseAddress(spec.at("datagrams").get<std::string>()));
+  } catch (const std::exception& error) {
+    Log(LogLevel::Warning,
+        "gateway left out",
+        { { "name", aObject.m_name },
+          { "reason", std::string_view(error.what()) } });
+  }
+  m_retries.SetEntries(m_peers.Count());
+}
+
+void
+Gateway::Register()
+{
+  const std::string& vm = m_settings.m_node.m_vm;
+  const nlohmann::json spec = {
+    { "datagrams", m_settings.m_node.m_rpc.ToString() },
+    { "callers", m_settings.m_node.m_http.ToString() }
+  };
+  const std::string body = dialect::EncodeObject(vm, spec.dump());
+  const auto again = [this] {
+    m_registerTimer.expires_after(kRegisterAgain);
+    m_registerTimer.async_wait([this](const NetError& aError) {
+      if (!aError && !m_leavingSince) {
+        Register();
+      }
+    });
+  };
+  const auto replaced = [again](const WholeAnswer& aAnswer) {
+    if (aAnswer.m_status != 200) {
+      again();
+    }
+  };
+  const auto created =
+    [this, vm, body, again, replaced](const WholeAnswer& aAnswer) {
+      constexpr int kThere = 409;
+      if (aAnswer.m_status == kThere) {
+        CallWhole(m_loop,
+                  m_pool,
+                  m_store,
+                  "PUT",
+                  dialect::ObjectPath(kGatewayKind, vm),
+                  body,
+                  m_settings.m_platform.m_timeout,
+                  replaced);
+      } else if (aAnswer.m_status / 100 != 2) {
+        again();
+      }
+    };
+  CallWhole(m_loop,
+            m_pool,
+            m_store,
+            "POST",
+            dialect::ListPath(kGatewayKind, {}, dialect::Freshness::Current),
+            body,
+            m_settings.m_platform.m_timeout,
+            created);
+}
+
+} // namespace siskindeal
--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -20,7 +20,8 @@
     const auto settings = ReadGatewaySettings(aSettingsFile);
     ConfigureLog("gateway",
                  settings.m_node.m_vm,
-                 ParseLogLevel(settings.m_node.m_logLevel));
+                 ParseLogLevel(settings.m_node.m_logLevel),
+                 LogStream::StandardOutput);
     Gateway gateway(settings, aSettingsFile);
     gateway.Run();
     return 0;
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -22,6 +22,7 @@
 namespace sinks = boost::log::sinks;
 
 std::atomic<LogLevel> gLeast{ LogLevel::Info };
+LogStream gStream = LogStream::StandardError;
 std::string gRole;
 std::string gVm;
 
@@ -46,8 +47,9 @@
 {
   using Backend = sinks::text_ostream_backend;
   const auto backend = boost::make_shared<Backend>();
-  backend->add_stream(
-    boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  backend->add_stream(boost::shared_ptr<std::ostream>(
+    gStream == LogStream::StandardOutput ? &std::cout : &std::clog,
+    [](std::ostream*) {}));
   backend->auto_flush(true);
   boost::log::core::get()->add_sink(
     boost::make_shared<sinks::synchronous_sink<Backend>>(backend));
@@ -75,8 +77,12 @@
 } // namespace
 
 void
-ConfigureLog(std::string_view aRole, std::string_view aVm, LogLevel aLeast)
+ConfigureLog(std::string_view aRole,
+             std::string_view aVm,
+             LogLevel aLeast,
+             LogStream aStream)
 {
+  gStream = aStream;
   gRole = aRole;
   gVm = aVm;
   gLeast.store(aLeast);
--- /dev/null
+++ b/src/net/connection_pool.cpp
@@ -0,0 +1,164 @@
+// Connections kept between calls, and calls whose answer is small.
+
+#include "net/http_connection_p.h"
+
+namespace siskindeal {
+
+using std::chrono::milliseconds;
+
+std::shared_ptr<HttpConnection>
+ConnectionPool::Take(const Address& aAddress)
+{
+  auto& idle = m_idle[aAddress.ToString()];
+  const auto now = std::chrono::steady_clock::now();
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    connection->m_onIdleClose = nullptr;
+    if (connection->Reusable() &&
+        now - connection->IdleSince() < connection->IdleLimit()) {
+      return connection;
+    }
+    connection->Abort();
+  }
+  return std::make_shared<HttpConnection>(m_loop, EndpointOf(aAddress));
+}
+
+void
+ConnectionPool::Give(const Address& aAddress,
+                     const std::shared_ptr<HttpConnection>& aConnection)
+{
+  if (aConnection->Reusable()) {
+    m_idle[aAddress.ToString()].push_back(aConnection);
+  }
+}
+
+void
+ConnectionPool::Sweep()
+{
+  const auto now = std::chrono::steady_clock::now();
+  for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+    auto& idle = entry->second;
+    std::erase_if(idle, [&](const auto& aConnection) {
+      const bool keep =
+        aConnection->Reusable() &&
+        now - aConnection->IdleSince() < aConnection->IdleLimit();
+      if (!keep) {
+        aConnection->Abort();
+      }
+      return !keep;
+    });
+    entry = idle.empty() ? m_idle.erase(entry) : std::next(entry);
+  }
+}
+
+std::size_t
+ConnectionPool::Idle() const
+{
+  std::size_t count = 0;
+  for (const auto& [address, idle] : m_idle) {
+    count += idle.size();
+  }
+  return count;
+}
+
+namespace {
+
+// One whole call; keeps itself alive until it has its answer.
+class WholeCall : public std::enable_shared_from_this<WholeCall>
+{
+public:
+  WholeCall(Loop& aLoop,
+            std::shared_ptr<ConnectionPool> aPool,
+            Address aAddress,
+            std::function<void(WholeAnswer)> aDone)
+    : m_timer(aLoop)
+    , m_pool(std::move(aPool))
+    , m_address(std::move(aAddress))
+    , m_done(std::move(aDone))
+  {
+  }
+
+  void Begin(OutgoingCall aCall, milliseconds aTimeout)
+  {
+    m_timer.expires_after(aTimeout);
+    m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
+      if (!aError && self->m_done) {
+        self->m_connection->Abort();
+        self->Finish("no answer in time");
+      }
+    });
+    m_connection = m_pool->Take(m_address);
+    m_connection->Begin(
+      std::move(aCall),
+      aTimeout,
+      [self = shared_from_this()](const CallEvent& aEvent) {
+        std::visit([&](const auto& aWhat) { self->On(aWhat); }, aEvent);
+      });
+  }
+
+private:
+  void On(const AnswerHead& aHead)
+  {
+    m_answer.m_status = aHead.m_status;
+    m_answer.m_fields = aHead.m_fields;
+  }
+  void On(const AnswerBody& aBody) { m_answer.m_body += aBody.m_bytes; }
+  void On(const AnswerEnd&)
+  {
+    m_pool->Give(m_address, m_connection);
+    Finish({});
+  }
+  void On(const CallFailed& aFailure) { Finish(aFailure.m_reason); }
+
+  void Finish(std::string aFailure)
+  {
+    m_timer.cancel();
+    if (!aFailure.empty()) {
+      m_answer.m_status = 0;
+      m_answer.m_failure = std::move(aFailure);
+    }
+    const auto done = std::move(m_done);
+    m_done = nullptr;
+    if (done) {
+      done(std::move(m_answer));
+    }
+  }
+
+  Timer m_timer;
+  std::shared_ptr<ConnectionPool> m_pool;
+  Address m_address;
+  std::function<void(WholeAnswer)> m_done;
+  std::shared_ptr<HttpConnection> m_connection;
+  WholeAnswer m_answer;
+};
+
+} // namespace
+
+void
+CallWhole(Loop& aLoop,
+          const std::shared_ptr<ConnectionPool>& aPool,
+          const Address& aAddress,
+          std::string_view aMethod,
+          std::string_view aTarget,
+          std::string aBody,
+          milliseconds aTimeout,
+          std::function<void(WholeAnswer)> aDone)
+{
+  OutgoingCall call;
+  call.m_head.append(aMethod).append(" ").append(aTarget).append(
+    " HTTP/1.1\r\n");
+  AppendField(call.m_head, "Host", aAddress.ToString());
+  if (!aBody.empty()) {
+    AppendField(call.m_head, "Content-Type", "application/json");
+  }
+  if (!aBody.empty() || aMethod != "GET") {
+    AppendField(call.m_head, "Content-Length", std::to_string(aBody.size()));
+  }
+  call.m_head += "\r\n";
+  call.m_body = std::move(aBody);
+  std::make_shared<WholeCall>(aLoop, aPool, aAddress, std::move(aDone))
+    ->Begin(std::move(call), aTimeout);
+}
+
+} // namespace siskindeal
--- a/src/net/loop_p.h
+++ b/src/net/loop_p.h
@@ -20,6 +20,12 @@
 using NetError = boost::system::error_code;
 using MonotonicClockPoint = std::chrono::steady_clock::time_point;
 
+inline MonotonicClockPoint
+LoopNow()
+{
+  return std::chrono::steady_clock::now();
+}
+
 // Throws std::invalid_argument for a host that isn't an IP number.
 Tcp::endpoint
 EndpointOf(const Address& aAddress);
--- a/src/stager/role.cpp
+++ b/src/stager/role.cpp
@@ -20,7 +20,8 @@
     const auto settings = ReadStagerSettings(aSettingsFile);
     ConfigureLog("stager",
                  settings.m_node.m_vm,
-                 ParseLogLevel(settings.m_node.m_logLevel));
+                 ParseLogLevel(settings.m_node.m_logLevel),
+                 LogStream::StandardOutput);
     Stager stager(settings);
     stager.Run();
     return 0;
--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -21,12 +21,6 @@
 // Pieces that a peer passes on: /pieces/MODEL/VERSION/NUMBER.
 constexpr std::string_view kPiecesPath = "/pieces/";
 
-MonotonicTime
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 void
@@ -42,10 +36,10 @@
 void
 Stager::ListPieces()
 {
-  m_retryAt = Now() + kListTime + kListRetry;
+  m_retryAt = LoopNow() + kListTime + kListRetry;
   if (!m_origin) {
     ReadConfig();
-    m_retryAt = Now() + kListRetry;
+    m_retryAt = LoopNow() + kListRetry;
     return;
   }
   CallWhole(m_loop,
@@ -65,7 +59,7 @@
 void
 Stager::OnPieceList(const WholeAnswer& aAnswer)
 {
-  m_retryAt = Now() + kListRetry;
+  m_retryAt = LoopNow() + kListRetry;
   if (aAnswer.m_status != 200) {
     Log(LogLevel::Warning,
         "list of pieces not had",
@@ -95,7 +89,7 @@
                                        m_originRegion,
                                        VersionKey(),
                                        m_pieces.m_digests.size(),
-                                       Now());
+                                       LoopNow());
   Enter(Stage::Checking);
   // What lies there is of the version that is loaded; with none loaded it may
   // be of any.
@@ -171,7 +165,7 @@
     OnComplete();
     return;
   }
-  while (const auto fetch = m_plan->Next(FetchPeers(), Now(), m_random)) {
+  while (const auto fetch = m_plan->Next(FetchPeers(), LoopNow(), m_random)) {
     Fetch(*fetch);
   }
 }
@@ -219,7 +213,7 @@
           { "from", aFetch.m_from.empty() ? "origin" : aFetch.m_from },
           { "status", aAnswer.m_status },
           { "reason", aAnswer.m_failure } });
-    m_plan->Ended(aFetch, false, Now());
+    m_plan->Ended(aFetch, false, LoopNow());
     if (aAnswer.m_status == 200 && ++m_badPieces >= kMostBadPieces) {
       BeginVersion();
     }
@@ -238,7 +232,7 @@
 void
 Stager::OnStored(const PieceFetch& aFetch, bool aStored)
 {
-  m_plan->Ended(aFetch, aStored, Now());
+  m_plan->Ended(aFetch, aStored, LoopNow());
   if (m_stage == Stage::Fetching) {
     FetchMore();
   }
@@ -278,7 +272,7 @@
   const auto [connection, piece] = m_uploads.front();
   m_uploads.pop_front();
   m_uploading = connection;
-  const auto wait = m_link.Reserve(m_pieces.m_pieceBytes, Now());
+  const auto wait = m_link.Reserve(m_pieces.m_pieceBytes, LoopNow());
   if (wait.count() <= 0) {
     Upload(connection, piece);
     return;
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -86,6 +86,7 @@
   std::vector<StagerPeer> FetchPeers() const;
   std::string VersionKey() const;
   std::uint64_t Loaded() const;
+  static const char* StageName(Stage aStage);
   void Enter(Stage aStage);
   bool KeepsRunnerFree() const;
   void CallRunner(std::string_view aMethod,
--- /dev/null
+++ b/src/stager/stager_site.cpp
@@ -0,0 +1,146 @@
+// What a stager reads of the platform's store.
+
+#include "siskindeal/log.h"
+#include "stager/stager_p.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStoreTime{ 1500 };
+
+// Whether every request that may run at a service can go on at another runner.
+bool
+StreamsMayBeCut(const SiteConfig& aConfig, const std::string& aService)
+{
+  return std::all_of(
+    aConfig.m_routes.begin(), aConfig.m_routes.end(), [&](const auto& aRoute) {
+      const bool here = std::any_of(
+        aRoute.m_shares.begin(),
+        aRoute.m_shares.end(),
+        [&](const auto& aShare) { return aShare.m_service == aService; });
+      return !here || aRoute.MayRepeat();
+    });
+}
+} // namespace
+
+void
+Stager::OnVersion(const SiteObject& aObject)
+{
+  if (aObject.m_deleted) {
+    return;
+  }
+  try {
+    const NamedVersion named = dialect::DecodeVersion(aObject);
+    if (!m_named.Note(named.m_model, named.m_version, BootTime())) {
+      return;
+    }
+    Log(LogLevel::Info,
+        "weights named",
+        { { "model", named.m_model }, { "version", named.m_version } });
+    ReadPeers();
+    ReadConfig();
+  } catch (const std::invalid_argument& error) {
+    Log(LogLevel::Warning,
+        "named weights left out",
+        { { "name", aObject.m_name },
+          { "reason", std::string_view(error.what()) } });
+  }
+}
+
+void
+Stager::ReadConfig()
+{
+  m_configReadAt = LoopNow();
+  CallWhole(
+    m_loop,
+    m_pool,
+    m_store,
+    "GET",
+    dialect::ListPath(dialect::kConfigKind, {}, dialect::Freshness::MayBeStale),
+    {},
+    kStoreTime,
+    [this](const WholeAnswer& aAnswer) { OnConfig(aAnswer); });
+}
+
+void
+Stager::OnConfig(const WholeAnswer& aAnswer)
+{
+  if (aAnswer.m_status != 200) {
+    return; // read again soon
+  }
+  try {
+    for (const SiteObject& object :
+         dialect::DecodeList(aAnswer.m_body).m_objects) {
+      if (object.m_name != dialect::kConfigName) {
+        continue;
+      }
+      const SiteConfig config = dialect::DecodeConfig(object);
+      m_mayCut = StreamsMayBeCut(config, m_settings.m_stager.m_service);
+      for (const auto& [name, service] : config.m_services) {
+        if (service.m_origin) {
+          m_origin = service.m_origin;
+          m_originRegion =
+            RegionOf(m_settings.m_stager.m_regions, service.m_place);
+        }
+        if (name == m_settings.m_stager.m_service) {
+          m_service = service;
+        }
+      }
+    }
+  } catch (const std::invalid_argument& error) {
+    Log(LogLevel::Error,
+        "configuration left out",
+        { { "reason", std::string_view(error.what()) } });
+  }
+  if (m_service && m_service->m_engine &&
+      !m_service->m_engine->m_models.empty()) {
+    m_model = m_service->m_engine->m_models.front();
+  }
+}
+
+void
+Stager::ReadPeers()
+{
+  m_peersReadAt = LoopNow();
+  CallWhole(
+    m_loop,
+    m_pool,
+    m_store,
+    "GET",
+    dialect::ListPath(dialect::kRunnerKind, {}, dialect::Freshness::MayBeStale),
+    {},
+    kStoreTime,
+    [this](const WholeAnswer& aAnswer) { OnPeers(aAnswer); });
+}
+
+void
+Stager::OnPeers(const WholeAnswer& aAnswer)
+{
+  if (aAnswer.m_status != 200) {
+    return;
+  }
+  try {
+    for (const SiteObject& object :
+         dialect::DecodeList(aAnswer.m_body).m_objects) {
+      const RunnerRecord runner = dialect::DecodeRunner(object);
+      if (runner.m_service == m_settings.m_stager.m_service &&
+          runner.m_address.m_host != m_settings.m_node.m_rpc.m_host) {
+        // Every process uses the same port for datagrams.
+        m_peerHosts[runner.m_address.m_host] = {
+          runner.m_address.m_host, m_settings.m_node.m_rpc.m_port
+        };
+      }
+    }
+  } catch (const std::invalid_argument& error) {
+    Log(LogLevel::Warning,
+        "runners left out",
+        { { "reason", std::string_view(error.what()) } });
+  }
+}
+
+} // namespace siskindeal
