Addresses of first gateways are hints, not gateways

Cause: each of the three first addresses was counted as a gateway of its own, so the shared retry allowance was cut by 12 instead of 9 and those machines were told everything twice.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -1,7 +1,6 @@
 #include "gateway/caller_exchange_p.h"
 
 #include "siskindeal/metrics.h"
-#include "siskindeal/overloaded.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
@@ -182,23 +181,20 @@
 void
 CallerExchange::Dispatch()
 {
-  std::visit(Overloaded{ [&](const Placement& aPlacement) {
-                          SendTo(*m_gateway.Runners().Find(aPlacement.m_runner),
-                                 aPlacement);
-                        },
-                         [&](const PlaceRefusal& aRefusal) {
-                           m_predicted = aRefusal.m_predicted;
-                           if (m_haveAnswer) {
-                             Deliver();
-                           } else if (m_mayHaveRun) {
-                             Fail(m_lastReason);
-                           } else {
-                             Refuse(kUnavailable,
-                                    aRefusal.m_reason,
-                                    aRefusal.m_retryAfter);
-                           }
-                         } },
-             Decide());
+  const Decision decision = Decide();
+  if (const auto* placement = std::get_if<Placement>(&decision)) {
+    SendTo(*m_gateway.Runners().Find(placement->m_runner), *placement);
+    return;
+  }
+  const auto& refusal = std::get<PlaceRefusal>(decision);
+  m_predicted = refusal.m_predicted;
+  if (m_haveAnswer) {
+    Deliver();
+  } else if (m_mayHaveRun) {
+    Fail(m_lastReason);
+  } else {
+    Refuse(kUnavailable, refusal.m_reason, refusal.m_retryAfter);
+  }
 }
 
 void
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -157,8 +157,7 @@
     Feed(kGatewayKind, kGatewayPace, { each(onGateway), onGateway, [] {} });
   for (const Address& entry : m_settings.m_node.m_entries) {
     // Every gateway uses the same port for datagrams.
-    m_peers.Register("first " + entry.m_host,
-                     { entry.m_host, m_settings.m_node.m_rpc.m_port });
+    m_peers.Hint({ entry.m_host, m_settings.m_node.m_rpc.m_port });
   }
   Register();
   Tick();
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -42,7 +42,7 @@
   std::uint16_t ReadyPort() const { return m_ready->Port(); }
 
   // For exchanges.
-  Loop& EventLoop() { return m_loop; }
+
   const std::shared_ptr<const RouteIndex>& Routes() const { return m_routes; }
   RunnerTable& Runners() { return m_runners; }
   Placer& Placing() { return m_placer; }
@@ -114,7 +114,7 @@
   std::optional<MonotonicTime> m_leavingSince;
   double m_logTokens = 0;
   std::uint64_t m_logDropped = 0;
-  MonotonicTime m_tickAt{};
+
   std::uint32_t m_ticks = 0;
   Timer m_ticker;
   Timer m_registerTimer;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,6 +2,7 @@
 
 #include "siskindeal/log.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace siskindeal {
@@ -13,6 +14,12 @@
 
 } // namespace
 
+void
+GatewayPeers::Hint(const Address& aAddress)
+{
+  m_hints.push_back(aAddress);
+}
+
 void
 GatewayPeers::Register(const std::string& aVm, const Address& aAddress)
 {
@@ -81,6 +88,11 @@
   for (const auto& [vm, peer] : m_peers) {
     all.push_back(peer.m_address);
   }
+  for (const Address& hint : m_hints) {
+    if (std::find(all.begin(), all.end(), hint) == all.end()) {
+      all.push_back(hint);
+    }
+  }
   return all;
 }
 
--- a/src/gateway/peers_p.h
+++ b/src/gateway/peers_p.h
@@ -21,6 +21,8 @@
   {
   }
 
+  // A gateway may be at this address; it is told until one is known there.
+  void Hint(const Address& aAddress);
   // A gateway is registered at this address for datagrams.
   void Register(const std::string& aVm, const Address& aAddress);
   void Unregister(const std::string& aVm);
@@ -54,6 +56,7 @@
 
   std::string m_ownVm;
   std::map<std::string, Peer> m_peers; // by VM
+  std::vector<Address> m_hints;
 };
 
 } // namespace siskindeal
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -183,6 +183,11 @@
   EXPECT_FALSE(peers.Hear(Beacon("a", 5, false), from, kStart)) << "delayed";
   EXPECT_EQ(peers.Serving(kStart).size(), 1U);
   EXPECT_FALSE(peers.Hear(Beacon("me", 9, true), from, kStart)) << "own";
+  // An address that was only hinted at is no gateway of its own.
+  peers.Hint(from);
+  peers.Hint({ "10.0.0.3", 7700 });
+  EXPECT_EQ(peers.Count(), 2U);
+  EXPECT_EQ(peers.Everyone().size(), 2U);
 }
 
 } // namespace
