--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -182,11 +182,13 @@
 {
   Address m_ready;     // where the platform asks whether it takes callers
   Address m_directory; // where callers ask for addresses to connect to
-  std::map<std::string, std::string> m_regions; // of each place
+  std::map<std::string, std::string> m_regions;       // of each place
   std::chrono::milliseconds m_answerLifetime{ 1000 }; // of a directory answer
-  std::chrono::milliseconds m_revokeWithin{ 5000 };   // keys, from their removal
-  std::chrono::milliseconds m_versionWithin{ 8000 };  // weights, from their naming
-  double m_graceSeconds = 8;                          // from SIGTERM to SIGKILL
+  std::chrono::milliseconds m_revokeWithin{ 5000 }; // keys, from their removal
+  std::chrono::milliseconds m_versionWithin{
+    8000
+  };                         // weights, from their naming
+  double m_graceSeconds = 8; // from SIGTERM to SIGKILL
   double m_retryRatio = 0.2; // further sends a request, over all gateways
   double m_retryWindowSeconds = 10;
   double m_retrySlack = 100; // further sends a window beside the ratio
@@ -202,10 +204,12 @@
 // [stager]: what a stager has beside [node] and [platform].
 struct StagerRoleSettings
 {
-  Address m_runner;      // the model runner of this VM
-  std::string m_service; // that it belongs to
-  std::map<std::string, std::string> m_regions;      // of each place
-  std::chrono::milliseconds m_versionWithin{ 8000 }; // weights, from their naming
+  Address m_runner;                             // the model runner of this VM
+  std::string m_service;                        // that it belongs to
+  std::map<std::string, std::string> m_regions; // of each place
+  std::chrono::milliseconds m_versionWithin{
+    8000
+  };                         // weights, from their naming
   double m_linkMegabits = 0; // a second, of this VM's link; 0: not paced
 };
 
