--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -54,25 +54,23 @@
 // How fast a model runner works.
 struct EngineFigures
 {
-  std::uint32_t m_slots = 1;             // requests in one batch
-  double m_stepMs = 0;                   // one token of each request
-  double m_stepMsPerRequest = 0;         // added by each request that writes
-  double m_stepMsPerThousandContext = 0; // added by 1,000 tokens of context
-  double m_promptTokensPerMs = 0;        // 0: unknown
-  double m_prefillMsPerMillionPairs = 0; // of a token and an earlier one
-  std::uint32_t m_stepsPerPass = 1;      // steps between two events
+  std::uint32_t m_slots = 1;     // requests in one batch
+  double m_stepMs = 0;           // one token of each request
+  double m_stepMsPerRequest = 0; // added by each request that writes
+
+  double m_promptTokensPerMs = 0; // 0: unknown
+
+  std::uint32_t m_stepsPerPass = 1; // steps between two events
   double m_usualPromptTokens = 0;
   double m_usualAnswerTokens = 0;
-  std::uint64_t m_kvTokens = 0;
-  std::chrono::milliseconds m_loadTime{ 0 }; // to take staged weights
+
   std::vector<std::string> m_models;
 };
 
 struct ServiceRecord
 {
   std::string m_name;
-  std::string m_healthPath;
-  std::uint32_t m_maxConnections = 0; // of all callers together; 0: unknown
+
   std::optional<EngineFigures> m_engine;
   std::optional<Address> m_origin; // where weights come from
   std::string m_place;             // of the origin; empty: unknown
--- a/src/dispatch/retry_budget_p.h
+++ b/src/dispatch/retry_budget_p.h
@@ -26,6 +26,10 @@
   {
   }
 
+  void SetAllowance(const RetryAllowance& aAllowance)
+  {
+    m_allowance = aAllowance;
+  }
   // How many entries share the slack; the most that were seen at once.
   void SetEntries(std::size_t aEntries);
   void NoteRequest(const std::string& aService, MonotonicTime aNow);
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -30,7 +30,7 @@
   RunnerLoad m_others; // what the other entries said last, summed
   // Told by the runner with its answers.
   std::uint32_t m_toldRequests = 0;
-  MonotonicTime m_toldAt{};
+
   // Time of a whole request with a free slot, plain services only.
   std::chrono::duration<double, std::milli> m_usualTime{ 0 };
   // Until then it gets work only if no other can.
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -1,9 +1,6 @@
 #include "gateway/caller_exchange_p.h"
 
-#include "siskindeal/metrics.h"
-
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_format.h>
 
 #include <algorithm>
 
@@ -281,7 +278,17 @@
 }
 
 void
-CallerExchange::GiveUpRunner(bool aFailed)
+CallerExchange::ReleasePrompt(RunnerState& aRunner)
+{
+  if (m_promptCounted) {
+    m_promptCounted = false;
+    aRunner.m_own.m_promptTokens -=
+      std::min(aRunner.m_own.m_promptTokens, m_shape.m_promptTokens);
+  }
+}
+
+void
+CallerExchange::ReleaseRunner(RunEnd aEnd)
 {
   RunnerState* runner = m_gateway.Runners().Find(m_runner);
   if (runner == nullptr) {
@@ -289,15 +296,11 @@
   }
   constexpr milliseconds kFirstAvoid{ 250 };
   constexpr std::uint32_t kMostDoublings = 4;
+  ReleasePrompt(*runner);
   if (runner->m_own.m_requests > 0) {
     --runner->m_own.m_requests;
   }
-  if (m_promptCounted) {
-    m_promptCounted = false;
-    runner->m_own.m_promptTokens -=
-      std::min(runner->m_own.m_promptTokens, m_shape.m_promptTokens);
-  }
-  if (!aFailed) {
+  if (aEnd == RunEnd::Sound) {
     runner->m_failuresInRow = 0;
     return;
   }
--- a/src/gateway/caller_exchange_answers.cpp
+++ b/src/gateway/caller_exchange_answers.cpp
@@ -38,30 +38,37 @@
 }
 
 void
-CallerExchange::Refuse(int aStatus,
-                       std::string_view aReason,
-                       milliseconds aRetryAfter)
+CallerExchange::SendOwn(int aStatus,
+                        std::string_view aReason,
+                        milliseconds aRetryAfter)
 {
+  m_lastReason = aReason;
   HttpFields fields;
   fields.Add("Content-Type", "application/json");
   if (!m_id.empty()) {
     fields.Add(dialect::kAttemptId, m_id);
   }
   if (aRetryAfter.count() > 0) {
-    fields.Add("Retry-After",
-               absl::StrFormat(
-                 "%.3f", std::chrono::duration<double>(aRetryAfter).count()));
+    const std::chrono::duration<double> seconds = aRetryAfter;
+    fields.Add("Retry-After", absl::StrFormat("%.3f", seconds.count()));
   }
-  m_lastReason = aReason;
-  m_caller->SendWhole(aStatus, {}, fields, dialect::EncodeError(aReason));
+  m_caller->SendWhole(aStatus, {}, fields, dialect::EncodeError(m_lastReason));
+}
+
+void
+CallerExchange::Refuse(int aStatus,
+                       std::string_view aReason,
+                       milliseconds aRetryAfter)
+{
+  SendOwn(aStatus, aReason, aRetryAfter);
   Finish("refused");
 }
 
 void
 CallerExchange::Fail(std::string_view aReason)
 {
-  m_lastReason = aReason;
   if (m_phase == Phase::Streaming) {
+    m_lastReason = aReason;
     m_caller->BreakOff();
     Finish("broken off");
     return;
@@ -70,35 +77,24 @@
     Refuse(kUnavailable, aReason, kShortRetry);
     return;
   }
-  HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  if (!m_id.empty()) {
-    fields.Add(dialect::kAttemptId, m_id);
-  }
-  m_caller->SendWhole(kBadGateway, {}, fields, dialect::EncodeError(aReason));
+  SendOwn(kBadGateway, aReason, milliseconds(0));
   Finish("failed");
 }
 
 void
 CallerExchange::OnTimeUp()
 {
+  constexpr std::string_view kReason = "its time is up";
   if (m_run) {
     m_run->Abort();
-    GiveUpRunner(false);
+    ReleaseRunner(RunEnd::Sound);
     m_mayHaveRun = true;
   }
   if (m_phase == Phase::Streaming || !m_mayHaveRun) {
-    Fail("its time is up");
+    Fail(kReason);
     return;
   }
-  HttpFields fields;
-  fields.Add("Content-Type", "application/json");
-  if (!m_id.empty()) {
-    fields.Add(dialect::kAttemptId, m_id);
-  }
-  m_lastReason = "its time is up";
-  m_caller->SendWhole(
-    kTimedOut, {}, fields, dialect::EncodeError(m_lastReason));
+  SendOwn(kTimedOut, kReason, milliseconds(0));
   Finish("timed out");
 }
 
@@ -140,7 +136,7 @@
   }
   if (m_run) {
     m_run->Abort();
-    GiveUpRunner(false);
+    ReleaseRunner(RunEnd::Sound);
   }
   Finish("caller left");
 }
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -59,10 +59,22 @@
   // The run at the runner ended without an answer that can be used.
   void OnBrokenRun(CallFailure aHow, const std::string& aReason);
   bool MayTryAgain(CallFailure aHow);
-  void GiveUpRunner(bool aFailed);
+  // What a run says of its runner.
+  enum class RunEnd
+  {
+    Sound,
+    Failed, // the runner is avoided for a while
+  };
+  // Takes the present run's load off its runner.
+  void ReleaseRunner(RunEnd aEnd);
+  void ReleasePrompt(RunnerState& aRunner);
 
   void StartStream();
   void Deliver();
+  // An answer of this process's own, with a reason; zero: no time to come back.
+  void SendOwn(int aStatus,
+               std::string_view aReason,
+               std::chrono::milliseconds aRetryAfter);
   void Refuse(int aStatus,
               std::string_view aReason,
               std::chrono::milliseconds aRetryAfter);
@@ -105,7 +117,7 @@
   bool m_mayHaveRun = false;
   // The last run ended with a whole answer, a failure of the runner's own.
   bool m_haveAnswer = false;
-  bool m_firstRun = true;
+
   std::optional<std::uint64_t> m_lastEvent; // passed on
   std::uint32_t m_events = 0;
   // From the request's arrival to its first event or whole answer.
--- a/src/gateway/caller_exchange_runs.cpp
+++ b/src/gateway/caller_exchange_runs.cpp
@@ -43,7 +43,6 @@
   if (const std::string* text = m_answer.m_fields.Find(dialect::kLoad)) {
     if (const auto load = dialect::DecodeLoad(*text)) {
       runner->m_toldRequests = load->m_running + load->m_waiting;
-      runner->m_toldAt = LoopNow();
     }
   }
   const std::string* version = m_answer.m_fields.Find(dialect::kVersions);
@@ -84,12 +83,8 @@
     OnBrokenRun(CallFailure::MayHaveRun, "an event of the stream is missing");
     return;
   }
-  if (m_promptCounted) {
-    if (RunnerState* runner = m_gateway.Runners().Find(m_runner)) {
-      runner->m_own.m_promptTokens -=
-        std::min(runner->m_own.m_promptTokens, m_shape.m_promptTokens);
-    }
-    m_promptCounted = false;
+  if (RunnerState* runner = m_gateway.Runners().Find(m_runner)) {
+    ReleasePrompt(*runner);
   }
   if (m_phase == Phase::Waiting) {
     StartStream();
@@ -153,7 +148,7 @@
     OnBrokenRun(CallFailure::MayHaveRun, "the stream ended inside an event");
     return;
   }
-  GiveUpRunner(false);
+  ReleaseRunner(RunEnd::Sound);
   m_caller->SendEnd();
   Finish("answered");
 }
@@ -189,7 +184,7 @@
         ? took
         : runner->m_usualTime * (1 - kNewShare) + took * kNewShare;
   }
-  GiveUpRunner(false);
+  ReleaseRunner(RunEnd::Sound);
   m_mayHaveRun = true;
   ++m_runs;
   const bool failed = status / 100 == 5;
@@ -212,7 +207,7 @@
 void
 CallerExchange::OnRefusedByRunner()
 {
-  GiveUpRunner(false);
+  ReleaseRunner(RunEnd::Sound);
   m_lastReason =
     "refused by the runner with " + std::to_string(m_answer.m_status);
   if (RunnerState* runner = m_gateway.Runners().Find(m_runner)) {
@@ -220,7 +215,7 @@
     runner->m_avoidUntil =
       std::max(runner->m_avoidUntil, LoopNow() + kAfterRefusal);
   }
-  if (m_answer.m_status == 400) {
+  if (m_answer.m_status == 400 && m_phase == Phase::Waiting) {
     Refuse(400, "refused by the runner", milliseconds(0));
     return;
   }
@@ -261,7 +256,7 @@
 void
 CallerExchange::OnBrokenRun(CallFailure aHow, const std::string& aReason)
 {
-  GiveUpRunner(true);
+  ReleaseRunner(RunEnd::Failed);
   m_lastReason = aReason;
   if (aHow == CallFailure::MayHaveRun) {
     m_mayHaveRun = true;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -281,8 +281,8 @@
   });
 }
 
-// Takes over what may change while the process runs: all of [gateway] but its
-// addresses. Settings that are refused change nothing.
+// Takes over what may change while the process runs: the times and the retry
+// allowance of [gateway]. Settings that are refused change nothing.
 void
 Gateway::Reload()
 {
@@ -292,6 +292,7 @@
   try {
     const GatewaySettings settings = ReadGatewaySettings(m_settingsFile);
     m_settings.m_gateway = settings.m_gateway;
+    m_retries.SetAllowance(AllowanceOf(settings.m_gateway));
     Log(LogLevel::Info, "settings read again");
   } catch (const SettingsError& error) {
     Log(LogLevel::Error,
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -40,6 +40,7 @@
   std::uint16_t CallersPort() const { return m_callers->Port(); }
   std::uint16_t DirectoryPort() const { return m_directory->Port(); }
   std::uint16_t ReadyPort() const { return m_ready->Port(); }
+  std::uint16_t PagesPort() const { return m_pages->Port(); }
 
   // For exchanges.
 
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -1,6 +1,7 @@
 // What a gateway reads of the platform's store, and its registration there.
 
 #include "gateway/gateway_p.h"
+#include "site/runner_list_p.h"
 
 #include <nlohmann/json.hpp>
 
@@ -46,34 +47,16 @@
 {
   if (aObject.m_deleted) {
     m_runners.Remove(aObject.m_name, LoopNow());
-    return;
-  }
-  try {
-    m_runners.Put(dialect::DecodeRunner(aObject));
-  } catch (const std::invalid_argument& error) {
-    Log(LogLevel::Warning,
-        "runner left out",
-        { { "name", aObject.m_name },
-          { "reason", std::string_view(error.what()) } });
+  } else if (const auto runner = ReadRunner(aObject)) {
+    m_runners.Put(*runner);
   }
 }
 
 void
 Gateway::OnRunners(const std::vector<SiteObject>& aObjects)
 {
-  std::vector<RunnerRecord> runners;
-  for (const SiteObject& object : aObjects) {
-    try {
-      runners.push_back(dialect::DecodeRunner(object));
-    } catch (const std::invalid_argument& error) {
-      Log(LogLevel::Warning,
-          "runner left out",
-          { { "name", object.m_name },
-            { "reason", std::string_view(error.what()) } });
-    }
-  }
   m_haveRunners = true;
-  m_runners.Replace(runners, LoopNow());
+  m_runners.Replace(ReadRunners(aObjects), LoopNow());
 }
 
 void
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -14,7 +14,7 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    connection->m_onIdleClose = nullptr;
+
     if (connection->Reusable() &&
         now - connection->IdleSince() < connection->IdleLimit()) {
       return connection;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,10 +1,10 @@
 #include "net/http_connection_p.h"
+#include "net/message_parser_p.h"
 
 #include <absl/strings/numbers.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/basic_parser.hpp>
 
 #include <array>
 
@@ -24,12 +24,6 @@
 constexpr double kIdleShare = 0.6;
 constexpr milliseconds kDefaultIdle{ 4000 };
 
-std::string_view
-View(boost::beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 // "timeout=N" of Keep-Alive.
 std::optional<milliseconds>
 KeepAliveTimeout(const std::string* aField)
@@ -47,64 +41,6 @@
 
 } // namespace
 
-// Hands what Beast parses to the connection.
-class HttpConnection::Parser final : public http::basic_parser<false>
-{
-public:
-  Parser()
-  {
-    header_limit(kHeadBytes);
-    body_limit(kMostBodyBytes);
-    eager(true);
-  }
-
-  AnswerHead m_head;
-  std::string m_body; // decoded and not yet handed on
-  bool m_haveHead = false;
-
-private:
-  using StringView = boost::beast::string_view;
-  using Error = boost::beast::error_code;
-
-  void on_request_impl(http::verb, StringView, StringView, int, Error&) override
-  {
-  }
-  void on_response_impl(int aCode, StringView aReason, int, Error&) override
-  {
-    m_head.m_status = aCode;
-    m_head.m_reason = std::string(View(aReason));
-  }
-  void on_field_impl(http::field,
-                     StringView aName,
-                     StringView aValue,
-                     Error&) override
-  {
-    m_head.m_fields.Add(View(aName), View(aValue));
-  }
-  void on_header_impl(Error&) override { m_haveHead = true; }
-  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
-                         Error&) override
-  {
-    if (aLength) {
-      m_head.m_length = *aLength;
-    }
-  }
-  std::size_t on_body_impl(StringView aBody, Error&) override
-  {
-    m_body.append(aBody.data(), aBody.size());
-    return aBody.size();
-  }
-  void on_chunk_header_impl(std::uint64_t, StringView, Error&) override {}
-  std::size_t on_chunk_body_impl(std::uint64_t,
-                                 StringView aBody,
-                                 Error&) override
-  {
-    m_body.append(aBody.data(), aBody.size());
-    return aBody.size();
-  }
-  void on_finish_impl(Error&) override {}
-};
-
 HttpConnection::HttpConnection(Loop& aLoop, const Tcp::endpoint& aRemote)
   : m_loop(aLoop)
   , m_remote(aRemote)
@@ -237,7 +173,7 @@
 void
 HttpConnection::NewParser()
 {
-  m_parser = std::make_unique<Parser>();
+  m_parser = std::make_unique<Parser>(kHeadBytes, kMostBodyBytes);
   m_foreign = false;
 }
 
@@ -272,7 +208,7 @@
       return;
     }
     if (m_parser->is_done()) {
-      if (m_foreign || m_parser->m_head.m_status / 100 == 1) {
+      if (m_foreign || m_parser->m_status / 100 == 1) {
         NewParser();
         continue;
       }
@@ -288,7 +224,10 @@
 void
 HttpConnection::OnHead()
 {
-  const AnswerHead& head = m_parser->m_head;
+  const AnswerHead head{ m_parser->m_status,
+                         m_parser->m_reason,
+                         m_parser->m_fields,
+                         m_parser->m_length };
   if (head.m_status / 100 == 1) {
     m_foreign = true;
     return;
@@ -306,7 +245,7 @@
 HttpConnection::OnEnd()
 {
   const auto self = shared_from_this();
-  const HttpFields& fields = m_parser->m_head.m_fields;
+  const HttpFields& fields = m_parser->m_fields;
   const auto limit = KeepAliveTimeout(fields.Find("keep-alive"));
   if (limit) {
     m_idleLimit = std::chrono::duration_cast<milliseconds>(*limit * kIdleShare);
@@ -387,9 +326,6 @@
   NetError ignored;
   m_timer.cancel(ignored);
   m_socket.close(ignored);
-  if (const auto onClose = std::move(m_onIdleClose)) {
-    onClose();
-  }
 }
 
 } // namespace siskindeal
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -6,7 +6,6 @@
 #include "net/http_fields_p.h"
 #include "net/loop_p.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +15,9 @@
 
 namespace siskindeal {
 
+template<bool isRequest>
+class MessageParser;
+
 // One request as it goes onto the wire.
 struct OutgoingCall
 {
@@ -82,13 +84,9 @@
   bool Reusable() const { return m_reusable; }
   MonotonicClockPoint IdleSince() const { return m_idleSince; }
   std::chrono::milliseconds IdleLimit() const { return m_idleLimit; }
-  bool Connected() const { return m_connected; }
-
-  // Told once when a connection that waits for its next call closes.
-  std::function<void()> m_onIdleClose;
 
 private:
-  class Parser;
+  using Parser = MessageParser<false>;
 
   void Connect(std::chrono::milliseconds aTimeout);
   void Write();
@@ -125,7 +123,7 @@
 };
 
 // Connections by remote address, kept for the next call.
-class ConnectionPool : public std::enable_shared_from_this<ConnectionPool>
+class ConnectionPool
 {
 public:
   explicit ConnectionPool(Loop& aLoop)
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,11 +1,11 @@
 #include "net/http_server_p.h"
 
+#include "net/message_parser_p.h"
 #include "siskindeal/log.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
 
 namespace siskindeal {
@@ -21,75 +21,15 @@
 constexpr milliseconds kCloseLinger{ 500 };
 constexpr milliseconds kAcceptPause{ 50 }; // once descriptors have run out
 
-std::string_view
-View(boost::beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 std::string_view
 ReasonOf(int aStatus)
 {
-  return View(http::obsolete_reason(http::int_to_status(aStatus)));
+  const auto reason = http::obsolete_reason(http::int_to_status(aStatus));
+  return { reason.data(), reason.size() };
 }
 
 } // namespace
 
-class ServerConnection::Parser final : public http::basic_parser<true>
-{
-public:
-  explicit Parser(const ClientLimits& aLimits)
-  {
-    header_limit(static_cast<std::uint32_t>(aLimits.m_headerBytes));
-    body_limit(aLimits.m_bodyBytes);
-    eager(true);
-  }
-
-  IncomingRequest m_request;
-  bool m_haveHead = false;
-  bool m_continued = false;
-
-private:
-  using StringView = boost::beast::string_view;
-  using Error = boost::beast::error_code;
-
-  void on_request_impl(http::verb,
-                       StringView aMethod,
-                       StringView aTarget,
-                       int,
-                       Error&) override
-  {
-    m_request.m_method = std::string(View(aMethod));
-    m_request.m_target = std::string(View(aTarget));
-  }
-  void on_response_impl(int, StringView, int, Error&) override {}
-  void on_field_impl(http::field,
-                     StringView aName,
-                     StringView aValue,
-                     Error&) override
-  {
-    m_request.m_fields.Add(View(aName), View(aValue));
-  }
-  void on_header_impl(Error&) override { m_haveHead = true; }
-  void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override
-  {
-  }
-  std::size_t on_body_impl(StringView aBody, Error&) override
-  {
-    m_request.m_body.append(aBody.data(), aBody.size());
-    return aBody.size();
-  }
-  void on_chunk_header_impl(std::uint64_t, StringView, Error&) override {}
-  std::size_t on_chunk_body_impl(std::uint64_t,
-                                 StringView aBody,
-                                 Error&) override
-  {
-    m_request.m_body.append(aBody.data(), aBody.size());
-    return aBody.size();
-  }
-  void on_finish_impl(Error&) override {}
-};
-
 ServerConnection::ServerConnection(Loop& aLoop,
                                    Tcp::socket aSocket,
                                    HttpListener& aListener)
@@ -165,7 +105,10 @@
     return;
   }
   if (!m_parser) {
-    m_parser = std::make_shared<Parser>(m_listener.m_limits);
+    const ClientLimits& limits = m_listener.m_limits;
+    m_parser = std::make_shared<Parser>(
+      static_cast<std::uint32_t>(limits.m_headerBytes), limits.m_bodyBytes);
+    m_continued = false;
     ArmIdleTimer(m_listener.m_limits.m_headerTimeout, true);
   }
   const auto parser = m_parser;
@@ -192,9 +135,9 @@
   }
   if (!parser->is_done()) {
     ArmIdleTimer(m_listener.m_limits.m_idleTimeout, true);
-    const std::string* expect = parser->m_request.m_fields.Find("expect");
-    if (expect != nullptr && !parser->m_continued) {
-      parser->m_continued = true;
+    const std::string* expect = parser->m_fields.Find("expect");
+    if (expect != nullptr && !m_continued) {
+      m_continued = true;
       m_out += "HTTP/1.1 100 Continue\r\n\r\n";
       Write();
     }
@@ -202,8 +145,11 @@
   }
   m_timer.cancel();
   m_keepAlive = parser->keep_alive();
-  m_request = std::move(parser->m_request);
-  m_request.m_arrived = std::chrono::steady_clock::now();
+  m_request = { std::move(parser->m_method),
+                std::move(parser->m_target),
+                std::move(parser->m_fields),
+                std::move(parser->m_body),
+                LoopNow() };
   m_parser.reset();
   m_inRequest = true;
   if (m_request.m_fields.Find("host") == nullptr) {
@@ -489,14 +435,4 @@
   }
 }
 
-std::size_t
-HttpListener::Requests() const
-{
-  std::size_t count = 0;
-  for (const ServerConnection* connection : m_connections) {
-    count += connection->InRequest() ? 1 : 0;
-  }
-  return count;
-}
-
 } // namespace siskindeal
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -15,6 +15,9 @@
 
 namespace siskindeal {
 
+template<bool isRequest>
+class MessageParser;
+
 struct IncomingRequest
 {
   std::string m_method;
@@ -64,12 +67,11 @@
   // Called once when the present answer has left, or its connection has ended.
   std::function<void()> m_onSent;
 
-  bool InRequest() const { return m_inRequest; }
   // Ends the connection now if it waits for a request, else with its answer.
   void CloseWhenIdle();
 
 private:
-  class Parser;
+  using Parser = MessageParser<true>;
 
   void Read();
   void OnRead(const NetError& aError);
@@ -95,7 +97,8 @@
   bool m_inRequest = false;
   bool m_keepAlive = true;
   bool m_chunked = false;
-  bool m_closing = false; // after what is written
+  bool m_continued = false; // the caller was told to send its body
+  bool m_closing = false;   // after what is written
   bool m_closed = false;
 };
 
@@ -108,17 +111,15 @@
   // Listens from now on. Throws std::system_error when it can't.
   HttpListener(Loop& aLoop, const Address& aAddress, Handler aHandler);
 
-  // Accepts no more; kept connections end with their next answer, idle ones
-  // once aIdleToo.
+  // Accepts no more; kept connections end with their next answer.
   void Stop();
+  // Ends the connections that wait for a request.
   void CloseIdle();
   // From now on answers tell callers to connect elsewhere.
   void SayClose() { m_sayClose = true; }
 
-  bool SaysClose() const { return m_sayClose; }
   std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
   std::size_t Connections() const { return m_connections.size(); }
-  std::size_t Requests() const;
 
   ClientLimits m_limits;
   std::size_t m_mostConnections = 3000; // further ones are closed at once
--- /dev/null
+++ b/src/net/message_parser_p.h
@@ -0,0 +1,89 @@
+#pragma once
+// Gathers what Boost.Beast parses of one message: start line, fields and the
+// decoded body.
+
+#include "net/http_fields_p.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace siskindeal {
+
+template<bool isRequest>
+class MessageParser final : public boost::beast::http::basic_parser<isRequest>
+{
+public:
+  MessageParser(std::uint32_t aMostHeadBytes, std::uint64_t aMostBodyBytes)
+  {
+    this->header_limit(aMostHeadBytes);
+    this->body_limit(aMostBodyBytes);
+    this->eager(true);
+  }
+
+  std::string m_method; // of a request
+  std::string m_target;
+  int m_status = 0; // of an answer
+  std::string m_reason;
+  HttpFields m_fields;
+  std::optional<std::uint64_t> m_length; // none: in chunks or up to the close
+  std::string m_body;                    // as far as it came
+  bool m_haveHead = false;
+
+private:
+  using StringView = boost::beast::string_view;
+  using Error = boost::beast::error_code;
+
+  static std::string_view View(StringView aText)
+  {
+    return { aText.data(), aText.size() };
+  }
+
+  void on_request_impl(boost::beast::http::verb,
+                       StringView aMethod,
+                       StringView aTarget,
+                       int,
+                       Error&) override
+  {
+    m_method = View(aMethod);
+    m_target = View(aTarget);
+  }
+  void on_response_impl(int aCode, StringView aReason, int, Error&) override
+  {
+    m_status = aCode;
+    m_reason = View(aReason);
+  }
+  void on_field_impl(boost::beast::http::field,
+                     StringView aName,
+                     StringView aValue,
+                     Error&) override
+  {
+    m_fields.Add(View(aName), View(aValue));
+  }
+  void on_header_impl(Error&) override { m_haveHead = true; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
+                         Error&) override
+  {
+    if (aLength) {
+      m_length = *aLength;
+    }
+  }
+  std::size_t on_body_impl(StringView aBody, Error&) override
+  {
+    m_body += View(aBody);
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, StringView, Error&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 StringView aBody,
+                                 Error&) override
+  {
+    m_body += View(aBody);
+    return aBody.size();
+  }
+  void on_finish_impl(Error&) override {}
+};
+
+} // namespace siskindeal
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -1,4 +1,4 @@
-#include "settings/schema_p.h"
+#include "settings/schema_rows_p.h"
 
 #include "rollout/policy_p.h"
 #include "siskindeal/registry.h"
@@ -8,58 +8,6 @@
 
 namespace {
 
-constexpr double kHourMs = 3600.0 * 1000;
-constexpr Bounds kAtLeastOne{ 1 };
-constexpr Bounds kShare{ 0, 1 };
-constexpr Bounds kAnySize{ 0, 1e15 };
-constexpr Bounds kDuration{ 1, 24 * kHourMs };
-constexpr Bounds kRate{ 0.001, 1e9 };
-
-void
-Append(SettingTable& aTable, SettingTable aRows)
-{
-  for (Setting& row : aRows) {
-    aTable.push_back(std::move(row));
-  }
-}
-
-SettingTable
-NodeRows(NodeSettings& aNode)
-{
-  return {
-    { "node",
-      "vm",
-      &aNode.m_vm,
-      "name of this VM, unique in the fleet",
-      Need::Required },
-    { "node", "place", &aNode.m_place, "place this VM is in", Need::Required },
-    { "node",
-      "rpc",
-      &aNode.m_rpc,
-      "where siskindeal's other processes connect; port 0 picks a free one",
-      Need::Required },
-    { "node",
-      "advertise",
-      &aNode.m_advertise,
-      "where siskindeal's other processes reach rpc, if not at its own "
-      "address" },
-    { "node",
-      "http",
-      &aNode.m_http,
-      "where callers and operators connect; on an agent only metrics, health "
-      "and state",
-      Need::Required },
-    { "node",
-      "log_level",
-      WordField{ &aNode.m_logLevel, { "debug", "info", "warning", "error" } },
-      "least level that is logged" },
-    { "node",
-      "entries",
-      &aNode.m_entries,
-      "rpc addresses of entries to contact first; its own is allowed" },
-  };
-}
-
 SettingTable
 AuthRows(AuthSettings& aAuth)
 {
@@ -77,36 +25,6 @@
   };
 }
 
-SettingTable
-PlatformRows(PlatformSettings& aPlatform)
-{
-  return {
-    { "platform",
-      "url",
-      UrlField{ &aPlatform.m_url },
-      "the platform's object API",
-      Need::Required },
-    { "platform",
-      "timeout",
-      &aPlatform.m_timeout,
-      "longest wait for an answer, a watch's own wait apart",
-      Need::Optional,
-      kDuration },
-    { "platform",
-      "reads_per_second",
-      &aPlatform.m_readsPerSecond,
-      "this process's budget of reads, a waiting watch counted as one",
-      Need::Optional,
-      kRate },
-    { "platform",
-      "writes_per_second",
-      &aPlatform.m_writesPerSecond,
-      "this process's budget of writes",
-      Need::Optional,
-      kRate },
-  };
-}
-
 SettingTable
 HttpRows(HttpSettings& aHttp)
 {
@@ -391,105 +309,6 @@
   };
 }
 
-SettingTable
-GatewayRows(GatewayRoleSettings& aGateway)
-{
-  return {
-    { "gateway",
-      "ready",
-      &aGateway.m_ready,
-      "where the platform asks whether this gateway takes callers",
-      Need::Required },
-    { "gateway",
-      "directory",
-      &aGateway.m_directory,
-      "where callers ask for the addresses to connect to",
-      Need::Required },
-    { "gateway",
-      "regions",
-      NamesField{ &aGateway.m_regions },
-      "the region of each place" },
-    { "gateway",
-      "answer_lifetime",
-      &aGateway.m_answerLifetime,
-      "how long callers keep the addresses that they are told",
-      Need::Optional,
-      kDuration },
-    { "gateway",
-      "revoke_within",
-      &aGateway.m_revokeWithin,
-      "longest use of a key after its removal; keyed requests are refused "
-      "while the configuration may be older",
-      Need::Optional,
-      kDuration },
-    { "gateway",
-      "version_within",
-      &aGateway.m_versionWithin,
-      "longest use of old weights after new ones are named",
-      Need::Optional,
-      kDuration },
-    { "gateway",
-      "grace_seconds",
-      &aGateway.m_graceSeconds,
-      "seconds between SIGTERM and SIGKILL",
-      Need::Optional,
-      kRate },
-    { "gateway",
-      "retry_ratio",
-      &aGateway.m_retryRatio,
-      "further sends to a service's runners for each request, over all "
-      "gateways",
-      Need::Optional,
-      kShare },
-    { "gateway",
-      "retry_window_seconds",
-      &aGateway.m_retryWindowSeconds,
-      "seconds over which retry_ratio and retry_slack hold",
-      Need::Optional,
-      kRate },
-    { "gateway",
-      "retry_slack",
-      &aGateway.m_retrySlack,
-      "further sends in a window beside retry_ratio, over all gateways",
-      Need::Optional,
-      kRate },
-  };
-}
-
-SettingTable
-StagerRows(StagerRoleSettings& aStager)
-{
-  return {
-    { "stager",
-      "runner",
-      &aStager.m_runner,
-      "address of this VM's model runner",
-      Need::Required },
-    { "stager",
-      "service",
-      &aStager.m_service,
-      "service that the runner belongs to",
-      Need::Required },
-    { "stager",
-      "regions",
-      NamesField{ &aStager.m_regions },
-      "the region of each place" },
-    { "stager",
-      "version_within",
-      &aStager.m_versionWithin,
-      "longest time from the naming of new weights until the runner has them",
-      Need::Optional,
-      kDuration },
-    { "stager",
-      "link_megabits",
-      &aStager.m_linkMegabits,
-      "megabits a second of this VM's link, which pieces share with the "
-      "runner's answers; 0 doesn't pace them",
-      Need::Optional,
-      kAnySize },
-  };
-}
-
 SettingTable
 ClientRows(ClientSettings& aClient)
 {
@@ -540,24 +359,6 @@
   return table;
 }
 
-SettingTable
-TableOf(GatewaySettings& aSettings)
-{
-  SettingTable table = NodeRows(aSettings.m_node);
-  Append(table, PlatformRows(aSettings.m_platform));
-  Append(table, GatewayRows(aSettings.m_gateway));
-  return table;
-}
-
-SettingTable
-TableOf(StagerSettings& aSettings)
-{
-  SettingTable table = NodeRows(aSettings.m_node);
-  Append(table, PlatformRows(aSettings.m_platform));
-  Append(table, StagerRows(aSettings.m_stager));
-  return table;
-}
-
 SettingTable
 TableOf(ClientSettings& aSettings)
 {
--- /dev/null
+++ b/src/settings/schema_rows.cpp
@@ -0,0 +1,80 @@
+#include "settings/schema_rows_p.h"
+
+namespace siskindeal {
+
+void
+Append(SettingTable& aTable, SettingTable aRows)
+{
+  for (Setting& row : aRows) {
+    aTable.push_back(std::move(row));
+  }
+}
+
+SettingTable
+NodeRows(NodeSettings& aNode)
+{
+  return {
+    { "node",
+      "vm",
+      &aNode.m_vm,
+      "name of this VM, unique in the fleet",
+      Need::Required },
+    { "node", "place", &aNode.m_place, "place this VM is in", Need::Required },
+    { "node",
+      "rpc",
+      &aNode.m_rpc,
+      "where siskindeal's other processes connect; port 0 picks a free one",
+      Need::Required },
+    { "node",
+      "advertise",
+      &aNode.m_advertise,
+      "where siskindeal's other processes reach rpc, if not at its own "
+      "address" },
+    { "node",
+      "http",
+      &aNode.m_http,
+      "where callers and operators connect; on an agent only metrics, health "
+      "and state",
+      Need::Required },
+    { "node",
+      "log_level",
+      WordField{ &aNode.m_logLevel, { "debug", "info", "warning", "error" } },
+      "least level that is logged" },
+    { "node",
+      "entries",
+      &aNode.m_entries,
+      "rpc addresses of entries to contact first; its own is allowed" },
+  };
+}
+
+SettingTable
+PlatformRows(PlatformSettings& aPlatform)
+{
+  return {
+    { "platform",
+      "url",
+      UrlField{ &aPlatform.m_url },
+      "the platform's object API",
+      Need::Required },
+    { "platform",
+      "timeout",
+      &aPlatform.m_timeout,
+      "longest wait for an answer, a watch's own wait apart",
+      Need::Optional,
+      kDuration },
+    { "platform",
+      "reads_per_second",
+      &aPlatform.m_readsPerSecond,
+      "this process's budget of reads, a waiting watch counted as one",
+      Need::Optional,
+      kRate },
+    { "platform",
+      "writes_per_second",
+      &aPlatform.m_writesPerSecond,
+      "this process's budget of writes",
+      Need::Optional,
+      kRate },
+  };
+}
+
+} // namespace siskindeal
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -20,7 +20,6 @@
 constexpr milliseconds kBusyPoll{ 60 };
 constexpr milliseconds kRestingTell{ 1000 };
 constexpr milliseconds kBusyTell{ 150 };
-constexpr milliseconds kPeerSilence{ 3500 };
 constexpr milliseconds kGatewaySilence{ 4000 };
 constexpr milliseconds kPeersAge{ 4000 }; // of the list of runners, while busy
 constexpr milliseconds kConfigRetry{ 1000 };
@@ -130,8 +129,7 @@
     if (m_gateways.count(key) == 0) {
       m_toldAt = {}; // it learns at once what this runner holds
     }
-    m_gateways[key] = LoopNow();
-    m_gatewayAddresses[key] = aFrom;
+    m_gateways[key] = { aFrom, LoopNow() };
     return;
   }
   if (!aDatagram.has_stager()) {
@@ -181,16 +179,16 @@
   notice.set_turn(KeepsRunnerFree()          ? v1::TURN_LOADING
                   : m_stage == Stage::Staged ? v1::TURN_STAGED
                                              : v1::TURN_SERVING);
-  notice.set_still_running(m_report.m_running);
+
   TellNamed(m_named, BootTime(), *notice.mutable_named());
   const MonotonicTime now = LoopNow();
   for (const auto& [host, address] : m_peerHosts) {
     m_datagrams->Send(datagram, address);
   }
   notice.clear_held();
-  for (const auto& [key, heardAt] : m_gateways) {
-    if (now - heardAt < kGatewaySilence && m_runnerAnswers) {
-      m_datagrams->Send(datagram, m_gatewayAddresses[key]);
+  for (const auto& [key, gateway] : m_gateways) {
+    if (now - gateway.m_heardAt < kGatewaySilence && m_runnerAnswers) {
+      m_datagrams->Send(datagram, gateway.m_address);
     }
   }
 }
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -42,7 +42,14 @@
     Loading,   // the runner takes them
   };
 
+  struct HeardGateway
+  {
+    Address m_address;
+    MonotonicTime m_heardAt{};
+  };
+
   struct Peer
+
   {
     StagerPeer m_stager;
     v1::StagerNotice m_notice;
@@ -121,8 +128,8 @@
   std::map<std::string, Peer> m_peers;        // by VM
   std::map<std::string, Address> m_peerHosts; // listed, maybe not heard yet
   bool m_mayCut = false; // every stream of the service can be resumed
-  std::map<std::string, MonotonicTime> m_gateways; // heard, by address
-  std::map<std::string, Address> m_gatewayAddresses;
+  std::map<std::string, HeardGateway> m_gateways; // by address
+
   // Pieces that peers wait for; one goes out at a time, since answers of the
   // runner share the link.
   std::deque<std::pair<std::shared_ptr<ServerConnection>, std::size_t>>
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -1,6 +1,7 @@
 // What a stager reads of the platform's store.
 
 #include "siskindeal/log.h"
+#include "site/runner_list_p.h"
 #include "stager/stager_p.h"
 
 #include <algorithm>
@@ -124,22 +125,22 @@
   if (aAnswer.m_status != 200) {
     return;
   }
+  std::vector<SiteObject> objects;
   try {
-    for (const SiteObject& object :
-         dialect::DecodeList(aAnswer.m_body).m_objects) {
-      const RunnerRecord runner = dialect::DecodeRunner(object);
-      if (runner.m_service == m_settings.m_stager.m_service &&
-          runner.m_address.m_host != m_settings.m_node.m_rpc.m_host) {
-        // Every process uses the same port for datagrams.
-        m_peerHosts[runner.m_address.m_host] = {
-          runner.m_address.m_host, m_settings.m_node.m_rpc.m_port
-        };
-      }
-    }
+    objects = dialect::DecodeList(aAnswer.m_body).m_objects;
   } catch (const std::invalid_argument& error) {
     Log(LogLevel::Warning,
-        "runners left out",
+        "list of runners left out",
         { { "reason", std::string_view(error.what()) } });
+    return;
+  }
+  const std::string& ownHost = m_settings.m_node.m_rpc.m_host;
+  for (const RunnerRecord& runner : ReadRunners(objects)) {
+    const std::string& host = runner.m_address.m_host;
+    if (runner.m_service == m_settings.m_stager.m_service && host != ownHost) {
+      // Every process uses the same port for datagrams.
+      m_peerHosts[host] = { host, m_settings.m_node.m_rpc.m_port };
+    }
   }
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -116,7 +116,7 @@
   RunnerTable table;
   table.Replace({ Runner("near", "kin-a"), Runner("far", "mbj-a") }, kStart);
   Placer placer = NewPlacer();
-  table.Find("near")->m_own = { 1, 0 };
+  table.Find("near")->m_own = { 2, 600 };
   EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)),
             "near");
   table.Find("near")->m_own = { 14, 9000 };
--- a/tests/fetch_plan_test.cpp
+++ b/tests/fetch_plan_test.cpp
@@ -58,13 +58,13 @@
     return peers;
   }
 
-  bool Fails(const PieceFetch& aFetch)
+  bool Fails(std::size_t aTo, const PieceFetch& aFetch)
   {
     if (m_random.Chance(m_failShare)) {
       return true;
     }
     if (aFetch.m_from.empty()) {
-      return m_now < m_originBackAt;
+      return aTo == m_cutFromOrigin || m_now < m_originBackAt;
     }
     const auto from = std::stoul(aFetch.m_from.substr(5));
     return !m_alive[from] || !m_plans[from]->Held()[aFetch.m_piece];
@@ -79,7 +79,7 @@
         continue;
       }
       m_transfers.erase(m_transfers.begin() + static_cast<std::ptrdiff_t>(i));
-      const bool good = !Fails(transfer.m_fetch);
+      const bool good = !Fails(transfer.m_to, transfer.m_fetch);
       m_plans[transfer.m_to]->Ended(transfer.m_fetch, good, m_now);
       if (!good) {
         continue;
@@ -137,6 +137,7 @@
   std::vector<Transfer> m_transfers;
   double m_failShare = 0;
   MonotonicTime m_originBackAt = kStart;
+  std::size_t m_cutFromOrigin = ~std::size_t{ 0 }; // index of a stager
   std::size_t m_fromOrigin = 0;
   std::size_t m_acrossRegions = 0;
 };
@@ -174,6 +175,15 @@
   }
 }
 
+// It is heard all the while, so that its peers can't take it for dead.
+TEST(FetchPlan, ThePiecesOfAStagerThatCantReachTheOriginAreTakenOver)
+{
+  World world(5, 12);
+  world.m_cutFromOrigin = 0; // one of four in the origin's region
+  world.RunUntilComplete(milliseconds(8000));
+  EXPECT_TRUE(world.Complete());
+}
+
 // The only copy of a piece turned bad before anyone took it.
 TEST(FetchPlan, APieceThatWasLostIsFetchedAgain)
 {
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -5,6 +5,7 @@
 #include "gateway/peers_p.h"
 #include "gateway/route_index_p.h"
 #include "platform/dialect.h"
+#include "site/runner_list_p.h"
 
 #include <gtest/gtest.h>
 
@@ -89,6 +90,23 @@
   }
 }
 
+// Others may write there: what can't be a runner costs no other one its place.
+TEST(RunnerList, KeepsTheRunnersBesideRubbish)
+{
+  const std::string sound =
+    R"({"service":"s","address":"10.0.0.1:80","state":"ready"})";
+  std::vector<SiteObject> objects;
+  for (const std::string& spec :
+       { std::string("{}"), sound, std::string("7"), sound }) {
+    objects.push_back(Object(spec));
+    objects.back().m_name = "i-" + std::to_string(objects.size());
+  }
+  const auto runners = ReadRunners(objects);
+  ASSERT_EQ(runners.size(), 2U);
+  EXPECT_EQ(runners[0].m_id, "i-2");
+  EXPECT_EQ(runners[1].m_id, "i-4");
+}
+
 TEST(Dialect, ReadsHeadersThatAreWellFormedOnly)
 {
   EXPECT_EQ(dialect::DecodeLoad("3,1,16")->m_waiting, 1U);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,13 +1,6 @@
-// A gateway over loopback, between raw callers and a scripted platform.
+// A gateway's callers: what they may ask, who is let in, how it stops.
 
-#include "gateway/gateway_p.h"
-#include "support/raw_socket.h"
-#include "support/site.h"
-
-#include <gtest/gtest.h>
-
-#include <atomic>
-#include <thread>
+#include "support/gateway_fixture.h"
 
 namespace siskindeal {
 
@@ -16,151 +9,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr std::chrono::seconds kGuard{ 20 };
-
-template<typename Condition>
-bool
-Eventually(Condition aCondition)
-{
-  const auto end = std::chrono::steady_clock::now() + kGuard;
-  while (std::chrono::steady_clock::now() < end) {
-    if (aCondition()) {
-      return true;
-    }
-    std::this_thread::sleep_for(milliseconds(5));
-  }
-  return false;
-}
-
-json
-RouteJson(const std::string& aName, const std::string& aKind, bool aResumable)
-{
-  return { { "name", aName },
-           { "host", "x.example" },
-           { "path_prefix", "/" + aName + "/" },
-           { "kind", aKind },
-           { "service", aName },
-           { "timeout_ms", 4000 },
-           { "target_latency_ms", 1500 },
-           { "max_attempts", 2 },
-           { "resumable", aResumable } };
-}
-
-json
-ConfigJson(std::uint64_t aVersion)
-{
-  json services = json::array();
-  for (const char* name : { "chat", "post", "get" }) {
-    services.push_back({ { "name", name } });
-  }
-  return {
-    { "version", aVersion },
-    { "routes",
-      { RouteJson("chat", "streaming", true),
-        RouteJson("post", "non_idempotent", false),
-        RouteJson("get", "idempotent", false) } },
-    { "services", services },
-    { "tenants",
-      { { { "name", "pro-shop" }, { "api_keys", { "key-1", "key-2" } } } } },
-    { "limits", { { "max_header_bytes", 4000 }, { "max_body_bytes", 10000 } } }
-  };
-}
-
-class GatewayTest : public testing::Test
-{
-protected:
-  void SetUp() override { m_site.Put("config", "main", ConfigJson(1)); }
-
-  void TearDown() override
-  {
-    if (m_gateway) {
-      m_gateway->AskToLeave();
-      m_thread.join();
-    }
-  }
-
-  void Start()
-  {
-    GatewaySettings settings;
-    settings.m_node.m_vm = "edge-1";
-    settings.m_node.m_place = "here";
-    settings.m_node.m_rpc = { "127.0.0.1", 0 };
-    settings.m_node.m_http = { "127.0.0.1", 0 };
-    settings.m_gateway.m_ready = { "127.0.0.1", 0 };
-    settings.m_gateway.m_directory = { "127.0.0.1", 0 };
-    settings.m_gateway.m_answerLifetime = milliseconds(50);
-    settings.m_gateway.m_graceSeconds = 5;
-    settings.m_platform.m_url = "http://" + m_site.Store().ToString();
-    m_gateway = std::make_unique<Gateway>(settings);
-    m_thread = std::thread([this] { m_gateway->Run(); });
-  }
-
-  void StartReady()
-  {
-    Start();
-    ASSERT_TRUE(Eventually([&] { return Ready(); }));
-  }
-
-  bool Ready()
-  {
-    RawSocket socket(m_gateway->ReadyPort());
-    socket.Send("GET /siskindeal/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
-    return socket.ReadUntil("\r\n").find(" 200 ") != std::string::npos;
-  }
-
-  std::string Ask(const std::string& aRequest)
-  {
-    RawSocket socket(m_gateway->CallersPort());
-    socket.Send(aRequest);
-    return socket.ReadAll();
-  }
-
-  static std::string Request(const std::string& aMethod,
-                             const std::string& aPath,
-                             const std::string& aMore = {},
-                             const std::string& aBody = {})
-  {
-    return aMethod + " " + aPath +
-           " HTTP/1.1\r\nHost: x.example\r\nConnection: close\r\n"
-           "X-Siskindeal-Attempt-Id: id-1\r\nAuthorization: Bearer key-1\r\n"
-           "X-Siskindeal-Deadline-Ms: 3000\r\nContent-Length: " +
-           std::to_string(aBody.size()) + "\r\n" + aMore + "\r\n" + aBody;
-  }
-
-  static HttpFields Signed()
-  {
-    HttpFields fields;
-    fields.Add("X-Siskindeal-Attempt-Id", "id-1");
-    fields.Add("X-Siskindeal-Runner-Signature", "sig-7");
-    return fields;
-  }
-
-  static void Answer(const std::shared_ptr<ServerConnection>& aConnection,
-                     int aStatus = 200,
-                     const std::string& aBody = "booked")
-  {
-    aConnection->SendWhole(aStatus, {}, Signed(), aBody);
-  }
-
-  static void RefuseNotRun(const std::shared_ptr<ServerConnection>& aConnection)
-  {
-    HttpFields fields = Signed();
-    fields.Add("X-Siskindeal-Not-Executed", "1");
-    aConnection->SendWhole(503, {}, fields, "");
-  }
-
-  static HttpFields StreamFields()
-  {
-    HttpFields fields = Signed();
-    fields.Add("Content-Type", "text/event-stream");
-    return fields;
-  }
-
-  SiteStandIn m_site;
-  std::unique_ptr<Gateway> m_gateway;
-  std::thread m_thread;
-};
-
 TEST_F(GatewayTest, PassesARequestOnUnchangedAndKeepsTheKey)
 {
   IncomingRequest seen;
@@ -279,15 +127,7 @@
   }));
   // An older version that comes late changes nothing.
   m_site.Put("config", "main", ConfigJson(1));
-  m_site.Put("config", "main", [&] {
-    json newer = config;
-    newer["version"] = 3;
-    newer["routes"][0]["path_prefix"] = "/talk/";
-    return newer;
-  }());
-  EXPECT_TRUE(Eventually([&] {
-    return Ask(Request("GET", "/talk/a")).find(" 401 ") != std::string::npos;
-  }));
+  ASSERT_TRUE(m_site.AwaitWatched("config"));
   EXPECT_NE(Ask(Request("GET", "/get/a")).find(" 401 "), std::string::npos);
 }
 
@@ -307,155 +147,6 @@
   }));
 }
 
-struct FaultCase
-{
-  const char* m_name;
-  const char* m_path;
-  SiteStandIn::Play m_fault; // of the first run; later ones answer
-  const char* m_status;      // that the caller gets
-  int m_runs;
-};
-
-void
-CloseEarly(const std::shared_ptr<ServerConnection>& aConnection)
-{
-  aConnection->BreakOff();
-}
-
-TEST_F(GatewayTest, EachFaultOfARunnerHasItsOutcome)
-{
-  const auto unsignedAnswer = [](const auto& aConnection) {
-    HttpFields fields;
-    fields.Add("X-Siskindeal-Attempt-Id", "id-1");
-    aConnection->SendWhole(200, {}, fields, "whose?");
-  };
-  const auto shortBody = [](const auto& aConnection) {
-    aConnection->SendHead(200, {}, Signed(), 100);
-    aConnection->SendPart("half");
-    aConnection->BreakOff();
-  };
-  const auto fails = [](const auto& aConnection) { Answer(aConnection, 500); };
-  const auto plainBusy = [](const auto& aConnection) {
-    Answer(aConnection, 503); // says nothing of whether it ran
-  };
-  const FaultCase cases[] = {
-    { "refused, may go on", "/get/a", RefuseNotRun, " 200 ", 2 },
-    { "refused, not to be repeated", "/post/a", RefuseNotRun, " 200 ", 2 },
-    { "closed", "/get/a", CloseEarly, " 200 ", 2 },
-    { "closed, not to be repeated", "/post/a", CloseEarly, " 502 ", 1 },
-    { "cut short", "/get/a", shortBody, " 200 ", 2 },
-    { "cut short, not to be repeated", "/post/a", shortBody, " 502 ", 1 },
-    { "unsigned", "/get/a", unsignedAnswer, " 200 ", 2 },
-    { "unsigned, not to be repeated", "/post/a", unsignedAnswer, " 502 ", 1 },
-    { "failed", "/get/a", fails, " 200 ", 2 },
-    { "failed, not to be repeated", "/post/a", fails, " 500 ", 1 },
-    { "busy without a promise", "/post/a", plainBusy, " 502 ", 1 },
-  };
-  std::atomic<int> runs = 0;
-  const FaultCase* present = nullptr;
-  const auto play = [&](const auto& aConnection) {
-    if (runs++ == 0) {
-      present->m_fault(aConnection);
-    } else {
-      Answer(aConnection);
-    }
-  };
-  for (const char* service : { "get", "post" }) {
-    m_site.AddRunner(std::string("i-1-") + service, service, play);
-    m_site.AddRunner(std::string("i-2-") + service, service, play);
-  }
-  StartReady();
-  for (const FaultCase& fault : cases) {
-    SCOPED_TRACE(fault.m_name);
-    runs = 0;
-    present = &fault;
-    const std::string answer = Ask(Request("POST", fault.m_path, {}, "body"));
-    EXPECT_NE(answer.substr(0, 20).find(fault.m_status), std::string::npos)
-      << answer;
-    EXPECT_EQ(runs, fault.m_runs);
-  }
-}
-
-TEST_F(GatewayTest, WhatNoRunnerTakesIsRefusedWithATimeToComeBack)
-{
-  m_site.AddRunner("i-1", "post", RefuseNotRun);
-  StartReady();
-  const std::string answer = Ask(Request("POST", "/post/a"));
-  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
-  EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
-  EXPECT_EQ(answer.find("sig-7"), std::string::npos);
-}
-
-TEST_F(GatewayTest, AnAnswerToAnEarlierRequestIsLeftOut)
-{
-  const RawServer runner([](RawSocket& aSocket, int) {
-    aSocket.ReadUntil("\r\n\r\n");
-    aSocket.Send("HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: other\r\n"
-                 "X-Siskindeal-Runner-Signature: s\r\nContent-Length: 5\r\n\r\n"
-                 "wrong"
-                 "HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: id-1\r\n"
-                 "X-Siskindeal-Runner-Signature: s\r\nContent-Length: 5\r\n\r\n"
-                 "right and more that belongs to nobody");
-    aSocket.ReadAll();
-  });
-  m_site.Put("servers",
-             "i-1",
-             { { "service", "post" },
-               { "address", "127.0.0.1:" + std::to_string(runner.Port()) },
-               { "state", "ready" } });
-  StartReady();
-  for (int i = 0; i < 3; ++i) {
-    const std::string answer = Ask(Request("POST", "/post/a"));
-    EXPECT_NE(answer.find("\r\n\r\nright"), std::string::npos) << answer;
-    EXPECT_EQ(answer.find("nobody"), std::string::npos);
-  }
-}
-
-TEST_F(GatewayTest, AStreamThatBreaksInsideAnEventGoesOnElsewhere)
-{
-  std::atomic<int> runs = 0;
-  std::string goneOnAfter;
-  const auto play = [&](const std::shared_ptr<ServerConnection>& aConnection) {
-    if (runs++ == 0) {
-      aConnection->SendHead(200, {}, StreamFields(), std::nullopt);
-      aConnection->SendPart("id: 1\ndata: a\n\nid: 2\nda");
-      aConnection->BreakOff();
-      return;
-    }
-    goneOnAfter = *aConnection->Request().m_fields.Find("last-event-id");
-    HttpFields fields = StreamFields();
-    fields.Add("X-Second", "run");
-    aConnection->SendHead(200, {}, fields, std::nullopt);
-    aConnection->SendPart("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    aConnection->SendPart("id: 3\ndata: c\n\n");
-    aConnection->SendEnd();
-  };
-  m_site.AddRunner("i-1", "chat", play);
-  m_site.AddRunner("i-2", "chat", play);
-  StartReady();
-  const std::string answer = Ask(Request("POST", "/chat/a"));
-  EXPECT_EQ(goneOnAfter, "1");
-  EXPECT_EQ(answer.find("X-Second"), std::string::npos);
-  for (const char* event : { "data: a", "data: b", "data: c" }) {
-    EXPECT_NE(answer.find(event), std::string::npos) << answer;
-    EXPECT_EQ(answer.find(event), answer.rfind(event)) << answer;
-  }
-  EXPECT_EQ(answer.substr(answer.size() - 5), "0\r\n\r\n");
-}
-
-TEST_F(GatewayTest, AStreamThatCantGoOnDoesntLookComplete)
-{
-  m_site.AddRunner("i-1", "chat", [](const auto& aConnection) {
-    aConnection->SendHead(200, {}, StreamFields(), std::nullopt);
-    aConnection->SendPart("id: 1\ndata: a\n\n");
-    aConnection->BreakOff();
-  });
-  StartReady();
-  const std::string answer = Ask(Request("POST", "/chat/a"));
-  EXPECT_NE(answer.find("data: a"), std::string::npos) << answer;
-  EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
-}
-
 TEST_F(GatewayTest, ACallerThatLeavesEndsItsRun)
 {
   std::atomic<bool> began = false;
@@ -541,11 +232,24 @@
 TEST_F(GatewayTest, TheDirectoryNamesTheGateway)
 {
   StartReady();
-  RawSocket socket(m_gateway->DirectoryPort());
-  socket.Send("GET /siskindeal/resolve?name=x.example HTTP/1.1\r\nHost: d\r\n"
-              "Connection: close\r\n\r\n");
-  EXPECT_NE(socket.ReadAll().find("\"addresses\":[\"127.0.0.1:"),
-            std::string::npos);
+  EXPECT_NE(Directory().find("\"addresses\":[\"127.0.0.1:"), std::string::npos);
+}
+
+TEST_F(GatewayTest, ReadsItsSettingsAgainAtSighup)
+{
+  m_settingsFile =
+    testing::TempDir() + "gateway_" + std::to_string(getpid()) + ".toml";
+  WriteSettings("");
+  StartReady();
+  EXPECT_NE(Directory().find("\"ttl_s\":0.05"), std::string::npos);
+  WriteSettings("answer_lifetime = \"soon\"\n"); // refused, changes nothing
+  ASSERT_EQ(kill(getpid(), SIGHUP), 0);
+  WriteSettings("answer_lifetime = \"750ms\"\n");
+  EXPECT_TRUE(Eventually([&] {
+    kill(getpid(), SIGHUP);
+    return Directory().find("\"ttl_s\":0.75") != std::string::npos;
+  }));
+  std::remove(m_settingsFile.c_str());
 }
 
 } // namespace
--- /dev/null
+++ b/tests/support/gateway_fixture.h
@@ -0,0 +1,196 @@
+#pragma once
+// A gateway over loopback, between raw callers and a scripted platform.
+
+#include "gateway/gateway_p.h"
+#include "support/raw_socket.h"
+#include "support/site.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace siskindeal {
+
+inline constexpr std::chrono::seconds kGatewayGuard{ 20 };
+
+template<typename Condition>
+bool
+Eventually(Condition aCondition)
+{
+  const auto end = std::chrono::steady_clock::now() + kGatewayGuard;
+  while (std::chrono::steady_clock::now() < end) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return false;
+}
+
+inline nlohmann::json
+RouteJson(const std::string& aName, const std::string& aKind, bool aResumable)
+{
+  return { { "name", aName },
+           { "host", "x.example" },
+           { "path_prefix", "/" + aName + "/" },
+           { "kind", aKind },
+           { "service", aName },
+           { "timeout_ms", 4000 },
+           { "target_latency_ms", 1500 },
+           { "max_attempts", 2 },
+           { "resumable", aResumable } };
+}
+
+inline nlohmann::json
+ConfigJson(std::uint64_t aVersion)
+{
+  nlohmann::json services = nlohmann::json::array();
+  for (const char* name : { "chat", "post", "get" }) {
+    services.push_back({ { "name", name } });
+  }
+  return {
+    { "version", aVersion },
+    { "routes",
+      { RouteJson("chat", "streaming", true),
+        RouteJson("post", "non_idempotent", false),
+        RouteJson("get", "idempotent", false) } },
+    { "services", services },
+    { "tenants",
+      { { { "name", "pro-shop" }, { "api_keys", { "key-1", "key-2" } } } } },
+    { "limits", { { "max_header_bytes", 4000 }, { "max_body_bytes", 10000 } } }
+  };
+}
+
+class GatewayTest : public testing::Test
+{
+protected:
+  void SetUp() override { m_site.Put("config", "main", ConfigJson(1)); }
+
+  void TearDown() override
+  {
+    if (m_gateway) {
+      m_gateway->AskToLeave();
+      m_thread.join();
+    }
+  }
+
+  void Start()
+  {
+    GatewaySettings settings;
+    settings.m_node.m_vm = "edge-1";
+    settings.m_node.m_place = "here";
+    settings.m_node.m_rpc = { "127.0.0.1", 0 };
+    settings.m_node.m_http = { "127.0.0.1", 0 };
+    settings.m_gateway.m_ready = { "127.0.0.1", 0 };
+    settings.m_gateway.m_directory = { "127.0.0.1", 0 };
+    settings.m_gateway.m_answerLifetime = std::chrono::milliseconds(50);
+    settings.m_gateway.m_graceSeconds = 5;
+    settings.m_gateway.m_versionWithin = m_versionWithin;
+    settings.m_platform.m_url = "http://" + m_site.Store().ToString();
+    m_gateway = std::make_unique<Gateway>(settings, m_settingsFile);
+    m_thread = std::thread([this] { m_gateway->Run(); });
+  }
+
+  void StartReady()
+  {
+    Start();
+    ASSERT_TRUE(Eventually([&] { return Ready(); }));
+  }
+
+  bool Ready()
+  {
+    RawSocket socket(m_gateway->ReadyPort());
+    socket.Send("GET /siskindeal/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    return socket.ReadUntil("\r\n").find(" 200 ") != std::string::npos;
+  }
+
+  std::string Directory()
+  {
+    RawSocket socket(m_gateway->DirectoryPort());
+    socket.Send("GET /siskindeal/resolve?name=x.example HTTP/1.1\r\n"
+                "Host: d\r\nConnection: close\r\n\r\n");
+    return socket.ReadAll();
+  }
+
+  void WriteSettings(const std::string& aMore)
+  {
+    std::ofstream(m_settingsFile)
+      << "[node]\nvm = \"edge-1\"\nplace = \"here\"\n"
+         "rpc = \"127.0.0.1:7700\"\nhttp = \"127.0.0.1:7701\"\n"
+         "[platform]\nurl = \"http://127.0.0.1:7702\"\n"
+         "[gateway]\nready = \"127.0.0.1:7703\"\n"
+         "directory = \"127.0.0.1:7704\"\n"
+      << aMore;
+  }
+
+  // How many runners the gateway knows, by its page of state.
+  std::size_t RunnersListed()
+  {
+    RawSocket socket(m_gateway->PagesPort());
+    socket.Send("GET /state HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const std::string answer = socket.ReadAll();
+    const auto body = answer.find("\r\n\r\n");
+    return nlohmann::json::parse(answer.substr(body + 4)).at("runners").size();
+  }
+
+  std::string Ask(const std::string& aRequest)
+  {
+    RawSocket socket(m_gateway->CallersPort());
+    socket.Send(aRequest);
+    return socket.ReadAll();
+  }
+
+  static std::string Request(const std::string& aMethod,
+                             const std::string& aPath,
+                             const std::string& aMore = {},
+                             const std::string& aBody = {})
+  {
+    return aMethod + " " + aPath +
+           " HTTP/1.1\r\nHost: x.example\r\nConnection: close\r\n"
+           "X-Siskindeal-Attempt-Id: id-1\r\nAuthorization: Bearer key-1\r\n"
+           "X-Siskindeal-Deadline-Ms: 3000\r\nContent-Length: " +
+           std::to_string(aBody.size()) + "\r\n" + aMore + "\r\n" + aBody;
+  }
+
+  static HttpFields Signed()
+  {
+    HttpFields fields;
+    fields.Add("X-Siskindeal-Attempt-Id", "id-1");
+    fields.Add("X-Siskindeal-Runner-Signature", "sig-7");
+    return fields;
+  }
+
+  static void Answer(const std::shared_ptr<ServerConnection>& aConnection,
+                     int aStatus = 200,
+                     const std::string& aBody = "booked")
+  {
+    aConnection->SendWhole(aStatus, {}, Signed(), aBody);
+  }
+
+  static void RefuseNotRun(const std::shared_ptr<ServerConnection>& aConnection)
+  {
+    HttpFields fields = Signed();
+    fields.Add("X-Siskindeal-Not-Executed", "1");
+    aConnection->SendWhole(503, {}, fields, "");
+  }
+
+  static HttpFields StreamFields()
+  {
+    HttpFields fields = Signed();
+    fields.Add("Content-Type", "text/event-stream");
+    return fields;
+  }
+
+  std::string m_settingsFile; // empty: none
+  std::chrono::milliseconds m_versionWithin{ 8000 };
+  SiteStandIn m_site;
+  std::unique_ptr<Gateway> m_gateway;
+  std::thread m_thread;
+};
+
+} // namespace siskindeal
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -102,6 +102,24 @@
   On([&] { Change1(aKind, aName, nullptr); });
 }
 
+bool
+SiteStandIn::AwaitWatched(const std::string& aKind)
+{
+  constexpr std::chrono::seconds kGuard{ 20 };
+  std::uint64_t written = 0;
+  On([&] { written = m_revision; });
+  const auto end = std::chrono::steady_clock::now() + kGuard;
+  while (std::chrono::steady_clock::now() < end) {
+    std::uint64_t watched = 0;
+    On([&] { watched = m_watchedSince[aKind]; });
+    if (watched >= written) {
+      return true;
+    }
+    std::this_thread::sleep_for(kWatchTick);
+  }
+  return false;
+}
+
 void
 SiteStandIn::SetSilent(bool aSilent)
 {
@@ -178,6 +196,8 @@
     return;
   }
   const milliseconds wait(NumberOf(QueryOf(request.m_target, "wait_ms")));
+  m_watchedSince[parts[3]] =
+    std::max(m_watchedSince[parts[3]], NumberOf(since));
   m_watches.push_back({ aConnection,
                         parts[3],
                         NumberOf(since),
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -36,6 +36,9 @@
            const std::string& aName,
            const nlohmann::json& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
+  // Waits until a watch of the kind asks for what came after all that was
+  // written so far: whoever asks has been told of it and has acted on it.
+  bool AwaitWatched(const std::string& aKind);
   // From now on the store accepts calls and never answers them.
   void SetSilent(bool aSilent);
 
@@ -86,6 +89,7 @@
   std::map<std::string, std::map<std::string, Object>> m_objects; // by kind
   std::deque<Change> m_changes;
   std::deque<Watch> m_watches;
+  std::map<std::string, std::uint64_t> m_watchedSince; // by kind, the latest
   std::uint64_t m_revision = 100;
   bool m_silent = false;
   Timer m_timer;
