Regions hear of each other through few; stagers tell their region and a few beyond

Change: two gateways of a region speak for it to one each of another, who pass it on; stagers tell gateways and stagers of their region, and beyond it those that wait for a piece, and two by chance; turns to load are taken by region. The list of runners is watched at 0.8 s, not 0.4 (calls of the store). Ruled out: longer intervals to all (a dead gateway would be named for longer). Tests: regions over links that lose 5 %, with all but one gateway of each killed at once; a start with an earlier time of day is heard once the other is silent.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,10 +18,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{ 20 };
-constexpr std::uint32_t kTicksPerBeacon = 7; // to gateways of other regions
+constexpr std::uint32_t kTicksPerBeacon = 7;
 constexpr std::uint32_t kTicksPerSecond = 50;
 constexpr FeedPace kConfigPace{ milliseconds(2000), milliseconds(250) };
-constexpr FeedPace kRunnerPace{ milliseconds(8000), milliseconds(400) };
+// Runners that leave must be known within 2 s.
+constexpr FeedPace kRunnerPace{ milliseconds(8000), milliseconds(800) };
 constexpr FeedPace kVersionPace{ milliseconds(8000), milliseconds(400) };
 // Callers are told other addresses once the configuration is this old, before
 // their keys are refused. A watch that hears nothing leaves it 2.3 s old.
@@ -72,7 +73,8 @@
              aSettings.m_gateway.m_regions,
              StableHash(NewId()))
   , m_retries(AllowanceOf(aSettings.m_gateway))
-  , m_peers(aSettings.m_node.m_vm)
+  , m_peers(aSettings.m_node.m_vm,
+            RegionOf(aSettings.m_gateway.m_regions, aSettings.m_node.m_place))
   , m_region(RegionOf(aSettings.m_gateway.m_regions, aSettings.m_node.m_place))
   , m_incarnation(NewIncarnation())
   , m_logTokens(kLogBurst)
@@ -185,13 +187,18 @@
                              std::chrono::duration<double>(kTick).count());
   ApplyPeerLoads();
   if (m_ticks % kTicksPerBeacon == 0) {
-    TellEveryone(m_ticks % kTicksPerSecond < kTicksPerBeacon);
+    const bool withNamed = m_ticks % kTicksPerSecond < kTicksPerBeacon;
+    TellAlive(withNamed);
+    TellOtherRegions(withNamed);
   } else {
     TellRegion();
   }
   if (m_ticks % kTicksPerSecond == 0) {
     TellStagers();
     m_runners.Sweep(now);
+    std::erase_if(m_ownRunners, [&](const auto& aEntry) {
+      return m_runners.Find(aEntry.first) == nullptr;
+    });
     m_pool->Sweep();
     if (m_logDropped > 0) {
       Log(LogLevel::Warning, "lines left out", { { "lines", m_logDropped } });
@@ -310,7 +317,8 @@
   m_leavingSince = LoopNow();
   Log(LogLevel::Info, "leaving", { { "exchanges", m_exchanges.size() } });
   m_callers->SayClose();
-  TellEveryone(true);
+  TellAlive(true);
+  TellOtherRegions(true);
 }
 
 void
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -74,11 +74,16 @@
     const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
   void OnGateway(const SiteObject& aObject);
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
+  void OnBeacon(const v1::GatewayBeacon& aBeacon, const Address& aFrom);
+  void OnRegionReport(const v1::Datagram& aDatagram);
   void OnStagerNotice(const v1::StagerNotice& aNotice);
+  void NoteRunner(RunnerState& aRunner, const v1::RunnerReport& aReport);
   void Register();
   v1::Datagram Beacon() const;
   void TellRegion();
-  void TellEveryone(bool aWithNamed);
+  void TellAlive(bool aWithNamed);
+  void TellOtherRegions(bool aWithNamed);
+  void AddRegionLoads(v1::RegionReport& aReport);
   void TellStagers();
   void ApplyPeerLoads();
   void Tick();
@@ -109,7 +114,15 @@
   Placer m_placer;
   SharedRetryBudget m_retries;
   CrashWatch m_crashes{ m_loop };
+  // What a stager of this region told last of its runner.
+  struct HeardRunner
+  {
+    v1::RunnerReport m_report;
+    MonotonicTime m_at{};
+  };
+
   GatewayPeers m_peers;
+  std::map<std::string, HeardRunner> m_ownRunners; // by id
   std::string m_region;
   std::string m_toldRegion; // the last beacon's loads, serialized
   NamedVersions m_named;
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -103,7 +103,8 @@
   try {
     const auto spec = nlohmann::json::parse(aObject.m_spec);
     m_peers.Register(aObject.m_name,
-                     ParseAddress(spec.at("datagrams").get<std::string>()));
+                     ParseAddress(spec.at("datagrams").get<std::string>()),
+                     spec.at("region").get<std::string>());
   } catch (const std::exception& error) {
     Log(LogLevel::Warning,
         "gateway left out",
@@ -118,8 +119,7 @@
 {
   const std::string& vm = m_settings.m_node.m_vm;
   const nlohmann::json spec = {
-    { "datagrams", m_settings.m_node.m_rpc.ToString() },
-    { "callers", m_settings.m_node.m_http.ToString() }
+    { "datagrams", m_settings.m_node.m_rpc.ToString() }, { "region", m_region }
   };
   const std::string body = dialect::EncodeObject(vm, spec.dump());
   const auto again = [this] {
--- a/src/gateway/gateway_talk.cpp
+++ b/src/gateway/gateway_talk.cpp
@@ -8,6 +8,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds kRunnerSilence{ 2500 }; // of a stager in the region
+
 void
 AddLoads(const RunnerTable& aRunners, v1::GatewayBeacon& aBeacon)
 {
@@ -27,16 +29,62 @@
 Gateway::OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom)
 {
   if (aDatagram.has_gateway()) {
-    NoteNamed(aDatagram.gateway().named());
-    for (const wire::Suspicion& suspicion : aDatagram.gateway().suspicions()) {
-      m_crashes.Hear(suspicion);
-    }
-    if (m_peers.Hear(aDatagram.gateway(), aFrom, LoopNow())) {
-      m_retries.SetEntries(m_peers.Count());
-    }
+    OnBeacon(aDatagram.gateway(), aFrom);
   } else if (aDatagram.has_stager()) {
     NoteNamed(aDatagram.stager().named());
     OnStagerNotice(aDatagram.stager());
+  } else if (aDatagram.has_region()) {
+    OnRegionReport(aDatagram);
+  }
+}
+
+void
+Gateway::OnBeacon(const v1::GatewayBeacon& aBeacon, const Address& aFrom)
+{
+  NoteNamed(aBeacon.named());
+  for (const wire::Suspicion& suspicion : aBeacon.suspicions()) {
+    m_crashes.Hear(suspicion);
+  }
+  if (m_peers.Hear(aBeacon, aFrom, LoopNow())) {
+    m_retries.SetEntries(m_peers.Count());
+  }
+}
+
+void
+Gateway::OnRegionReport(const v1::Datagram& aDatagram)
+{
+  const v1::RegionReport& report = aDatagram.region();
+  if (!m_peers.HearRegion(report, LoopNow())) {
+    return;
+  }
+  m_retries.SetEntries(m_peers.Count());
+  NoteNamed(report.named());
+  for (const wire::Suspicion& suspicion : report.suspicions()) {
+    m_crashes.Hear(suspicion);
+  }
+  for (const v1::RunnerReport& told : report.runners()) {
+    if (RunnerState* runner = m_runners.Find(told.runner())) {
+      NoteRunner(*runner, told);
+    }
+  }
+  if (report.passed_on()) {
+    return;
+  }
+  v1::Datagram copy = aDatagram;
+  copy.mutable_region()->set_passed_on(true);
+  for (const Address& address : m_peers.Near()) {
+    m_datagrams->Send(copy, address);
+  }
+}
+
+void
+Gateway::NoteRunner(RunnerState& aRunner, const v1::RunnerReport& aReport)
+{
+  constexpr milliseconds kNoticeLife{ 700 }; // told again meanwhile
+  aRunner.m_loadingUntil =
+    aReport.loading() ? LoopNow() + kNoticeLife : MonotonicTime{};
+  if (!aReport.model().empty() && !aReport.loading()) {
+    aRunner.m_record.m_versions[aReport.model()] = aReport.loaded();
   }
 }
 
@@ -52,13 +100,13 @@
   if (runner == nullptr || runner->m_record.m_service != aNotice.service()) {
     return;
   }
-  constexpr milliseconds kNoticeLife{ 700 }; // told again meanwhile
-  runner->m_loadingUntil = aNotice.turn() == v1::TURN_LOADING
-                             ? LoopNow() + kNoticeLife
-                             : MonotonicTime{};
-  if (!aNotice.model().empty() && aNotice.turn() != v1::TURN_LOADING) {
-    runner->m_record.m_versions[aNotice.model()] = aNotice.loaded();
-  }
+  v1::RunnerReport report;
+  report.set_runner(runner->m_record.m_id);
+  report.set_loading(aNotice.turn() == v1::TURN_LOADING);
+  report.set_model(aNotice.model());
+  report.set_loaded(aNotice.loaded());
+  NoteRunner(*runner, report);
+  m_ownRunners[report.runner()] = { std::move(report), LoopNow() };
 }
 
 v1::Datagram
@@ -75,10 +123,17 @@
 }
 
 // Gateways of one region mostly choose among the same runners, so they hear of
-// each change at once; those of other regions more seldom.
+// each change at once. The more they are the longer each waits, which bounds
+// what one sends and hears.
 void
 Gateway::TellRegion()
 {
+  constexpr std::size_t kPeersPerTick = 4;
+  const std::vector<Address> near = m_peers.Near();
+  const std::size_t every = 1 + near.size() / kPeersPerTick;
+  if (m_ticks % every != 0) {
+    return;
+  }
   v1::Datagram datagram = Beacon();
   AddLoads(m_runners, *datagram.mutable_gateway());
   std::string told = datagram.SerializeAsString();
@@ -86,13 +141,14 @@
     return;
   }
   m_toldRegion = std::move(told);
-  for (const Address& address : m_peers.InRegion(m_region)) {
+  for (const Address& address : near) {
     m_datagrams->Send(datagram, address);
   }
 }
 
+// Told though nothing changed, so that others know that this gateway is there.
 void
-Gateway::TellEveryone(bool aWithNamed)
+Gateway::TellAlive(bool aWithNamed)
 {
   v1::Datagram datagram = Beacon();
   AddLoads(m_runners, *datagram.mutable_gateway());
@@ -103,14 +159,68 @@
   for (const wire::Suspicion& suspicion : m_crashes.Told(LoopNow())) {
     *datagram.mutable_gateway()->add_suspicions() = suspicion;
   }
-  for (const Address& address : m_peers.Everyone()) {
+  for (const Address& address : m_peers.Near()) {
     if (address.m_host != m_settings.m_node.m_rpc.m_host) {
       m_datagrams->Send(datagram, address);
     }
   }
 }
 
-// Stagers tell back to the gateways that they hear.
+// What gateways of other regions need to know of this one.
+void
+Gateway::TellOtherRegions(bool aWithNamed)
+{
+  const MonotonicTime now = LoopNow();
+  const std::vector<Address> told = m_peers.ToTellOfRegion(m_ticks, now);
+  if (told.empty()) {
+    return;
+  }
+  v1::Datagram datagram;
+  v1::RegionReport& report = *datagram.mutable_region();
+  report.set_region(m_region);
+  v1::GatewayBeacon& own = *report.add_gateways();
+  own = Beacon().gateway();
+  own.set_datagrams(m_settings.m_node.m_rpc.ToString());
+  for (v1::GatewayBeacon& beacon : m_peers.OwnRegion(now)) {
+    *report.add_gateways() = std::move(beacon);
+  }
+  AddRegionLoads(report);
+  for (const auto& [id, heard] : m_ownRunners) {
+    if (now - heard.m_at < kRunnerSilence) {
+      *report.add_runners() = heard.m_report;
+    }
+  }
+  if (aWithNamed) {
+    TellNamed(m_named, BootTime(), *report.mutable_named());
+  }
+  for (const wire::Suspicion& suspicion : m_crashes.Told(now)) {
+    *report.add_suspicions() = suspicion;
+  }
+  for (const Address& address : told) {
+    m_datagrams->Send(datagram, address);
+  }
+}
+
+void
+Gateway::AddRegionLoads(v1::RegionReport& aReport)
+{
+  std::map<std::string, RunnerLoad> loads = m_peers.RegionLoads(LoopNow());
+  for (const auto& [id, state] : m_runners.All()) {
+    if (state.m_own == RunnerLoad{}) {
+      continue;
+    }
+    loads[id].m_requests += state.m_own.m_requests;
+    loads[id].m_promptTokens += state.m_own.m_promptTokens;
+  }
+  for (const auto& [id, load] : loads) {
+    v1::RunnerLoadReport& told = *aReport.add_loads();
+    told.set_runner(id);
+    told.set_requests(load.m_requests);
+    told.set_prompt_tokens(load.m_promptTokens);
+  }
+}
+
+// Stagers tell back to the gateways that they hear, those of their region.
 void
 Gateway::TellStagers()
 {
@@ -120,7 +230,9 @@
     return;
   }
   for (const auto& [id, state] : m_runners.All()) {
-    if (m_routes->Service(state.m_record.m_service).m_engine) {
+    const bool near = RegionOf(m_settings.m_gateway.m_regions,
+                               state.m_record.m_place) == m_region;
+    if (near && m_routes->Service(state.m_record.m_service).m_engine) {
       m_datagrams->Send(
         datagram,
         { state.m_record.m_address.m_host, m_settings.m_node.m_rpc.m_port });
--- a/src/stager/fetch_plan.cpp
+++ b/src/stager/fetch_plan.cpp
@@ -17,6 +17,7 @@
 // A copy takes 2.2 s over a stager's link. The next in order takes over a piece
 // that nobody in the region has by then, and each later one after a while more.
 constexpr milliseconds kTakeOverAfter{ 2600 };
+constexpr std::size_t kMostBringers = 2; // told of a piece at once
 constexpr milliseconds kTakeOverStep{ 500 };
 constexpr milliseconds kSilence{ 1500 }; // of a peer that may be gone
 constexpr milliseconds kBlockTime{ 700 };
@@ -220,6 +221,17 @@
   return fetch;
 }
 
+std::vector<std::string>
+FetchPlan::Bringers(std::size_t aPiece, std::vector<std::string> aVms) const
+{
+  std::sort(aVms.begin(), aVms.end(), [&](const auto& aOne, const auto& aTwo) {
+    return Weight(aPiece, m_versionKey, aOne) >
+           Weight(aPiece, m_versionKey, aTwo);
+  });
+  aVms.resize(std::min(aVms.size(), kMostBringers));
+  return aVms;
+}
+
 void
 FetchPlan::Ended(const PieceFetch& aFetch, bool aGood, MonotonicTime aNow)
 {
--- a/src/stager/fetch_plan_p.h
+++ b/src/stager/fetch_plan_p.h
@@ -22,7 +22,7 @@
 // Another stager of the service.
 struct StagerPeer
 {
-  std::string m_vm;
+  std::string m_vm;  // its host, which the list of runners names too
   Address m_address; // for pieces
   std::string m_region;
   PieceSet m_held; // of the version being fetched
@@ -58,6 +58,10 @@
                                  Random& aRandom);
   void Ended(const PieceFetch& aFetch, bool aGood, MonotonicTime aNow);
 
+  // Of the stagers of another region, those that bring a piece into it.
+  std::vector<std::string> Bringers(std::size_t aPiece,
+                                    std::vector<std::string> aVms) const;
+
 private:
   // The place of this VM among its region's stagers for a piece; 0 is first.
   std::size_t RankFor(std::size_t aPiece,
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -144,17 +144,14 @@
       notice.vm() == m_settings.m_node.m_vm) {
     return;
   }
-  if (m_peers.count(notice.vm()) == 0) {
+  const std::string region =
+    RegionOf(m_settings.m_stager.m_regions, notice.place());
+  if (m_peers.count(aFrom.m_host) == 0 && region == m_region) {
     m_toldAt = {};
   }
-  Peer& peer = m_peers[notice.vm()];
-  m_peerHosts[aFrom.m_host] = aFrom;
-  peer.m_notice = notice;
-  peer.m_stager.m_vm = notice.vm();
-  peer.m_stager.m_address = aFrom;
-  peer.m_stager.m_region =
-    RegionOf(m_settings.m_stager.m_regions, notice.place());
-  peer.m_stager.m_heardAt = LoopNow();
+  m_peerHosts[aFrom.m_host] = region;
+  m_peers[aFrom.m_host] = { { aFrom.m_host, aFrom, region, {}, LoopNow() },
+                            notice };
 }
 
 bool
@@ -164,6 +161,37 @@
          m_stage == Stage::Loading;
 }
 
+std::set<std::string>
+Stager::HostsToTell()
+{
+  constexpr milliseconds kNews{ 600 };
+  constexpr std::size_t kByChance = 2;
+  while (!m_brought.empty() && LoopNow() - m_brought.front().first > kNews) {
+    m_brought.pop_front();
+  }
+  std::set<std::string> told;
+  std::map<std::string, std::vector<std::string>> regions;
+  std::vector<std::string> far;
+  for (const auto& [host, region] : m_peerHosts) {
+    if (region == m_region) {
+      told.insert(host);
+    } else {
+      regions[region].push_back(host);
+      far.push_back(host);
+    }
+  }
+  for (const auto& [at, piece] : m_brought) {
+    for (const auto& [region, hosts] : regions) {
+      const auto bringers = m_plan->Bringers(piece, hosts);
+      told.insert(bringers.begin(), bringers.end());
+    }
+  }
+  for (std::size_t i = 0; i < std::min(kByChance, far.size()); ++i) {
+    told.insert(far[m_random.Below(far.size())]);
+  }
+  return told;
+}
+
 void
 Stager::Tell()
 {
@@ -186,8 +214,9 @@
 
   TellNamed(m_named, BootTime(), *notice.mutable_named());
   const MonotonicTime now = LoopNow();
-  for (const auto& [host, address] : m_peerHosts) {
-    m_datagrams->Send(datagram, address);
+  for (const std::string& host : HostsToTell()) {
+    // Every process uses the same port for datagrams.
+    m_datagrams->Send(datagram, { host, m_settings.m_node.m_rpc.m_port });
   }
   notice.clear_held();
   for (const auto& [key, gateway] : m_gateways) {
--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -38,6 +38,7 @@
 {
   ++m_epoch;
   m_plan.reset();
+  m_brought.clear();
   m_badPieces = 0;
   Enter(Stage::Listing);
   ListPieces();
@@ -81,7 +82,7 @@
 Stager::ListRank() const
 {
   const std::string key = VersionKey() + " list ";
-  const std::uint64_t own = StableHash(key + m_settings.m_node.m_vm);
+  const std::uint64_t own = StableHash(key + m_settings.m_node.m_rpc.m_host);
   return static_cast<std::size_t>(
     std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
       return aEntry.second.m_stager.m_region == m_region &&
@@ -167,7 +168,7 @@
   m_target = m_pieces.m_version;
   m_listText = aAnswer.m_body;
   m_listDoubted = false;
-  m_plan = std::make_unique<FetchPlan>(m_settings.m_node.m_vm,
+  m_plan = std::make_unique<FetchPlan>(m_settings.m_node.m_rpc.m_host,
                                        m_region,
                                        m_originRegion,
                                        VersionKey(),
@@ -317,6 +318,12 @@
 Stager::OnStored(const PieceFetch& aFetch, bool aStored)
 {
   m_plan->Ended(aFetch, aStored, LoopNow());
+  const auto from = m_peers.find(aFetch.m_from);
+  if (aStored &&
+      (from == m_peers.end() || from->second.m_stager.m_region != m_region)) {
+    m_brought.emplace_back(LoopNow(), aFetch.m_piece);
+    Tell();
+  }
   if (m_stage == Stage::Fetching) {
     FetchMore();
   }
--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -145,7 +145,7 @@
 {
   const MonotonicTime now = LoopNow();
   TurnInputs inputs;
-  inputs.m_vm = m_settings.m_node.m_vm;
+  inputs.m_vm = m_settings.m_node.m_rpc.m_host;
   inputs.m_versionKey = VersionKey();
   inputs.m_empty = Loaded() == 0;
   inputs.m_timeLeft =
@@ -156,7 +156,9 @@
       std::max(kLeastTurns, kNewerWaits - SinceNamed(m_named.Newest(m_model))));
   }
   for (const auto& [vm, peer] : m_peers) {
-    if (now - peer.m_stager.m_heardAt < kPeerSilence) {
+    // Each region keeps enough of its own runners.
+    if (peer.m_stager.m_region == m_region &&
+        now - peer.m_stager.m_heardAt < kPeerSilence) {
       inputs.m_peers.push_back({ vm,
                                  peer.m_notice.loaded() >= m_target,
                                  peer.m_notice.turn() == v1::TURN_STAGED,
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace siskindeal {
@@ -68,6 +69,9 @@
   void OnPeers(const WholeAnswer& aAnswer);
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
   void Tell();
+  // The hosts that a notice goes to: all of the own region, and of the others
+  // those that wait for a piece that was brought here, and a few by chance.
+  std::set<std::string> HostsToTell();
   void Tick();
   void PollRunner();
   void OnReport(const WholeAnswer& aAnswer);
@@ -137,8 +141,11 @@
   MonotonicTime m_stageAt{};
   std::chrono::milliseconds m_drain{ 0 }; // of this turn
   MonotonicTime m_retryAt{};
-  std::map<std::string, Peer> m_peers;        // by VM
-  std::map<std::string, Address> m_peerHosts; // listed, maybe not heard yet
+  std::map<std::string, Peer> m_peers; // by host
+  // Listed, maybe not heard yet: the region, by host.
+  std::map<std::string, std::string> m_peerHosts;
+  // Pieces that came from the origin or another region, and when.
+  std::deque<std::pair<MonotonicTime, std::size_t>> m_brought;
   bool m_mayCut = false; // every stream of the service can be resumed
   std::map<std::string, HeardGateway> m_gateways; // by address
 
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -138,8 +138,8 @@
   for (const RunnerRecord& runner : ReadRunners(objects)) {
     const std::string& host = runner.m_address.m_host;
     if (runner.m_service == m_settings.m_stager.m_service && host != ownHost) {
-      // Every process uses the same port for datagrams.
-      m_peerHosts[host] = { host, m_settings.m_node.m_rpc.m_port };
+      m_peerHosts[host] =
+        RegionOf(m_settings.m_stager.m_regions, runner.m_place);
     }
   }
 }
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -7,8 +7,12 @@
 #include "platform/dialect.h"
 #include "site/runner_list_p.h"
 
+#include "siskindeal/random.h"
+
 #include <gtest/gtest.h>
 
+#include <memory>
+
 namespace siskindeal {
 
 namespace {
@@ -177,6 +181,7 @@
   beacon.set_incarnation(aIncarnation);
   beacon.set_callers("10.0.0.2:80");
   beacon.set_serving(aServing);
+  beacon.set_region("kingston");
   auto& load = *beacon.add_loads();
   load.set_runner("r");
   load.set_requests(3);
@@ -187,8 +192,8 @@
 TEST(GatewayPeers, NamesOnlyThoseThatServeAndAreHeard)
 {
   const Address from{ "10.0.0.2", 7700 };
-  GatewayPeers peers("me");
-  peers.Register("a", from);
+  GatewayPeers peers("me", "kingston");
+  peers.Register("a", from, "kingston");
   EXPECT_TRUE(peers.Serving(kStart).empty()) << "registered, never heard";
   EXPECT_TRUE(peers.Hear(Beacon("a", 5, true), from, kStart));
   EXPECT_EQ(peers.Serving(kStart).size(), 1U);
@@ -205,7 +210,178 @@
   peers.Hint(from);
   peers.Hint({ "10.0.0.3", 7700 });
   EXPECT_EQ(peers.Count(), 2U);
-  EXPECT_EQ(peers.Everyone().size(), 2U);
+  EXPECT_EQ(peers.Near().size(), 2U);
+}
+
+// One whose time of day was set back before it started again.
+TEST(GatewayPeers, AStartWithAnEarlierTimeIsHeardOnceTheOtherIsSilent)
+{
+  const Address from{ "10.0.0.2", 7700 };
+  GatewayPeers peers("me", "kingston");
+  EXPECT_TRUE(peers.Hear(Beacon("a", 9, true), from, kStart));
+  EXPECT_FALSE(peers.Hear(Beacon("a", 5, true), from, kStart));
+  const MonotonicTime later = kStart + milliseconds(600);
+  EXPECT_TRUE(peers.Hear(Beacon("a", 5, true), from, later));
+  EXPECT_EQ(peers.Serving(later).size(), 1U);
+}
+
+// Gateways of three regions that tell each other as gateways do, over links
+// that lose some of it.
+class Regions
+{
+public:
+  static constexpr std::size_t kEach = 5;
+
+  explicit Regions(std::uint64_t aSeed)
+    : m_random(aSeed)
+  {
+    for (std::size_t i = 0; i < 3 * kEach; ++i) {
+      m_gateways.push_back(
+        std::make_unique<GatewayPeers>(Vm(i), RegionOfIndex(i)));
+      m_alive.push_back(true);
+    }
+    for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+      for (std::size_t j = 0; j < m_gateways.size(); ++j) {
+        m_gateways[i]->Register(Vm(j), AddressOf(j), RegionOfIndex(j));
+      }
+    }
+  }
+
+  static std::string Vm(std::size_t aIndex)
+  {
+    return "vm-" + std::to_string(aIndex);
+  }
+  static std::string RegionOfIndex(std::size_t aIndex)
+  {
+    return "region-" + std::to_string(aIndex / kEach);
+  }
+  static Address AddressOf(std::size_t aIndex)
+  {
+    return { "10.0.0." + std::to_string(aIndex + 1), 7700 };
+  }
+
+  // One heartbeat of all of them.
+  void Beat()
+  {
+    m_now += milliseconds(140);
+    ++m_turn;
+    for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+      if (m_alive[i]) {
+        TellFrom(i);
+      }
+    }
+  }
+
+  void TellFrom(std::size_t aIndex)
+  {
+    v1::GatewayBeacon beacon = Beacon(Vm(aIndex), 1, true);
+    beacon.set_region(RegionOfIndex(aIndex));
+    for (const Address& address : m_gateways[aIndex]->Near()) {
+      Deliver(address, [&](GatewayPeers& aTo, std::size_t) {
+        aTo.Hear(beacon, AddressOf(aIndex), m_now);
+      });
+    }
+    v1::RegionReport report;
+    report.set_region(RegionOfIndex(aIndex));
+    beacon.set_datagrams(AddressOf(aIndex).ToString());
+    beacon.clear_loads();
+    *report.add_gateways() = beacon;
+    for (auto& other : m_gateways[aIndex]->OwnRegion(m_now)) {
+      *report.add_gateways() = other;
+    }
+    for (const auto& [id, load] : m_gateways[aIndex]->RegionLoads(m_now)) {
+      auto& told = *report.add_loads();
+      told.set_runner(id);
+      told.set_requests(load.m_requests + 3); // with this gateway's own
+    }
+    for (const Address& address :
+         m_gateways[aIndex]->ToTellOfRegion(m_turn, m_now)) {
+      ++m_betweenRegions;
+      Deliver(address, [&](GatewayPeers& aTo, std::size_t aAt) {
+        aTo.HearRegion(report, m_now);
+        for (const Address& mate : m_gateways[aAt]->Near()) {
+          Deliver(mate, [&](GatewayPeers& aMate, std::size_t) {
+            aMate.HearRegion(report, m_now);
+          });
+        }
+      });
+    }
+  }
+
+  template<typename Hearing>
+  void Deliver(const Address& aTo, Hearing aHearing)
+  {
+    for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+      if (AddressOf(i) == aTo && m_alive[i] && !m_random.Chance(m_loss)) {
+        aHearing(*m_gateways[i], i);
+      }
+    }
+  }
+
+  // The fewest serving gateways that any living one would name to callers.
+  std::size_t FewestNamed() const
+  {
+    std::size_t fewest = m_gateways.size();
+    for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+      if (m_alive[i]) {
+        fewest = std::min(fewest, m_gateways[i]->Serving(m_now).size());
+      }
+    }
+    return fewest;
+  }
+
+  Random m_random;
+  double m_loss = 0;
+  MonotonicTime m_now = kStart;
+  std::uint64_t m_turn = 0;
+  std::uint64_t m_betweenRegions = 0;
+  std::vector<std::unique_ptr<GatewayPeers>> m_gateways;
+  std::vector<bool> m_alive;
+};
+
+TEST(GatewayPeers, RegionsHearOfEachOtherThroughFew)
+{
+  Regions regions(1);
+  for (int i = 0; i < 4; ++i) {
+    regions.Beat();
+  }
+  EXPECT_EQ(regions.FewestNamed(), 3 * Regions::kEach - 1);
+  const std::uint64_t before = regions.m_betweenRegions;
+  regions.Beat();
+  // Two speak for each region, to one of each other region.
+  EXPECT_EQ(regions.m_betweenRegions - before, 3U * 2 * 2);
+  // Each hears of what all others sent to the runner.
+  EXPECT_EQ(regions.m_gateways[0]->Loads(regions.m_now).at("r").m_requests,
+            3 * (3 * Regions::kEach - 1));
+}
+
+TEST(GatewayPeers, RegionsStayInTouchWhileAnyOfThemDieAndLinksLose)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE(seed);
+    Regions regions(seed);
+    regions.m_loss = 0.05;
+    for (int i = 0; i < 10; ++i) {
+      regions.Beat();
+    }
+    // All but one of each region die at once, the speakers among them.
+    for (std::size_t region = 0; region < 3; ++region) {
+      const std::size_t kept = regions.m_random.Below(Regions::kEach);
+      for (std::size_t i = 0; i < Regions::kEach; ++i) {
+        regions.m_alive[region * Regions::kEach + i] = i == kept;
+      }
+    }
+    for (int i = 0; i < 15; ++i) { // 2.1 s
+      regions.Beat();
+    }
+    std::size_t least = 0;
+    for (int i = 0; i < 10; ++i) {
+      regions.Beat();
+      least = std::max(least, regions.FewestNamed());
+      EXPECT_LE(regions.FewestNamed(), 2U);
+    }
+    EXPECT_EQ(least, 2U);
+  }
 }
 
 } // namespace
