Stagers over loopback, beside scripted runners and an origin

The origin that takes one connection is the fault of the grown site: the list of pieces asked by all at once over connections that are kept.

--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -4,6 +4,7 @@
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -110,6 +111,12 @@
   Log(LogLevel::Info, "stop");
 }
 
+void
+Stager::Stop()
+{
+  boost::asio::post(m_loop, [this] { m_loop.stop(); });
+}
+
 void
 Stager::AwaitSignal()
 {
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -32,6 +32,8 @@
 
   // Serves until a stop signal comes.
   void Run();
+  // Ends Run, as a stop signal does; from any thread.
+  void Stop();
 
 private:
   enum class Stage
--- /dev/null
+++ b/tests/support/engine_site.cpp
@@ -0,0 +1,246 @@
+#include "support/engine_site.h"
+
+#include "siskindeal/digest.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+namespace siskindeal {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kPieceBytes = 2000;
+constexpr int kFirstHost = 11; // 127.0.0.11 is the first runner's
+
+std::uint64_t
+NumberAfter(const std::string& aTarget, const std::string& aKey)
+{
+  const auto at = aTarget.find(aKey + "=");
+  std::uint64_t number = 0;
+  if (at != std::string::npos) {
+    const std::string rest = aTarget.substr(at + aKey.size() + 1);
+    (void)absl::SimpleAtoi(rest.substr(0, rest.find('&')), &number);
+  }
+  return number;
+}
+
+} // namespace
+
+std::string
+PieceBytes(std::uint64_t aVersion, std::size_t aPiece)
+{
+  std::string bytes = std::to_string(aVersion) + "/" + std::to_string(aPiece);
+  bytes.resize(kPieceBytes, static_cast<char>('a' + aPiece % 26));
+  return bytes;
+}
+
+EngineSite::EngineSite(SiteStandIn& aSite)
+  : m_site(aSite)
+{
+  Address origin{ "127.0.0.1", 0 };
+  m_site.On([&] {
+    m_origin = std::make_unique<HttpListener>(
+      m_site.m_loop, origin, [this](const auto& aConnection) {
+        AnswerOrigin(aConnection);
+      });
+    origin.m_port = m_origin->Port();
+  });
+  const json engine = { { "slots", 4 },
+                        { "models", { { { "name", kEngineModel } } } } };
+  m_site.Put(
+    "config",
+    "main",
+    { { "version", 1 },
+      { "routes",
+        { { { "name", "chat" },
+            { "host", "x.example" },
+            { "path_prefix", "/chat/" },
+            { "kind", "streaming" },
+            { "service", "chat" },
+            { "resumable", true } } } },
+      { "services",
+        { { { "name", "chat" }, { "engine", engine } },
+          { { "name", "weights" }, { "origin", origin.ToString() } } } } });
+}
+
+Address
+EngineSite::AddRunner(std::uint64_t aVersion)
+{
+  auto runner = std::make_unique<Runner>();
+  Runner& added = *runner;
+  added.m_id = "i-" + std::to_string(m_runners.size());
+  added.m_version = aVersion;
+  for (std::size_t i = 0; aVersion > 0 && i < kEnginePieces; ++i) {
+    added.m_staged[i] = PieceBytes(aVersion, i);
+  }
+  Address address{ "127.0.0." + std::to_string(kFirstHost + m_runners.size()),
+                   0 };
+  m_site.On([&] {
+    added.m_listener = std::make_unique<HttpListener>(
+      m_site.m_loop, address, [this, &added](const auto& aConnection) {
+        AnswerRunner(added, aConnection);
+      });
+    address.m_port = added.m_listener->Port();
+    m_runners.push_back(std::move(runner));
+  });
+  m_site.Put("servers",
+             added.m_id,
+             { { "service", "chat" },
+               { "address", address.ToString() },
+               { "zone", "here" },
+               { "state", "ready" } });
+  return address;
+}
+
+void
+EngineSite::Name(std::uint64_t aVersion)
+{
+  m_site.On([&] { m_newest = aVersion; });
+  m_site.Put("versions",
+             kEngineModel,
+             { { "model", kEngineModel }, { "version", aVersion } });
+}
+
+std::uint64_t
+EngineSite::Serves(std::size_t aRunner)
+{
+  std::uint64_t version = 0;
+  m_site.On([&] { version = m_runners[aRunner]->m_version; });
+  return version;
+}
+
+bool
+EngineSite::AllTakenWhole()
+{
+  bool whole = false;
+  m_site.On([&] { whole = m_takenWhole; });
+  return whole;
+}
+
+std::size_t
+EngineSite::ListsSent()
+{
+  std::size_t lists = 0;
+  m_site.On([&] { lists = m_lists; });
+  return lists;
+}
+
+std::size_t
+EngineSite::PiecesSent()
+{
+  std::size_t pieces = 0;
+  m_site.On([&] { pieces = m_pieces; });
+  return pieces;
+}
+
+void
+EngineSite::AnswerOrigin(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  if (m_origin->Connections() > m_originConnections) {
+    aConnection->Gone();
+    return;
+  }
+  const std::string target = aConnection->Request().m_target;
+  const std::uint64_t asked = NumberAfter(target, "version");
+  const std::uint64_t version = asked == 0 ? m_newest : asked;
+  if (target.find("/manifest/") != std::string::npos) {
+    ++m_lists;
+    json digests = json::array();
+    for (std::size_t i = 0; i < kEnginePieces; ++i) {
+      digests.push_back(Sha256Hex(PieceBytes(version, i)));
+    }
+    aConnection->SendWhole(200,
+                           {},
+                           {},
+                           json{ { "model", kEngineModel },
+                                 { "version", version },
+                                 { "chunk_bytes", kPieceBytes },
+                                 { "piece_digests", digests } }
+                             .dump());
+    return;
+  }
+  ++m_pieces;
+  const auto piece = static_cast<std::size_t>(NumberAfter(target, "num"));
+  std::string bytes = PieceBytes(version, piece);
+  if (m_spoiltByOrigin.erase(piece) > 0) {
+    bytes[0] = '!';
+  }
+  aConnection->SendWhole(200, {}, {}, bytes);
+}
+
+json
+EngineSite::ModelsJson(const Runner& aRunner) const
+{
+  json models = json::array();
+  if (aRunner.m_version > 0) {
+    models.push_back(
+      { { "name", kEngineModel }, { "version", aRunner.m_version } });
+  }
+  return models;
+}
+
+void
+EngineSite::AnswerRunner(Runner& aRunner,
+                         const std::shared_ptr<ServerConnection>& aConnection)
+{
+  const IncomingRequest& request = aConnection->Request();
+  const auto piece =
+    static_cast<std::size_t>(NumberAfter(request.m_target, "num"));
+  if (request.m_target.find("/report") != std::string::npos) {
+    aConnection->SendWhole(200,
+                           {},
+                           {},
+                           json{ { "models", ModelsJson(aRunner) },
+                                 { "busy", false },
+                                 { "sequence", aRunner.m_sequence } }
+                             .dump());
+  } else if (request.m_target.find("/stage-put/") != std::string::npos) {
+    aRunner.m_staged[piece] = request.m_body;
+    MaybeSpoil(aRunner);
+    aConnection->SendWhole(200, {}, {}, "");
+  } else if (request.m_target.find("/stage-get/") != std::string::npos) {
+    const auto found = aRunner.m_staged.find(piece);
+    const bool there = found != aRunner.m_staged.end();
+    aConnection->SendWhole(
+      there ? 200 : 404, {}, {}, there ? found->second : std::string());
+  } else if (request.m_target.find("/order") != std::string::npos) {
+    TakeOrder(aRunner, aConnection);
+  } else {
+    aConnection->SendWhole(404, {}, {}, "");
+  }
+}
+
+void
+EngineSite::MaybeSpoil(Runner& aRunner)
+{
+  if (&aRunner != m_runners.front().get() ||
+      aRunner.m_staged.size() < kEnginePieces) {
+    return;
+  }
+  for (const std::size_t piece : std::exchange(m_spoiltWhenStaged, {})) {
+    aRunner.m_staged[piece][0] = '!';
+  }
+}
+
+void
+EngineSite::TakeOrder(Runner& aRunner,
+                      const std::shared_ptr<ServerConnection>& aConnection)
+{
+  const json order = json::parse(aConnection->Request().m_body);
+  const auto version = order.at("version").get<std::uint64_t>();
+  if (order.at("precondition") != aRunner.m_sequence) {
+    aConnection->SendWhole(409, {}, {}, "");
+    return;
+  }
+  ++aRunner.m_sequence;
+  for (std::size_t i = 0; i < kEnginePieces; ++i) {
+    m_takenWhole =
+      m_takenWhole && aRunner.m_staged[i] == PieceBytes(version, i);
+  }
+  aRunner.m_version = version;
+  aConnection->SendWhole(202, {}, {}, "");
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/engine_site.h
@@ -0,0 +1,74 @@
+#pragma once
+// Model runners and an origin of weights for tests of stagers, on loopback:
+// each runner has a host of its own (127.0.0.x) and holds what its stager puts
+// there.
+
+#include "support/site.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace siskindeal {
+
+inline const std::string kEngineModel = "booking-7b";
+inline constexpr std::size_t kEnginePieces = 12;
+
+// The bytes of a piece, different for each version.
+std::string
+PieceBytes(std::uint64_t aVersion, std::size_t aPiece);
+
+class EngineSite
+{
+public:
+  explicit EngineSite(SiteStandIn& aSite);
+
+  // Adds a runner that holds aVersion of the weights (0: none) and lists it.
+  Address AddRunner(std::uint64_t aVersion);
+  // The operator names weights.
+  void Name(std::uint64_t aVersion);
+
+  // What a runner serves; 0: nothing.
+  std::uint64_t Serves(std::size_t aRunner);
+  // Whether every version that was ever taken was whole when it was.
+  bool AllTakenWhole();
+  std::size_t ListsSent();  // by the origin
+  std::size_t PiecesSent(); // by the origin
+
+  // Set before stagers run.
+  std::size_t m_originConnections = 1000; // further ones are reset
+  std::set<std::size_t> m_spoiltByOrigin; // pieces, the first time each is sent
+  // Pieces that turn bad at runner 0 once it has all of them, once.
+  std::set<std::size_t> m_spoiltWhenStaged;
+
+private:
+  struct Runner
+  {
+    std::string m_id;
+    std::map<std::size_t, std::string> m_staged;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_sequence = 0;
+    std::unique_ptr<HttpListener> m_listener;
+  };
+
+  void AnswerOrigin(const std::shared_ptr<ServerConnection>& aConnection);
+  void AnswerRunner(Runner& aRunner,
+                    const std::shared_ptr<ServerConnection>& aConnection);
+  void TakeOrder(Runner& aRunner,
+                 const std::shared_ptr<ServerConnection>& aConnection);
+  void MaybeSpoil(Runner& aRunner);
+  nlohmann::json ModelsJson(const Runner& aRunner) const;
+
+  SiteStandIn& m_site;
+  std::uint64_t m_newest = 1;
+  std::size_t m_lists = 0;
+  std::size_t m_pieces = 0;
+  bool m_takenWhole = true;
+  std::vector<std::unique_ptr<Runner>> m_runners;
+  std::unique_ptr<HttpListener> m_origin;
+};
+
+} // namespace siskindeal
