The next version is fetched while one is loaded

Change: the way of the pieces and the way of the runner are two states. Found by the new test: its stand-in closed listeners under their connections. Tests: versions named in quick succession are each taken whole.

--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -164,8 +164,7 @@
 bool
 Stager::KeepsRunnerFree() const
 {
-  return m_stage == Stage::Draining || m_stage == Stage::Verifying ||
-         m_stage == Stage::Loading;
+  return m_load && m_load->m_stage != LoadStage::Staged;
 }
 
 std::set<std::string>
@@ -215,9 +214,12 @@
     notice.set_fetching(m_pieces.m_version);
     notice.set_held(EncodeHeld(m_plan->Held()));
   }
-  notice.set_turn(KeepsRunnerFree()          ? v1::TURN_LOADING
-                  : m_stage == Stage::Staged ? v1::TURN_STAGED
-                                             : v1::TURN_SERVING);
+  if (StagingIsTaken()) {
+    notice.set_staged(m_load->m_pieces.m_version);
+  }
+  notice.set_turn(KeepsRunnerFree() ? v1::TURN_LOADING
+                  : m_load          ? v1::TURN_STAGED
+                                    : v1::TURN_SERVING);
 
   TellNamed(m_named, BootTime(), *notice.mutable_named());
   const MonotonicTime now = LoopNow();
@@ -243,7 +245,7 @@
     }
   });
   const MonotonicTime now = LoopNow();
-  const bool resting = m_stage == Stage::Resting;
+  const bool resting = m_stage == Stage::Resting && !m_load;
   if (m_model.empty() && now - m_configReadAt >= kConfigRetry) {
     ReadConfig();
     ReadPeers();
@@ -251,7 +253,8 @@
   if (!resting && now - m_peersReadAt >= kPeersAge) {
     ReadPeers();
   }
-  const bool quick = KeepsRunnerFree() && m_stage != Stage::Verifying;
+  const bool quick =
+    KeepsRunnerFree() && m_load->m_stage != LoadStage::Verifying;
   if (!m_polling && now - m_pollAt >= (quick ? kBusyPoll : kRestingPoll)) {
     PollRunner();
   }
@@ -333,6 +336,8 @@
     peers.push_back(peer.m_stager);
     if (peer.m_notice.fetching() == m_pieces.m_version) {
       peers.back().m_held = DecodeHeld(peer.m_notice.held());
+    } else if (peer.m_notice.staged() == m_pieces.m_version) {
+      peers.back().m_held = PieceSet(m_pieces.m_digests.size(), true);
     }
   }
   return peers;
@@ -373,6 +378,8 @@
     { "target", m_target },
     { "loaded", Loaded() },
     { "stage", StageName(m_stage) },
+    { "load", m_load ? StageName(m_load->m_stage) : "none" },
+    { "buffered", m_buffer.size() },
     { "held", held },
     { "peers", m_peers.size() },
     { "gateways", m_gateways.size() },
--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -38,6 +38,7 @@
 {
   ++m_epoch;
   m_plan.reset();
+  m_buffer.clear();
   m_brought.clear();
   m_badPieces = 0;
   Enter(Stage::Listing);
@@ -69,7 +70,9 @@
   std::uint64_t holders = 0;
   for (const auto& [vm, peer] : m_peers) {
     const std::uint64_t version = peer.m_notice.fetching();
-    const bool has = version > 0 && (m_target == 0 || version == m_target) &&
+    const bool holds =
+      version == m_target || peer.m_notice.staged() == m_target;
+    const bool has = (m_target == 0 ? version > 0 : holds) &&
                      LoopNow() - peer.m_stager.m_heardAt < kListHolderSilence;
     if (has && m_random.Below(++holders) == 0) {
       chosen = &peer;
@@ -130,12 +133,19 @@
   const std::vector<std::string> parts = absl::StrSplit(target, '/');
   std::uint64_t version = 0; // 0: the newest
   // "", "lists", model, version
-  const bool known = parts.size() == 4 && parts[2] == m_model &&
-                     absl::SimpleAtoi(parts[3], &version) && m_plan &&
-                     !m_listDoubted &&
-                     (version == 0 || version == m_pieces.m_version);
-  aConnection->SendWhole(
-    known ? 200 : 404, {}, {}, known ? m_listText : std::string("not held"));
+  const bool asked = parts.size() == 4 && parts[2] == m_model &&
+                     absl::SimpleAtoi(parts[3], &version);
+  const std::string* text = nullptr;
+  if (asked && m_plan && !m_listDoubted &&
+      (version == 0 || version == m_pieces.m_version)) {
+    text = &m_listText;
+  } else if (asked && m_load && version == m_load->m_pieces.m_version) {
+    text = &m_load->m_listText;
+  }
+  aConnection->SendWhole(text != nullptr ? 200 : 404,
+                         {},
+                         {},
+                         text != nullptr ? *text : std::string("not held"));
 }
 
 void
@@ -175,9 +185,9 @@
                                        m_pieces.m_digests.size(),
                                        LoopNow());
   Enter(Stage::Checking);
-  // What lies there is of the version that is loaded; with none loaded it may
-  // be of any.
-  if (Loaded() != 0 && Loaded() != m_target) {
+  // What lies there is of the version that is loaded or is about to be; with
+  // none loaded it may be of any.
+  if (StagingIsTaken() || (Loaded() != 0 && Loaded() != m_target)) {
     Enter(Stage::Fetching);
     FetchMore();
     return;
@@ -209,37 +219,78 @@
       Sha256Hex(aAnswer.m_body) == m_pieces.m_digests[aPiece]) {
     m_plan->Have(aPiece);
   } else {
-    if (m_plan->Held()[aPiece]) {
-      Log(LogLevel::Warning, "staged piece is spoilt", { { "piece", aPiece } });
-    }
-    m_plan->Lost(aPiece);
+    LosePiece(aPiece);
   }
   CheckPiece(aPiece + 1);
 }
 
-// All pieces at the runner have been read, or the runner is free of work.
 void
-Stager::AfterCheck()
+Stager::LosePiece(std::size_t aPiece)
 {
-  if (m_stage == Stage::Draining) {
-    Enter(Stage::Verifying);
-    CheckPiece(0);
-    return;
+  if (m_plan->Held()[aPiece]) {
+    Log(LogLevel::Warning, "staged piece is spoilt", { { "piece", aPiece } });
   }
-  if (!m_plan->Complete()) {
+  m_plan->Lost(aPiece);
+}
+
+// All pieces at the runner have been read.
+void
+Stager::AfterCheck()
+{
+  if (m_plan->Complete()) {
+    OnComplete();
+  } else {
     Enter(Stage::Fetching);
     FetchMore();
-  } else if (m_stage == Stage::Verifying) {
-    OrderLoad();
-  } else {
-    OnComplete();
   }
 }
 
+// Whether the runner's staging holds a version that it hasn't taken yet.
+bool
+Stager::StagingIsTaken() const
+{
+  return m_load && !m_load->m_ordered;
+}
+
 void
 Stager::OnComplete()
 {
-  Enter(Loaded() >= m_target ? Stage::Resting : Stage::Staged);
+  if (StagingIsTaken() && m_load->m_stage == LoadStage::Staged) {
+    EndLoad(); // the newer one takes its turn
+  }
+  if (StagingIsTaken() || !m_buffer.empty()) {
+    StoreBuffered();
+    return;
+  }
+  Enter(Stage::Resting);
+  if (Loaded() < m_target) {
+    BeginLoad();
+  }
+}
+
+// Brings the pieces that waited to the runner, one after the other.
+void
+Stager::StoreBuffered()
+{
+  if (StagingIsTaken() || m_storing || m_buffer.empty()) {
+    return;
+  }
+  m_storing = true;
+  const std::size_t piece = m_buffer.begin()->first;
+  CallRunner("PUT",
+             dialect::StagePutPath(m_model, piece),
+             m_buffer.begin()->second,
+             [this, epoch = m_epoch, piece](const WholeAnswer& aStored) {
+               m_storing = false;
+               if (epoch != m_epoch || !m_plan) {
+                 return;
+               }
+               m_buffer.erase(piece);
+               if (aStored.m_status / 100 != 2) {
+                 LosePiece(piece);
+               }
+               StoreBuffered();
+             });
 }
 
 void
@@ -304,6 +355,11 @@
     }
     return;
   }
+  if (StagingIsTaken() || !m_buffer.empty()) {
+    m_buffer[aFetch.m_piece] = aAnswer.m_body;
+    OnStored(aFetch, true);
+    return;
+  }
   CallRunner("PUT",
              dialect::StagePutPath(m_model, aFetch.m_piece),
              aAnswer.m_body,
@@ -340,19 +396,39 @@
   const bool known =
     parts.size() == 5 && target.rfind(std::string(kPiecesPath), 0) == 0 &&
     parts[2] == m_model && absl::SimpleAtoi(parts[3], &version) &&
-    absl::SimpleAtoi(parts[4], &piece) && m_plan &&
-    version == m_pieces.m_version && piece < m_plan->Held().size() &&
-    m_plan->Held()[piece];
+    absl::SimpleAtoi(parts[4], &piece) && Holds(version, piece);
   if (!known) {
     aConnection->SendWhole(404, {}, {}, "not held");
     return;
   }
-  m_uploads.emplace_back(aConnection, piece);
+  m_uploads.push_back({ aConnection, version, piece });
   if (!m_uploading) {
     UploadNext();
   }
 }
 
+// The pieces of a version that is being fetched or loaded here; null for
+// others.
+const PieceList*
+Stager::ListOf(std::uint64_t aVersion) const
+{
+  if (m_plan && aVersion == m_pieces.m_version) {
+    return &m_pieces;
+  }
+  const bool loading = m_load && aVersion == m_load->m_pieces.m_version;
+  return loading ? &m_load->m_pieces : nullptr;
+}
+
+bool
+Stager::Holds(std::uint64_t aVersion, std::size_t aPiece) const
+{
+  const PieceList* list = ListOf(aVersion);
+  if (list == nullptr || aPiece >= list->m_digests.size()) {
+    return false;
+  }
+  return list == &m_pieces ? m_plan->Held()[aPiece] : StagingIsTaken();
+}
+
 void
 Stager::UploadNext()
 {
@@ -360,50 +436,57 @@
   if (m_uploads.empty()) {
     return;
   }
-  const auto [connection, piece] = m_uploads.front();
+  const PieceUpload upload = m_uploads.front();
   m_uploads.pop_front();
-  m_uploading = connection;
+  m_uploading = upload.m_connection;
   const auto wait = m_link.Reserve(m_pieces.m_pieceBytes, LoopNow());
   if (wait.count() <= 0) {
-    Upload(connection, piece);
+    Upload(upload);
     return;
   }
   m_uploadTimer.expires_after(wait);
-  m_uploadTimer.async_wait(
-    [this, connection = connection, piece = piece](const NetError& aError) {
-      if (!aError) {
-        Upload(connection, piece);
-      }
-    });
+  m_uploadTimer.async_wait([this, upload](const NetError& aError) {
+    if (!aError) {
+      Upload(upload);
+    }
+  });
+}
+
+void
+Stager::Upload(const PieceUpload& aUpload)
+{
+  const auto buffered = m_buffer.find(aUpload.m_piece);
+  if (aUpload.m_version == m_target && buffered != m_buffer.end()) {
+    FinishUpload(aUpload, &buffered->second);
+    return;
+  }
+  CallRunner("GET",
+             dialect::StageGetPath(m_model, aUpload.m_piece),
+             {},
+             [this, aUpload](const WholeAnswer& aAnswer) {
+               // What is spoilt here is fetched again, not passed on.
+               const PieceList* list = ListOf(aUpload.m_version);
+               const bool good =
+                 aAnswer.m_status == 200 && list != nullptr &&
+                 Sha256Hex(aAnswer.m_body) == list->m_digests[aUpload.m_piece];
+               if (!good && list == &m_pieces && !StagingIsTaken()) {
+                 LosePiece(aUpload.m_piece);
+               }
+               FinishUpload(aUpload, good ? &aAnswer.m_body : nullptr);
+             });
 }
 
 void
-Stager::Upload(const std::shared_ptr<ServerConnection>& aConnection,
-               std::size_t aPiece)
+Stager::FinishUpload(const PieceUpload& aUpload, const std::string* aBytes)
 {
-  CallRunner(
-    "GET",
-    dialect::StageGetPath(m_model, aPiece),
-    {},
-    [this, aConnection, aPiece, epoch = m_epoch](const WholeAnswer& aAnswer) {
-      // What is spoilt here is fetched again, not passed on.
-      const bool good = aAnswer.m_status == 200 && epoch == m_epoch && m_plan &&
-                        Sha256Hex(aAnswer.m_body) == m_pieces.m_digests[aPiece];
-      if (!good && epoch == m_epoch && m_plan) {
-        Log(LogLevel::Warning,
-            "staged piece is spoilt",
-            { { "piece", aPiece }, { "status", aAnswer.m_status } });
-        m_plan->Lost(aPiece);
-      }
-      const int status = good ? 200 : 404;
-      aConnection->m_onSent = [this, aConnection] {
-        if (m_uploading == aConnection) {
-          UploadNext();
-        }
-      };
-      aConnection->SendWhole(
-        status, {}, {}, good ? aAnswer.m_body : std::string());
-    });
+  const auto& connection = aUpload.m_connection;
+  connection->m_onSent = [this, connection] {
+    if (m_uploading == connection) {
+      UploadNext();
+    }
+  };
+  connection->SendWhole(
+    aBytes != nullptr ? 200 : 404, {}, {}, aBytes != nullptr ? *aBytes : "");
 }
 
 } // namespace siskindeal
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -36,18 +36,36 @@
   void Stop();
 
 private:
+  // How far the pieces of m_target have come.
   enum class Stage
   {
-    Resting,  // the runner has what is named
+    Resting,  // all that is named is here
     Listing,  // asks which pieces there are
     Checking, // looks which of them lie at the runner
     Fetching,
-    Staged,    // all are there; waits for its turn
+  };
+
+  // How far the runner has come in taking a version whose pieces are all here.
+  enum class LoadStage
+  {
+    Staged,    // waits for its turn
     Draining,  // its turn: the runner gets no new work
     Verifying, // reads all pieces back
     Loading,   // the runner takes them
   };
 
+  // While one is loaded the next version is fetched; until the runner has
+  // accepted the order the next one's pieces wait in m_buffer.
+  struct Load
+  {
+    PieceList m_pieces;
+    std::string m_listText;
+    LoadStage m_stage = LoadStage::Staged;
+    MonotonicTime m_since{};
+    std::chrono::milliseconds m_drain{ 0 };
+    bool m_ordered = false; // the order was accepted
+  };
+
   struct HeardGateway
   {
     Address m_address;
@@ -78,6 +96,9 @@
   void PollRunner();
   void OnReport(const WholeAnswer& aAnswer);
   void Step();
+  void StepFetch();
+  void StepLoad();
+  bool NeedsWeights() const;
   void BeginVersion();
   void ListPieces();
   const Peer* HolderOfList();
@@ -92,6 +113,13 @@
   void AfterCheck();
   void FetchMore();
   void OnComplete();
+  bool StagingIsTaken() const;
+  void StoreBuffered();
+  void BeginLoad();
+  void EndLoad();
+  void VerifyPiece(std::size_t aPiece);
+  void OnVerified(std::size_t aPiece, const WholeAnswer& aAnswer);
+  void LosePiece(std::size_t aPiece);
   void Fetch(const PieceFetch& aFetch);
   void OnPiece(const PieceFetch& aFetch, const WholeAnswer& aAnswer);
   void OnStored(const PieceFetch& aFetch, bool aStored);
@@ -102,14 +130,26 @@
   void AnswerList(const std::shared_ptr<ServerConnection>& aConnection);
   void AnswerPiece(const std::shared_ptr<ServerConnection>& aConnection);
   void UploadNext();
-  void Upload(const std::shared_ptr<ServerConnection>& aConnection,
-              std::size_t aPiece);
+  // A piece that a peer waits for.
+  struct PieceUpload
+  {
+    std::shared_ptr<ServerConnection> m_connection;
+    std::uint64_t m_version = 0;
+    std::size_t m_piece = 0;
+  };
+  const PieceList* ListOf(std::uint64_t aVersion) const;
+  bool Holds(std::uint64_t aVersion, std::size_t aPiece) const;
+  void Upload(const PieceUpload& aUpload);
+  void FinishUpload(const PieceUpload& aUpload, const std::string* aBytes);
   std::string StateJson() const;
   std::vector<StagerPeer> FetchPeers() const;
   std::string VersionKey() const;
   std::uint64_t Loaded() const;
   static const char* StageName(Stage aStage);
+  static const char* StageName(LoadStage aStage);
   void Enter(Stage aStage);
+  void EnterLoad(LoadStage aStage);
+  void LogStage(const char* aStage, std::uint64_t aVersion) const;
   bool KeepsRunnerFree() const;
   void CallRunner(std::string_view aMethod,
                   const std::string& aTarget,
@@ -141,7 +181,10 @@
   std::unique_ptr<FetchPlan> m_plan;
   std::uint32_t m_badPieces = 0;
   MonotonicTime m_stageAt{};
-  std::chrono::milliseconds m_drain{ 0 }; // of this turn
+  std::optional<Load> m_load;
+  // Pieces of m_target, by number, until they may lie at the runner.
+  std::map<std::size_t, std::string> m_buffer;
+  bool m_storing = false; // one of them is being stored
   MonotonicTime m_retryAt{};
   std::map<std::string, Peer> m_peers; // by host
   // Listed, maybe not heard yet: the region, by host.
@@ -153,8 +196,7 @@
 
   // Pieces that peers wait for; one goes out at a time, since answers of the
   // runner share the link.
-  std::deque<std::pair<std::shared_ptr<ServerConnection>, std::size_t>>
-    m_uploads;
+  std::deque<PieceUpload> m_uploads;
   std::shared_ptr<ServerConnection> m_uploading;
   LinkShaper m_link;
   Timer m_uploadTimer;
--- a/tests/stager_test.cpp
+++ b/tests/stager_test.cpp
@@ -107,6 +107,23 @@
   EXPECT_TRUE(m_engines.AllTakenWhole());
 }
 
+// The second is fetched while the first is loaded, and replaces it where its
+// turn hasn't come.
+TEST_F(StagerTest, VersionsNamedInQuickSuccessionAreEachTakenWhole)
+{
+  for (int i = 0; i < 5; ++i) {
+    Add(1);
+  }
+  ASSERT_TRUE(Eventually([&] { return m_engines.ListsSent() > 0; }));
+  ASSERT_TRUE(m_site.AwaitWatched("versions"));
+  for (std::uint64_t version = 2; version <= 6; ++version) {
+    m_engines.Name(version);
+    std::this_thread::sleep_for(std::chrono::milliseconds(150 * version));
+  }
+  EXPECT_TRUE(AllServe(6));
+  EXPECT_TRUE(m_engines.AllTakenWhole());
+}
+
 TEST_F(StagerTest, SpoiltPiecesAreFoundAndFetchedAgain)
 {
   m_engines.m_spoiltByOrigin = { 0, 5 };
--- a/tests/support/engine_site.cpp
+++ b/tests/support/engine_site.cpp
@@ -65,6 +65,19 @@
           { { "name", "weights" }, { "origin", origin.ToString() } } } } });
 }
 
+EngineSite::~EngineSite()
+{
+  m_site.On([&] {
+    for (const auto& runner : m_runners) {
+      runner->m_listener->Stop();
+      runner->m_listener->CloseAll();
+    }
+    m_origin->Stop();
+    m_origin->CloseAll();
+  });
+  m_site.On([] {}); // what was pending at the listeners has ended before this
+}
+
 Address
 EngineSite::AddRunner(std::uint64_t aVersion)
 {
--- a/tests/support/engine_site.h
+++ b/tests/support/engine_site.h
@@ -25,6 +25,9 @@
 {
 public:
   explicit EngineSite(SiteStandIn& aSite);
+  ~EngineSite();
+  EngineSite(const EngineSite&) = delete;
+  EngineSite& operator=(const EngineSite&) = delete;
 
   // Adds a runner that holds aVersion of the weights (0: none) and lists it.
   Address AddRunner(std::uint64_t aVersion);
