--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -42,6 +42,7 @@
   std::uint16_t DirectoryPort() const { return m_directory->Port(); }
   std::uint16_t ReadyPort() const { return m_ready->Port(); }
   std::uint16_t PagesPort() const { return m_pages->Port(); }
+  std::uint16_t DatagramPort() const { return m_datagrams->Port(); }
 
   // For exchanges.
 
--- a/src/gateway/gateway_talk.cpp
+++ b/src/gateway/gateway_talk.cpp
@@ -106,7 +106,7 @@
   report.set_model(aNotice.model());
   report.set_loaded(aNotice.loaded());
   NoteRunner(*runner, report);
-  m_ownRunners[report.runner()] = { std::move(report), LoopNow() };
+  m_ownRunners[runner->m_record.m_id] = { report, LoopNow() };
 }
 
 v1::Datagram
--- a/src/net/datagrams_p.h
+++ b/src/net/datagrams_p.h
@@ -29,6 +29,8 @@
   // can't.
   DatagramSocket(Loop& aLoop, const Address& aAddress, Receiver aReceiver);
 
+  std::uint16_t Port() const { return m_socket.local_endpoint().port(); }
+
   // Sends without waiting; what can't leave now is dropped.
   void Send(const v1::Datagram& aDatagram, const Address& aTo);
 
--- /dev/null
+++ b/tests/gateway_regions_test.cpp
@@ -0,0 +1,178 @@
+// What a gateway and the gateways of another region tell each other.
+
+#include "support/gateway_fixture.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+
+namespace siskindeal {
+
+namespace {
+
+using Udp = boost::asio::ip::udp;
+
+// Another process's end of the datagrams.
+class FarProcess
+{
+public:
+  FarProcess()
+    : m_socket(m_loop, Udp::endpoint(Loopback(), 0))
+  {
+    m_socket.non_blocking(true);
+  }
+
+  static boost::asio::ip::address Loopback()
+  {
+    return boost::asio::ip::make_address("127.0.0.1");
+  }
+
+  Address Where() const
+  {
+    return { "127.0.0.1", m_socket.local_endpoint().port() };
+  }
+
+  void Send(const v1::Datagram& aDatagram, std::uint16_t aPort)
+  {
+    m_socket.send_to(boost::asio::buffer(aDatagram.SerializeAsString()),
+                     { Loopback(), aPort });
+  }
+
+  // The next datagram that waits; none: nothing has come.
+  std::optional<v1::Datagram> Next()
+  {
+    NetError error;
+    const std::size_t got =
+      m_socket.receive(boost::asio::buffer(m_in), 0, error);
+    v1::Datagram datagram;
+    if (error || !datagram.ParseFromArray(m_in.data(), static_cast<int>(got))) {
+      return std::nullopt;
+    }
+    return datagram;
+  }
+
+private:
+  Loop m_loop{ 1 };
+  Udp::socket m_socket;
+  std::array<char, 16 << 10> m_in{};
+};
+
+class GatewayRegionsTest : public GatewayTest
+{
+protected:
+  // A gateway of another region says that it is there.
+  void TellOfFarGateway()
+  {
+    v1::Datagram datagram;
+    v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
+    beacon.set_vm("far-1");
+    beacon.set_incarnation(1);
+    beacon.set_region("far");
+    beacon.set_callers("127.0.0.1:9");
+    beacon.set_serving(true);
+    m_far.Send(datagram, m_gateway->DatagramPort());
+  }
+
+  // The stager beside a runner of this region tells of it.
+  void TellOfRunner(const Address& aRunner, bool aLoading)
+  {
+    v1::Datagram datagram;
+    v1::StagerNotice& notice = *datagram.mutable_stager();
+    notice.set_vm("side-1");
+    notice.set_runner(aRunner.ToString());
+    notice.set_service("get");
+    notice.set_place("here");
+    notice.set_model("m");
+    notice.set_loaded(4);
+    notice.set_turn(aLoading ? v1::TURN_LOADING : v1::TURN_SERVING);
+    m_far.Send(datagram, m_gateway->DatagramPort());
+  }
+
+  // Whether a report of this region comes whose two runners are as told.
+  bool ReportComes(bool aLoading)
+  {
+    const auto datagram = m_far.Next();
+    if (!datagram || !datagram->has_region()) {
+      return false;
+    }
+    const v1::RegionReport& report = datagram->region();
+    return report.region() == "here" && report.gateways_size() == 1 &&
+           report.gateways(0).vm() == "edge-1" && report.runners_size() == 2 &&
+           report.runners(0).runner() == "i-1" &&
+           report.runners(1).runner() == "i-2" &&
+           report.runners(1).loaded() == 4 &&
+           report.runners(1).loading() == aLoading;
+  }
+
+  FarProcess m_far;
+};
+
+TEST_F(GatewayRegionsTest, ItsRunnersAreToldToAnotherRegion)
+{
+  std::vector<Address> runners;
+  for (const char* id : { "i-1", "i-2" }) {
+    runners.push_back(m_site.AddRunner(
+      id, "get", [](const auto& aConnection) { Answer(aConnection); }));
+  }
+  StartReady();
+  for (const bool loading : { false, true }) {
+    EXPECT_TRUE(Eventually([&] {
+      TellOfFarGateway();
+      TellOfRunner(runners[0], loading);
+      TellOfRunner(runners[1], loading);
+      return ReportComes(loading);
+    }))
+      << loading;
+  }
+}
+
+TEST_F(GatewayRegionsTest, WhatAnotherRegionTellsIsTakenOverAndPassedOnOnce)
+{
+  m_site.AddRunner(
+    "i-1", "get", [](const auto& aConnection) { Answer(aConnection); });
+  StartReady();
+  // A mate of this region, which only listens.
+  FarProcess mate;
+  m_site.Put(
+    "gateways",
+    "edge-2",
+    { { "datagrams", mate.Where().ToString() }, { "region", "here" } });
+  v1::Datagram datagram;
+  v1::RegionReport& report = *datagram.mutable_region();
+  report.set_region("far");
+  v1::GatewayBeacon& beacon = *report.add_gateways();
+  beacon.set_vm("far-1");
+  beacon.set_incarnation(1);
+  beacon.set_region("far");
+  beacon.set_callers("127.0.0.1:9");
+  beacon.set_datagrams(m_far.Where().ToString());
+  beacon.set_serving(true);
+  v1::RunnerLoadReport& load = *report.add_loads();
+  load.set_runner("i-1");
+  load.set_requests(3);
+  EXPECT_TRUE(Eventually([&] {
+    m_far.Send(datagram, m_gateway->DatagramPort());
+    const auto heard = mate.Next();
+    return heard && heard->has_region() && heard->region().passed_on() &&
+           heard->region().region() == "far";
+  }));
+  EXPECT_TRUE(Eventually([&] {
+    m_far.Send(datagram, m_gateway->DatagramPort());
+    return Directory().find("127.0.0.1:9") != std::string::npos;
+  }));
+  // One that was passed on already stops here.
+  report.set_passed_on(true);
+  report.set_region("further");
+  m_far.Send(datagram, m_gateway->DatagramPort());
+  EXPECT_TRUE(Eventually([&] {
+    m_far.Send(datagram, m_gateway->DatagramPort());
+    return Directory().find("127.0.0.1:9") != std::string::npos;
+  }));
+  while (const auto heard = mate.Next()) {
+    EXPECT_FALSE(heard->has_region() && heard->region().region() == "further");
+  }
+}
+
+} // namespace
+
+} // namespace siskindeal
