Stagers hear of named weights from gateways and each other

Change: they take over what notices and beacons say of named weights, with its age. Watches of runners and versions wait 20 s (calls of the store); a silent connection is found by its probes after 3 s, not by the wait. Tests: a stager whose store tells nothing (failed without the change).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,8 +22,8 @@
 constexpr std::uint32_t kTicksPerSecond = 50;
 constexpr FeedPace kConfigPace{ milliseconds(2000), milliseconds(250) };
 // Runners that leave must be known within 2 s.
-constexpr FeedPace kRunnerPace{ milliseconds(8000), milliseconds(800) };
-constexpr FeedPace kVersionPace{ milliseconds(8000), milliseconds(400) };
+constexpr FeedPace kRunnerPace{ milliseconds(20000), milliseconds(800) };
+constexpr FeedPace kVersionPace{ milliseconds(20000), milliseconds(400) };
 // Callers are told other addresses once the configuration is this old, before
 // their keys are refused. A watch that hears nothing leaves it 2.3 s old.
 constexpr milliseconds kSteerAge{ 3000 };
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -29,7 +29,7 @@
 constexpr milliseconds kOriginIdle{ 200 };
 constexpr std::uint32_t kTicksPerSweep = 10;
 constexpr double kBytesPerMegabit = 1e6 / 8;
-constexpr FeedPace kVersionPace{ milliseconds(10000), milliseconds(300) };
+constexpr FeedPace kVersionPace{ milliseconds(20000), milliseconds(300) };
 
 std::string
 EncodeHeld(const PieceSet& aHeld)
@@ -136,6 +136,7 @@
 Stager::OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom)
 {
   if (aDatagram.has_gateway()) {
+    NoteNamed(aDatagram.gateway().named());
     const std::string key = aFrom.ToString();
     if (m_gateways.count(key) == 0) {
       m_toldAt = {}; // it learns at once what this runner holds
@@ -151,6 +152,7 @@
       notice.vm() == m_settings.m_node.m_vm) {
     return;
   }
+  NoteNamed(notice.named());
   const std::string region =
     RegionOf(m_settings.m_stager.m_regions, notice.place());
   if (m_peers.count(aFrom.m_host) == 0 && region == m_region) {
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -80,6 +80,12 @@
 
   void AwaitSignal();
   void OnVersion(const SiteObject& aObject);
+  // Weights were named aAge ago, by the store's or another process's word.
+  void NoteNamed(const std::string& aModel,
+                 std::uint64_t aVersion,
+                 std::chrono::milliseconds aAge);
+  void NoteNamed(
+    const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
   bool FinishesTargetFirst(std::uint64_t aNewest) const;
   double HeldShare() const;
   std::chrono::milliseconds SinceNamed(std::uint64_t aVersion) const;
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -38,13 +38,7 @@
   }
   try {
     const NamedVersion named = dialect::DecodeVersion(aObject);
-    if (!m_named.Note(named.m_model, named.m_version, BootTime())) {
-      return;
-    }
-    Log(LogLevel::Info,
-        "weights named",
-        { { "model", named.m_model }, { "version", named.m_version } });
-    ReadPeers();
+    NoteNamed(named.m_model, named.m_version, milliseconds(0));
   } catch (const std::invalid_argument& error) {
     Log(LogLevel::Warning,
         "named weights left out",
@@ -53,6 +47,32 @@
   }
 }
 
+void
+Stager::NoteNamed(const std::string& aModel,
+                  std::uint64_t aVersion,
+                  milliseconds aAge)
+{
+  if (!m_named.Note(aModel, aVersion, BootTime() - aAge)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "weights named",
+      { { "model", aModel },
+        { "version", aVersion },
+        { "age_ms", aAge.count() } });
+  ReadPeers();
+}
+
+// The store may turn this VM away while it serves others.
+void
+Stager::NoteNamed(
+  const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
+{
+  for (const v1::NamedAge& named : aNamed) {
+    NoteNamed(named.model(), named.version(), milliseconds(named.age_ms()));
+  }
+}
+
 void
 Stager::MaybeReadConfig()
 {
--- a/tests/stager_test.cpp
+++ b/tests/stager_test.cpp
@@ -23,14 +23,17 @@
   }
 
   // Adds a runner that holds aVersion, with its stager.
-  void Add(std::uint64_t aVersion)
+  void Add(std::uint64_t aVersion) { Add(aVersion, m_site); }
+
+  // aStore: the one that its stager reaches.
+  void Add(std::uint64_t aVersion, const SiteStandIn& aStore)
   {
     const Address runner = m_engines.AddRunner(aVersion);
     StagerSettings settings;
     settings.m_node.m_vm = "side-" + std::to_string(m_stagers.size());
     settings.m_node.m_place = "here";
     settings.m_node.m_rpc = { runner.m_host, m_port };
-    settings.m_platform.m_url = "http://" + m_site.Store().ToString();
+    settings.m_platform.m_url = "http://" + aStore.Store().ToString();
     settings.m_stager.m_runner = runner;
     settings.m_stager.m_service = "chat";
     m_stagers.push_back(std::make_unique<Stager>(settings));
@@ -147,6 +150,22 @@
   EXPECT_LE(m_site.Listed("config"), 4U);
 }
 
+// As where the store turns some VMs away.
+TEST_F(StagerTest, AStagerThatTheStoreTellsNothingHearsOfWeightsFromOthers)
+{
+  SiteStandIn oldStore;
+  oldStore.Put("config", "main", m_engines.Config());
+  Add(1);
+  Add(1);
+  Add(1, oldStore);
+  ASSERT_TRUE(Eventually([&] { return m_engines.ListsSent() > 0; }));
+  ASSERT_TRUE(m_site.AwaitWatched("versions"));
+  m_engines.Name(2);
+  EXPECT_TRUE(AllServe(2));
+  EXPECT_TRUE(m_engines.AllTakenWhole());
+  TearDown(); // before its store
+}
+
 TEST_F(StagerTest, TheOthersGoOnWithoutOneThatIsGone)
 {
   for (int i = 0; i < 4; ++i) {
--- a/tests/support/engine_site.cpp
+++ b/tests/support/engine_site.cpp
@@ -49,20 +49,16 @@
   });
   const json engine = { { "slots", 4 },
                         { "models", { { { "name", kEngineModel } } } } };
-  m_site.Put(
-    "config",
-    "main",
-    { { "version", 1 },
-      { "routes",
-        { { { "name", "chat" },
-            { "host", "x.example" },
-            { "path_prefix", "/chat/" },
-            { "kind", "streaming" },
-            { "service", "chat" },
-            { "resumable", true } } } },
-      { "services",
-        { { { "name", "chat" }, { "engine", engine } },
-          { { "name", "weights" }, { "origin", origin.ToString() } } } } });
+  const json route = { { "name", "chat" },          { "host", "x.example" },
+                       { "path_prefix", "/chat/" }, { "kind", "streaming" },
+                       { "service", "chat" },       { "resumable", true } };
+  const json weights = { { "name", "weights" },
+                         { "origin", origin.ToString() } };
+  m_config = { { "version", 1 },
+               { "routes", { route } },
+               { "services",
+                 { { { "name", "chat" }, { "engine", engine } }, weights } } };
+  m_site.Put("config", "main", m_config);
 }
 
 EngineSite::~EngineSite()
--- a/tests/support/engine_site.h
+++ b/tests/support/engine_site.h
@@ -31,6 +31,8 @@
 
   // Adds a runner that holds aVersion of the weights (0: none) and lists it.
   Address AddRunner(std::uint64_t aVersion);
+  // What the store holds at config/main.
+  const nlohmann::json& Config() const { return m_config; }
   // The operator names weights.
   void Name(std::uint64_t aVersion);
 
@@ -67,6 +69,7 @@
   nlohmann::json ModelsJson(const Runner& aRunner) const;
 
   SiteStandIn& m_site;
+  nlohmann::json m_config;
   std::uint64_t m_newest = 1;
   std::size_t m_lists = 0;
   std::size_t m_refused = 0;
