--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,7 +1,6 @@
 #include "net/http_server_p.h"
 
 #include "net/message_parser_p.h"
-#include "siskindeal/log.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -19,7 +18,6 @@
 constexpr std::size_t kMostReadAhead = 64 << 10; // of requests still to come
 constexpr milliseconds kSilence{ 6000 };         // of a caller's machine
 constexpr milliseconds kCloseLinger{ 500 };
-constexpr milliseconds kAcceptPause{ 50 }; // once descriptors have run out
 
 // Empty where the body's length is clear (RFC 9112, 6.1): what isn't read as a
 // body would be taken for a request of its own.
@@ -407,93 +405,4 @@
   m_socket.close(ignored);
 }
 
-HttpListener::HttpListener(Loop& aLoop,
-                           const Address& aAddress,
-                           Handler aHandler)
-  : m_loop(aLoop)
-  , m_acceptor(aLoop)
-  , m_pause(aLoop)
-  , m_handler(std::move(aHandler))
-{
-  constexpr int kBacklog = 1024;
-  const Tcp::endpoint endpoint = EndpointOf(aAddress);
-  m_acceptor.open(endpoint.protocol());
-  KeepFromChildren(m_acceptor.native_handle());
-  m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
-  m_acceptor.bind(endpoint);
-  m_acceptor.listen(kBacklog);
-  m_port = m_acceptor.local_endpoint().port();
-  Accept();
-}
-
-void
-HttpListener::Accept()
-{
-  m_acceptor.async_accept([this](const NetError& aError, Tcp::socket aSocket) {
-    if (!m_acceptor.is_open()) {
-      return;
-    }
-    if (aError) {
-      m_pause.expires_after(kAcceptPause);
-      m_pause.async_wait([this](const NetError& aCancelled) {
-        if (!aCancelled) {
-          Accept();
-        }
-      });
-      return;
-    }
-    if (m_connections.size() < m_mostConnections) {
-      std::make_shared<ServerConnection>(m_loop, std::move(aSocket), *this)
-        ->Start();
-    }
-    Accept();
-  });
-}
-
-void
-HttpListener::LogRefusal(int aStatus, std::string_view aReason)
-{
-  constexpr std::chrono::seconds kEvery{ 1 };
-  ++m_refusals;
-  if (LoopNow() - m_refusalLoggedAt < kEvery) {
-    return;
-  }
-  Log(LogLevel::Info,
-      "request refused",
-      { { "status", aStatus },
-        { "reason", aReason },
-        { "refused", std::exchange(m_refusals, 0) } });
-  m_refusalLoggedAt = LoopNow();
-}
-
-void
-HttpListener::Stop()
-{
-  NetError ignored;
-  m_acceptor.close(ignored);
-  m_sayClose = true;
-}
-
-void
-HttpListener::CloseAll()
-{
-  const std::set<ServerConnection*> connections = m_connections;
-  for (ServerConnection* connection : connections) {
-    if (m_connections.count(connection) > 0) {
-      connection->Gone();
-    }
-  }
-}
-
-void
-HttpListener::CloseIdle()
-{
-  const std::set<ServerConnection*> connections = m_connections;
-  for (ServerConnection* connection : connections) {
-    if (m_connections.count(connection) > 0) {
-      connection->CloseWhenIdle();
-    }
-  }
-}
-
 } // namespace siskindeal
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -21,8 +21,9 @@
 
 namespace siskindeal {
 
-// The list of pieces, for peers: /lists/MODEL/VERSION.
+// What peers are given: /lists/MODEL/VERSION and /pieces/MODEL/VERSION/NUMBER.
 inline constexpr std::string_view kListsPath = "/lists/";
+inline constexpr std::string_view kPiecesPath = "/pieces/";
 
 class Stager
 {
