The list of runners is watched at 0.4 s again

A watch was in its pause of 0.8 s and the next heard nothing for a second (platform_compact, drain).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,8 +21,15 @@
 constexpr std::uint32_t kTicksPerBeacon = 7;
 constexpr std::uint32_t kTicksPerSecond = 50;
 constexpr FeedPace kConfigPace{ milliseconds(2000), milliseconds(250) };
-// Runners that leave must be known within 2 s.
-constexpr FeedPace kRunnerPace{ milliseconds(20000), milliseconds(800) };
+constexpr FeedPace kRunnerPace{ milliseconds(20000), milliseconds(400) };
+// A runner that leaves must be known so soon. The watch may be in its pause
+// then, and the next one may hear nothing for a while before the list is read
+// anew.
+constexpr milliseconds kLeaveKnownWithin{ 2000 };
+constexpr milliseconds kDeafWatch{ 1000 };
+constexpr milliseconds kStoreAnswers{ 200 };
+static_assert(kRunnerPace.m_pause * 2 + kDeafWatch + kStoreAnswers <=
+              kLeaveKnownWithin);
 constexpr FeedPace kVersionPace{ milliseconds(20000), milliseconds(400) };
 // Callers are told other addresses once the configuration is this old, before
 // their keys are refused. A watch that hears nothing leaves it 2.3 s old.
