--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -71,6 +71,9 @@
 // An answer that has begun to arrive may take longer while it goes on.
 constexpr milliseconds kStall{ 900 };
 constexpr milliseconds kMostExtra{ 6000 };
+// A call may wait long for its answer, as a watch does, but not for a
+// connection: one that was begun during a cut goes on hanging after it.
+constexpr milliseconds kConnectTime{ 900 };
 
 // One whole call; keeps itself alive until it has its answer.
 class WholeCall : public std::enable_shared_from_this<WholeCall>
@@ -94,7 +97,7 @@
     m_connection = m_pool->Take(m_address);
     m_connection->Begin(
       std::move(aCall),
-      aTimeout,
+      std::min(aTimeout, kConnectTime),
       [self = shared_from_this()](const CallEvent& aEvent) {
         std::visit([&](const auto& aWhat) { self->On(aWhat); }, aEvent);
       });
--- a/tests/call_whole_test.cpp
+++ b/tests/call_whole_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <deque>
 #include <string>
 #include <thread>
 
@@ -63,6 +64,55 @@
   EXPECT_EQ(answer.m_failure, "no answer in time");
 }
 
+// A machine that takes no packets: its queue of connections is full.
+class FullListener
+{
+public:
+  FullListener()
+    : m_acceptor(m_loop)
+  {
+    m_acceptor.open(Tcp::v4());
+    m_acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+    m_acceptor.listen(0);
+    for (int i = 0; i < kMore; ++i) {
+      m_waiting.emplace_back(m_loop);
+      m_waiting.back().async_connect(m_acceptor.local_endpoint(),
+                                     [](const NetError&) {});
+    }
+  }
+
+  Address Where() const
+  {
+    return { "127.0.0.1", m_acceptor.local_endpoint().port() };
+  }
+
+private:
+  static constexpr int kMore = 8; // than its queue holds
+  Loop m_loop{ 1 };
+  Tcp::acceptor m_acceptor;
+  std::deque<Tcp::socket> m_waiting;
+};
+
+TEST(CallWhole, AConnectionIsNotWaitedForAsLongAsAnAnswer)
+{
+  const FullListener full;
+  Loop loop{ 1 };
+  WholeAnswer answer;
+  CallWhole(loop,
+            std::make_shared<ConnectionPool>(loop),
+            full.Where(),
+            "GET",
+            "/",
+            {},
+            milliseconds(3000),
+            [&](WholeAnswer aAnswer) {
+              answer = std::move(aAnswer);
+              loop.stop();
+            });
+  loop.run();
+  EXPECT_EQ(answer.m_failure, "no connection in time");
+}
+
 } // namespace
 
 } // namespace siskindeal
