--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,7 +21,7 @@
 constexpr std::uint32_t kTicksPerBeacon = 7;
 constexpr std::uint32_t kTicksPerSecond = 50;
 constexpr FeedPace kConfigPace{ milliseconds(2000), milliseconds(250) };
-constexpr FeedPace kRunnerPace{ milliseconds(20000), milliseconds(400) };
+constexpr FeedPace kRunnerPace{ milliseconds(8000), milliseconds(400) };
 // A runner that leaves must be known so soon. The watch may be in its pause
 // then, and the next one may hear nothing for a while before the list is read
 // anew.
