--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -55,9 +55,6 @@
 
   // Runs aTask once if the caller hangs up before the answer has been sent.
   virtual void OnHangUp(std::function<void()> aTask) = 0;
-
-  // Bytes queued and not yet sent.
-  virtual std::size_t Buffered() const = 0;
 };
 
 using HttpHandler =
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -4,6 +4,7 @@
 #include "siskindeal/metrics.h"
 
 #include <algorithm>
+#include <set>
 
 namespace siskindeal {
 
@@ -102,6 +103,7 @@
 void
 CrashWatch::NoteWhole(std::uint64_t aFingerprint)
 {
+  // That others ran beside it doesn't matter: what crashes never ends whole.
   if (m_table.Find(aFingerprint)) {
     m_table.RanWhole(aFingerprint, true, LoopNow());
   }
@@ -125,10 +127,14 @@
   }
   std::vector<wire::Suspicion> told =
     m_table.ChangedAfter(m_numbers.front().second);
+  std::set<std::uint64_t> fingerprints;
+  for (const wire::Suspicion& changed : told) {
+    fingerprints.insert(changed.fingerprint());
+  }
   for (const SuspicionListing& listing : m_table.List()) {
-    const auto suspicion = m_table.Find(listing.m_fingerprint);
-    if (listing.m_state == SuspicionState::Quarantined && suspicion) {
-      told.push_back(*suspicion);
+    if (listing.m_state == SuspicionState::Quarantined &&
+        fingerprints.insert(listing.m_fingerprint).second) {
+      told.push_back(*m_table.Find(listing.m_fingerprint));
     }
   }
   std::stable_sort(
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,9 +22,9 @@
 constexpr std::uint32_t kTicksPerSecond = 50;
 constexpr FeedPace kConfigPace{ milliseconds(2000), milliseconds(250) };
 constexpr FeedPace kRunnerPace{ milliseconds(8000), milliseconds(400) };
-// A runner that leaves must be known so soon. The watch may be in its pause
-// then, and the next one may hear nothing for a while before the list is read
-// anew.
+// A runner that leaves must be known so soon, by the shortest bound of a site.
+// The watch may be in its pause then, and the next one may hear nothing for a
+// while before the list is read anew.
 constexpr milliseconds kLeaveKnownWithin{ 2000 };
 constexpr milliseconds kDeafWatch{ 1000 };
 constexpr milliseconds kStoreAnswers{ 200 };
@@ -165,11 +165,13 @@
   m_gatewayFeed =
     Feed(kGatewayKind, kGatewayPace, { each(onGateway), onGateway, [] {} });
   for (const Address& entry : m_settings.m_node.m_entries) {
-    // Every gateway uses the same port for datagrams.
-    m_peers.Hint({ entry.m_host, m_settings.m_node.m_rpc.m_port });
+    // Every gateway uses the same port for datagrams. This one may be named.
+    if (entry.m_host != m_settings.m_node.m_rpc.m_host) {
+      m_peers.Hint({ entry.m_host, m_settings.m_node.m_rpc.m_port });
+    }
   }
   Register();
-  Tick();
+  RunEvery(m_ticker, kTick, [this] { Tick(); });
   m_loop.run();
   Log(LogLevel::Info, "stop");
 }
@@ -177,12 +179,6 @@
 void
 Gateway::Tick()
 {
-  m_ticker.expires_after(kTick);
-  m_ticker.async_wait([this](const NetError& aError) {
-    if (!aError) {
-      Tick();
-    }
-  });
   const MonotonicTime now = LoopNow();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -81,6 +81,8 @@
   void NoteRunner(RunnerState& aRunner, const v1::RunnerReport& aReport);
   void Register();
   v1::Datagram Beacon() const;
+  v1::Datagram BeaconWithLoads() const;
+  void SendNear(const v1::Datagram& aDatagram);
   void TellRegion();
   void TellAlive(bool aWithNamed);
   void TellOtherRegions(bool aWithNamed);
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -15,14 +15,24 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMostListed = 64; // addresses in an answer
+
+// Whether a request is for aPath, with or without a query; else it is answered.
+bool
+IsFor(ServerConnection& aConnection, std::string_view aPath)
+{
+  const std::string_view target = aConnection.Request().m_target;
+  if (target.substr(0, target.find('?')) == aPath) {
+    return true;
+  }
+  aConnection.SendWhole(404, {}, {}, "no such page");
+  return false;
+}
 } // namespace
 
 void
 Gateway::AnswerReady(const std::shared_ptr<ServerConnection>& aConnection)
 {
-  const std::string_view target = aConnection->Request().m_target;
-  if (target.substr(0, target.find('?')) != dialect::kReadyPath) {
-    aConnection->SendWhole(404, {}, {}, "no such page");
+  if (!IsFor(*aConnection, dialect::kReadyPath)) {
     return;
   }
   if (TakesCallers()) {
@@ -36,9 +46,7 @@
 void
 Gateway::AnswerDirectory(const std::shared_ptr<ServerConnection>& aConnection)
 {
-  const std::string_view target = aConnection->Request().m_target;
-  if (target.substr(0, target.find('?')) != dialect::kResolvePath) {
-    aConnection->SendWhole(404, {}, {}, "no such page");
+  if (!IsFor(*aConnection, dialect::kResolvePath)) {
     return;
   }
   std::vector<Address> addresses = m_peers.Serving(LoopNow());
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -1,7 +1,7 @@
 // What a gateway reads of the platform's store, and its registration there.
 
 #include "gateway/gateway_p.h"
-#include "site/runner_list_p.h"
+#include "site/site_objects_p.h"
 
 #include <nlohmann/json.hpp>
 
@@ -62,23 +62,14 @@
 void
 Gateway::OnVersion(const SiteObject& aObject, milliseconds aAge)
 {
-  if (aObject.m_deleted) {
-    return;
-  }
-  try {
-    const NamedVersion named = dialect::DecodeVersion(aObject);
-    if (m_named.Note(named.m_model, named.m_version, BootTime() - aAge)) {
-      Log(LogLevel::Info,
-          "weights named",
-          { { "model", named.m_model },
-            { "version", named.m_version },
-            { "assumed_age_ms", aAge.count() } });
-    }
-  } catch (const std::invalid_argument& error) {
-    Log(LogLevel::Warning,
-        "named weights left out",
-        { { "name", aObject.m_name },
-          { "reason", std::string_view(error.what()) } });
+  const auto named = ReadNamedVersion(aObject);
+  if (named &&
+      m_named.Note(named->m_model, named->m_version, BootTime() - aAge)) {
+    Log(LogLevel::Info,
+        "weights named",
+        { { "model", named->m_model },
+          { "version", named->m_version },
+          { "assumed_age_ms", aAge.count() } });
   }
 }
 
--- a/src/gateway/gateway_talk.cpp
+++ b/src/gateway/gateway_talk.cpp
@@ -12,18 +12,16 @@
 constexpr milliseconds kNoticeLife{ 700 };     // that a runner is loading
 
 void
-AddLoads(const RunnerTable& aRunners, v1::GatewayBeacon& aBeacon)
+AddLoad(const std::string& aRunner,
+        const RunnerLoad& aLoad,
+        google::protobuf::RepeatedPtrField<v1::RunnerLoadReport>& aTo)
 {
-  for (const auto& [id, state] : aRunners.All()) {
-    if (state.m_own == RunnerLoad{}) {
-      continue;
-    }
-    auto& load = *aBeacon.add_loads();
-    load.set_runner(id);
-    load.set_requests(state.m_own.m_requests);
-    load.set_prompt_tokens(state.m_own.m_promptTokens);
-  }
+  v1::RunnerLoadReport& load = *aTo.Add();
+  load.set_runner(aRunner);
+  load.set_requests(aLoad.m_requests);
+  load.set_prompt_tokens(aLoad.m_promptTokens);
 }
+
 } // namespace
 
 void
@@ -73,8 +71,14 @@
   }
   v1::Datagram copy = aDatagram;
   copy.mutable_region()->set_passed_on(true);
+  SendNear(copy);
+}
+
+void
+Gateway::SendNear(const v1::Datagram& aDatagram)
+{
   for (const Address& address : m_peers.Near()) {
-    m_datagrams->Send(copy, address);
+    m_datagrams->Send(aDatagram, address);
   }
 }
 
@@ -122,6 +126,18 @@
   return datagram;
 }
 
+v1::Datagram
+Gateway::BeaconWithLoads() const
+{
+  v1::Datagram datagram = Beacon();
+  for (const auto& [id, state] : m_runners.All()) {
+    if (!(state.m_own == RunnerLoad{})) {
+      AddLoad(id, state.m_own, *datagram.mutable_gateway()->mutable_loads());
+    }
+  }
+  return datagram;
+}
+
 // Gateways of one region mostly choose among the same runners, so they hear of
 // each change at once. The more they are the longer each waits, which bounds
 // what one sends and hears.
@@ -129,29 +145,24 @@
 Gateway::TellRegion()
 {
   constexpr std::size_t kPeersPerTick = 4;
-  const std::vector<Address> near = m_peers.Near();
-  const std::size_t every = 1 + near.size() / kPeersPerTick;
+  const std::size_t every = 1 + m_peers.Near().size() / kPeersPerTick;
   if (m_ticks % every != 0) {
     return;
   }
-  v1::Datagram datagram = Beacon();
-  AddLoads(m_runners, *datagram.mutable_gateway());
+  const v1::Datagram datagram = BeaconWithLoads();
   std::string told = datagram.SerializeAsString();
   if (told == m_toldRegion) {
     return;
   }
   m_toldRegion = std::move(told);
-  for (const Address& address : near) {
-    m_datagrams->Send(datagram, address);
-  }
+  SendNear(datagram);
 }
 
 // Told though nothing changed, so that others know that this gateway is there.
 void
 Gateway::TellAlive(bool aWithNamed)
 {
-  v1::Datagram datagram = Beacon();
-  AddLoads(m_runners, *datagram.mutable_gateway());
+  v1::Datagram datagram = BeaconWithLoads();
   if (aWithNamed) {
     TellNamed(
       m_named, BootTime(), *datagram.mutable_gateway()->mutable_named());
@@ -159,11 +170,7 @@
   for (const wire::Suspicion& suspicion : m_crashes.Told(LoopNow())) {
     *datagram.mutable_gateway()->add_suspicions() = suspicion;
   }
-  for (const Address& address : m_peers.Near()) {
-    if (address.m_host != m_settings.m_node.m_rpc.m_host) {
-      m_datagrams->Send(datagram, address);
-    }
-  }
+  SendNear(datagram);
 }
 
 // What gateways of other regions need to know of this one.
@@ -215,10 +222,7 @@
     loads[id].m_promptTokens += state.m_own.m_promptTokens;
   }
   for (const auto& [id, load] : loads) {
-    v1::RunnerLoadReport& told = *aReport.add_loads();
-    told.set_runner(id);
-    told.set_requests(load.m_requests);
-    told.set_prompt_tokens(load.m_promptTokens);
+    AddLoad(id, load, *aReport.mutable_loads());
   }
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -23,7 +23,10 @@
 OwnAnswer
 AnswerMalformed(int aStatus, std::string_view aReason)
 {
-  const Error error = RefusalOf(aStatus, std::string(aReason));
+  const bool tooLarge = aStatus == 413 || aStatus == 431;
+  const Error error(tooLarge ? Reason::TooLarge : Reason::BadRequest,
+                    Verdict::NotRun,
+                    std::string(aReason));
   CountMetric("siskindeal_http_refused_total",
               { { "reason", std::string(ToString(error.GetReason())) } });
   Refusal refusal = MakeRefusal(error, NewId());
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -47,7 +47,6 @@
   {
     m_session->OnHangUp(std::move(aTask));
   }
-  std::size_t Buffered() const override { return m_session->Buffered(); }
 
 private:
   const std::shared_ptr<HttpSession> m_session;
@@ -93,15 +92,6 @@
 
 } // namespace
 
-Error
-RefusalOf(int aStatus, const std::string& aWhat)
-{
-  const bool tooLarge = aStatus == 413 || aStatus == 431;
-  return { tooLarge ? Reason::TooLarge : Reason::BadRequest,
-           Verdict::NotRun,
-           aWhat };
-}
-
 void
 HttpServerState::Post(std::function<void()> aTask)
 {
@@ -186,7 +176,6 @@
 HttpSession::OnSent()
 {
   --m_state->m_inFlight;
-  m_buffered = 0;
   m_connection.reset();
   const OrderedLock lock(m_mutex);
   m_sent = true;
@@ -245,7 +234,6 @@
     Stage::Waiting,
     Stage::Streaming,
     [aStatus, fields = FieldsOf(aHeaders)](ServerConnection& aConnection) {
-      aConnection.m_onDrained = nullptr;
       aConnection.SendHead(aStatus, {}, fields, std::nullopt);
     });
 }
@@ -257,10 +245,8 @@
   if (m_gone || m_sent || m_stage != Stage::Streaming) {
     return false;
   }
-  m_buffered += aBytes.size();
-  Post([this, bytes = std::string(aBytes)](ServerConnection& aConnection) {
+  Post([bytes = std::string(aBytes)](ServerConnection& aConnection) {
     aConnection.SendPart(bytes);
-    m_buffered = aConnection.Unsent();
   });
   return true;
 }
--- a/src/http/session_p.h
+++ b/src/http/session_p.h
@@ -49,7 +49,6 @@
   void EndStream();
   void Abort();
   void OnHangUp(std::function<void()> aTask);
-  std::size_t Buffered() const { return m_buffered; }
   // The last responder handle is gone.
   void OnDropped();
 
@@ -73,7 +72,6 @@
 
   const std::shared_ptr<HttpServerState> m_state;
   std::shared_ptr<ServerConnection> m_connection; // of the loop's thread
-  std::atomic<std::size_t> m_buffered{ 0 };       // bytes of a stream
 
   OrderedMutex m_mutex{ LockLevel::Transport };
   Stage m_stage ABSL_GUARDED_BY(m_mutex) = Stage::Waiting;
@@ -82,8 +80,4 @@
   std::vector<std::function<void()>> m_onHangUp ABSL_GUARDED_BY(m_mutex);
 };
 
-// The refusal of a request that never came to a handler.
-Error
-RefusalOf(int aStatus, const std::string& aWhat);
-
 } // namespace siskindeal
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -126,15 +126,15 @@
 void
 HttpConnection::Read()
 {
-  if (m_reading || m_closed || m_paused) {
+  if (m_closed || m_paused) {
     return;
   }
-  m_reading = true;
-  AwaitBytes(
-    m_socket, m_in, [self = shared_from_this()](const NetError& aError) {
-      self->m_reading = false;
-      self->OnRead(aError);
-    });
+  AwaitBytes(m_socket,
+             m_in,
+             m_reading,
+             [self = shared_from_this()](const NetError& aError) {
+               self->OnRead(aError);
+             });
 }
 
 void
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -81,25 +81,26 @@
 }
 
 void
-HttpListener::CloseAll()
+HttpListener::ForEach(const std::function<void(ServerConnection&)>& aWhat)
 {
   const std::set<ServerConnection*> connections = m_connections;
   for (ServerConnection* connection : connections) {
     if (m_connections.count(connection) > 0) {
-      connection->Gone();
+      aWhat(*connection);
     }
   }
 }
 
+void
+HttpListener::CloseAll()
+{
+  ForEach([](ServerConnection& aConnection) { aConnection.Gone(); });
+}
+
 void
 HttpListener::CloseIdle()
 {
-  const std::set<ServerConnection*> connections = m_connections;
-  for (ServerConnection* connection : connections) {
-    if (m_connections.count(connection) > 0) {
-      connection->CloseWhenIdle();
-    }
-  }
+  ForEach([](ServerConnection& aConnection) { aConnection.CloseWhenIdle(); });
 }
 
 } // namespace siskindeal
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -87,15 +87,15 @@
 ServerConnection::Read()
 {
   const bool tooFarAhead = m_inRequest && m_in.size() > kMostReadAhead;
-  if (m_reading || m_closed || tooFarAhead) {
+  if (m_closed || tooFarAhead) {
     return;
   }
-  m_reading = true;
-  AwaitBytes(
-    m_socket, m_in, [self = shared_from_this()](const NetError& aError) {
-      self->m_reading = false;
-      self->OnRead(aError);
-    });
+  AwaitBytes(m_socket,
+             m_in,
+             m_reading,
+             [self = shared_from_this()](const NetError& aError) {
+               self->OnRead(aError);
+             });
 }
 
 void
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -145,6 +145,8 @@
 private:
   friend class ServerConnection;
   void Accept();
+  // Those that are there now; aWhat may end any of them.
+  void ForEach(const std::function<void(ServerConnection&)>& aWhat);
   // One line a second at most: callers decide how many they cause.
   void LogRefusal(int aStatus, std::string_view aReason);
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -66,11 +66,18 @@
 void
 AwaitBytes(Tcp::socket& aSocket,
            std::string& aIn,
+           bool& aWaiting,
            std::function<void(const NetError&)> aDone)
 {
+  if (aWaiting) {
+    return;
+  }
+  aWaiting = true;
   aSocket.async_wait(
     Tcp::socket::wait_read,
-    [&aSocket, &aIn, done = std::move(aDone)](const NetError& aError) {
+    [&aSocket, &aIn, &aWaiting, done = std::move(aDone)](
+      const NetError& aError) {
+      aWaiting = false;
       NetError error = aError;
       if (!error) {
         thread_local std::array<char, kReadBytes> sBytes; // a loop a thread
@@ -83,6 +90,20 @@
     });
 }
 
+void
+RunEvery(Timer& aTimer,
+         std::chrono::milliseconds aInterval,
+         const std::function<void()>& aWhat)
+{
+  aTimer.expires_after(aInterval);
+  aTimer.async_wait([&aTimer, aInterval, aWhat](const NetError& aError) {
+    if (!aError) {
+      RunEvery(aTimer, aInterval, aWhat);
+    }
+  });
+  aWhat();
+}
+
 std::chrono::milliseconds
 BootTime()
 {
--- a/src/net/loop_p.h
+++ b/src/net/loop_p.h
@@ -45,11 +45,19 @@
 // Waits until the other side has sent something, appends it to aIn and calls
 // aDone; with eof or another error when there is nothing more. Between calls a
 // connection that waits holds no buffer. aDone is never called from inside.
+// aWaiting is true meanwhile; while it is, further calls do nothing.
 void
 AwaitBytes(Tcp::socket& aSocket,
            std::string& aIn,
+           bool& aWaiting,
            std::function<void(const NetError&)> aDone);
 
+// Calls aWhat now and again after each aInterval, until the timer is cancelled.
+void
+RunEvery(Timer& aTimer,
+         std::chrono::milliseconds aInterval,
+         const std::function<void()>& aWhat);
+
 // Time that also counts while the machine is suspended. The steady clock
 // doesn't, so it can't tell how old a piece of knowledge is.
 std::chrono::milliseconds
--- a/src/settings/schema_platform.cpp
+++ b/src/settings/schema_platform.cpp
@@ -105,24 +105,31 @@
   };
 }
 
+SettingTable
+PlatformRoleTable(NodeSettings& aNode,
+                  PlatformSettings& aPlatform,
+                  const SettingTable& aRole)
+{
+  SettingTable table = NodeRows(aNode);
+  Append(table, PlatformRows(aPlatform));
+  Append(table, aRole);
+  return table;
+}
+
 } // namespace
 
 SettingTable
 TableOf(GatewaySettings& aSettings)
 {
-  SettingTable table = NodeRows(aSettings.m_node);
-  Append(table, PlatformRows(aSettings.m_platform));
-  Append(table, GatewayRows(aSettings.m_gateway));
-  return table;
+  return PlatformRoleTable(
+    aSettings.m_node, aSettings.m_platform, GatewayRows(aSettings.m_gateway));
 }
 
 SettingTable
 TableOf(StagerSettings& aSettings)
 {
-  SettingTable table = NodeRows(aSettings.m_node);
-  Append(table, PlatformRows(aSettings.m_platform));
-  Append(table, StagerRows(aSettings.m_stager));
-  return table;
+  return PlatformRoleTable(
+    aSettings.m_node, aSettings.m_platform, StagerRows(aSettings.m_stager));
 }
 
 } // namespace siskindeal
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -78,6 +78,19 @@
   }
 }
 
+// The settings of a role that runs on a platform: no keys of operators.
+template<typename Settings>
+Settings
+ReadPlatformRole(const std::string& aFile, const std::string& aRole)
+{
+  Settings settings;
+  SettingsReader reader(aFile);
+  reader.Fill(TableOf(settings), aRole);
+  CheckNode(settings.m_node, reader);
+  reader.Finish();
+  return settings;
+}
+
 } // namespace
 
 SettingsKind
@@ -127,23 +140,13 @@
 GatewaySettings
 ReadGatewaySettings(const std::string& aFile)
 {
-  GatewaySettings settings;
-  SettingsReader reader(aFile);
-  reader.Fill(TableOf(settings), "gateway");
-  CheckNode(settings.m_node, reader);
-  reader.Finish();
-  return settings;
+  return ReadPlatformRole<GatewaySettings>(aFile, "gateway");
 }
 
 StagerSettings
 ReadStagerSettings(const std::string& aFile)
 {
-  StagerSettings settings;
-  SettingsReader reader(aFile);
-  reader.Fill(TableOf(settings), "stager");
-  CheckNode(settings.m_node, reader);
-  reader.Finish();
-  return settings;
+  return ReadPlatformRole<StagerSettings>(aFile, "stager");
 }
 
 ClientSettings
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -55,16 +55,27 @@
   if (aAfter.empty()) {
     m_listed.clear();
   }
+  Ask(dialect::ListPath(m_kind, aAfter, dialect::Freshness::Current),
+      kAnswerTime,
+      &ObjectFeed::OnList);
+}
+
+void
+ObjectFeed::Ask(const std::string& aTarget,
+                milliseconds aTime,
+                void (ObjectFeed::*aOn)(const WholeAnswer&, milliseconds))
+{
   ++m_calls;
-  CallWhole(m_loop,
-            m_pool,
-            m_store,
-            "GET",
-            dialect::ListPath(m_kind, aAfter, dialect::Freshness::Current),
-            {},
-            kAnswerTime,
-            [self = shared_from_this(), asked = BootTime()](
-              const WholeAnswer& aAnswer) { self->OnList(aAnswer, asked); });
+  CallWhole(
+    m_loop,
+    m_pool,
+    m_store,
+    "GET",
+    aTarget,
+    {},
+    aTime,
+    [self = shared_from_this(), asked = BootTime(), aOn](
+      const WholeAnswer& aAnswer) { (self.get()->*aOn)(aAnswer, asked); });
 }
 
 void
@@ -111,16 +122,9 @@
 void
 ObjectFeed::Watch()
 {
-  ++m_calls;
-  CallWhole(m_loop,
-            m_pool,
-            m_store,
-            "GET",
-            dialect::WatchPath(m_kind, m_revision, m_pace.m_wait),
-            {},
-            m_pace.m_wait + kAnswerTime,
-            [self = shared_from_this(), asked = BootTime()](
-              const WholeAnswer& aAnswer) { self->OnWatch(aAnswer, asked); });
+  Ask(dialect::WatchPath(m_kind, m_revision, m_pace.m_wait),
+      m_pace.m_wait + kAnswerTime,
+      &ObjectFeed::OnWatch);
 }
 
 void
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -51,6 +51,11 @@
 private:
   void List(const std::string& aAfter);
   void OnList(const WholeAnswer& aAnswer, std::chrono::milliseconds aAsked);
+  // One call; aOn gets its answer and when it was asked.
+  void Ask(const std::string& aTarget,
+           std::chrono::milliseconds aTime,
+           void (ObjectFeed::*aOn)(const WholeAnswer&,
+                                   std::chrono::milliseconds));
   void Watch();
   void OnWatch(const WholeAnswer& aAnswer, std::chrono::milliseconds aAsked);
   void Again(std::chrono::milliseconds aDelay);
--- a/src/site/runner_list.cpp
+++ b/src/site/site_objects.cpp
@@ -1,4 +1,4 @@
-#include "site/runner_list_p.h"
+#include "site/site_objects_p.h"
 
 #include "platform/dialect.h"
 #include "siskindeal/log.h"
@@ -7,20 +7,41 @@
 
 namespace siskindeal {
 
-std::optional<RunnerRecord>
-ReadRunner(const SiteObject& aObject)
+namespace {
+
+template<typename Decode>
+auto
+ReadWith(Decode aDecode, const SiteObject& aObject, std::string_view aLeftOut)
+  -> std::optional<decltype(aDecode(aObject))>
 {
   try {
-    return dialect::DecodeRunner(aObject);
+    return aDecode(aObject);
   } catch (const std::invalid_argument& error) {
     Log(LogLevel::Warning,
-        "runner left out",
+        aLeftOut,
         { { "name", aObject.m_name },
           { "reason", std::string_view(error.what()) } });
     return std::nullopt;
   }
 }
 
+} // namespace
+
+std::optional<RunnerRecord>
+ReadRunner(const SiteObject& aObject)
+{
+  return ReadWith(dialect::DecodeRunner, aObject, "runner left out");
+}
+
+std::optional<NamedVersion>
+ReadNamedVersion(const SiteObject& aObject)
+{
+  if (aObject.m_deleted) {
+    return std::nullopt;
+  }
+  return ReadWith(dialect::DecodeVersion, aObject, "named weights left out");
+}
+
 std::vector<RunnerRecord>
 ReadRunners(const std::vector<SiteObject>& aObjects)
 {
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -106,7 +106,7 @@
                 onVersion,
                 [] {} });
   m_versionFeed->Start();
-  Tick();
+  RunEvery(m_ticker, kTick, [this] { Tick(); });
   m_loop.run();
   Log(LogLevel::Info, "stop");
 }
@@ -240,12 +240,6 @@
 void
 Stager::Tick()
 {
-  m_ticker.expires_after(kTick);
-  m_ticker.async_wait([this](const NetError& aError) {
-    if (!aError) {
-      Tick();
-    }
-  });
   const MonotonicTime now = LoopNow();
   const bool resting = m_stage == Stage::Resting && !m_load;
   if (m_model.empty() && now - m_configReadAt >= kConfigRetry) {
@@ -346,9 +340,9 @@
 }
 
 std::string
-Stager::VersionKey() const
+Stager::VersionKey(std::uint64_t aVersion) const
 {
-  return m_model + " " + std::to_string(m_target);
+  return m_model + " " + std::to_string(aVersion);
 }
 
 void
--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -79,7 +79,7 @@
 std::size_t
 Stager::ListRank() const
 {
-  const std::string key = VersionKey() + " list ";
+  const std::string key = VersionKey(m_target) + " list ";
   const std::uint64_t own = StableHash(key + m_settings.m_node.m_rpc.m_host);
   return static_cast<std::size_t>(
     std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
@@ -154,7 +154,7 @@
   m_plan = std::make_unique<FetchPlan>(m_settings.m_node.m_rpc.m_host,
                                        m_region,
                                        m_originRegion,
-                                       VersionKey(),
+                                       VersionKey(m_target),
                                        m_pieces.m_digests.size(),
                                        LoopNow());
   Enter(Stage::Checking);
--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -212,7 +212,7 @@
   const std::uint64_t version = m_load->m_pieces.m_version;
   TurnInputs inputs;
   inputs.m_vm = m_settings.m_node.m_rpc.m_host;
-  inputs.m_versionKey = m_model + " " + std::to_string(version);
+  inputs.m_versionKey = VersionKey(version);
   inputs.m_empty = Loaded() == 0;
   inputs.m_timeLeft =
     m_settings.m_stager.m_versionWithin - kDoneBefore - SinceNamed(version);
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -95,6 +95,8 @@
   void MaybeReadConfig();
   void ReadConfig();
   void OnConfig(const WholeAnswer& aAnswer);
+  void ListStale(std::string_view aKind,
+                 std::function<void(WholeAnswer)> aDone);
   void ReadPeers();
   void OnPeers(const WholeAnswer& aAnswer);
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
@@ -153,7 +155,8 @@
   void FinishUpload(const PieceUpload& aUpload, const std::string* aBytes);
   std::string StateJson() const;
   std::vector<StagerPeer> FetchPeers() const;
-  std::string VersionKey() const;
+  // Tells versions apart in the orders that stagers agree on.
+  std::string VersionKey(std::uint64_t aVersion) const;
   std::uint64_t Loaded() const;
   static const char* StageName(Stage aStage);
   static const char* StageName(LoadStage aStage);
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -1,7 +1,7 @@
 // What a stager reads of the platform's store.
 
 #include "siskindeal/log.h"
-#include "site/runner_list_p.h"
+#include "site/site_objects_p.h"
 #include "stager/stager_p.h"
 
 #include <algorithm>
@@ -33,17 +33,8 @@
 void
 Stager::OnVersion(const SiteObject& aObject)
 {
-  if (aObject.m_deleted) {
-    return;
-  }
-  try {
-    const NamedVersion named = dialect::DecodeVersion(aObject);
-    NoteNamed(named.m_model, named.m_version, milliseconds(0));
-  } catch (const std::invalid_argument& error) {
-    Log(LogLevel::Warning,
-        "named weights left out",
-        { { "name", aObject.m_name },
-          { "reason", std::string_view(error.what()) } });
+  if (const auto named = ReadNamedVersion(aObject)) {
+    NoteNamed(named->m_model, named->m_version, milliseconds(0));
   }
 }
 
@@ -87,15 +78,23 @@
 Stager::ReadConfig()
 {
   m_configReadAt = LoopNow();
-  CallWhole(
-    m_loop,
-    m_pool,
-    m_store,
-    "GET",
-    dialect::ListPath(dialect::kConfigKind, {}, dialect::Freshness::MayBeStale),
-    {},
-    kStoreTime,
-    [this](const WholeAnswer& aAnswer) { OnConfig(aAnswer); });
+  ListStale(dialect::kConfigKind,
+            [this](const WholeAnswer& aAnswer) { OnConfig(aAnswer); });
+}
+
+// A list that may be seconds old, which costs the store a tenth.
+void
+Stager::ListStale(std::string_view aKind,
+                  std::function<void(WholeAnswer)> aDone)
+{
+  CallWhole(m_loop,
+            m_pool,
+            m_store,
+            "GET",
+            dialect::ListPath(aKind, {}, dialect::Freshness::MayBeStale),
+            {},
+            kStoreTime,
+            std::move(aDone));
 }
 
 void
@@ -138,15 +137,8 @@
 Stager::ReadPeers()
 {
   m_peersReadAt = LoopNow();
-  CallWhole(
-    m_loop,
-    m_pool,
-    m_store,
-    "GET",
-    dialect::ListPath(dialect::kRunnerKind, {}, dialect::Freshness::MayBeStale),
-    {},
-    kStoreTime,
-    [this](const WholeAnswer& aAnswer) { OnPeers(aAnswer); });
+  ListStale(dialect::kRunnerKind,
+            [this](const WholeAnswer& aAnswer) { OnPeers(aAnswer); });
 }
 
 void
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -5,7 +5,7 @@
 #include "gateway/peers_p.h"
 #include "gateway/route_index_p.h"
 #include "platform/dialect.h"
-#include "site/runner_list_p.h"
+#include "site/site_objects_p.h"
 
 #include "siskindeal/random.h"
 
