docs_test reads regular files only; links of pages in sub-folders are checked too

docs/incidents is a folder: ReadFile threw on it in two tests. The manuals are still all pages of docs/ itself; link targets are now checked in sub-folders as well, so the check covers more than before.

--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -103,7 +103,9 @@
   std::string manuals;
   for (const auto& file :
        std::filesystem::directory_iterator(kSourceDir + "/docs")) {
-    manuals += ReadFile(file.path());
+    if (file.is_regular_file()) {
+      manuals += ReadFile(file.path());
+    }
   }
   const std::set<std::string> metrics = MetricsInSources();
   EXPECT_FALSE(metrics.empty());
@@ -210,8 +212,10 @@
   const std::regex link("\\]\\(([^)#]+)\\)");
   std::vector<std::filesystem::path> pages = { kSourceDir + "/README.md" };
   for (const auto& file :
-       std::filesystem::directory_iterator(kSourceDir + "/docs")) {
-    pages.push_back(file.path());
+       std::filesystem::recursive_directory_iterator(kSourceDir + "/docs")) {
+    if (file.is_regular_file()) {
+      pages.push_back(file.path());
+    }
   }
   for (const auto& page : pages) {
     const std::string text = ReadFile(page);
