--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -40,6 +40,7 @@
   std::string m_classOfWork;
   SuspicionState m_state = SuspicionState::None;
   std::uint32_t m_crashes = 0;
+  std::uint32_t m_attributed = 0; // of these, to other, quarantined requests
 };
 
 // The suspicions known to a process. Agents record the crashes of their
@@ -78,6 +79,8 @@
 
   // Returns nullopt for a fingerprint that isn't in the table.
   std::optional<wire::Suspicion> Find(std::uint64_t aFingerprint) const;
+  // Returns nullopt for a fingerprint with no recorded crash.
+  std::optional<SuspicionListing> ListingOf(std::uint64_t aFingerprint) const;
 
   std::vector<SuspicionListing> List() const;
   // Returns the suspicions that changed after sequence number aNumber.
@@ -102,6 +105,8 @@
   };
 
   wire::Suspicion ToWire(std::uint64_t aFingerprint, const State& aState) const;
+  SuspicionListing ToListing(std::uint64_t aFingerprint,
+                             const State& aState) const;
   using ByCrash = std::unordered_map<std::string, std::vector<std::uint64_t>>;
   // Recomputes m_attributedCrashes and m_inferredQuarantines.
   void RecomputeDerivedState();
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -1,4 +1,6 @@
 #include "gateway/caller_exchange_p.h"
+#include "siskindeal/metrics.h"
+#include "siskindeal/operators.h"
 
 #include <absl/strings/numbers.h>
 
@@ -228,6 +230,7 @@
   m_loadBefore = aPlacement.m_load;
   m_sentAt = m_lastProgress = now;
   m_triedRunners.insert(m_runnerId);
+  LogIfSuspect();
   m_answer = {};
   m_haveErrorAnswer = false;
   m_answerBody.clear();
@@ -250,6 +253,23 @@
                       });
 }
 
+void
+CallerExchange::LogIfSuspect()
+{
+  const auto suspicion = m_gateway.Crashes().ListingOf(m_fingerprint);
+  if (!suspicion) {
+    return;
+  }
+  CountMetric("siskindeal_gateway_suspects_forwarded_total");
+  m_gateway.LogRequest(LogLevel::Warning,
+                       "suspect forwarded",
+                       { { "id", m_id },
+                         { "runner", m_runnerId },
+                         { "fingerprint", FormatFingerprint(m_fingerprint) },
+                         { "crashes", suspicion->m_crashes },
+                         { "attributed", suspicion->m_attributed } });
+}
+
 int
 CallerExchange::PriorityNumber() const
 {
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -157,7 +157,7 @@
     return;
   }
   ReleaseRunner(RunnerHealth::Healthy);
-  m_gateway.Crashes().OnRequestCompleted(m_fingerprint);
+  m_gateway.Crashes().OnRequestCompleted(m_fingerprint, m_answer.m_status);
   m_caller->SendEnd();
   Finish("answered");
 }
@@ -198,7 +198,7 @@
             elapsed * kSampleWeight;
   }
   ReleaseRunner(RunnerHealth::Healthy);
-  m_gateway.Crashes().OnRequestCompleted(m_fingerprint);
+  m_gateway.Crashes().OnRequestCompleted(m_fingerprint, status);
   m_mayHaveRun = true;
   ++m_attempts;
   const bool failed = status / 100 == 5;
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -43,6 +43,8 @@
   void Dispatch();
   Decision Decide();
   void SendTo(RunnerState& aRunner, const Placement& aPlacement);
+  // Logs that a request that was in flight at a crash is sent again.
+  void LogIfSuspect();
   std::string BuildHead(const RunnerState& aRunner) const;
   int PriorityNumber() const;
 
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
+#include "siskindeal/operators.h"
 
 #include <algorithm>
 #include <set>
@@ -21,6 +22,25 @@
 constexpr std::size_t kMaxAdvertised = 8;
 constexpr std::size_t kMaxProbes = 256; // one per runner
 
+const char*
+ProbeResultName(const NetError& aResult)
+{
+  if (!aResult) {
+    return "accepted";
+  }
+  return aResult == boost::asio::error::connection_refused ? "refused"
+                                                           : "unknown";
+}
+
+std::string
+Describe(const SuspicionListing& aListing)
+{
+  return FormatFingerprint(aListing.m_fingerprint) + ":" +
+         std::to_string(aListing.m_crashes) + "-" +
+         std::to_string(aListing.m_attributed) +
+         (aListing.m_state == SuspicionState::Quarantined ? "q" : "");
+}
+
 } // namespace
 
 void
@@ -74,20 +94,21 @@
       NetError ignored;
       probe->m_timer.cancel();
       probe->m_socket.close(ignored);
-      OnProbed(
-        aRunner, *probe, aError == boost::asio::error::connection_refused);
+      OnProbed(aRunner, *probe, aError);
     });
 }
 
 void
 CrashWatch::OnProbed(const std::string& aRunner,
                      RunnerProbe& aProbe,
-                     bool aCrashed)
+                     const NetError& aResult)
 {
   aProbe.m_pending = false;
   const std::vector<LostConnection> lostConnections =
     std::exchange(aProbe.m_lostConnections, {});
-  if (!aCrashed) {
+  CountMetric("siskindeal_gateway_crash_probes_total",
+              { { "result", ProbeResultName(aResult) } });
+  if (aResult != boost::asio::error::connection_refused) {
     return;
   }
   std::vector<SuspicionTable::InFlight> inFlight;
@@ -96,22 +117,34 @@
       inFlight.push_back({ lost.m_fingerprint, {} });
     }
   }
-  Log(LogLevel::Warning,
-      "runner crashed",
-      { { "runner", aRunner }, { "requests", inFlight.size() } });
   CountMetric("siskindeal_gateway_runner_crashes_total", {});
   // A runner id denotes one incarnation, so all gateways use it as crash id.
   m_table.RecordCrash(aRunner, inFlight, LoopNow());
+  std::string suspects;
+  for (const SuspicionTable::InFlight& request : inFlight) {
+    suspects += Describe(*m_table.ListingOf(request.m_fingerprint)) + ' ';
+  }
+  Log(LogLevel::Warning,
+      "runner crashed",
+      { { "runner", aRunner },
+        { "requests", inFlight.size() },
+        { "suspects", suspects } });
   LogQuarantined();
 }
 
 void
-CrashWatch::OnRequestCompleted(std::uint64_t aFingerprint)
+CrashWatch::OnRequestCompleted(std::uint64_t aFingerprint, int aStatus)
 {
-  // Counts as run alone, since a request that crashes runners never completes.
-  if (m_table.Find(aFingerprint)) {
-    m_table.RecordCompletion(aFingerprint, true, LoopNow());
+  if (!m_table.Find(aFingerprint)) {
+    return;
+  }
+  if (const auto listing = m_table.ListingOf(aFingerprint)) {
+    Log(LogLevel::Info,
+        "suspect completed",
+        { { "suspect", Describe(*listing) }, { "status", aStatus } });
   }
+  // Counts as run alone, since a request that crashes runners never completes.
+  m_table.RecordCompletion(aFingerprint, true, LoopNow());
 }
 
 bool
@@ -163,13 +196,17 @@
 CrashWatch::LogQuarantined() const
 {
   std::size_t quarantined = 0;
+  std::string fingerprints;
   for (const SuspicionListing& listing : m_table.List()) {
-    quarantined += listing.m_state == SuspicionState::Quarantined ? 1 : 0;
+    if (listing.m_state == SuspicionState::Quarantined) {
+      ++quarantined;
+      fingerprints += Describe(listing) + ' ';
+    }
   }
   if (quarantined > 0) {
     Log(LogLevel::Warning,
         "requests quarantined",
-        { { "requests", quarantined } });
+        { { "requests", quarantined }, { "fingerprints", fingerprints } });
   }
 }
 
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,8 @@
   void OnConnectionLost(const std::string& aRunner,
                         const Address& aAddress,
                         std::uint64_t aFingerprint);
-  void OnRequestCompleted(std::uint64_t aFingerprint);
+  // aStatus is that of the runner's complete response.
+  void OnRequestCompleted(std::uint64_t aFingerprint, int aStatus);
 
   // Whether a request has crashed its runners and must not be sent again.
   bool IsQuarantined(std::uint64_t aFingerprint) const;
@@ -38,6 +40,11 @@
   std::vector<wire::Suspicion> SuspicionsToAdvertise(MonotonicTime aNow);
   void Merge(const wire::Suspicion& aSuspicion);
 
+  // Returns nullopt for a request that was in flight at no known crash.
+  std::optional<SuspicionListing> ListingOf(std::uint64_t aFingerprint) const
+  {
+    return m_table.ListingOf(aFingerprint);
+  }
   std::vector<SuspicionListing> List() const { return m_table.List(); }
 
 private:
@@ -65,7 +72,9 @@
 
   void StartProbe(const std::string& aRunner,
                   const std::shared_ptr<RunnerProbe>& aProbe);
-  void OnProbed(const std::string& aRunner, RunnerProbe& aProbe, bool aCrashed);
+  void OnProbed(const std::string& aRunner,
+                RunnerProbe& aProbe,
+                const NetError& aResult);
   void LogQuarantined() const;
 
   Loop& m_loop;
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -217,18 +217,36 @@
   return true;
 }
 
+SuspicionListing
+SuspicionTable::ToListing(std::uint64_t aFingerprint, const State& aState) const
+{
+  const auto crashes = aState.m_crashes.size();
+  const auto attributed =
+    aState.m_quarantined ? 0 : crashes - CountUnattributed(aState);
+  return { aFingerprint,
+           aState.m_classOfWork,
+           StateOf(aFingerprint),
+           static_cast<std::uint32_t>(crashes),
+           static_cast<std::uint32_t>(attributed) };
+}
+
+std::optional<SuspicionListing>
+SuspicionTable::ListingOf(std::uint64_t aFingerprint) const
+{
+  const auto found = m_states.find(aFingerprint);
+  if (found == m_states.end() || found->second.m_crashes.empty()) {
+    return std::nullopt;
+  }
+  return ToListing(aFingerprint, found->second);
+}
+
 std::vector<SuspicionListing>
 SuspicionTable::List() const
 {
   std::vector<SuspicionListing> listings;
   for (const auto& [fingerprint, state] : m_states) {
-    const auto suspicion = StateOf(fingerprint);
-    if (suspicion != SuspicionState::None) {
-      listings.push_back(
-        { fingerprint,
-          state.m_classOfWork,
-          suspicion,
-          static_cast<std::uint32_t>(state.m_crashes.size()) });
+    if (StateOf(fingerprint) != SuspicionState::None) {
+      listings.push_back(ToListing(fingerprint, state));
     }
   }
   std::sort(listings.begin(),
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -122,7 +122,7 @@
   const Address nobody{ "127.0.0.1", UnusedPort() };
   watch.OnConnectionLost("i-1", nobody, kInnocent);
   ASSERT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
-  watch.OnRequestCompleted(kInnocent);
+  watch.OnRequestCompleted(kInnocent, 200);
   EXPECT_TRUE(watch.List().empty());
   watch.OnConnectionLost("i-2", nobody, kInnocent);
   ASSERT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
