Suspicions that gateways share move out of CrashWatch into SuspicionExchange

CrashWatch probes runners over sockets, so what gateways tell each other could only be tested over real connections. SuspicionExchange has no I/O and is given the time, so many gateways can be run over a simulated clock. No decision changes; a suspicion evicted while it is recorded is no longer read.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -179,7 +179,7 @@
 CallerExchange::Decide()
 {
   constexpr milliseconds kQuarantineRetryAfter{ 30000 };
-  if (m_gateway.Crashes().IsQuarantined(m_fingerprint)) {
+  if (m_gateway.Suspicions().IsQuarantined(m_fingerprint)) {
     return PlacementRefusal{
       "request is quarantined: it crashed the runners that executed it",
       kQuarantineRetryAfter,
@@ -256,7 +256,7 @@
 void
 CallerExchange::LogIfSuspect()
 {
-  const auto suspicion = m_gateway.Crashes().ListingOf(m_fingerprint);
+  const auto suspicion = m_gateway.Suspicions().ListingOf(m_fingerprint);
   if (!suspicion) {
     return;
   }
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -157,7 +157,8 @@
     return;
   }
   ReleaseRunner(RunnerHealth::Healthy);
-  m_gateway.Crashes().OnRequestCompleted(m_fingerprint, m_answer.m_status);
+  m_gateway.Suspicions().RecordCompletion(
+    m_fingerprint, m_answer.m_status, LoopNow());
   m_caller->SendEnd();
   Finish("answered");
 }
@@ -198,7 +199,7 @@
             elapsed * kSampleWeight;
   }
   ReleaseRunner(RunnerHealth::Healthy);
-  m_gateway.Crashes().OnRequestCompleted(m_fingerprint, status);
+  m_gateway.Suspicions().RecordCompletion(m_fingerprint, status, LoopNow());
   m_mayHaveRun = true;
   ++m_attempts;
   const bool failed = status / 100 == 5;
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -1,15 +1,12 @@
 #pragma once
-// Detects runners that crashed while they executed requests, and requests that
-// crash the runners that execute them. Gateways share their suspicions.
+// Detects runners that crashed while they executed requests.
 
+#include "gateway/suspicion_exchange_p.h"
 #include "net/loop_p.h"
 #include "siskindeal/clock.h"
-#include "siskindeal/quarantine.h"
 
-#include <deque>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +15,9 @@
 class CrashWatch
 {
 public:
-  explicit CrashWatch(Loop& aLoop)
+  CrashWatch(Loop& aLoop, SuspicionExchange& aSuspicions)
     : m_loop(aLoop)
+    , m_suspicions(aSuspicions)
   {
   }
 
@@ -29,23 +27,6 @@
   void OnConnectionLost(const std::string& aRunner,
                         const Address& aAddress,
                         std::uint64_t aFingerprint);
-  // aStatus is that of the runner's complete response.
-  void OnRequestCompleted(std::uint64_t aFingerprint, int aStatus);
-
-  // Whether a request has crashed its runners and must not be sent again.
-  bool IsQuarantined(std::uint64_t aFingerprint) const;
-
-  // Suspicions to send to other gateways, those with most crashes first;
-  // bounded.
-  std::vector<wire::Suspicion> SuspicionsToAdvertise(MonotonicTime aNow);
-  void Merge(const wire::Suspicion& aSuspicion);
-
-  // Returns nullopt for a request that was in flight at no known crash.
-  std::optional<SuspicionListing> ListingOf(std::uint64_t aFingerprint) const
-  {
-    return m_table.ListingOf(aFingerprint);
-  }
-  std::vector<SuspicionListing> List() const { return m_table.List(); }
 
 private:
   struct LostConnection
@@ -75,14 +56,10 @@
   void OnProbed(const std::string& aRunner,
                 RunnerProbe& aProbe,
                 const NetError& aResult);
-  void LogQuarantined() const;
 
   Loop& m_loop;
-  SuspicionTable m_table;
+  SuspicionExchange& m_suspicions;
   std::map<std::string, std::shared_ptr<RunnerProbe>> m_probes; // by runner
-  // Change numbers of the table at recent times; each change is advertised for
-  // kAdvertisePeriod.
-  std::deque<std::pair<MonotonicTime, std::uint64_t>> m_changeNumbers;
 };
 
 } // namespace siskindeal
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -44,7 +44,7 @@
 {
   MergeNamedVersions(aBeacon.named());
   for (const wire::Suspicion& suspicion : aBeacon.suspicions()) {
-    m_crashes.Merge(suspicion);
+    m_suspicions.Merge(suspicion);
   }
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
     m_retries.SetGatewayCount(m_peers.Count());
@@ -61,7 +61,7 @@
   m_retries.SetGatewayCount(m_peers.Count());
   MergeNamedVersions(report.named());
   for (const wire::Suspicion& suspicion : report.suspicions()) {
-    m_crashes.Merge(suspicion);
+    m_suspicions.Merge(suspicion);
   }
   for (const v1::RunnerReport& runnerReport : report.runners()) {
     if (RunnerState* runner = m_runners.Find(runnerReport.runner())) {
@@ -173,7 +173,7 @@
       m_named, BootTime(), *datagram.mutable_gateway()->mutable_named());
   }
   for (const wire::Suspicion& suspicion :
-       m_crashes.SuspicionsToAdvertise(LoopNow())) {
+       m_suspicions.SuspicionsToAdvertise(LoopNow())) {
     *datagram.mutable_gateway()->add_suspicions() = suspicion;
   }
   SendToRegionPeers(datagram);
@@ -211,7 +211,7 @@
     AppendNamedAges(m_named, BootTime(), *report.mutable_named());
   }
   for (const wire::Suspicion& suspicion :
-       m_crashes.SuspicionsToAdvertise(now)) {
+       m_suspicions.SuspicionsToAdvertise(now)) {
     *report.add_suspicions() = suspicion;
   }
   for (const Address& address : targets) {
--- a/src/gateway/gateway_endpoints.cpp
+++ b/src/gateway/gateway_endpoints.cpp
@@ -104,7 +104,7 @@
                         { "versions", state.m_record.m_versions } });
   }
   nlohmann::json suspects = nlohmann::json::array();
-  for (const SuspicionListing& one : m_crashes.List()) {
+  for (const SuspicionListing& one : m_suspicions.List()) {
     suspects.push_back(
       { { "fingerprint", one.m_fingerprint },
         { "crashes", one.m_crashes },
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -52,6 +52,7 @@
   Placer& RequestPlacer() { return m_placer; }
   SharedRetryBudget& Retries() { return m_retries; }
   CrashWatch& Crashes() { return m_crashes; }
+  SuspicionExchange& Suspicions() { return m_suspicions; }
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
   Random& Rng() { return m_random; }
   // Whether the configuration is recent enough to authenticate callers with.
@@ -117,7 +118,8 @@
   bool m_haveRunnerList = false;
   Placer m_placer;
   SharedRetryBudget m_retries;
-  CrashWatch m_crashes{ m_loop };
+  SuspicionExchange m_suspicions;
+  CrashWatch m_crashes{ m_loop, m_suspicions };
   // The last report of a stager in this region.
   struct ReceivedRunnerReport
   {
--- /dev/null
+++ b/src/gateway/suspicion_exchange.cpp
@@ -0,0 +1,133 @@
+#include "gateway/suspicion_exchange_p.h"
+
+#include "siskindeal/log.h"
+#include "siskindeal/operators.h"
+
+#include <algorithm>
+#include <set>
+
+namespace siskindeal {
+
+namespace {
+
+constexpr std::chrono::milliseconds kAdvertisePeriod{ 3000 };
+constexpr std::size_t kMaxAdvertised = 8;
+
+std::string
+Describe(const SuspicionListing& aListing)
+{
+  return FormatFingerprint(aListing.m_fingerprint) + ":" +
+         std::to_string(aListing.m_crashes) + "-" +
+         std::to_string(aListing.m_attributed) +
+         (aListing.m_state == SuspicionState::Quarantined ? "q" : "");
+}
+
+} // namespace
+
+void
+SuspicionExchange::RecordCrash(const std::string& aRunner,
+                               const std::vector<std::uint64_t>& aFingerprints,
+                               MonotonicTime aNow)
+{
+  std::vector<SuspicionTable::InFlight> inFlight;
+  inFlight.reserve(aFingerprints.size());
+  for (const std::uint64_t fingerprint : aFingerprints) {
+    inFlight.push_back({ fingerprint, {} });
+  }
+  // A runner id denotes one incarnation, so all gateways use it as crash id.
+  m_table.RecordCrash(aRunner, inFlight, aNow);
+  std::string suspects;
+  for (const std::uint64_t fingerprint : aFingerprints) {
+    if (const auto listing = m_table.ListingOf(fingerprint)) {
+      suspects += Describe(*listing) + ' ';
+    }
+  }
+  Log(LogLevel::Warning,
+      "runner crashed",
+      { { "runner", aRunner },
+        { "requests", aFingerprints.size() },
+        { "suspects", suspects } });
+  LogQuarantined();
+}
+
+void
+SuspicionExchange::RecordCompletion(std::uint64_t aFingerprint,
+                                    int aStatus,
+                                    MonotonicTime aNow)
+{
+  if (!m_table.Find(aFingerprint)) {
+    return;
+  }
+  if (const auto listing = m_table.ListingOf(aFingerprint)) {
+    Log(LogLevel::Info,
+        "suspect completed",
+        { { "suspect", Describe(*listing) }, { "status", aStatus } });
+  }
+  // Counts as run alone, since a request that crashes runners never completes.
+  m_table.RecordCompletion(aFingerprint, true, aNow);
+}
+
+bool
+SuspicionExchange::IsQuarantined(std::uint64_t aFingerprint) const
+{
+  return m_table.StateOf(aFingerprint) == SuspicionState::Quarantined;
+}
+
+std::vector<wire::Suspicion>
+SuspicionExchange::SuspicionsToAdvertise(MonotonicTime aNow)
+{
+  if (m_changeNumbers.empty()) {
+    m_changeNumbers.emplace_back(aNow, 0);
+  }
+  m_changeNumbers.emplace_back(aNow, m_table.Number());
+  while (aNow - m_changeNumbers.front().first > kAdvertisePeriod) {
+    m_changeNumbers.pop_front();
+  }
+  std::vector<wire::Suspicion> advertised =
+    m_table.ChangedSince(m_changeNumbers.front().second);
+  std::set<std::uint64_t> fingerprints;
+  for (const wire::Suspicion& changed : advertised) {
+    fingerprints.insert(changed.fingerprint());
+  }
+  for (const SuspicionListing& listing : m_table.List()) {
+    if (listing.m_state == SuspicionState::Quarantined &&
+        fingerprints.insert(listing.m_fingerprint).second) {
+      advertised.push_back(*m_table.Find(listing.m_fingerprint));
+    }
+  }
+  std::stable_sort(advertised.begin(),
+                   advertised.end(),
+                   [](const auto& aOne, const auto& aOther) {
+                     return aOne.crashes() > aOther.crashes();
+                   });
+  advertised.resize(std::min(advertised.size(), kMaxAdvertised));
+  return advertised;
+}
+
+void
+SuspicionExchange::Merge(const wire::Suspicion& aSuspicion)
+{
+  if (m_table.Merge(aSuspicion)) {
+    LogQuarantined();
+  }
+}
+
+void
+SuspicionExchange::LogQuarantined() const
+{
+  std::size_t quarantined = 0;
+  std::string fingerprints;
+  for (const SuspicionListing& listing : m_table.List()) {
+    if (listing.m_state == SuspicionState::Quarantined) {
+      ++quarantined;
+      fingerprints += Describe(listing) + ' ';
+    }
+  }
+  if (quarantined > 0) {
+    Log(LogLevel::Warning,
+        "requests quarantined",
+        { { "requests", quarantined }, { "fingerprints", fingerprints } });
+  }
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/src/gateway/suspicion_exchange_p.h
@@ -0,0 +1,53 @@
+#pragma once
+// Requests that may crash the runners that execute them, as far as this gateway
+// knows: what it saw itself and what other gateways advertised. Does no I/O;
+// the caller passes the time.
+
+#include "siskindeal/clock.h"
+#include "siskindeal/quarantine.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskindeal {
+
+class SuspicionExchange
+{
+public:
+  // Records that a runner crashed and which of this gateway's requests were in
+  // flight there.
+  void RecordCrash(const std::string& aRunner,
+                   const std::vector<std::uint64_t>& aFingerprints,
+                   MonotonicTime aNow);
+  // aStatus is that of the runner's complete response.
+  void RecordCompletion(std::uint64_t aFingerprint,
+                        int aStatus,
+                        MonotonicTime aNow);
+
+  // Whether a request has crashed its runners and must not be sent again.
+  bool IsQuarantined(std::uint64_t aFingerprint) const;
+
+  // Suspicions to send to other gateways, those with most crashes first;
+  // bounded.
+  std::vector<wire::Suspicion> SuspicionsToAdvertise(MonotonicTime aNow);
+  void Merge(const wire::Suspicion& aSuspicion);
+
+  // Returns nullopt for a request that was in flight at no known crash.
+  std::optional<SuspicionListing> ListingOf(std::uint64_t aFingerprint) const
+  {
+    return m_table.ListingOf(aFingerprint);
+  }
+  std::vector<SuspicionListing> List() const { return m_table.List(); }
+
+private:
+  void LogQuarantined() const;
+
+  SuspicionTable m_table;
+  // Change numbers of the table at recent times; each change is advertised for
+  // kAdvertisePeriod.
+  std::deque<std::pair<MonotonicTime, std::uint64_t>> m_changeNumbers;
+};
+
+} // namespace siskindeal
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -62,6 +62,26 @@
             std::string::npos);
 }
 
+// Crash detection and suspicions of one gateway.
+class WatchingGateway : public SuspicionExchange
+{
+public:
+  explicit WatchingGateway(Loop& aLoop)
+    : m_watch(aLoop, *this)
+  {
+  }
+
+  void OnConnectionLost(const std::string& aRunner,
+                        const Address& aAddress,
+                        std::uint64_t aFingerprint)
+  {
+    m_watch.OnConnectionLost(aRunner, aAddress, aFingerprint);
+  }
+
+private:
+  CrashWatch m_watch;
+};
+
 // Runs a loop until a condition holds.
 template<typename Condition>
 bool
@@ -81,7 +101,7 @@
   std::atomic<int> connections = 0;
   const RawServer runner([&](RawSocket&, int) { ++connections; });
   Loop loop{ 1 };
-  CrashWatch watch(loop);
+  WatchingGateway watch(loop);
   for (const char* id : { "i-1", "i-2" }) {
     watch.OnConnectionLost(id, { "127.0.0.1", runner.Port() }, kInnocent);
     watch.OnConnectionLost(id, { "127.0.0.1", runner.Port() }, kInnocent);
@@ -94,9 +114,9 @@
 TEST(CrashWatch, SuspicionsOfSeveralGatewaysAreCombined)
 {
   Loop loop{ 1 };
-  CrashWatch first(loop);
-  CrashWatch second(loop);
-  CrashWatch third(loop);
+  WatchingGateway first(loop);
+  WatchingGateway second(loop);
+  WatchingGateway third(loop);
   const Address nobody{ "127.0.0.1", UnusedPort() };
   first.OnConnectionLost("i-1", nobody, kPoison);
   first.OnConnectionLost("i-1", nobody, kInnocent);
@@ -104,7 +124,7 @@
   ASSERT_TRUE(RunUntil(loop, [&] {
     return first.List().size() == 2 && second.List().size() == 1;
   }));
-  for (CrashWatch* from : { &first, &second }) {
+  for (WatchingGateway* from : { &first, &second }) {
     for (const wire::Suspicion& suspicion :
          from->SuspicionsToAdvertise(LoopNow())) {
       third.Merge(suspicion);
@@ -118,11 +138,11 @@
 TEST(CrashWatch, CompletedRequestClearsSuspicion)
 {
   Loop loop{ 1 };
-  CrashWatch watch(loop);
+  WatchingGateway watch(loop);
   const Address nobody{ "127.0.0.1", UnusedPort() };
   watch.OnConnectionLost("i-1", nobody, kInnocent);
   ASSERT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
-  watch.OnRequestCompleted(kInnocent, 200);
+  watch.RecordCompletion(kInnocent, 200, LoopNow());
   EXPECT_TRUE(watch.List().empty());
   watch.OnConnectionLost("i-2", nobody, kInnocent);
   ASSERT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
@@ -132,7 +152,7 @@
 TEST(CrashWatch, AdvertisedSuspicionsAreBounded)
 {
   Loop loop{ 1 };
-  CrashWatch watch(loop);
+  WatchingGateway watch(loop);
   const Address nobody{ "127.0.0.1", UnusedPort() };
   (void)watch.SuspicionsToAdvertise(LoopNow());
   constexpr std::uint64_t kSuspicions = 100;
@@ -150,7 +170,7 @@
 TEST(CrashWatch, QuarantineIsAdvertisedInEveryBeacon)
 {
   Loop loop{ 1 };
-  CrashWatch watch(loop);
+  WatchingGateway watch(loop);
   const Address nobody{ "127.0.0.1", UnusedPort() };
   watch.OnConnectionLost("i-1", nobody, kPoison);
   watch.OnConnectionLost("i-2", nobody, kPoison);
