--- a/tests/suspicion_exchange_test.cpp
+++ b/tests/suspicion_exchange_test.cpp
@@ -266,7 +266,7 @@
     request.m_gateway = m_random.Below(kGateways);
     request.m_incarnation = m_gateways[request.m_gateway].m_incarnation;
     request.m_isCallerRetry = aIsCallerRetry;
-    Send(std::move(request));
+    Send(request);
   }
 
   // Gateways know each other's loads, so simultaneous retries go to the same
@@ -300,7 +300,7 @@
     } else {
       aRequest.m_endsAt = m_now + milliseconds(300 + m_random.Below(2000));
     }
-    runner->m_requests.push_back(std::move(aRequest));
+    runner->m_requests.push_back(aRequest);
   }
 
   void AdvanceRequests()
