A bystander at two crashes no longer prevents a quarantine at gateways

Callers saw one request crash runner after runner. Cause: the inference needs that no other request shares two crashes with the suspect. Gateways don't run suspects in isolation, so a request that was lost beside the crashing one and retried on the same next runner shares two for good if it never completes, whatever follows.

SuspicionTable is told whether it sees all that an upstream ran. With a partial view a request is quarantined at three crashes since its last completion, shared or not: the set of crashes only grows, so no later report can take that back. Agents, which see all and isolate suspects, decide as before.

--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -43,6 +43,13 @@
   std::uint32_t m_attributed = 0; // of these, to other, quarantined requests
 };
 
+// Which requests a process knows to have been in flight at a crash.
+enum class CrashView
+{
+  Complete, // all of them, and suspects run in isolation
+  Partial,  // its own; others sent requests to the same upstream
+};
+
 // The suspicions known to a process. Agents record the crashes of their
 // upstreams, and every process merges the suspicions of the others, in any
 // order and possibly more than once. The table is bounded: when it is full, the
@@ -56,6 +63,11 @@
     std::string m_classOfWork;
   };
 
+  explicit SuspicionTable(CrashView aView = CrashView::Complete)
+    : m_view(aView)
+  {
+  }
+
   SuspicionState StateOf(std::uint64_t aFingerprint) const;
 
   // Records an upstream crash. aCrash identifies the crash uniquely in the
@@ -115,15 +127,20 @@
   static bool IsSoleSuspect(std::uint64_t aFingerprint,
                             const State& aState,
                             const ByCrash& aByCrash);
+  bool IsInferredQuarantine(std::uint64_t aFingerprint,
+                            const State& aState,
+                            const ByCrash& aByCrash) const;
   void MarkChanged(State& aState);
   void EvictOldest();
 
+  CrashView m_view;
   std::unordered_map<std::uint64_t, State> m_states;
   // Crashes of quarantined fingerprints. Other requests in flight at them are
   // not suspected.
   std::unordered_set<std::string> m_attributedCrashes;
   // Quarantined by inference: two or more unattributed crashes, at most one of
   // them shared with any one other fingerprint, and no recorded completion.
+  // With a partial view also any fingerprint that has kCrashesToQuarantine.
   std::unordered_set<std::uint64_t> m_inferredQuarantines;
   std::unordered_set<std::uint64_t> m_succeeded;
   std::deque<std::uint64_t> m_succeededOrder;
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -44,7 +44,7 @@
 private:
   void LogQuarantined() const;
 
-  SuspicionTable m_table;
+  SuspicionTable m_table{ CrashView::Partial };
   // Change numbers of the table at recent times; each change is advertised for
   // kAdvertisePeriod.
   std::deque<std::pair<MonotonicTime, std::uint64_t>> m_changeNumbers;
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t kCrashesToInfer = 2;
 // Crashes shared with one other fingerprint that prevent the inference.
 constexpr int kSharedCrashesToExclude = 2;
+// Unattributed crashes after which a fingerprint is quarantined although others
+// share them. Suspects don't run in isolation where the view is partial, so a
+// request that was retried beside the culprit may never be told from it.
+constexpr std::size_t kCrashesToQuarantine = 3;
 
 } // namespace
 
@@ -104,14 +108,26 @@
     }
   }
   for (const auto& [fingerprint, state] : m_states) {
-    if (!state.m_quarantined && CountUnattributed(state) >= kCrashesToInfer &&
-        !m_succeeded.contains(fingerprint) &&
-        IsSoleSuspect(fingerprint, state, byCrash)) {
+    if (!state.m_quarantined &&
+        IsInferredQuarantine(fingerprint, state, byCrash)) {
       m_inferredQuarantines.insert(fingerprint);
     }
   }
 }
 
+bool
+SuspicionTable::IsInferredQuarantine(std::uint64_t aFingerprint,
+                                     const State& aState,
+                                     const ByCrash& aByCrash) const
+{
+  const std::size_t crashes = CountUnattributed(aState);
+  if (m_view == CrashView::Partial && crashes >= kCrashesToQuarantine) {
+    return true;
+  }
+  return crashes >= kCrashesToInfer && !m_succeeded.contains(aFingerprint) &&
+         IsSoleSuspect(aFingerprint, aState, aByCrash);
+}
+
 bool
 SuspicionTable::IsSoleSuspect(std::uint64_t aFingerprint,
                               const State& aState,
