A gateway no longer takes its only request at a crash for the only one

Callers saw a bystander refused for good and the request that crashes runners go on. Cause: a request that was alone in flight at two crashes is quarantined for certain and its crashes are attributed to it. That holds for an agent, which sees all that its upstream runs. A gateway sees what it sent itself, about one request a runner on a site of nine gateways; a request of its own that was retried beside the crashing one was blamed, and the crashes no longer counted against the other.

With a partial view only the inference from all gateways' crashes decides. Class of fault: what one process sees taken for what happened in the fleet.

--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -72,7 +72,8 @@
 
   // Records an upstream crash. aCrash identifies the crash uniquely in the
   // fleet. Each request in flight becomes a suspect; a suspect that was the
-  // only request in flight is quarantined. Returns the changed suspicions.
+  // only request in flight is quarantined, if the view is complete. Returns the
+  // changed suspicions.
   std::vector<wire::Suspicion> RecordCrash(
     const std::string& aCrash,
     const std::vector<InFlight>& aInFlight,
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -79,8 +79,9 @@
       state.m_crashes.insert(aCrash);
     }
     // A repeated crash with no other fingerprint in flight.
-    state.m_quarantined |=
-      fingerprints.size() == 1 && state.m_crashes.size() > 1;
+    state.m_quarantined |= m_view == CrashView::Complete &&
+                           fingerprints.size() == 1 &&
+                           state.m_crashes.size() > 1;
     MarkChanged(state);
   }
   RecomputeDerivedState();
