A runner's server error no longer clears a suspicion

Callers saw a request that crashes runners sent on. Cause: any complete response counted as a run to the end, so one 500 of a faulty runner cleared the crashes on all gateways and kept this one from ever inferring a quarantine of the request. Now only a response below 500 clears it; a runner that fails requests ends them before they reach the point of the crash.

--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::milliseconds kAdvertisePeriod{ 3000 };
 constexpr std::size_t kMaxAdvertised = 8;
+constexpr int kFirstServerError = 500;
 
 std::string
 Describe(const SuspicionListing& aListing)
@@ -55,7 +56,8 @@
                                     int aStatus,
                                     MonotonicTime aNow)
 {
-  if (!m_table.Find(aFingerprint)) {
+  // A failing runner may give up the request before the point of the crash.
+  if (aStatus >= kFirstServerError || !m_table.Find(aFingerprint)) {
     return;
   }
   if (const auto listing = m_table.ListingOf(aFingerprint)) {
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -21,7 +21,8 @@
   void RecordCrash(const std::string& aRunner,
                    const std::vector<std::uint64_t>& aFingerprints,
                    MonotonicTime aNow);
-  // aStatus is that of the runner's complete response.
+  // aStatus is that of the runner's complete response. Clears the suspicion
+  // unless it is a server error.
   void RecordCompletion(std::uint64_t aFingerprint,
                         int aStatus,
                         MonotonicTime aNow);
