Gateways take turns in advertising suspicions

Callers saw a request that crashes runners accepted by gateway after gateway. Cause: a beacon held the eight suspicions with most crashes. Eight quarantined requests, or the bystanders of a few crashes at once, filled all beacons; a request that each gateway had seen at one crash was never told, so none could infer its quarantine. Now each beacon goes on where the last one ended, with what changed since it was sent first. Heartbeat and region report carry the same suspicions of one round.

Class of fault: a bound on what is shared that always drops the same.

QuarantineInferredLongAfterTheCrashesIsAdvertised fails without the scan for quarantined requests.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -199,8 +199,7 @@
   ApplyPeerLoads();
   if (m_ticks % kTicksPerHeartbeat == 0) {
     const bool includeVersions = m_ticks % kTicksPerSecond < kTicksPerHeartbeat;
-    SendHeartbeat(includeVersions);
-    SendRegionReport(includeVersions);
+    Advertise(includeVersions);
   } else {
     SendLoadChanges();
   }
@@ -329,8 +328,7 @@
   m_drainingSince = LoopNow();
   Log(LogLevel::Info, "leaving", { { "exchanges", m_exchanges.size() } });
   m_callerListener->AnnounceClose();
-  SendHeartbeat(true);
-  SendRegionReport(true);
+  Advertise(true);
 }
 
 void
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -163,17 +163,27 @@
   SendToRegionPeers(datagram);
 }
 
+void
+Gateway::Advertise(bool aIncludeVersions)
+{
+  // Taken once, since each call continues where the last one ended.
+  const std::vector<wire::Suspicion> suspicions =
+    m_suspicions.SuspicionsToAdvertise(LoopNow());
+  SendHeartbeat(aIncludeVersions, suspicions);
+  SendRegionReport(aIncludeVersions, suspicions);
+}
+
 // Sent even if nothing changed, to show that this gateway is alive.
 void
-Gateway::SendHeartbeat(bool aIncludeVersions)
+Gateway::SendHeartbeat(bool aIncludeVersions,
+                       const std::vector<wire::Suspicion>& aSuspicions)
 {
   v1::Datagram datagram = BeaconWithLoads();
   if (aIncludeVersions) {
     AppendNamedAges(
       m_named, BootTime(), *datagram.mutable_gateway()->mutable_named());
   }
-  for (const wire::Suspicion& suspicion :
-       m_suspicions.SuspicionsToAdvertise(LoopNow())) {
+  for (const wire::Suspicion& suspicion : aSuspicions) {
     *datagram.mutable_gateway()->add_suspicions() = suspicion;
   }
   SendToRegionPeers(datagram);
@@ -181,7 +191,8 @@
 
 // Sends the state of this region to gateways of the other regions.
 void
-Gateway::SendRegionReport(bool aIncludeVersions)
+Gateway::SendRegionReport(bool aIncludeVersions,
+                          const std::vector<wire::Suspicion>& aSuspicions)
 {
   const MonotonicTime now = LoopNow();
   const std::vector<Address> targets =
@@ -210,8 +221,7 @@
   if (aIncludeVersions) {
     AppendNamedAges(m_named, BootTime(), *report.mutable_named());
   }
-  for (const wire::Suspicion& suspicion :
-       m_suspicions.SuspicionsToAdvertise(now)) {
+  for (const wire::Suspicion& suspicion : aSuspicions) {
     *report.add_suspicions() = suspicion;
   }
   for (const Address& address : targets) {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -86,8 +86,12 @@
   v1::Datagram BeaconWithLoads() const;
   void SendToRegionPeers(const v1::Datagram& aDatagram);
   void SendLoadChanges();
-  void SendHeartbeat(bool aIncludeVersions);
-  void SendRegionReport(bool aIncludeVersions);
+  // Sends a heartbeat to this region's gateways and a report to other regions.
+  void Advertise(bool aIncludeVersions);
+  void SendHeartbeat(bool aIncludeVersions,
+                     const std::vector<wire::Suspicion>& aSuspicions);
+  void SendRegionReport(bool aIncludeVersions,
+                        const std::vector<wire::Suspicion>& aSuspicions);
   void AppendRegionLoads(v1::RegionReport& aReport);
   void SendToStagers();
   void ApplyPeerLoads();
--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -4,7 +4,7 @@
 #include "siskindeal/operators.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace siskindeal {
 
@@ -78,34 +78,45 @@
 std::vector<wire::Suspicion>
 SuspicionExchange::SuspicionsToAdvertise(MonotonicTime aNow)
 {
-  if (m_changeNumbers.empty()) {
-    m_changeNumbers.emplace_back(aNow, 0);
-  }
-  m_changeNumbers.emplace_back(aNow, m_table.Number());
-  while (aNow - m_changeNumbers.front().first > kAdvertisePeriod) {
-    m_changeNumbers.pop_front();
-  }
-  std::vector<wire::Suspicion> advertised =
-    m_table.ChangedSince(m_changeNumbers.front().second);
-  std::set<std::uint64_t> fingerprints;
-  for (const wire::Suspicion& changed : advertised) {
-    fingerprints.insert(changed.fingerprint());
+  for (const wire::Suspicion& changed : m_table.ChangedSince(m_lastNumber)) {
+    m_advertised[changed.fingerprint()] = { aNow, 0 };
   }
+  m_lastNumber = m_table.Number();
   for (const SuspicionListing& listing : m_table.List()) {
-    if (listing.m_state == SuspicionState::Quarantined &&
-        fingerprints.insert(listing.m_fingerprint).second) {
-      advertised.push_back(*m_table.Find(listing.m_fingerprint));
+    if (listing.m_state == SuspicionState::Quarantined) {
+      m_advertised.try_emplace(listing.m_fingerprint);
+    }
+  }
+  std::erase_if(m_advertised, [&](const auto& aEntry) {
+    return aNow - aEntry.second.m_changedAt > kAdvertisePeriod &&
+           !IsQuarantined(aEntry.first);
+  });
+  std::vector<wire::Suspicion> advertised;
+  for (const auto& [fingerprint, state] : m_advertised) {
+    if (auto suspicion = m_table.Find(fingerprint)) {
+      advertised.push_back(std::move(*suspicion));
     }
   }
   std::stable_sort(advertised.begin(),
                    advertised.end(),
-                   [](const auto& aOne, const auto& aOther) {
-                     return aOne.crashes() > aOther.crashes();
+                   [&](const auto& aOne, const auto& aOther) {
+                     return std::pair(LastRound(aOne), aOther.crashes()) <
+                            std::pair(LastRound(aOther), aOne.crashes());
                    });
   advertised.resize(std::min(advertised.size(), kMaxAdvertised));
+  ++m_round;
+  for (const wire::Suspicion& suspicion : advertised) {
+    m_advertised[suspicion.fingerprint()].m_lastRound = m_round;
+  }
   return advertised;
 }
 
+std::uint64_t
+SuspicionExchange::LastRound(const wire::Suspicion& aSuspicion) const
+{
+  return m_advertised.at(aSuspicion.fingerprint()).m_lastRound;
+}
+
 void
 SuspicionExchange::Merge(const wire::Suspicion& aSuspicion)
 {
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -6,7 +6,7 @@
 #include "siskindeal/clock.h"
 #include "siskindeal/quarantine.h"
 
-#include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,8 +30,9 @@
   // Whether a request has crashed its runners and must not be sent again.
   bool IsQuarantined(std::uint64_t aFingerprint) const;
 
-  // Suspicions to send to other gateways, those with most crashes first;
-  // bounded.
+  // Suspicions to send to other gateways: those that changed recently and those
+  // of quarantined requests. Bounded; successive calls take turns, beginning
+  // with what was never sent and has most crashes.
   std::vector<wire::Suspicion> SuspicionsToAdvertise(MonotonicTime aNow);
   void Merge(const wire::Suspicion& aSuspicion);
 
@@ -44,11 +45,17 @@
 
 private:
   void LogQuarantined() const;
+  std::uint64_t LastRound(const wire::Suspicion& aSuspicion) const;
 
   SuspicionTable m_table{ CrashView::Partial };
-  // Change numbers of the table at recent times; each change is advertised for
-  // kAdvertisePeriod.
-  std::deque<std::pair<MonotonicTime, std::uint64_t>> m_changeNumbers;
+  struct Advertised
+  {
+    MonotonicTime m_changedAt{};
+    std::uint64_t m_lastRound = 0; // 0: not since it changed
+  };
+  std::map<std::uint64_t, Advertised> m_advertised; // by fingerprint
+  std::uint64_t m_round = 0;
+  std::uint64_t m_lastNumber = 0; // the table's, when last advertised
 };
 
 } // namespace siskindeal
--- a/tests/suspicion_exchange_test.cpp
+++ b/tests/suspicion_exchange_test.cpp
@@ -112,6 +112,22 @@
   EXPECT_EQ(advertised.size(), kSuspicions);
 }
 
+TEST(SuspicionExchange, QuarantineInferredLongAfterTheCrashesIsAdvertised)
+{
+  std::vector<SuspicionExchange> gateways(2);
+  MonotonicTime now = kStart;
+  gateways[0].RecordCrash("i-1", { kCrasher, kBystander }, now);
+  gateways[0].RecordCrash("i-2", { kCrasher, kBystander }, now);
+  ASSERT_FALSE(gateways[0].IsQuarantined(kCrasher));
+  (void)gateways[0].SuspicionsToAdvertise(now);
+  now += std::chrono::seconds(10);
+  (void)gateways[0].SuspicionsToAdvertise(now);
+  gateways[0].RecordCompletion(kBystander, kOk, now);
+  ASSERT_TRUE(gateways[0].IsQuarantined(kCrasher));
+  ExchangeAll(gateways, now);
+  EXPECT_TRUE(gateways[1].IsQuarantined(kCrasher));
+}
+
 TEST(SuspicionExchange, ErrorResponseOfARunnerDoesNotClearASuspicion)
 {
   for (const int status : { 500, 504 }) {
