A quarantine by inference is evicted after suspects, like any other

Callers would see a quarantined request accepted again: the table protects quarantined requests when it is full, but looked only at those quarantined for certain, which at gateways are none. 4,096 later suspects, 250 crashes of runners with 16 requests, pushed a request that crashes runners out of the table.

Measured: Quarantine.AnInferredQuarantineIsNotEvictedBeforeSuspects failed before and passes; quarantine_test and suspicion_exchange_test pass.

--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace siskindeal {
@@ -117,6 +118,7 @@
     std::uint64_t m_sequence = 0; // of the last change in this process
   };
 
+  using States = std::unordered_map<std::uint64_t, State>;
   wire::Suspicion ToWire(std::uint64_t aFingerprint, const State& aState) const;
   SuspicionListing ToListing(std::uint64_t aFingerprint,
                              const State& aState) const;
@@ -132,10 +134,13 @@
                             const State& aState,
                             const ByCrash& aByCrash) const;
   void MarkChanged(State& aState);
+  // Lower ranks are evicted first.
+  std::pair<bool, std::uint64_t> EvictionRank(
+    const States::value_type& aEntry) const;
   void EvictOldest();
 
   CrashView m_view;
-  std::unordered_map<std::uint64_t, State> m_states;
+  States m_states;
   // Crashes of quarantined fingerprints. Other requests in flight at them are
   // not suspected.
   std::unordered_set<std::string> m_attributedCrashes;
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -313,17 +313,22 @@
   return changed;
 }
 
+std::pair<bool, std::uint64_t>
+SuspicionTable::EvictionRank(const States::value_type& aEntry) const
+{
+  const auto& [fingerprint, state] = aEntry;
+  return { StateOf(fingerprint) == SuspicionState::Quarantined,
+           state.m_sequence };
+}
+
 void
 SuspicionTable::EvictOldest()
 {
   while (m_states.size() > kMaxSuspicions) {
     auto oldest = m_states.end();
     for (auto it = m_states.begin(); it != m_states.end(); ++it) {
-      const bool older =
-        oldest == m_states.end() ||
-        std::pair(it->second.m_quarantined, it->second.m_sequence) <
-          std::pair(oldest->second.m_quarantined, oldest->second.m_sequence);
-      if (older) {
+      if (oldest == m_states.end() ||
+          EvictionRank(*it) < EvictionRank(*oldest)) {
         oldest = it;
       }
     }
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -342,6 +342,20 @@
   EXPECT_EQ(table.StateOf(7), SuspicionState::None);
 }
 
+TEST(Quarantine, AnInferredQuarantineIsNotEvictedBeforeSuspects)
+{
+  const MonotonicTime now{};
+  Table table;
+  table.RecordCrash("a#1", { { 7, "chat" }, { 8, "chat" } }, now);
+  table.RecordCrash("b#1", { { 7, "chat" }, { 9, "chat" } }, now);
+  ASSERT_EQ(table.StateOf(7), SuspicionState::Quarantined);
+  for (std::uint64_t i = 0; i < Table::kMaxSuspicions; ++i) {
+    table.RecordCrash(
+      "c#" + std::to_string(i), { { kFirstHarmless + i, "chat" } }, now);
+  }
+  EXPECT_EQ(table.StateOf(7), SuspicionState::Quarantined);
+}
+
 TEST(Quarantine, TheGateRefusesOthersAndExpiresLongWaits)
 {
   using Entry = IsolationGate::Entry;
