A gateway that doesn't know the others yet leaves the shared retry slack alone

Callers would see runners flooded with retries after many gateways restarted at once. Cause: each began with a count of one gateway, so each could take the whole shared slack until it heard of the others. Now the slack is divided once the list of gateways was read, or after a second of beacons where the store is away; readiness waits for the same, so that a gateway's first requests can be retried.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -43,10 +43,14 @@
 {
   Window& window = m_windows[aService];
   DropExpired(window, aNow);
+  const double ownSlack =
+    m_gatewayCount == 0
+      ? 0
+      : m_allowance.m_slack / static_cast<double>(m_gatewayCount);
   const double allowed =
     kUsableShare *
     (m_allowance.m_ratio * static_cast<double>(window.m_requests.size()) +
-     m_allowance.m_slack / static_cast<double>(m_gatewayCount));
+     ownSlack);
   if (static_cast<double>(window.m_retries.size()) + 1 > allowed) {
     return false;
   }
--- a/src/dispatch/retry_budget_p.h
+++ b/src/dispatch/retry_budget_p.h
@@ -30,7 +30,8 @@
   {
     m_allowance = aAllowance;
   }
-  // Sets how many gateways share the slack. Keeps the largest count seen.
+  // Sets how many gateways share the slack; until then, none of it is used.
+  // Keeps the largest count seen.
   void SetGatewayCount(std::size_t aCount);
   void RecordRequest(const std::string& aService, MonotonicTime aNow);
   // Counts one more retry and returns true if the budget allows it.
@@ -46,7 +47,7 @@
   void DropExpired(Window& aWindow, MonotonicTime aNow) const;
 
   RetryAllowance m_allowance;
-  std::size_t m_gatewayCount = 1;
+  std::size_t m_gatewayCount = 0; // 0: unknown
   std::map<std::string, Window> m_windows;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -169,9 +169,12 @@
                                 OnVersion(aObject, milliseconds(0));
                               },
                               [] {} });
-  m_gatewayFeed = StartFeed(kGatewayKind,
-                            kGatewayFeedTiming,
-                            { forEach(applyGateway), applyGateway, [] {} });
+  m_gatewayFeed =
+    StartFeed(kGatewayKind,
+              kGatewayFeedTiming,
+              { [this](const auto& aObjects) { OnGateways(aObjects); },
+                applyGateway,
+                [] {} });
   for (const Address& entry : m_settings.m_node.m_entries) {
     // Every gateway uses the same datagram port. The list may include this one.
     if (entry.m_host != m_settings.m_node.m_rpc.m_host) {
@@ -205,6 +208,7 @@
   }
   if (m_ticks % kTicksPerSecond == 0) {
     SendToStagers();
+    UpdateGatewayCount();
     m_runners.Sweep(now);
     std::erase_if(m_runnerReports, [&](const auto& aEntry) {
       return m_runners.Find(aEntry.first) == nullptr;
@@ -223,7 +227,8 @@
 bool
 Gateway::AcceptsCallers() const
 {
-  return m_routes && m_haveRunnerList && !m_drainingSince;
+  return m_routes && m_haveRunnerList && KnowsGatewayCount() &&
+         !m_drainingSince;
 }
 
 bool
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -47,7 +47,7 @@
     m_suspicions.Merge(suspicion);
   }
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
-    m_retries.SetGatewayCount(m_peers.Count());
+    UpdateGatewayCount();
   }
 }
 
@@ -58,7 +58,7 @@
   if (!m_peers.OnRegionReport(report, LoopNow())) {
     return;
   }
-  m_retries.SetGatewayCount(m_peers.Count());
+  UpdateGatewayCount();
   MergeNamedVersions(report.named());
   for (const wire::Suspicion& suspicion : report.suspicions()) {
     m_suspicions.Merge(suspicion);
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -76,6 +76,11 @@
   void MergeNamedVersions(
     const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
   void OnGateway(const SiteObject& aObject);
+  void OnGateways(const std::vector<SiteObject>& aObjects);
+  // Whether all gateways that run are probably known.
+  bool KnowsGatewayCount() const;
+  // Divides the shared retry allowance among the known gateways.
+  void UpdateGatewayCount();
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
   void OnBeacon(const v1::GatewayBeacon& aBeacon, const Address& aFrom);
   void OnRegionReport(const v1::Datagram& aDatagram);
@@ -120,6 +125,8 @@
   std::shared_ptr<const RouteIndex> m_routes; // null before the first config
   RunnerTable m_runners;
   bool m_haveRunnerList = false;
+  bool m_haveGatewayList = false;
+  MonotonicTime m_startedAt = LoopNow();
   Placer m_placer;
   SharedRetryBudget m_retries;
   SuspicionExchange m_suspicions;
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -104,7 +104,33 @@
         { { "name", aObject.m_name },
           { "reason", std::string_view(error.what()) } });
   }
-  m_retries.SetGatewayCount(m_peers.Count());
+  UpdateGatewayCount();
+}
+
+void
+Gateway::OnGateways(const std::vector<SiteObject>& aObjects)
+{
+  m_haveGatewayList = true;
+  for (const SiteObject& object : aObjects) {
+    OnGateway(object);
+  }
+  UpdateGatewayCount();
+}
+
+bool
+Gateway::KnowsGatewayCount() const
+{
+  // Without the store, the beacons of the first second show who else runs.
+  constexpr milliseconds kDiscoveryTime{ 1000 };
+  return m_haveGatewayList || LoopNow() - m_startedAt > kDiscoveryTime;
+}
+
+void
+Gateway::UpdateGatewayCount()
+{
+  if (KnowsGatewayCount()) {
+    m_retries.SetGatewayCount(m_peers.Count());
+  }
 }
 
 void
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -229,6 +229,26 @@
 
 // For any order of requests and retries and any distribution over gateways, the
 // total number of retries stays within the shared allowance.
+// A gateway that has just started doesn't know how many others share the slack.
+TEST(SharedRetryBudget, GatewaysStartedTogetherStayWithinTheSharedSlack)
+{
+  constexpr std::size_t kGateways = 9;
+  const RetryAllowance allowance{ 0.2, milliseconds(10000), 106 };
+  std::vector<SharedRetryBudget> budgets(kGateways,
+                                         SharedRetryBudget(allowance));
+  double retries = 0;
+  for (SharedRetryBudget& budget : budgets) {
+    while (budget.TakeRetry("caddie", kStart)) {
+      ++retries;
+    }
+  }
+  EXPECT_LE(retries, allowance.m_slack);
+  for (SharedRetryBudget& budget : budgets) {
+    budget.SetGatewayCount(kGateways);
+    EXPECT_TRUE(budget.TakeRetry("caddie", kStart));
+  }
+}
+
 TEST(SharedRetryBudget, AllGatewaysStayWithinTheSharedAllowance)
 {
   constexpr std::size_t kGateways = 9;
