Gateways log a quarantine when it begins or ends, not at each report of it

The line `requests quarantined` came with each merged suspicion while any request was quarantined. It now comes when the set changes and names what is new.

Measured: suspicion_exchange_test and gateway_crash_test pass.

--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -4,6 +4,7 @@
 #include "siskindeal/operators.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace siskindeal {
@@ -48,7 +49,7 @@
       { { "runner", aRunner },
         { "requests", aFingerprints.size() },
         { "suspects", suspects } });
-  LogQuarantined();
+  LogQuarantineChanges();
 }
 
 void
@@ -67,6 +68,7 @@
   }
   // Counts as run alone, since a request that crashes runners never completes.
   m_table.RecordCompletion(aFingerprint, true, aNow);
+  LogQuarantineChanges();
 }
 
 bool
@@ -121,25 +123,28 @@
 SuspicionExchange::Merge(const wire::Suspicion& aSuspicion)
 {
   if (m_table.Merge(aSuspicion)) {
-    LogQuarantined();
+    LogQuarantineChanges();
   }
 }
 
 void
-SuspicionExchange::LogQuarantined() const
+SuspicionExchange::LogQuarantineChanges()
 {
-  std::size_t quarantined = 0;
-  std::string fingerprints;
+  std::set<std::uint64_t> quarantined;
+  std::string added;
   for (const SuspicionListing& listing : m_table.List()) {
     if (listing.m_state == SuspicionState::Quarantined) {
-      ++quarantined;
-      fingerprints += Describe(listing) + ' ';
+      quarantined.insert(listing.m_fingerprint);
+      if (!m_quarantined.contains(listing.m_fingerprint)) {
+        added += Describe(listing) + ' ';
+      }
     }
   }
-  if (quarantined > 0) {
+  if (quarantined != m_quarantined) {
     Log(LogLevel::Warning,
         "requests quarantined",
-        { { "requests", quarantined }, { "fingerprints", fingerprints } });
+        { { "requests", quarantined.size() }, { "added", added } });
+    m_quarantined = std::move(quarantined);
   }
 }
 
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,10 +45,11 @@
   std::vector<SuspicionListing> List() const { return m_table.List(); }
 
 private:
-  void LogQuarantined() const;
+  void LogQuarantineChanges();
   std::uint64_t LastRound(const wire::Suspicion& aSuspicion) const;
 
   SuspicionTable m_table{ CrashView::Partial };
+  std::set<std::uint64_t> m_quarantined; // as last logged
   struct Advertised
   {
     MonotonicTime m_changedAt{};
