A crash probe that gets no answer is repeated

Callers would see a request that crashes runners sent on: where packets of the probe were lost, the gateway dropped what it knew of the requests in flight, so that the crash was no evidence against any of them. The probe is now repeated at its usual interval while the loss of the connections is recent enough to be linked to a crash.

Class of fault: one lost message loses what was known.

Measured: CrashIsNoticedAlthoughTheFirstProbeGetsNoAnswer failed before (20 s) and passes; gateway_crash_test passes.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -14,9 +14,7 @@
 constexpr milliseconds kProbeDelay{ 60 };      // groups simultaneous losses
 constexpr milliseconds kProbeInterval{ 1000 }; // between probes of one runner
 constexpr milliseconds kProbeTimeout{ 300 };   // a timeout isn't a crash
-// Connections lost longer than this before a probe aren't linked to its crash.
-constexpr milliseconds kCrashWindow{ 2000 };
-constexpr std::size_t kMaxProbes = 256; // one per runner
+constexpr std::size_t kMaxProbes = 256;        // one per runner
 
 const char*
 ProbeResultName(const NetError& aResult)
@@ -52,11 +50,18 @@
   if (probe->m_pending) {
     return;
   }
-  probe->m_pending = true;
-  probe->m_timer.expires_at(
-    std::max(now + kProbeDelay, probe->m_probedAt + kProbeInterval));
-  probe->m_timer.async_wait(
-    [this, aRunner, probe = probe](const NetError& aError) {
+  ScheduleProbe(aRunner, probe);
+}
+
+void
+CrashWatch::ScheduleProbe(const std::string& aRunner,
+                          const std::shared_ptr<RunnerProbe>& aProbe)
+{
+  aProbe->m_pending = true;
+  aProbe->m_timer.expires_at(
+    std::max(LoopNow() + kProbeDelay, aProbe->m_probedAt + kProbeInterval));
+  aProbe->m_timer.async_wait(
+    [this, aRunner, probe = aProbe](const NetError& aError) {
       if (!aError) {
         StartProbe(aRunner, probe);
       }
@@ -81,28 +86,35 @@
       NetError ignored;
       probe->m_timer.cancel();
       probe->m_socket.close(ignored);
-      OnProbed(aRunner, *probe, aError);
+      OnProbed(aRunner, probe, aError);
     });
 }
 
 void
 CrashWatch::OnProbed(const std::string& aRunner,
-                     RunnerProbe& aProbe,
+                     const std::shared_ptr<RunnerProbe>& aProbe,
                      const NetError& aResult)
 {
-  aProbe.m_pending = false;
-  const std::vector<LostConnection> lostConnections =
-    std::exchange(aProbe.m_lostConnections, {});
+  aProbe->m_pending = false;
+  std::erase_if(aProbe->m_lostConnections, [&](const LostConnection& aLost) {
+    return LoopNow() - aLost.m_at > m_crashWindow;
+  });
   CountMetric("siskindeal_gateway_crash_probes_total",
               { { "result", ProbeResultName(aResult) } });
-  if (aResult != boost::asio::error::connection_refused) {
+  const bool refused = aResult == boost::asio::error::connection_refused;
+  if (aResult && !refused && !aProbe->m_lostConnections.empty()) {
+    ScheduleProbe(aRunner, aProbe); // packets of the probe may have been lost
+    return;
+  }
+  const std::vector<LostConnection> lostConnections =
+    std::exchange(aProbe->m_lostConnections, {});
+  if (!refused) {
     return;
   }
   std::vector<std::uint64_t> inFlight;
+  inFlight.reserve(lostConnections.size());
   for (const LostConnection& lost : lostConnections) {
-    if (LoopNow() - lost.m_at <= kCrashWindow) {
-      inFlight.push_back(lost.m_fingerprint);
-    }
+    inFlight.push_back(lost.m_fingerprint);
   }
   CountMetric("siskindeal_gateway_runner_crashes_total", {});
   m_suspicions.RecordCrash(aRunner, inFlight, LoopNow());
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -15,15 +15,22 @@
 class CrashWatch
 {
 public:
-  CrashWatch(Loop& aLoop, SuspicionExchange& aSuspicions)
+  static constexpr std::chrono::milliseconds kCrashWindow{ 2000 };
+
+  // Connections lost longer than aCrashWindow before a probe aren't linked to
+  // the crash that it finds.
+  CrashWatch(Loop& aLoop,
+             SuspicionExchange& aSuspicions,
+             std::chrono::milliseconds aCrashWindow = kCrashWindow)
     : m_loop(aLoop)
     , m_suspicions(aSuspicions)
+    , m_crashWindow(aCrashWindow)
   {
   }
 
   // A connection was lost before its response was complete. The runner is
   // probed once for all connections lost together; it has crashed if it refuses
-  // the probe's connection.
+  // the probe's connection. A probe without an answer is repeated.
   void OnConnectionLost(const std::string& aRunner,
                         const Address& aAddress,
                         std::uint64_t aFingerprint);
@@ -51,14 +58,17 @@
     Tcp::socket m_socket;
   };
 
+  void ScheduleProbe(const std::string& aRunner,
+                     const std::shared_ptr<RunnerProbe>& aProbe);
   void StartProbe(const std::string& aRunner,
                   const std::shared_ptr<RunnerProbe>& aProbe);
   void OnProbed(const std::string& aRunner,
-                RunnerProbe& aProbe,
+                const std::shared_ptr<RunnerProbe>& aProbe,
                 const NetError& aResult);
 
   Loop& m_loop;
   SuspicionExchange& m_suspicions;
+  std::chrono::milliseconds m_crashWindow;
   std::map<std::string, std::shared_ptr<RunnerProbe>> m_probes; // by runner
 };
 
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -3,6 +3,8 @@
 #include "gateway/crash_watch_p.h"
 #include "support/gateway_fixture.h"
 
+#include <list>
+
 namespace siskindeal {
 
 namespace {
@@ -66,8 +68,9 @@
 class WatchingGateway : public SuspicionExchange
 {
 public:
-  explicit WatchingGateway(Loop& aLoop)
-    : m_watch(aLoop, *this)
+  explicit WatchingGateway(Loop& aLoop,
+                           milliseconds aCrashWindow = CrashWatch::kCrashWindow)
+    : m_watch(aLoop, *this, aCrashWindow)
   {
   }
 
@@ -111,6 +114,45 @@
   EXPECT_TRUE(Eventually([&] { return connections == 2; }));
 }
 
+// Listens on 127.0.0.1 and lets connections hang, as if packets were lost.
+class HangingServer
+{
+public:
+  HangingServer()
+  {
+    m_acceptor.open(Tcp::v4());
+    m_acceptor.bind({ boost::asio::ip::address_v4::loopback(), 0 });
+    m_acceptor.listen(0);
+    // Fills the queue of connections that wait to be accepted.
+    for (int i = 0; i < 2; ++i) {
+      m_waiting.emplace_back(m_loop).async_connect(m_acceptor.local_endpoint(),
+                                                   [](const NetError&) {});
+    }
+  }
+
+  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  void Close() { m_acceptor.close(); }
+
+private:
+  Loop m_loop{ 1 };
+  Tcp::acceptor m_acceptor{ m_loop };
+  std::list<Tcp::socket> m_waiting;
+};
+
+TEST(CrashWatch, CrashIsNoticedAlthoughTheFirstProbeGetsNoAnswer)
+{
+  Loop loop{ 1 };
+  WatchingGateway watch(loop, kTestTimeout);
+  HangingServer runner;
+  watch.OnConnectionLost("i-1", { "127.0.0.1", runner.Port() }, kPoison);
+  constexpr milliseconds kFirstProbeTimesOut{ 500 };
+  loop.run_for(kFirstProbeTimesOut);
+  loop.restart();
+  EXPECT_TRUE(watch.List().empty());
+  runner.Close();
+  EXPECT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
+}
+
 TEST(CrashWatch, SuspicionsOfSeveralGatewaysAreCombined)
 {
   Loop loop{ 1 };
