--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -49,7 +49,6 @@
       { { "runner", aRunner },
         { "requests", aFingerprints.size() },
         { "suspects", suspects } });
-  LogQuarantineChanges();
 }
 
 void
@@ -68,7 +67,6 @@
   }
   // Counts as run alone, since a request that crashes runners never completes.
   m_table.RecordCompletion(aFingerprint, true, aNow);
-  LogQuarantineChanges();
 }
 
 bool
@@ -84,14 +82,13 @@
     m_advertised[changed.fingerprint()] = { aNow, 0 };
   }
   m_lastNumber = m_table.Number();
-  for (const SuspicionListing& listing : m_table.List()) {
-    if (listing.m_state == SuspicionState::Quarantined) {
-      m_advertised.try_emplace(listing.m_fingerprint);
-    }
+  UpdateQuarantined();
+  for (const std::uint64_t fingerprint : m_quarantined) {
+    m_advertised.try_emplace(fingerprint);
   }
   std::erase_if(m_advertised, [&](const auto& aEntry) {
     return aNow - aEntry.second.m_changedAt > kAdvertisePeriod &&
-           !IsQuarantined(aEntry.first);
+           !m_quarantined.contains(aEntry.first);
   });
   std::vector<wire::Suspicion> advertised;
   for (const auto& [fingerprint, state] : m_advertised) {
@@ -122,13 +119,11 @@
 void
 SuspicionExchange::Merge(const wire::Suspicion& aSuspicion)
 {
-  if (m_table.Merge(aSuspicion)) {
-    LogQuarantineChanges();
-  }
+  m_table.Merge(aSuspicion);
 }
 
 void
-SuspicionExchange::LogQuarantineChanges()
+SuspicionExchange::UpdateQuarantined()
 {
   std::set<std::uint64_t> quarantined;
   std::string added;
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -45,11 +45,12 @@
   std::vector<SuspicionListing> List() const { return m_table.List(); }
 
 private:
-  void LogQuarantineChanges();
+  // Updates m_quarantined and logs its changes.
+  void UpdateQuarantined();
   std::uint64_t LastRound(const wire::Suspicion& aSuspicion) const;
 
   SuspicionTable m_table{ CrashView::Partial };
-  std::set<std::uint64_t> m_quarantined; // as last logged
+  std::set<std::uint64_t> m_quarantined; // when last advertised
   struct Advertised
   {
     MonotonicTime m_changedAt{};
