A gateway that restarted hears of a completion before its crashes are ignored

Callers would see a request that crashes runners accepted by all gateways but one. Cause: a completion raises the version of a suspicion, and crashes recorded at a lower one are ignored. A gateway that restarted begins at version 0, is not told of the completion once 3 s have passed, and its crashes counted for nobody else. A process that receives a lower version now advertises its own again.

Class of fault: a restart forgets what the others take for known.

Measured: CrashesSeenByARestartedGatewayReachTheOthers failed before and passes; suspicion_exchange_test and quarantine_test pass.

--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -191,6 +191,12 @@
     state.m_crashes.clear();
     state.m_quarantined = false;
   }
+  if (aSuspicion.version() < state.m_version &&
+      aSuspicion.crash_ids_size() > 0) {
+    // The sender doesn't know of the completion, perhaps since it restarted;
+    // its crashes are ignored until it does.
+    MarkChanged(state);
+  }
   if (aSuspicion.version() > state.m_version) {
     state.m_version = aSuspicion.version();
     state.m_crashes.clear();
--- a/tests/suspicion_exchange_test.cpp
+++ b/tests/suspicion_exchange_test.cpp
@@ -140,6 +140,25 @@
   }
 }
 
+// A gateway that restarts no longer knows that the request once completed.
+TEST(SuspicionExchange, CrashesSeenByARestartedGatewayReachTheOthers)
+{
+  std::vector<SuspicionExchange> gateways(3);
+  MonotonicTime now = kStart;
+  gateways[0].RecordCrash("i-1", { kCrasher }, now);
+  gateways[0].RecordCompletion(kCrasher, kOk, now);
+  ExchangeAll(gateways, now);
+  now += std::chrono::seconds(10);
+  gateways[1] = SuspicionExchange();
+  for (const char* runner : { "i-2", "i-3", "i-4", "i-5" }) {
+    gateways[1].RecordCrash(runner, { kCrasher }, now);
+    ExchangeAll(gateways, now);
+  }
+  for (const SuspicionExchange& gateway : gateways) {
+    EXPECT_TRUE(gateway.IsQuarantined(kCrasher));
+  }
+}
+
 // Gateways, runners and callers. Callers repeat a request that crashes each
 // runner; runners crash for other reasons too, and gateways restart or lose
 // each other's datagrams. One step is one tick of a gateway.
