A gateway's fingerprint of a request no longer holds the service

Callers would see a request that crashes runners sent to more of them on a route that is split or moved: the fingerprint held the service that the request was routed to, so the crashes in each service counted apart. It now holds what the caller sent, host, method, path and body, and the team.

--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -21,9 +21,10 @@
 namespace siskindeal {
 
 // Returns a stable hash of the request. A retry of a request has the same
-// fingerprint.
+// fingerprint. aScope names what the path is relative to, such as a class of
+// work, a service or a host, and the team where requests of teams differ.
 std::uint64_t
-FingerprintOf(const std::string& aClassOrService,
+FingerprintOf(const std::string& aScope,
               const std::string& aMethod,
               const std::string& aPath,
               const std::string& aBody);
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -144,11 +144,12 @@
     left = std::min(left, m_route->m_timeout);
   }
   m_deadline = m_request.m_arrived + left;
-  m_fingerprint = FingerprintOf(
-    m_service + '\n' + (m_team == nullptr ? std::string() : m_team->m_name),
-    m_request.m_method,
-    m_request.m_target,
-    m_request.m_body);
+  // Doesn't depend on the service, which changes with splits and route changes.
+  const std::string team = m_team == nullptr ? std::string() : m_team->m_name;
+  m_fingerprint = FingerprintOf(*fields.Find("host") + '\n' + team,
+                                m_request.m_method,
+                                m_request.m_target,
+                                m_request.m_body);
   m_shape.m_service = m_service;
   m_shape.m_target = m_route->m_targetLatency;
   if (const std::string* tokens = fields.Find(dialect::kTokens)) {
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -21,12 +21,12 @@
 } // namespace
 
 std::uint64_t
-FingerprintOf(const std::string& aClassOrService,
+FingerprintOf(const std::string& aScope,
               const std::string& aMethod,
               const std::string& aPath,
               const std::string& aBody)
 {
-  const auto head = aClassOrService + '\n' + aMethod + '\n' + aPath;
+  const auto head = aScope + '\n' + aMethod + '\n' + aPath;
   return StableHash(aBody, StableHash(head));
 }
 
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -18,11 +18,11 @@
 {
 protected:
   // Adds runners that crash on a request whose path contains "poison".
-  void AddRunners(int aRunners)
+  void AddRunners(int aRunners, const std::string& aService = "get")
   {
     for (int i = 0; i < aRunners; ++i) {
-      const std::string id = "i-" + std::to_string(i);
-      m_site.AddRunner(id, "get", [this](const auto& aConnection) {
+      const std::string id = "i-" + aService + std::to_string(i);
+      m_site.AddRunner(id, aService, [this](const auto& aConnection) {
         const std::string& target = aConnection->Request().m_target;
         if (target.find("poison") == std::string::npos) {
           Answer(aConnection);
@@ -64,6 +64,28 @@
             std::string::npos);
 }
 
+TEST_F(CrashingRunnersTest, CrashesOnAllServicesOfASplitRouteCountTogether)
+{
+  nlohmann::json config = ConfigJson(2);
+  config["routes"][2]["traffic_split"] = {
+    { { "service", "get" }, { "weight", 1 } },
+    { { "service", "post" }, { "weight", 1 } },
+  };
+  m_site.Put("config", "main", config);
+  constexpr int kRunners = 8; // per service
+  AddRunners(kRunners);
+  AddRunners(kRunners, "post");
+  StartAndAwaitReady();
+  const std::string poison = Request("GET", "/get/poison");
+  for (int i = 0; i < 10; ++i) {
+    (void)SendRequest(poison);
+    ASSERT_TRUE(Eventually([&] {
+      return State().find("\"quarantined\": true") != std::string::npos;
+    }));
+  }
+  EXPECT_EQ(m_crashes, 2);
+}
+
 // Crash detection and suspicions of one gateway.
 class WatchingGateway : public SuspicionExchange
 {
