Watches of the store are short after a failure until one is answered

Cause: the store was silent from 17.5 to 22.0 s. The watch of the runners that was sent at about 19.6 s got no answer after its return either and waited its full 8 s and 0.9 s more, so the gateway read the list again at 28.98 s (log of edge-ocr-a-2: `store request failed` at 19.3 s, nothing until the list at 28.98 s). The configuration, with its wait of 2 s, was known at 26 s.

Until one is answered, watches now wait 0.2 s. With timeout and backoff a feed is at most 1.9 s behind the store's return. Class of fault: what is lost in a cut is waited for as if it were still to come.

--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds kInitialBackoff{ 150 };
 constexpr milliseconds kMaxBackoff{ 800 };
 constexpr std::uint32_t kMaxBackoffShift = 4;
+// The wait of watches after a failure until one is answered. A store that was
+// silent when a watch was sent may never answer it.
+constexpr milliseconds kRecoveryWait{ 200 };
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
 
@@ -123,11 +126,19 @@
   ScheduleNext(m_timing.m_pause);
 }
 
+milliseconds
+ObjectFeed::WatchWait() const
+{
+  return m_failures == 0 ? m_timing.m_wait
+                         : std::min(m_timing.m_wait, kRecoveryWait);
+}
+
 void
 ObjectFeed::Watch()
 {
-  Fetch(dialect::WatchPath(m_kind, m_revision, m_timing.m_wait),
-        m_timing.m_wait + kResponseTimeout,
+  const milliseconds wait = WatchWait();
+  Fetch(dialect::WatchPath(m_kind, m_revision, wait),
+        wait + kResponseTimeout,
         &ObjectFeed::OnWatch);
 }
 
@@ -154,13 +165,14 @@
   } catch (const std::invalid_argument& error) {
     return OnFailure(error.what());
   }
+  const milliseconds wait = WatchWait();
   m_failures = 0;
   m_revision = std::max(m_revision, changes.m_revision);
   // A watch that times out without changes proves that there were none while it
   // waited. Any other response proves it only up to when the watch was sent.
   const bool timedOut =
-    changes.m_objects.empty() && BootTime() - aSentAt >= m_timing.m_wait;
-  const milliseconds until = timedOut ? aSentAt + m_timing.m_wait : aSentAt;
+    changes.m_objects.empty() && BootTime() - aSentAt >= wait;
+  const milliseconds until = timedOut ? aSentAt + wait : aSentAt;
   m_knownUntil = std::max(m_knownUntil.value_or(until), until);
   for (const SiteObject& object : changes.m_objects) {
     m_events.m_onChange(object);
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -58,6 +58,8 @@
              std::chrono::milliseconds aTimeout,
              void (ObjectFeed::*aHandler)(const BufferedResponse&,
                                           std::chrono::milliseconds));
+  // How long the next watch, or the one in flight, waits for changes.
+  std::chrono::milliseconds WatchWait() const;
   void Watch();
   void OnWatch(const BufferedResponse& aAnswer,
                std::chrono::milliseconds aSentAt);
--- /dev/null
+++ b/tests/object_feed_test.cpp
@@ -0,0 +1,80 @@
+// Tests how a feed of the platform's store recovers from failed calls.
+
+#include "platform/dialect.h"
+#include "site/object_feed_p.h"
+#include "support/raw_socket.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWait{ 8000 };
+
+std::string
+JsonResponse(const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+         "Content-Length: " +
+         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+// The "wait_ms" of a watch in a request's head.
+milliseconds
+WaitOf(const std::string& aHead)
+{
+  const std::string key = "wait_ms=";
+  const auto at = aHead.find(key);
+  return at == std::string::npos
+           ? milliseconds(-1)
+           : milliseconds(std::stoi(aHead.substr(at + key.size())));
+}
+
+// A watch that is sent while the store is silent gets no answer after the
+// store's return either, so the feed misses changes until it has timed out.
+TEST(ObjectFeed, WatchAfterAFailureIsShortUntilOneIsAnswered)
+{
+  // Leaves time for the timeout and the backoff within the 2 s in which a
+  // gateway must learn that a runner leaves.
+  constexpr milliseconds kMaxWaitAfterFailure{ 300 };
+  std::vector<milliseconds> waits;
+  Loop loop{ 1 };
+  const RawServer store([&](RawSocket& aSocket, int aConnection) {
+    if (aConnection == 0) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(JsonResponse(R"({"items":[],"has_more":false,"at":5})"));
+    }
+    const std::string first = aSocket.ReadUntil("\r\n\r\n");
+    waits.push_back(WaitOf(first));
+    if (aConnection == 0) {
+      return; // closes the connection without an answer
+    }
+    aSocket.Send(JsonResponse(R"({"events":[],"at":6})"));
+    waits.push_back(WaitOf(aSocket.ReadUntil("\r\n\r\n")));
+    loop.stop();
+  });
+  const auto feed = std::make_shared<ObjectFeed>(
+    loop,
+    std::make_shared<ConnectionPool>(loop),
+    Address{ "127.0.0.1", store.Port() },
+    "servers",
+    FeedTiming{ kWait, milliseconds(1) },
+    FeedCallbacks{ [](const auto&) {}, [](const auto&) {}, [] {} });
+  feed->Start();
+  loop.run();
+  feed->Stop();
+  ASSERT_EQ(waits.size(), 3U);
+  EXPECT_EQ(waits[0], kWait);
+  EXPECT_LE(waits[1], kMaxWaitAfterFailure);
+  EXPECT_EQ(waits[2], kWait);
+}
+
+} // namespace
+
+} // namespace siskindeal
