Gateways log the parts of the prompts that were in flight at a crash

The line now has the hashes of the parts (platform/ decodes the header; the last part, the request's own, is left out) and the store's revision at which the runner's record was created. No decision uses them yet.

--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -102,10 +102,23 @@
   ClientLimits m_limits;
 };
 
+// One start of a runner. An id may be used again after a restart.
+struct RunnerIncarnation
+{
+  std::string m_id;
+  std::uint64_t m_created = 0; // store revision at its record's creation
+
+  auto operator<=>(const RunnerIncarnation&) const = default;
+  std::string ToString() const
+  {
+    return m_id + "@" + std::to_string(m_created);
+  }
+};
+
 // A runner's own record in the store.
 struct RunnerRecord
 {
-  std::string m_id;            // of one incarnation
+  std::string m_id;
   std::uint64_t m_created = 0; // store revision at its creation
   std::string m_service;
   Address m_address;
@@ -113,6 +126,8 @@
   std::uint32_t m_slots = 0; // 0: unknown
   bool m_draining = false;
   std::map<std::string, std::uint64_t> m_versions; // weights, by model
+
+  RunnerIncarnation Incarnation() const { return { m_id, m_created }; }
 };
 
 // The newest weights named for a model.
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -1,10 +1,12 @@
 #include "gateway/caller_exchange_p.h"
+#include "siskindeal/digest.h"
 #include "siskindeal/metrics.h"
 #include "siskindeal/operators.h"
 
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace siskindeal {
 
@@ -145,11 +147,12 @@
   }
   m_deadline = m_request.m_arrived + left;
   // Doesn't depend on the service, which changes with splits and route changes.
+  m_traits.m_parts = ReadPromptParts();
   const std::string team = m_team == nullptr ? std::string() : m_team->m_name;
-  m_fingerprint = FingerprintOf(*fields.Find("host") + '\n' + team,
-                                m_request.m_method,
-                                m_request.m_target,
-                                m_request.m_body);
+  m_traits.m_fingerprint = FingerprintOf(*fields.Find("host") + '\n' + team,
+                                         m_request.m_method,
+                                         m_request.m_target,
+                                         m_request.m_body);
   m_shape.m_service = m_service;
   m_shape.m_target = m_route->m_targetLatency;
   if (const std::string* tokens = fields.Find(dialect::kTokens)) {
@@ -176,11 +179,29 @@
                   std::chrono::duration_cast<milliseconds>(m_deadline - aNow));
 }
 
+std::vector<PromptPart>
+CallerExchange::ReadPromptParts() const
+{
+  const std::string* field = m_request.m_fields.Find(dialect::kPromptParts);
+  const auto ids =
+    field == nullptr ? std::nullopt : dialect::DecodePromptParts(*field);
+  if (!ids) {
+    return {};
+  }
+  std::vector<PromptPart> parts;
+  parts.reserve(ids->size());
+  std::transform(ids->begin(),
+                 std::prev(ids->end()),
+                 std::back_inserter(parts),
+                 [](const std::string& aId) { return StableHash(aId); });
+  return parts;
+}
+
 Decision
 CallerExchange::Decide()
 {
   constexpr milliseconds kQuarantineRetryAfter{ 30000 };
-  if (m_gateway.Suspicions().IsQuarantined(m_fingerprint)) {
+  if (m_gateway.Suspicions().IsQuarantined(m_traits.m_fingerprint)) {
     return PlacementRefusal{
       "request is quarantined: it crashed the runners that executed it",
       kQuarantineRetryAfter,
@@ -225,12 +246,12 @@
   const MonotonicTime now = LoopNow();
   constexpr milliseconds kConnectTimeout{ 400 };
   ++m_sends;
-  m_runnerId = aRunner.m_record.m_id;
+  m_runner = aRunner.m_record.Incarnation();
   m_address = aRunner.m_record.m_address;
   m_predicted = aPlacement.m_predicted;
   m_loadBefore = aPlacement.m_load;
   m_sentAt = m_lastProgress = now;
-  m_triedRunners.insert(m_runnerId);
+  m_triedRunners.insert(m_runner.m_id);
   LogIfSuspect();
   m_answer = {};
   m_haveErrorAnswer = false;
@@ -257,18 +278,20 @@
 void
 CallerExchange::LogIfSuspect()
 {
-  const auto suspicion = m_gateway.Suspicions().ListingOf(m_fingerprint);
+  const auto suspicion =
+    m_gateway.Suspicions().ListingOf(m_traits.m_fingerprint);
   if (!suspicion) {
     return;
   }
   CountMetric("siskindeal_gateway_suspects_forwarded_total");
-  m_gateway.LogRequest(LogLevel::Warning,
-                       "suspect forwarded",
-                       { { "id", m_id },
-                         { "runner", m_runnerId },
-                         { "fingerprint", FormatFingerprint(m_fingerprint) },
-                         { "crashes", suspicion->m_crashes },
-                         { "attributed", suspicion->m_attributed } });
+  m_gateway.LogRequest(
+    LogLevel::Warning,
+    "suspect forwarded",
+    { { "id", m_id },
+      { "runner", m_runner.m_id },
+      { "fingerprint", FormatFingerprint(m_traits.m_fingerprint) },
+      { "crashes", suspicion->m_crashes },
+      { "attributed", suspicion->m_attributed } });
 }
 
 int
@@ -334,7 +357,7 @@
 void
 CallerExchange::ReleaseRunner(RunnerHealth aHealth)
 {
-  RunnerState* runner = m_gateway.Runners().Find(m_runnerId);
+  RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id);
   if (runner == nullptr) {
     return;
   }
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -40,7 +40,7 @@
 void
 CallerExchange::ApplyResponseHead()
 {
-  RunnerState* runner = m_gateway.Runners().Find(m_runnerId);
+  RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id);
   if (runner == nullptr) {
     return;
   }
@@ -87,7 +87,7 @@
     OnAttemptFailed(CallFailure::MayHaveRun, "stream event missing");
     return;
   }
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runnerId)) {
+  if (RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id)) {
     ReleasePromptTokens(*runner);
   }
   if (m_phase == Phase::Waiting) {
@@ -151,14 +151,14 @@
 CallerExchange::OnStreamEnd()
 {
   if (m_splitter.PendingBytes() > 0 || m_phase == Phase::Waiting) {
-    m_gateway.Crashes().OnConnectionLost(m_runnerId, m_address, m_fingerprint);
+    m_gateway.Crashes().OnConnectionLost(m_runner, m_address, m_traits);
     OnAttemptFailed(CallFailure::MayHaveRun,
                     "stream ended without a complete last event");
     return;
   }
   ReleaseRunner(RunnerHealth::Healthy);
   m_gateway.Suspicions().RecordCompletion(
-    m_fingerprint, m_answer.m_status, LoopNow());
+    m_traits, m_answer.m_status, LoopNow());
   m_caller->SendEnd();
   Finish("answered");
 }
@@ -188,7 +188,7 @@
                       std::to_string(status));
     return;
   }
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runnerId)) {
+  if (RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id)) {
     constexpr double kSampleWeight = 0.1;
     const std::chrono::duration<double, std::milli> elapsed =
       LoopNow() - m_sentAt;
@@ -199,7 +199,7 @@
             elapsed * kSampleWeight;
   }
   ReleaseRunner(RunnerHealth::Healthy);
-  m_gateway.Suspicions().RecordCompletion(m_fingerprint, status, LoopNow());
+  m_gateway.Suspicions().RecordCompletion(m_traits, status, LoopNow());
   m_mayHaveRun = true;
   ++m_attempts;
   const bool failed = status / 100 == 5;
@@ -226,7 +226,7 @@
   ReleaseRunner(RunnerHealth::Healthy);
   m_lastReason = "runner rejected the request with status " +
                  std::to_string(m_answer.m_status);
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runnerId)) {
+  if (RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id)) {
     constexpr milliseconds kRefusalAvoidance{ 150 };
     runner->m_avoidUntil =
       std::max(runner->m_avoidUntil, LoopNow() + kRefusalAvoidance);
@@ -251,7 +251,7 @@
 CallerExchange::On(const CallFailed& aFailure)
 {
   if (aFailure.m_how == CallFailure::MayHaveRun) {
-    m_gateway.Crashes().OnConnectionLost(m_runnerId, m_address, m_fingerprint);
+    m_gateway.Crashes().OnConnectionLost(m_runner, m_address, m_traits);
   }
   OnAttemptFailed(aFailure.m_how, aFailure.m_reason);
 }
@@ -286,7 +286,7 @@
     LogLevel::Info,
     "attempt failed",
     { { "id", m_id },
-      { "runner", m_runnerId },
+      { "runner", m_runner.m_id },
       { "reason", aReason },
       { "may_have_run", aFailure == CallFailure::MayHaveRun },
       { "events", m_eventCount } });
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -45,6 +45,7 @@
   void SendTo(RunnerState& aRunner, const Placement& aPlacement);
   // Logs that a request that was in flight at a crash is sent again.
   void LogIfSuspect();
+  std::vector<PromptPart> ReadPromptParts() const;
   std::string BuildHead(const RunnerState& aRunner) const;
   int PriorityNumber() const;
 
@@ -96,13 +97,13 @@
   std::string m_id;
   std::string m_service;
   RequestShape m_shape;
-  std::uint64_t m_fingerprint = 0; // equal for identical requests
-  MonotonicTime m_deadline{};      // the caller's or the route's
+  RequestTraits m_traits;
+  MonotonicTime m_deadline{}; // the caller's or the route's
   Phase m_phase = Phase::Waiting;
 
   // The current attempt.
   std::shared_ptr<HttpConnection> m_connection;
-  std::string m_runnerId;
+  RunnerIncarnation m_runner;
   Address m_address;
   std::chrono::milliseconds m_predicted{ 0 };
   RunnerLoad m_loadBefore; // of the runner when it was chosen
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -166,7 +166,7 @@
       { "outcome", aOutcome },
       { "reason", m_lastReason },
       { "route", route },
-      { "runner", m_runnerId },
+      { "runner", m_runner.m_id },
       { "sends", m_sends },
       { "events", m_eventCount },
       { "predicted_ms", m_predicted.count() },
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -29,9 +29,9 @@
 } // namespace
 
 void
-CrashWatch::OnConnectionLost(const std::string& aRunner,
+CrashWatch::OnConnectionLost(const RunnerIncarnation& aRunner,
                              const Address& aAddress,
-                             std::uint64_t aFingerprint)
+                             RequestTraits aRequest)
 {
   const MonotonicTime now = LoopNow();
   std::erase_if(m_probes, [&](const auto& aEntry) {
@@ -41,12 +41,12 @@
   if (m_probes.size() >= kMaxProbes) {
     return;
   }
-  std::shared_ptr<RunnerProbe>& probe = m_probes[aRunner];
+  std::shared_ptr<RunnerProbe>& probe = m_probes[aRunner.m_id];
   if (!probe) {
     probe = std::make_shared<RunnerProbe>(m_loop);
     probe->m_address = aAddress;
   }
-  probe->m_lostConnections.push_back({ aFingerprint, now });
+  probe->m_lostConnections.push_back({ std::move(aRequest), now });
   if (probe->m_pending) {
     return;
   }
@@ -54,7 +54,7 @@
 }
 
 void
-CrashWatch::ScheduleProbe(const std::string& aRunner,
+CrashWatch::ScheduleProbe(const RunnerIncarnation& aRunner,
                           const std::shared_ptr<RunnerProbe>& aProbe)
 {
   aProbe->m_pending = true;
@@ -69,7 +69,7 @@
 }
 
 void
-CrashWatch::StartProbe(const std::string& aRunner,
+CrashWatch::StartProbe(const RunnerIncarnation& aRunner,
                        const std::shared_ptr<RunnerProbe>& aProbe)
 {
   aProbe->m_probedAt = LoopNow();
@@ -91,7 +91,7 @@
 }
 
 void
-CrashWatch::OnProbed(const std::string& aRunner,
+CrashWatch::OnProbed(const RunnerIncarnation& aRunner,
                      const std::shared_ptr<RunnerProbe>& aProbe,
                      const NetError& aResult)
 {
@@ -111,10 +111,10 @@
   if (!refused) {
     return;
   }
-  std::vector<std::uint64_t> inFlight;
+  std::vector<RequestTraits> inFlight;
   inFlight.reserve(lostConnections.size());
   for (const LostConnection& lost : lostConnections) {
-    inFlight.push_back(lost.m_fingerprint);
+    inFlight.push_back(lost.m_request);
   }
   CountMetric("siskindeal_gateway_runner_crashes_total", {});
   m_suspicions.RecordCrash(aRunner, inFlight, LoopNow());
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -31,14 +31,14 @@
   // A connection was lost before its response was complete. The runner is
   // probed once for all connections lost together; it has crashed if it refuses
   // the probe's connection. A probe without an answer is repeated.
-  void OnConnectionLost(const std::string& aRunner,
+  void OnConnectionLost(const RunnerIncarnation& aRunner,
                         const Address& aAddress,
-                        std::uint64_t aFingerprint);
+                        RequestTraits aRequest);
 
 private:
   struct LostConnection
   {
-    std::uint64_t m_fingerprint = 0;
+    RequestTraits m_request;
     MonotonicTime m_at{};
   };
   // A runner that recently lost connections.
@@ -58,18 +58,18 @@
     Tcp::socket m_socket;
   };
 
-  void ScheduleProbe(const std::string& aRunner,
+  void ScheduleProbe(const RunnerIncarnation& aRunner,
                      const std::shared_ptr<RunnerProbe>& aProbe);
-  void StartProbe(const std::string& aRunner,
+  void StartProbe(const RunnerIncarnation& aRunner,
                   const std::shared_ptr<RunnerProbe>& aProbe);
-  void OnProbed(const std::string& aRunner,
+  void OnProbed(const RunnerIncarnation& aRunner,
                 const std::shared_ptr<RunnerProbe>& aProbe,
                 const NetError& aResult);
 
   Loop& m_loop;
   SuspicionExchange& m_suspicions;
   std::chrono::milliseconds m_crashWindow;
-  std::map<std::string, std::shared_ptr<RunnerProbe>> m_probes; // by runner
+  std::map<std::string, std::shared_ptr<RunnerProbe>> m_probes; // by runner id
 };
 
 } // namespace siskindeal
--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -24,49 +24,66 @@
          (aListing.m_state == SuspicionState::Quarantined ? "q" : "");
 }
 
+// The parts of the requests, without duplicates.
+std::vector<PromptPart>
+PartsOf(const std::vector<RequestTraits>& aRequests)
+{
+  std::set<PromptPart> parts;
+  for (const RequestTraits& request : aRequests) {
+    parts.insert(request.m_parts.begin(), request.m_parts.end());
+  }
+  return { parts.begin(), parts.end() };
+}
+
 } // namespace
 
 void
-SuspicionExchange::RecordCrash(const std::string& aRunner,
-                               const std::vector<std::uint64_t>& aFingerprints,
+SuspicionExchange::RecordCrash(const RunnerIncarnation& aRunner,
+                               const std::vector<RequestTraits>& aInFlight,
                                MonotonicTime aNow)
 {
   std::vector<SuspicionTable::InFlight> inFlight;
-  inFlight.reserve(aFingerprints.size());
-  for (const std::uint64_t fingerprint : aFingerprints) {
-    inFlight.push_back({ fingerprint, {} });
+  inFlight.reserve(aInFlight.size());
+  for (const RequestTraits& request : aInFlight) {
+    inFlight.push_back({ request.m_fingerprint, {} });
   }
   // A runner id denotes one incarnation, so all gateways use it as crash id.
-  m_table.RecordCrash(aRunner, inFlight, aNow);
+  m_table.RecordCrash(aRunner.m_id, inFlight, aNow);
   std::string suspects;
-  for (const std::uint64_t fingerprint : aFingerprints) {
-    if (const auto listing = m_table.ListingOf(fingerprint)) {
+  for (const RequestTraits& request : aInFlight) {
+    if (const auto listing = m_table.ListingOf(request.m_fingerprint)) {
       suspects += Describe(*listing) + ' ';
     }
   }
+  std::string parts;
+  for (const PromptPart part : PartsOf(aInFlight)) {
+    parts += FormatFingerprint(part) + ' ';
+  }
   Log(LogLevel::Warning,
       "runner crashed",
-      { { "runner", aRunner },
-        { "requests", aFingerprints.size() },
-        { "suspects", suspects } });
+      { { "runner", aRunner.m_id },
+        { "created", aRunner.m_created },
+        { "requests", aInFlight.size() },
+        { "suspects", suspects },
+        { "parts", parts } });
 }
 
 void
-SuspicionExchange::RecordCompletion(std::uint64_t aFingerprint,
+SuspicionExchange::RecordCompletion(const RequestTraits& aRequest,
                                     int aStatus,
                                     MonotonicTime aNow)
 {
   // A failing runner may give up the request before the point of the crash.
-  if (aStatus >= kFirstServerError || !m_table.Find(aFingerprint)) {
+  if (aStatus >= kFirstServerError || !m_table.Find(aRequest.m_fingerprint)) {
     return;
   }
-  if (const auto listing = m_table.ListingOf(aFingerprint)) {
+  if (const auto listing = m_table.ListingOf(aRequest.m_fingerprint)) {
     Log(LogLevel::Info,
         "suspect completed",
         { { "suspect", Describe(*listing) }, { "status", aStatus } });
   }
   // Counts as run alone, since a request that crashes runners never completes.
-  m_table.RecordCompletion(aFingerprint, true, aNow);
+  m_table.RecordCompletion(aRequest.m_fingerprint, true, aNow);
 }
 
 bool
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -5,6 +5,7 @@
 
 #include "siskindeal/clock.h"
 #include "siskindeal/quarantine.h"
+#include "siskindeal/site.h"
 
 #include <map>
 #include <optional>
@@ -14,17 +15,27 @@
 
 namespace siskindeal {
 
+using PromptPart = std::uint64_t; // hash of the part's id
+
+// What a request has in common with others that may crash the same runners.
+struct RequestTraits
+{
+  std::uint64_t m_fingerprint = 0; // equal for identical requests
+  // Parts of the prompt that other requests may share.
+  std::vector<PromptPart> m_parts{};
+};
+
 class SuspicionExchange
 {
 public:
   // Records that a runner crashed and which of this gateway's requests were in
   // flight there.
-  void RecordCrash(const std::string& aRunner,
-                   const std::vector<std::uint64_t>& aFingerprints,
+  void RecordCrash(const RunnerIncarnation& aRunner,
+                   const std::vector<RequestTraits>& aInFlight,
                    MonotonicTime aNow);
   // aStatus is that of the runner's complete response. Clears the suspicion
   // unless it is a server error.
-  void RecordCompletion(std::uint64_t aFingerprint,
+  void RecordCompletion(const RequestTraits& aRequest,
                         int aStatus,
                         MonotonicTime aNow);
 
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -100,7 +100,7 @@
                         const Address& aAddress,
                         std::uint64_t aFingerprint)
   {
-    m_watch.OnConnectionLost(aRunner, aAddress, aFingerprint);
+    m_watch.OnConnectionLost({ aRunner }, aAddress, { aFingerprint });
   }
 
 private:
@@ -206,7 +206,7 @@
   const Address nobody{ "127.0.0.1", UnusedPort() };
   watch.OnConnectionLost("i-1", nobody, kInnocent);
   ASSERT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
-  watch.RecordCompletion(kInnocent, 200, LoopNow());
+  watch.RecordCompletion({ kInnocent }, 200, LoopNow());
   EXPECT_TRUE(watch.List().empty());
   watch.OnConnectionLost("i-2", nobody, kInnocent);
   ASSERT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -118,6 +118,12 @@
 {
   EXPECT_EQ(dialect::DecodeLoad("3,1,16")->m_waiting, 1U);
   EXPECT_EQ(dialect::DecodeTokens("1460,80")->m_prompt, 1460U);
+  EXPECT_EQ(dialect::DecodePromptParts("5c1e07a2:800, 91bd3f06:410,e4:1"),
+            (std::vector<std::string>{ "5c1e07a2", "91bd3f06", "e4" }));
+  EXPECT_EQ(dialect::DecodePromptParts("a:1"), std::vector<std::string>{ "a" });
+  for (const char* text : { "", ",", "a:1,", ":5,b:1", "a:1,,b:2" }) {
+    EXPECT_FALSE(dialect::DecodePromptParts(text)) << text;
+  }
   for (const char* text : { "", "1", "a,b", "1,2,3,4", "-1,2", "1,,2" }) {
     SCOPED_TRACE(text);
     EXPECT_FALSE(dialect::DecodeLoad(text));
--- a/tests/suspicion_exchange_test.cpp
+++ b/tests/suspicion_exchange_test.cpp
@@ -49,13 +49,13 @@
 {
   std::vector<SuspicionExchange> gateways(4);
   MonotonicTime now = kStart;
-  gateways[0].RecordCrash("i-1", { kCrasher }, now);
-  gateways[1].RecordCrash("i-2", { kCrasher }, now);
+  gateways[0].RecordCrash({ "i-1" }, { { kCrasher } }, now);
+  gateways[1].RecordCrash({ "i-2" }, { { kCrasher } }, now);
   for (const char* runner : { "i-1", "i-2" }) {
-    gateways[2].RecordCrash(runner, { kBystander }, now);
+    gateways[2].RecordCrash({ runner }, { { kBystander } }, now);
   }
   ExchangeAll(gateways, now);
-  gateways[3].RecordCrash("i-3", { kCrasher }, now);
+  gateways[3].RecordCrash({ "i-3" }, { { kCrasher } }, now);
   ExchangeAll(gateways, now);
   for (const SuspicionExchange& gateway : gateways) {
     EXPECT_TRUE(gateway.IsQuarantined(kCrasher));
@@ -66,9 +66,9 @@
 TEST(SuspicionExchange, BystanderAtTwoCrashesDoesNotPreventTheQuarantine)
 {
   SuspicionExchange gateway;
-  gateway.RecordCrash("i-1", { kCrasher, kBystander }, kStart);
-  gateway.RecordCrash("i-2", { kCrasher, kBystander }, kStart);
-  gateway.RecordCrash("i-3", { kCrasher, kBystander + 1 }, kStart);
+  gateway.RecordCrash({ "i-1" }, { { kCrasher }, { kBystander } }, kStart);
+  gateway.RecordCrash({ "i-2" }, { { kCrasher }, { kBystander } }, kStart);
+  gateway.RecordCrash({ "i-3" }, { { kCrasher }, { kBystander + 1 } }, kStart);
   EXPECT_TRUE(gateway.IsQuarantined(kCrasher));
   EXPECT_FALSE(gateway.IsQuarantined(kBystander));
 }
@@ -82,12 +82,12 @@
   for (std::uint64_t i = 0; i < kQuarantined; ++i) {
     for (const char* name : { "a", "b", "c" }) {
       gateways[0].RecordCrash(
-        name + std::to_string(i), { kFirstQuarantined + i }, now);
+        { name + std::to_string(i) }, { { kFirstQuarantined + i } }, now);
     }
   }
   now += std::chrono::minutes(1);
-  gateways[0].RecordCrash("i-1", { kCrasher }, now);
-  gateways[1].RecordCrash("i-2", { kCrasher }, now);
+  gateways[0].RecordCrash({ "i-1" }, { { kCrasher } }, now);
+  gateways[1].RecordCrash({ "i-2" }, { { kCrasher } }, now);
   ExchangeAll(gateways, now);
   EXPECT_TRUE(gateways[2].IsQuarantined(kCrasher));
 }
@@ -96,11 +96,11 @@
 {
   constexpr std::uint64_t kSuspicions = 100;
   SuspicionExchange gateway;
-  std::vector<std::uint64_t> inFlight;
+  std::vector<RequestTraits> inFlight;
   for (std::uint64_t i = 1; i <= kSuspicions; ++i) {
-    inFlight.push_back(i);
+    inFlight.push_back({ i });
   }
-  gateway.RecordCrash("i-1", inFlight, kStart);
+  gateway.RecordCrash({ "i-1" }, inFlight, kStart);
   std::set<std::uint64_t> advertised;
   for (milliseconds age{ 0 }; age < std::chrono::seconds(3);
        age += kHeartbeat) {
@@ -116,13 +116,13 @@
 {
   std::vector<SuspicionExchange> gateways(2);
   MonotonicTime now = kStart;
-  gateways[0].RecordCrash("i-1", { kCrasher, kBystander }, now);
-  gateways[0].RecordCrash("i-2", { kCrasher, kBystander }, now);
+  gateways[0].RecordCrash({ "i-1" }, { { kCrasher }, { kBystander } }, now);
+  gateways[0].RecordCrash({ "i-2" }, { { kCrasher }, { kBystander } }, now);
   ASSERT_FALSE(gateways[0].IsQuarantined(kCrasher));
   (void)gateways[0].SuspicionsToAdvertise(now);
   now += std::chrono::seconds(10);
   (void)gateways[0].SuspicionsToAdvertise(now);
-  gateways[0].RecordCompletion(kBystander, kOk, now);
+  gateways[0].RecordCompletion({ kBystander }, kOk, now);
   ASSERT_TRUE(gateways[0].IsQuarantined(kCrasher));
   ExchangeAll(gateways, now);
   EXPECT_TRUE(gateways[1].IsQuarantined(kCrasher));
@@ -133,9 +133,10 @@
   for (const int status : { 500, 504 }) {
     SCOPED_TRACE(status);
     SuspicionExchange gateway;
-    gateway.RecordCrash("i-1", { kCrasher, kBystander }, kStart);
-    gateway.RecordCompletion(kCrasher, status, kStart);
-    gateway.RecordCrash("i-2", { kCrasher, kBystander + 1 }, kStart);
+    gateway.RecordCrash({ "i-1" }, { { kCrasher }, { kBystander } }, kStart);
+    gateway.RecordCompletion({ kCrasher }, status, kStart);
+    gateway.RecordCrash(
+      { "i-2" }, { { kCrasher }, { kBystander + 1 } }, kStart);
     EXPECT_TRUE(gateway.IsQuarantined(kCrasher));
   }
 }
@@ -145,13 +146,13 @@
 {
   std::vector<SuspicionExchange> gateways(3);
   MonotonicTime now = kStart;
-  gateways[0].RecordCrash("i-1", { kCrasher }, now);
-  gateways[0].RecordCompletion(kCrasher, kOk, now);
+  gateways[0].RecordCrash({ "i-1" }, { { kCrasher } }, now);
+  gateways[0].RecordCompletion({ kCrasher }, kOk, now);
   ExchangeAll(gateways, now);
   now += std::chrono::seconds(10);
   gateways[1] = SuspicionExchange();
   for (const char* runner : { "i-2", "i-3", "i-4", "i-5" }) {
-    gateways[1].RecordCrash(runner, { kCrasher }, now);
+    gateways[1].RecordCrash({ runner }, { { kCrasher } }, now);
     ExchangeAll(gateways, now);
   }
   for (const SuspicionExchange& gateway : gateways) {
@@ -230,7 +231,7 @@
   struct LostRequests
   {
     std::string m_runner;
-    std::vector<std::uint64_t> m_fingerprints;
+    std::vector<RequestTraits> m_requests;
     MonotonicTime m_probedAt{};
   };
 
@@ -361,7 +362,7 @@
                                 static_cast<std::ptrdiff_t>(i));
         if (IsHeld(request)) {
           m_gateways[request.m_gateway].m_suspicions->RecordCompletion(
-            request.m_fingerprint, failed ? 500 : kOk, m_now);
+            { request.m_fingerprint }, failed ? 500 : kOk, m_now);
         }
       }
     }
@@ -383,8 +384,8 @@
     std::map<std::size_t, LostRequests> byGateway;
     for (const Request& request : lost) {
       if (IsHeld(request)) {
-        byGateway[request.m_gateway].m_fingerprints.push_back(
-          request.m_fingerprint);
+        byGateway[request.m_gateway].m_requests.push_back(
+          { request.m_fingerprint });
       }
     }
     for (auto& [index, requests] : byGateway) {
@@ -412,7 +413,7 @@
           return false;
         }
         gateway.m_suspicions->RecordCrash(
-          aLost.m_runner, aLost.m_fingerprints, m_now);
+          { aLost.m_runner }, aLost.m_requests, m_now);
         return true;
       });
     }
