--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -1,9 +1,12 @@
 // Tests requests that crash the runners that execute them.
 
 #include "gateway/crash_watch_p.h"
+#include "siskindeal/metrics.h"
 #include "support/gateway_fixture.h"
 
+#include <cstdlib>
 #include <list>
+#include <string_view>
 
 namespace siskindeal {
 
@@ -41,6 +44,26 @@
     return socket.ReadAll();
   }
 
+  // Whether the gateway has noticed every crash of this test.
+  bool AllCrashesRecorded() const
+  {
+    return RecordedCrashes() - m_recordedBefore >= m_crashes;
+  }
+
+  // Of all tests in this process.
+  static int RecordedCrashes()
+  {
+    constexpr std::string_view kMetric =
+      "\nsiskindeal_gateway_runner_crashes_total ";
+    const std::string metrics = MetricsText();
+    const auto at = metrics.find(kMetric);
+    return at == std::string::npos
+             ? 0
+             : std::atoi(metrics.c_str() + at + kMetric.size());
+  }
+
+  const int m_recordedBefore = RecordedCrashes();
+
   std::atomic<int> m_crashes = 0;
 };
 
@@ -86,6 +109,56 @@
   EXPECT_EQ(m_crashes, 2);
 }
 
+TEST_F(CrashingRunnersTest, CrashesOfARunnerThatKeepsItsIdCountApart)
+{
+  const std::string poison = Request("GET", "/get/poison");
+  AddRunners(1);
+  StartAndAwaitReady();
+  for (int start = 0; start < 5; ++start) {
+    ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+    (void)SendRequest(poison);
+    ASSERT_TRUE(Eventually([&] { return AllCrashesRecorded(); }));
+    m_site.Remove("servers", "i-get0");
+    ASSERT_TRUE(Eventually([&] { return RunnerCount() == 0; }));
+    AddRunners(1);
+  }
+  EXPECT_EQ(m_crashes, 2);
+}
+
+// The parts of a prompt, as callers list them.
+std::string
+PromptField(const std::string& aSharedParts, int aRequest)
+{
+  return "X-Siskindeal-Prompt-Prefix: a0:40," + aSharedParts + ":600,e000" +
+         std::to_string(aRequest) + ":50\r\n";
+}
+
+TEST_F(CrashingRunnersTest, PartOfPromptsThatCrashesRunnersIsRefused)
+{
+  constexpr int kRunners = 24;
+  constexpr int kRequests = 12;
+  constexpr int kMaxCrashes = 8;
+  // Crashes at the same time may have another cause.
+  constexpr milliseconds kApart{ 350 };
+  AddRunners(kRunners);
+  StartAndAwaitReady();
+  int refused = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string path = "/get/poison" + std::to_string(i);
+    const std::string answer =
+      SendRequest(Request("GET", path, PromptField("dead", i)));
+    refused += answer.find(" 503 ") != std::string::npos ? 1 : 0;
+    ASSERT_TRUE(Eventually([&] { return AllCrashesRecorded(); }));
+    // Sound requests share the key and the first part.
+    const std::string sound = SendRequest(
+      Request("GET", "/get/" + std::to_string(i), PromptField("b0", i)));
+    EXPECT_NE(sound.find(" 200 "), std::string::npos) << sound;
+    std::this_thread::sleep_for(kApart);
+  }
+  EXPECT_LE(m_crashes, kMaxCrashes);
+  EXPECT_GE(refused, kRequests - kMaxCrashes);
+}
+
 // Crash detection and suspicions of one gateway.
 class WatchingGateway : public SuspicionExchange
 {
