A runner that crashes again under its id counts as a second crash

What callers saw: a request that crashes its runners was sent on as long as the same runner, restarted under its id, was the one that crashed. Cause: gateways took the runner's id for one incarnation of it, as crash id in the suspicion table and as key of the pending probe, so the second crash was taken for the first one. Why this works: the store's revision at which the record was created differs for each start; id and revision together are the crash id at all gateways.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -41,7 +41,7 @@
   if (m_probes.size() >= kMaxProbes) {
     return;
   }
-  std::shared_ptr<RunnerProbe>& probe = m_probes[aRunner.m_id];
+  std::shared_ptr<RunnerProbe>& probe = m_probes[aRunner];
   if (!probe) {
     probe = std::make_shared<RunnerProbe>(m_loop);
     probe->m_address = aAddress;
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -69,7 +69,7 @@
   Loop& m_loop;
   SuspicionExchange& m_suspicions;
   std::chrono::milliseconds m_crashWindow;
-  std::map<std::string, std::shared_ptr<RunnerProbe>> m_probes; // by runner id
+  std::map<RunnerIncarnation, std::shared_ptr<RunnerProbe>> m_probes;
 };
 
 } // namespace siskindeal
--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -47,8 +47,8 @@
   for (const RequestTraits& request : aInFlight) {
     inFlight.push_back({ request.m_fingerprint, {} });
   }
-  // A runner id denotes one incarnation, so all gateways use it as crash id.
-  m_table.RecordCrash(aRunner.m_id, inFlight, aNow);
+  // All gateways use the incarnation as crash id.
+  m_table.RecordCrash(aRunner.ToString(), inFlight, aNow);
   std::string suspects;
   for (const RequestTraits& request : aInFlight) {
     if (const auto listing = m_table.ListingOf(request.m_fingerprint)) {
