A crash that ends a stream without a length is noticed

What callers saw: nothing yet; found while looking for the same class. A stream may have neither a length nor chunks and end with its connection. If its runner crashed between two events, the gateway took the stream for complete and, worse, for evidence that the request and the parts of its prompt are sound. Cause: the end of such a response was looked at alone, not with what became of the runner. Why this works: the runner is probed as after a lost connection. If it accepts, the response counts as complete; if it refuses, as in flight at a crash. Not changed: the caller gets the stream as the runner ended it, since nothing tells it from a complete one.

--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -158,8 +158,13 @@
     return;
   }
   ReleaseRunner(RunnerHealth::Healthy);
-  m_gateway.Suspicions().RecordCompletion(
-    m_traits, m_answer.m_status, m_sentAt, LoopNow());
+  if (m_answer.m_endsWithConnection) {
+    m_gateway.Crashes().OnResponseClosed(
+      m_runner, m_address, m_traits, { m_answer.m_status, m_sentAt });
+  } else {
+    m_gateway.Suspicions().RecordCompletion(
+      m_traits, m_answer.m_status, m_sentAt, LoopNow());
+  }
   m_caller->SendEnd();
   Finish("answered");
 }
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -32,6 +32,25 @@
 CrashWatch::OnConnectionLost(const RunnerIncarnation& aRunner,
                              const Address& aAddress,
                              RequestTraits aRequest)
+{
+  AddLostConnection(
+    aRunner, aAddress, { std::move(aRequest), LoopNow(), std::nullopt });
+}
+
+void
+CrashWatch::OnResponseClosed(const RunnerIncarnation& aRunner,
+                             const Address& aAddress,
+                             RequestTraits aRequest,
+                             const ClosedResponse& aResponse)
+{
+  AddLostConnection(
+    aRunner, aAddress, { std::move(aRequest), LoopNow(), aResponse });
+}
+
+void
+CrashWatch::AddLostConnection(const RunnerIncarnation& aRunner,
+                              const Address& aAddress,
+                              LostConnection aLost)
 {
   const MonotonicTime now = LoopNow();
   std::erase_if(m_probes, [&](const auto& aEntry) {
@@ -46,7 +65,7 @@
     probe = std::make_shared<RunnerProbe>(m_loop);
     probe->m_address = aAddress;
   }
-  probe->m_lostConnections.push_back({ std::move(aRequest), now });
+  probe->m_lostConnections.push_back(std::move(aLost));
   if (probe->m_pending) {
     return;
   }
@@ -108,13 +127,19 @@
   }
   const std::vector<LostConnection> lostConnections =
     std::exchange(aProbe->m_lostConnections, {});
-  if (!refused) {
-    return;
-  }
   std::vector<RequestTraits> inFlight;
-  inFlight.reserve(lostConnections.size());
   for (const LostConnection& lost : lostConnections) {
-    inFlight.push_back(lost.m_request);
+    if (refused) {
+      inFlight.push_back(lost.m_request);
+    } else if (lost.m_response) {
+      m_suspicions.RecordCompletion(lost.m_request,
+                                    lost.m_response->m_status,
+                                    lost.m_response->m_sentAt,
+                                    LoopNow());
+    }
+  }
+  if (!refused) {
+    return;
   }
   CountMetric("siskindeal_gateway_runner_crashes_total", {});
   m_suspicions.RecordCrash(aRunner, inFlight, LoopNow());
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,12 +35,24 @@
   void OnConnectionLost(const RunnerIncarnation& aRunner,
                         const Address& aAddress,
                         RequestTraits aRequest);
+  struct ClosedResponse
+  {
+    int m_status = 0;
+    MonotonicTime m_sentAt{}; // of the request
+  };
+  // A response ended with its connection, which is what a crash looks like too.
+  // It counts as complete if the runner accepts the probe's connection.
+  void OnResponseClosed(const RunnerIncarnation& aRunner,
+                        const Address& aAddress,
+                        RequestTraits aRequest,
+                        const ClosedResponse& aResponse);
 
 private:
   struct LostConnection
   {
     RequestTraits m_request;
     MonotonicTime m_at{};
+    std::optional<ClosedResponse> m_response; // that may be complete
   };
   // A runner that recently lost connections.
   struct RunnerProbe
@@ -58,6 +71,9 @@
     Tcp::socket m_socket;
   };
 
+  void AddLostConnection(const RunnerIncarnation& aRunner,
+                         const Address& aAddress,
+                         LostConnection aLost);
   void ScheduleProbe(const RunnerIncarnation& aRunner,
                      const std::shared_ptr<RunnerProbe>& aProbe);
   void StartProbe(const RunnerIncarnation& aRunner,
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -229,7 +229,8 @@
   const ResponseHead head{ m_parser->m_status,
                            m_parser->m_reason,
                            m_parser->m_fields,
-                           m_parser->m_length };
+                           m_parser->m_length,
+                           m_parser->need_eof() };
   if (head.m_status / 100 == 1) {
     m_discardResponse = true;
     return;
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -34,6 +34,7 @@
   std::string m_reason;
   HttpFields m_fields;
   std::optional<std::uint64_t> m_length; // unset: chunked, or until close
+  bool m_endsWithConnection = false;     // neither a length nor chunks
 };
 
 struct ResponseBodyPart
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -4,6 +4,10 @@
 #include "siskindeal/metrics.h"
 #include "support/gateway_fixture.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 #include <cstdlib>
 #include <list>
 #include <string_view>
@@ -158,6 +162,63 @@
   EXPECT_GE(refused, kRequests - kMaxCrashes);
 }
 
+// Accepts one connection and listens no more, like a runner that crashes in the
+// middle of a response without a length.
+class CrashingStreamServer
+{
+public:
+  CrashingStreamServer()
+    : m_acceptor(m_loop, { boost::asio::ip::address_v4::loopback(), 0 })
+    , m_port(m_acceptor.local_endpoint().port())
+    , m_thread([this] { Serve(); })
+  {
+  }
+  ~CrashingStreamServer() { m_thread.join(); }
+  CrashingStreamServer(const CrashingStreamServer&) = delete;
+  CrashingStreamServer& operator=(const CrashingStreamServer&) = delete;
+
+  std::uint16_t Port() const { return m_port; }
+
+private:
+  void Serve()
+  {
+    Tcp::socket socket = m_acceptor.accept();
+    m_acceptor.close();
+    std::string request;
+    boost::asio::read_until(
+      socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+    boost::asio::write(
+      socket,
+      boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n"
+                                      "X-Siskindeal-Attempt-Id: id-1\r\n"
+                                      "X-Siskindeal-Runner-Signature: sig\r\n"
+                                      "Content-Type: text/event-stream\r\n"
+                                      "\r\nid: 1\ndata: a\n\n")));
+    socket.shutdown(Tcp::socket::shutdown_both);
+  }
+
+  Loop m_loop{ 1 };
+  Tcp::acceptor m_acceptor;
+  std::uint16_t m_port;
+  std::thread m_thread;
+};
+
+TEST_F(CrashingRunnersTest, CrashThatEndsAStreamWithoutALengthIsRecorded)
+{
+  const CrashingStreamServer runner;
+  m_site.Put("servers",
+             "i-1",
+             { { "service", "chat" },
+               { "address", "127.0.0.1:" + std::to_string(runner.Port()) },
+               { "zone", "here" },
+               { "state", "ready" } });
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+  (void)SendRequest(Request("POST", "/chat/1"));
+  EXPECT_TRUE(
+    Eventually([&] { return RecordedCrashes() == m_recordedBefore + 1; }));
+}
+
 // Crash detection and suspicions of one gateway.
 class WatchingGateway : public SuspicionExchange
 {
@@ -175,6 +236,14 @@
     m_watch.OnConnectionLost({ aRunner }, aAddress, { aFingerprint });
   }
 
+  void OnResponseClosed(const std::string& aRunner,
+                        const Address& aAddress,
+                        std::uint64_t aFingerprint)
+  {
+    m_watch.OnResponseClosed(
+      { aRunner }, aAddress, { aFingerprint }, { 200, LoopNow() });
+  }
+
 private:
   CrashWatch m_watch;
 };
@@ -285,6 +354,18 @@
   EXPECT_FALSE(watch.IsQuarantined(kInnocent));
 }
 
+TEST(CrashWatch, ResponseThatEndsWithItsConnectionClearsSuspicion)
+{
+  Loop loop{ 1 };
+  WatchingGateway watch(loop);
+  const RawServer runner([](RawSocket&, int) {});
+  const Address nobody{ "127.0.0.1", UnusedPort() };
+  watch.OnConnectionLost("i-1", nobody, kInnocent);
+  ASSERT_TRUE(RunUntil(loop, [&] { return watch.List().size() == 1; }));
+  watch.OnResponseClosed("i-2", { "127.0.0.1", runner.Port() }, kInnocent);
+  EXPECT_TRUE(RunUntil(loop, [&] { return watch.List().empty(); }));
+}
+
 TEST(CrashWatch, AdvertisedSuspicionsAreBounded)
 {
   Loop loop{ 1 };
