--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -49,6 +49,16 @@
       runner->m_reportedRequests = load->m_running + load->m_waiting;
     }
   }
+  const std::string* limit = m_answer.m_fields.Find(dialect::kLimit);
+  const std::string named = limit == nullptr ? std::string() : *limit;
+  if (named != runner->m_namedLimit) {
+    Log(LogLevel::Warning,
+        "runner limit changed",
+        { { "runner", m_runner.m_id },
+          { "limited", limit != nullptr },
+          { "limit", named } });
+    runner->m_namedLimit = named;
+  }
   const std::string* version = m_answer.m_fields.Find(dialect::kVersions);
   std::uint64_t number = 0;
   if (version != nullptr && !m_shape.m_model.empty() &&
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -118,6 +118,11 @@
 {
   EXPECT_EQ(dialect::DecodeLoad("3,1,16")->m_waiting, 1U);
   EXPECT_EQ(dialect::DecodeTokens("1460,80")->m_prompt, 1460U);
+  EXPECT_EQ(dialect::DecodeLimit("1.8"), 1.8);
+  EXPECT_EQ(dialect::DecodeLimit("-2"), -2);
+  for (const char* text : { "", "two", "1.8.2", "1,8" }) {
+    EXPECT_FALSE(dialect::DecodeLimit(text)) << text;
+  }
   EXPECT_EQ(dialect::DecodePromptParts("5c1e07a2:800, 91bd3f06:410,e4:1"),
             (std::vector<std::string>{ "5c1e07a2", "91bd3f06", "e4" }));
   EXPECT_EQ(dialect::DecodePromptParts("a:1"), std::vector<std::string>{ "a" });
