--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -151,18 +151,24 @@
 Placer::Place(const RequestShape& aShape,
               const ServiceRecord& aService,
               RunnerTable& aRunners,
+              const RunnerLimits& aLimits,
               const std::set<std::string>& aTried,
               MonotonicTime aNow)
 {
   const RunnerState* best = nullptr;
   double bestCost = 0;
   bool bestAvoided = false;
+  std::vector<RunnerIncarnation> limited;
   for (const RunnerState* runner : aRunners.Usable(aShape.m_service)) {
     const Ms predicted = Predict(aShape, aService, *runner);
     if (aTried.count(runner->m_record.m_id) > 0 ||
         !HoldsVersion(aShape, *runner, predicted)) {
       continue;
     }
+    if (!aLimits.Allows(runner->m_record.Incarnation(), aNow)) {
+      limited.push_back(runner->m_record.Incarnation());
+      continue;
+    }
     const bool avoided =
       runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow;
     const double cost = predicted.count() +
@@ -175,6 +181,11 @@
       bestAvoided = avoided;
     }
   }
+  if (best == nullptr && !limited.empty()) {
+    return PlacementRefusal{ "the runners' limits are used up",
+                             RetryAfter(aLimits.RetryAfter(limited),
+                                        aShape.m_timeLeft) };
+  }
   if (best == nullptr) {
     return PlacementRefusal{ "no eligible runner",
                              RetryAfter(kMinRetryAfter, aShape.m_timeLeft),
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -2,6 +2,7 @@
 // Chooses the runner for a request by the predicted time to its first byte, or
 // refuses the request. Does no I/O; the caller passes time and random seed.
 
+#include "dispatch/runner_limits_p.h"
 #include "dispatch/runner_table_p.h"
 #include "siskindeal/random.h"
 
@@ -55,10 +56,12 @@
   {
   }
 
-  // Chooses among the runners of the request's service, except those in aTried.
+  // Chooses among the runners of the request's service, except those in aTried
+  // and those whose limit is used up.
   Decision Place(const RequestShape& aShape,
                  const ServiceRecord& aService,
                  RunnerTable& aRunners,
+                 const RunnerLimits& aLimits,
                  const std::set<std::string>& aTried,
                  MonotonicTime aNow);
 
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -30,7 +30,6 @@
   RunnerLoad m_peerLoad; // sum of the other gateways' last reports
   // Reported by the runner with its responses.
   std::uint32_t m_reportedRequests = 0;
-  std::string m_namedLimit; // as the runner wrote it; empty: none
 
   // Smoothed duration of requests; used for plain services only.
   std::chrono::duration<double, std::milli> m_smoothedDuration{ 0 };
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -240,6 +240,7 @@
   return m_gateway.RequestPlacer().Place(m_shape,
                                          m_routes->Service(m_service),
                                          m_gateway.Runners(),
+                                         m_gateway.Limits(),
                                          m_triedRunners,
                                          now);
 }
@@ -275,6 +276,7 @@
   m_loadBefore = aPlacement.m_load;
   m_sentAt = m_lastProgress = now;
   m_triedRunners.insert(m_runner.m_id);
+  m_gateway.Limits().RecordSend(m_runner, now);
   LogIfSuspect();
   if (!IsPromptProven()) {
     m_gateway.Suspicions().RecordTrial(m_traits.m_parts, now);
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -37,9 +37,29 @@
                     type->rfind("text/event-stream", 0) == 0;
 }
 
+// Records the limit that the runner names, or that it names none.
+void
+CallerExchange::ApplyRunnerLimit()
+{
+  const std::string* field = m_answer.m_fields.Find(dialect::kLimit);
+  std::optional<double> limit;
+  if (field != nullptr) {
+    const std::optional<double> decoded = dialect::DecodeLimit(*field);
+    if (!decoded) {
+      m_gateway.LogRequest(
+        LogLevel::Warning,
+        "runner limit unreadable",
+        { { "id", m_id }, { "runner", m_runner.m_id }, { "limit", *field } });
+    }
+    limit = decoded.value_or(0); // which allows few requests
+  }
+  m_gateway.Limits().RecordResponse(m_runner, limit, m_sentAt, LoopNow());
+}
+
 void
 CallerExchange::ApplyResponseHead()
 {
+  ApplyRunnerLimit();
   RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id);
   if (runner == nullptr) {
     return;
@@ -49,16 +69,6 @@
       runner->m_reportedRequests = load->m_running + load->m_waiting;
     }
   }
-  const std::string* limit = m_answer.m_fields.Find(dialect::kLimit);
-  const std::string named = limit == nullptr ? std::string() : *limit;
-  if (named != runner->m_namedLimit) {
-    Log(LogLevel::Warning,
-        "runner limit changed",
-        { { "runner", m_runner.m_id },
-          { "limited", limit != nullptr },
-          { "limit", named } });
-    runner->m_namedLimit = named;
-  }
   const std::string* version = m_answer.m_fields.Find(dialect::kVersions);
   std::uint64_t number = 0;
   if (version != nullptr && !m_shape.m_model.empty() &&
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -60,6 +60,7 @@
   void On(const CallFailed& aFailure);
 
   void ApplyResponseHead();
+  void ApplyRunnerLimit();
   void OnRefusedByRunner();
   void OnCompleteAnswer();
   void OnEvent(const StreamEvent& aEvent);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -201,6 +201,7 @@
                     std::chrono::duration<double>(kTickInterval).count());
   ApplyPeerLoads();
   if (m_ticks % kTicksPerHeartbeat == 0) {
+    UpdateLimits();
     const bool includeVersions = m_ticks % kTicksPerSecond < kTicksPerHeartbeat;
     Advertise(includeVersions);
   } else {
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -1,6 +1,7 @@
 // Datagrams between this gateway, other gateways and stagers.
 
 #include "gateway/gateway_p.h"
+#include "siskindeal/digest.h"
 
 namespace siskindeal {
 
@@ -24,6 +25,22 @@
   load.set_prompt_tokens(aLoad.m_promptTokens);
 }
 
+// aTo is a GatewayBeacon or a RegionReport.
+template<typename Advertisement, typename Message>
+void
+Append(const Advertisement& aCommon, Message& aTo)
+{
+  for (const wire::Suspicion& suspicion : aCommon.m_suspicions) {
+    *aTo.add_suspicions() = suspicion;
+  }
+  for (const v1::PartSuspicion& suspicion : aCommon.m_partSuspicions) {
+    *aTo.add_part_suspicions() = suspicion;
+  }
+  for (const v1::RunnerLimitReport& limit : aCommon.m_limits) {
+    *aTo.add_limits() = limit;
+  }
+}
+
 } // namespace
 
 void
@@ -49,6 +66,7 @@
   for (const v1::PartSuspicion& suspicion : aBeacon.part_suspicions()) {
     m_suspicions.Merge(suspicion, LoopNow());
   }
+  MergeLimits(aBeacon.limits());
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
     UpdateGatewayCount();
   }
@@ -69,6 +87,7 @@
   for (const v1::PartSuspicion& suspicion : report.part_suspicions()) {
     m_suspicions.Merge(suspicion, LoopNow());
   }
+  MergeLimits(report.limits());
   for (const v1::RunnerReport& runnerReport : report.runners()) {
     if (RunnerState* runner = m_runners.Find(runnerReport.runner())) {
       ApplyRunnerReport(*runner, runnerReport);
@@ -169,22 +188,75 @@
   SendToRegionPeers(datagram);
 }
 
+std::vector<v1::RunnerLimitReport>
+Gateway::LimitsToAdvertise()
+{
+  const MonotonicTime now = LoopNow();
+  const auto ageOf = [&](MonotonicTime aTime) {
+    return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(now - aTime).count());
+  };
+  std::vector<v1::RunnerLimitReport> reports;
+  for (const auto& [runner, limit] : m_limits.Advertise(now)) {
+    v1::RunnerLimitReport& report = reports.emplace_back();
+    report.set_runner(runner.m_id);
+    report.set_created(runner.m_created);
+    report.set_limited(limit.m_perSecond.has_value());
+    report.set_per_second(limit.m_perSecond.value_or(0));
+    report.set_age_ms(ageOf(limit.m_namedAt));
+    report.set_since_ms(ageOf(limit.m_since));
+  }
+  return reports;
+}
+
+void
+Gateway::MergeLimits(
+  const google::protobuf::RepeatedPtrField<v1::RunnerLimitReport>& aLimits)
+{
+  const MonotonicTime now = LoopNow();
+  for (const v1::RunnerLimitReport& report : aLimits) {
+    RunnerLimit limit;
+    if (report.limited()) {
+      limit.m_perSecond = report.per_second();
+    }
+    limit.m_namedAt = now - milliseconds(report.age_ms());
+    limit.m_since = now - milliseconds(report.since_ms());
+    m_limits.Merge({ report.runner(), report.created() }, limit, now);
+  }
+}
+
+void
+Gateway::UpdateLimits()
+{
+  const MonotonicTime now = LoopNow();
+  const auto positionOf = [&](const RunnerIncarnation& aRunner) {
+    const std::uint64_t key = StableHash(aRunner.ToString());
+    // A gateway that callers aren't sent to holds no limit.
+    return RunnerLimits::Position{ IsAdvertised() ? m_peers.RankFor(key, now)
+                                                  : m_peers.Count(),
+                                   m_peers.ServingAddresses(now).size() + 1 };
+  };
+  const auto isKnown = [&](const RunnerIncarnation& aRunner) {
+    const RunnerState* runner = m_runners.Find(aRunner.m_id);
+    return runner != nullptr && runner->m_record.Incarnation() == aRunner;
+  };
+  m_limits.Update(positionOf, isKnown, now);
+}
+
 void
 Gateway::Advertise(bool aIncludeVersions)
 {
   // Taken once, since each call continues where the last one ended.
-  const AdvertisedSuspicions suspicions = {
-    m_suspicions.SuspicionsToAdvertise(LoopNow()),
-    m_suspicions.PartsToAdvertise(LoopNow())
-  };
-  SendHeartbeat(aIncludeVersions, suspicions);
-  SendRegionReport(aIncludeVersions, suspicions);
+  const Advertisement common = { m_suspicions.SuspicionsToAdvertise(LoopNow()),
+                                 m_suspicions.PartsToAdvertise(LoopNow()),
+                                 LimitsToAdvertise() };
+  SendHeartbeat(aIncludeVersions, common);
+  SendRegionReport(aIncludeVersions, common);
 }
 
 // Sent even if nothing changed, to show that this gateway is alive.
 void
-Gateway::SendHeartbeat(bool aIncludeVersions,
-                       const AdvertisedSuspicions& aSuspicions)
+Gateway::SendHeartbeat(bool aIncludeVersions, const Advertisement& aCommon)
 {
   v1::Datagram datagram = BeaconWithLoads();
   if (aIncludeVersions) {
@@ -192,19 +264,13 @@
       m_named, BootTime(), *datagram.mutable_gateway()->mutable_named());
   }
   v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
-  for (const wire::Suspicion& suspicion : aSuspicions.m_requests) {
-    *beacon.add_suspicions() = suspicion;
-  }
-  for (const v1::PartSuspicion& suspicion : aSuspicions.m_parts) {
-    *beacon.add_part_suspicions() = suspicion;
-  }
+  Append(aCommon, beacon);
   SendToRegionPeers(datagram);
 }
 
 // Sends the state of this region to gateways of the other regions.
 void
-Gateway::SendRegionReport(bool aIncludeVersions,
-                          const AdvertisedSuspicions& aSuspicions)
+Gateway::SendRegionReport(bool aIncludeVersions, const Advertisement& aCommon)
 {
   const MonotonicTime now = LoopNow();
   const std::vector<Address> targets =
@@ -233,12 +299,7 @@
   if (aIncludeVersions) {
     AppendNamedAges(m_named, BootTime(), *report.mutable_named());
   }
-  for (const wire::Suspicion& suspicion : aSuspicions.m_requests) {
-    *report.add_suspicions() = suspicion;
-  }
-  for (const v1::PartSuspicion& suspicion : aSuspicions.m_parts) {
-    *report.add_part_suspicions() = suspicion;
-  }
+  Append(aCommon, report);
   for (const Address& address : targets) {
     m_datagrams->Send(datagram, address);
   }
--- a/src/gateway/gateway_endpoints.cpp
+++ b/src/gateway/gateway_endpoints.cpp
@@ -93,15 +93,19 @@
 {
   nlohmann::json runners = nlohmann::json::array();
   for (const auto& [id, state] : m_runners.All()) {
-    runners.push_back({ { "id", id },
-                        { "service", state.m_record.m_service },
-                        { "address", state.m_record.m_address.ToString() },
-                        { "draining", state.m_record.m_draining },
-                        { "missing", state.m_missingSince.has_value() },
-                        { "own", state.m_ownLoad.m_requests },
-                        { "others", state.m_peerLoad.m_requests },
-                        { "told", state.m_reportedRequests },
-                        { "versions", state.m_record.m_versions } });
+    const auto limit = m_limits.LimitOf(state.m_record.Incarnation());
+    runners.push_back(
+      { { "id", id },
+        { "service", state.m_record.m_service },
+        { "address", state.m_record.m_address.ToString() },
+        { "draining", state.m_record.m_draining },
+        { "missing", state.m_missingSince.has_value() },
+        { "own", state.m_ownLoad.m_requests },
+        { "others", state.m_peerLoad.m_requests },
+        { "told", state.m_reportedRequests },
+        { "limit",
+          m_limits.LimitOf(state.m_record.Incarnation()).value_or(-1) },
+        { "versions", state.m_record.m_versions } });
   }
   nlohmann::json suspects = nlohmann::json::array();
   for (const SuspicionListing& one : m_suspicions.List()) {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -49,6 +49,7 @@
 
   const std::shared_ptr<const RouteIndex>& Routes() const { return m_routes; }
   RunnerTable& Runners() { return m_runners; }
+  RunnerLimits& Limits() { return m_limits; }
   Placer& RequestPlacer() { return m_placer; }
   SharedRetryBudget& Retries() { return m_retries; }
   CrashWatch& Crashes() { return m_crashes; }
@@ -70,10 +71,12 @@
                   std::initializer_list<LogField> aFields);
 
 private:
-  struct AdvertisedSuspicions
+  // What a heartbeat and a region report of one round have in common.
+  struct Advertisement
   {
-    std::vector<wire::Suspicion> m_requests;
-    std::vector<v1::PartSuspicion> m_parts;
+    std::vector<wire::Suspicion> m_suspicions;
+    std::vector<v1::PartSuspicion> m_partSuspicions;
+    std::vector<v1::RunnerLimitReport> m_limits;
   };
 
   void OnConfig(const SiteObject& aObject);
@@ -101,10 +104,12 @@
   void SendLoadChanges();
   // Sends a heartbeat to this region's gateways and a report to other regions.
   void Advertise(bool aIncludeVersions);
-  void SendHeartbeat(bool aIncludeVersions,
-                     const AdvertisedSuspicions& aSuspicions);
-  void SendRegionReport(bool aIncludeVersions,
-                        const AdvertisedSuspicions& aSuspicions);
+  void SendHeartbeat(bool aIncludeVersions, const Advertisement& aCommon);
+  void SendRegionReport(bool aIncludeVersions, const Advertisement& aCommon);
+  std::vector<v1::RunnerLimitReport> LimitsToAdvertise();
+  void MergeLimits(
+    const google::protobuf::RepeatedPtrField<v1::RunnerLimitReport>& aLimits);
+  void UpdateLimits();
   void AppendRegionLoads(v1::RegionReport& aReport);
   void SendToStagers();
   void ApplyPeerLoads();
@@ -135,6 +140,7 @@
   bool m_haveRunnerList = false;
   bool m_haveGatewayList = false;
   MonotonicTime m_startedAt = LoopNow();
+  RunnerLimits m_limits;
   Placer m_placer;
   SharedRetryBudget m_retries;
   SuspicionExchange m_suspicions;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -108,7 +108,9 @@
   table.Find("a")->m_ownLoad = { 12, 6000 };
   table.Find("bb")->m_peerLoad = { 3, 500 };
   Placer placer = NewPlacer();
-  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)), "bb");
+  EXPECT_EQ(RunnerOf(placer.Place(
+              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
+            "bb");
 }
 
 TEST(Placement, PrefersItsRegionWhileTheLatencyCostIsSmall)
@@ -117,20 +119,42 @@
   table.Replace({ Runner("near", "kin-a"), Runner("far", "mbj-a") }, kStart);
   Placer placer = NewPlacer();
   table.Find("near")->m_ownLoad = { 2, 600 };
-  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)),
+  EXPECT_EQ(RunnerOf(placer.Place(
+              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
             "near");
   table.Find("near")->m_ownLoad = { 14, 9000 };
-  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)),
+  EXPECT_EQ(RunnerOf(placer.Place(
+              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
             "far");
 }
 
+TEST(Placement, RunnerWhoseLimitIsUsedUpIsLeftToOthersOrRefused)
+{
+  RunnerTable table;
+  table.Replace({ Runner("a"), Runner("bb") }, kStart);
+  table.Find("bb")->m_ownLoad = { 3, 600 };
+  RunnerLimits limits;
+  limits.RecordResponse(
+    table.Find("a")->m_record.Incarnation(), 0.5, kStart, kStart);
+  Placer placer = NewPlacer();
+  EXPECT_EQ(
+    RunnerOf(placer.Place(Shape(), Engine(), table, limits, {}, kStart)), "bb");
+  const Decision decision =
+    placer.Place(Shape(), Engine(), table, limits, { "bb" }, kStart);
+  const auto* refusal = std::get_if<PlacementRefusal>(&decision);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_EQ(refusal->m_reason, "the runners' limits are used up");
+  EXPECT_GT(refusal->m_retryAfter.count(), 0);
+}
+
 TEST(Placement, RefusesRequestThatWouldBeLateWithRetryAfter)
 {
   RunnerTable table;
   table.Replace({ Runner("a") }, kStart);
   table.Find("a")->m_peerLoad = { 40, 20000 };
   Placer placer = NewPlacer();
-  const Decision decision = placer.Place(Shape(), Engine(), table, {}, kStart);
+  const Decision decision =
+    placer.Place(Shape(), Engine(), table, RunnerLimits(), {}, kStart);
   const auto* refusal = std::get_if<PlacementRefusal>(&decision);
   ASSERT_NE(refusal, nullptr);
   EXPECT_GT(refusal->m_retryAfter, milliseconds(0));
@@ -147,12 +171,17 @@
   table.Find("a")->m_peerLoad = { 15, 2000 };
   Placer placer = NewPlacer();
   RequestShape shape = Shape();
-  EXPECT_EQ(RunnerOf(placer.Place(shape, Engine(), table, {}, kStart)), "a");
+  EXPECT_EQ(
+    RunnerOf(placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart)),
+    "a");
   shape.m_isCallerRetry = true;
-  EXPECT_EQ(RunnerOf(placer.Place(shape, Engine(), table, {}, kStart)),
-            "refused");
+  EXPECT_EQ(
+    RunnerOf(placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart)),
+    "refused");
   table.Find("a")->m_peerLoad = { 3, 0 };
-  EXPECT_EQ(RunnerOf(placer.Place(shape, Engine(), table, {}, kStart)), "a");
+  EXPECT_EQ(
+    RunnerOf(placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart)),
+    "a");
 }
 
 TEST(Placement, AvoidedRunnerIsUsedOnlyIfNoOtherIsEligible)
@@ -162,8 +191,11 @@
   table.Find("a")->m_avoidUntil = kStart + milliseconds(100);
   table.Find("bb")->m_ownLoad = { 10, 4000 };
   Placer placer = NewPlacer();
-  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, {}, kStart)), "bb");
-  EXPECT_EQ(RunnerOf(placer.Place(Shape(), Engine(), table, { "bb" }, kStart)),
+  EXPECT_EQ(RunnerOf(placer.Place(
+              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
+            "bb");
+  EXPECT_EQ(RunnerOf(placer.Place(
+              Shape(), Engine(), table, RunnerLimits(), { "bb" }, kStart)),
             "a");
 }
 
@@ -198,7 +230,8 @@
     shape.m_minVersion = versions.m_minVersion;
     shape.m_nextVersion = versions.m_nextVersion;
     shape.m_nextDueIn = milliseconds(versions.m_nextDueInMs);
-    const Decision decision = placer.Place(shape, Engine(), table, {}, kStart);
+    const Decision decision =
+      placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart);
     EXPECT_EQ(std::holds_alternative<Placement>(decision), versions.m_placed);
   }
 }
