A response that a runner never ends is cut off by gateways

A runner in trouble may send bytes that are no response without end, in a head or a body. Cause: only the head had a bound of use. A body was buffered up to 256 MB, as much as the machine has; an event without an end as well; informational responses and responses to other requests were read until the deadline; and events that a stream repeats counted as progress. Why this works: each place that can grow has a bound of its own, past which the connection is closed and the attempt fails as one that may have run. GET /state shows null, not -1, for a runner without a limit.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -285,6 +285,7 @@
   m_haveErrorAnswer = false;
   m_answerBody.clear();
   m_splitter = {};
+  m_repeatedBytes = 0;
   m_isEventStream = false;
   ++aRunner.m_ownLoad.m_requests;
   aRunner.m_ownLoad.m_promptTokens += m_shape.m_promptTokens;
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -17,6 +17,12 @@
 constexpr int kMisdirectedRequest = 421;
 constexpr int kTooManyRequests = 429;
 constexpr std::uint32_t kMaxSends = 5;
+// Longer responses aren't buffered, so that a runner that never ends one
+// doesn't exhaust the gateway's memory.
+constexpr std::size_t kMaxAnswerBytes = 4 << 20;
+constexpr std::size_t kMaxEventBytes = 1 << 20;
+// Of events that a resumed stream repeats.
+constexpr std::size_t kMaxRepeatedBytes = 4 << 20;
 
 bool
 IsSuccess(int aStatus)
@@ -81,9 +87,12 @@
 void
 CallerExchange::On(const ResponseBodyPart& aBody)
 {
-  m_lastProgress = LoopNow();
   if (!m_isEventStream) {
+    m_lastProgress = LoopNow();
     m_answerBody += aBody.m_bytes;
+    if (m_answerBody.size() > kMaxAnswerBytes) {
+      AbandonAttempt("response too large");
+    }
     return;
   }
   const auto connection = m_connection;
@@ -93,6 +102,17 @@
       return;
     }
   }
+  if (m_splitter.PendingBytes() > kMaxEventBytes ||
+      m_repeatedBytes > kMaxRepeatedBytes) {
+    AbandonAttempt("stream without new events");
+  }
+}
+
+void
+CallerExchange::AbandonAttempt(const std::string& aReason)
+{
+  m_connection->Abort();
+  OnAttemptFailed(CallFailure::MayHaveRun, aReason);
 }
 
 void
@@ -100,11 +120,13 @@
 {
   // A resumed stream may repeat events; each is forwarded once.
   if (aEvent.m_id && m_lastEventId && *aEvent.m_id <= *m_lastEventId) {
+    m_repeatedBytes += aEvent.m_bytes.size();
     return;
   }
+  m_repeatedBytes = 0;
+  m_lastProgress = LoopNow();
   if (aEvent.m_id && m_lastEventId && *aEvent.m_id != *m_lastEventId + 1) {
-    m_connection->Abort();
-    OnAttemptFailed(CallFailure::MayHaveRun, "stream event missing");
+    AbandonAttempt("stream event missing");
     return;
   }
   if (RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id)) {
@@ -145,9 +167,7 @@
 CallerExchange::StartStream()
 {
   if (m_answer.m_fields.Find(dialect::kSignature) == nullptr) {
-    m_connection->Abort();
-    OnAttemptFailed(CallFailure::MayHaveRun,
-                    "response has no runner signature");
+    AbandonAttempt("response has no runner signature");
     return;
   }
   m_phase = Phase::Streaming;
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -65,6 +65,8 @@
   void OnCompleteAnswer();
   void OnEvent(const StreamEvent& aEvent);
   void OnStreamEnd();
+  // Closes the current attempt's connection; the attempt failed.
+  void AbandonAttempt(const std::string& aReason);
   // The attempt ended without a usable response.
   void OnAttemptFailed(CallFailure aFailure, const std::string& aReason);
   bool MayRetry(CallFailure aFailure);
@@ -121,6 +123,7 @@
   ResponseHead m_answer;
   std::string m_answerBody;
   EventSplitter m_splitter;
+  std::size_t m_repeatedBytes = 0; // since the last event that was new
 
   std::set<std::string> m_triedRunners;
   std::uint32_t m_attempts = 0; // attempts that may have executed
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -128,8 +128,7 @@
   if (aNow - m_lastProgress > stallTimeout &&
       m_attempts + 1 < m_route->m_maxAttempts &&
       std::holds_alternative<Placement>(Decide())) {
-    m_connection->Abort();
-    OnAttemptFailed(CallFailure::MayHaveRun, "runner stalled");
+    AbandonAttempt("runner stalled");
   }
 }
 
--- a/src/gateway/gateway_endpoints.cpp
+++ b/src/gateway/gateway_endpoints.cpp
@@ -103,8 +103,7 @@
         { "own", state.m_ownLoad.m_requests },
         { "others", state.m_peerLoad.m_requests },
         { "told", state.m_reportedRequests },
-        { "limit",
-          m_limits.LimitOf(state.m_record.Incarnation()).value_or(-1) },
+        { "limit", limit ? nlohmann::json(*limit) : nlohmann::json() },
         { "versions", state.m_record.m_versions } });
   }
   nlohmann::json suspects = nlohmann::json::array();
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
 constexpr std::uint64_t kMaxBodyBytes = 256ULL << 20;
+// Of informational responses and those to earlier calls.
+constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
 constexpr milliseconds kPeerSilenceTimeout{ 3000 };
 // Share of the upstream's keep-alive timeout for which an idle connection is
 // reused, so that a call does not race with the upstream's close.
@@ -63,6 +65,7 @@
   m_reusable = false;
   m_sentAny = false;
   m_paused = false;
+  m_discardedBytes = 0;
   NewParser();
   if (!m_connected) {
     Connect(aConnectTimeout);
@@ -199,6 +202,13 @@
     if (m_closed || !m_inCall) {
       return;
     }
+    if (m_discardResponse) {
+      m_discardedBytes += used;
+      if (m_discardedBytes > kMaxDiscardedBytes) {
+        Fail("too many bytes that belong to no response");
+        return;
+      }
+    }
     if (!m_parser->m_body.empty()) {
       m_chunk.swap(m_parser->m_body);
       m_parser->m_body.clear();
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -120,6 +120,7 @@
   bool m_paused = false;
   bool m_reusable = false;
   bool m_discardResponse = false; // informational, or of an earlier call
+  std::size_t m_discardedBytes = 0;
   bool m_closed = false;
 };
 
--- a/tests/gateway_runs_test.cpp
+++ b/tests/gateway_runs_test.cpp
@@ -90,6 +90,80 @@
   EXPECT_EQ(answer.find("sig-7"), std::string::npos);
 }
 
+// A response that a runner sends until its connection is closed.
+struct EndlessCase
+{
+  const char* m_name;
+  const char* m_service;
+  std::string m_begin;
+  std::string m_repeated;
+};
+
+TEST_F(GatewayTest, ResponseWithoutAnEndIsCutOff)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n"
+                           "X-Siskindeal-Attempt-Id: id-1\r\n"
+                           "X-Siskindeal-Runner-Signature: s\r\n";
+  const std::string stream = head + "Content-Type: text/event-stream\r\n";
+  const std::string noise(16 << 10, 'x');
+  const std::string chunk = "4000\r\n" + noise + "\r\n";
+  const std::vector<EndlessCase> cases = {
+    { "no response at all", "post", "", noise },
+    { "field", "post", "HTTP/1.1 200 OK\r\nX-A: ", noise },
+    { "fields", "post", "HTTP/1.1 200 OK\r\n", "X-A: " + noise + "\r\n" },
+    { "body until close", "post", head + "\r\n", noise },
+    { "chunks", "post", head + "Transfer-Encoding: chunked\r\n\r\n", chunk },
+    { "event until close", "chat", stream + "\r\n", noise },
+    { "event in chunks",
+      "chat",
+      stream + "Transfer-Encoding: chunked\r\n\r\n",
+      chunk },
+    { "repeated event",
+      "chat",
+      stream + "\r\nid: 1\ndata: a\n\n",
+      "id: 1\n\n" },
+    { "informational responses",
+      "post",
+      "",
+      "HTTP/1.1 102 Processing\r\n\r\n" },
+    { "response to another request",
+      "post",
+      "HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: other\r\n\r\n",
+      noise },
+  };
+  // Includes what the buffers of the connection hold.
+  constexpr std::size_t kMaxSent = 48 << 20;
+  StartAndAwaitReady();
+  for (const EndlessCase& one : cases) {
+    SCOPED_TRACE(one.m_name);
+    std::atomic<std::size_t> sent = 0;
+    std::string repeated;
+    while (repeated.size() < noise.size()) {
+      repeated += one.m_repeated;
+    }
+    const RawServer runner([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(one.m_begin);
+      while (sent < kMaxSent && aSocket.Send(repeated)) {
+        sent += repeated.size();
+      }
+    });
+    m_site.Put("servers",
+               "i-1",
+               { { "service", one.m_service },
+                 { "address", "127.0.0.1:" + std::to_string(runner.Port()) },
+                 { "state", "ready" } });
+    ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+    const std::string path = "/" + std::string(one.m_service) + "/a";
+    const std::string answer = SendRequest(Request("POST", path));
+    EXPECT_LT(sent, kMaxSent);
+    EXPECT_EQ(answer.find("\r\n0\r\n"), std::string::npos)
+      << "must not look complete";
+    m_site.Remove("servers", "i-1");
+    ASSERT_TRUE(Eventually([&] { return RunnerCount() == 0; }));
+  }
+}
+
 TEST_F(GatewayTest, AnswerToEarlierRequestIsDropped)
 {
   const RawServer runner([](RawSocket& aSocket, int) {
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -83,17 +83,18 @@
 {
 }
 
-void
+bool
 RawSocket::Send(std::string_view aBytes)
 {
   while (!aBytes.empty()) {
     const auto sent =
       send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
     if (sent <= 0) {
-      return;
+      return false;
     }
     aBytes.remove_prefix(static_cast<std::size_t>(sent));
   }
+  return true;
 }
 
 std::string
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -23,7 +23,8 @@
   RawSocket(const RawSocket&) = delete;
   RawSocket& operator=(const RawSocket&) = delete;
 
-  void Send(std::string_view aBytes);
+  // Returns false if the connection fails before all bytes are sent.
+  bool Send(std::string_view aBytes);
   // Reads until aDelimiter is received, the peer closes or the read times out.
   std::string ReadUntil(std::string_view aDelimiter);
   // Reads until the peer closes.
