--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -14,6 +14,8 @@
 // Connections that were idle for longer are closed instead of reused, so that a
 // request doesn't race with the server's idle timeout.
 constexpr long kMaxIdleSeconds = 20;
+// More than the largest chunk of weights. Streamed responses aren't buffered.
+constexpr std::size_t kMaxBufferedBytes = 20 << 20;
 
 bool
 IsSuccess(int aStatus)
@@ -174,7 +176,7 @@
     return !m_cancelledByCallback;
   }
   m_reply.m_body.append(aBytes);
-  return true;
+  return m_reply.m_body.size() <= kMaxBufferedBytes;
 }
 
 bool
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -72,6 +72,8 @@
 // as long as data arrives at least every kStallTimeout.
 constexpr milliseconds kStallTimeout{ 900 };
 constexpr milliseconds kMaxExtra{ 6000 };
+// More than the largest piece of weights and any page of a list.
+constexpr std::size_t kMaxBufferedBytes = 20 << 20;
 // A call such as a watch may wait long for its response, but not for its
 // connection: a connect that starts during a network outage hangs beyond it.
 constexpr milliseconds kConnectTimeout{ 900 };
@@ -125,6 +127,11 @@
   void On(const ResponseBodyPart& aBody)
   {
     m_answer.m_body += aBody.m_bytes;
+    if (m_answer.m_body.size() > kMaxBufferedBytes) {
+      m_connection->Abort();
+      Finish("response too large");
+      return;
+    }
     // Without an extension, a large response over a saturated link would time
     // out on each retry.
     if (std::chrono::steady_clock::now() + kStallTimeout < m_end) {
--- a/tests/buffered_call_test.cpp
+++ b/tests/buffered_call_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
 #include <deque>
 #include <string>
@@ -115,6 +116,36 @@
   EXPECT_EQ(answer.m_failure, "connect timed out");
 }
 
+TEST(BufferedCall, ResponseWithoutAnEndIsCutOff)
+{
+  constexpr std::size_t kMaxSent = 64 << 20; // with the connection's buffers
+  const std::string noise(16 << 10, 'x');
+  std::atomic<std::size_t> sent = 0;
+  const RawServer server([&](RawSocket& aSocket, int) {
+    aSocket.ReadUntil("\r\n\r\n");
+    aSocket.Send("HTTP/1.1 200 OK\r\n\r\n");
+    while (sent < kMaxSent && aSocket.Send(noise)) {
+      sent += noise.size();
+    }
+  });
+  Loop loop{ 1 };
+  std::string failure;
+  CallBuffered(loop,
+               std::make_shared<ConnectionPool>(loop),
+               { "127.0.0.1", server.Port() },
+               "GET",
+               "/",
+               {},
+               std::chrono::seconds(20),
+               [&](const BufferedResponse& aAnswer) {
+                 failure = aAnswer.m_failure;
+                 loop.stop();
+               });
+  loop.run();
+  EXPECT_EQ(failure, "response too large");
+  EXPECT_LT(sent, kMaxSent);
+}
+
 } // namespace
 
 } // namespace siskindeal
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -234,6 +234,28 @@
   }
 }
 
+TEST(HttpClient, ResponseWithoutAnEndIsCutOff)
+{
+  constexpr std::size_t kMaxSent = 64 << 20; // with the connection's buffers
+  const std::string noise(16 << 10, 'x');
+  std::atomic<std::size_t> sent{ 0 };
+  RawServer server([&](RawSocket& aSocket, int) {
+    aSocket.ReadUntil("\r\n\r\n");
+    aSocket.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    while (sent < kMaxSent && aSocket.Send("4000\r\n" + noise + "\r\n")) {
+      sent += noise.size();
+    }
+  });
+  HttpClient client;
+  const auto reply =
+    client.Fetch({ "GET",
+                   "http://127.0.0.1:" + std::to_string(server.Port()) + "/",
+                   {},
+                   "" });
+  EXPECT_EQ(reply.m_outcome, HttpOutcome::SentNoReply);
+  EXPECT_LT(sent, kMaxSent);
+}
+
 TEST(HttpClient, NeverSendsAnUnsafeRequestTwice)
 {
   // The server responds to the first request of a connection and resets the
