--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace siskindeal {
@@ -108,8 +109,15 @@
   std::string m_id;
   std::uint64_t m_created = 0; // store revision at its record's creation
 
-  auto operator<=>(const RunnerIncarnation&) const = default;
-  std::string ToString() const { return m_id + "@" + std::to_string(m_created); }
+  bool operator==(const RunnerIncarnation&) const = default;
+  bool operator<(const RunnerIncarnation& aOther) const
+  {
+    return std::tie(m_id, m_created) < std::tie(aOther.m_id, aOther.m_created);
+  }
+  std::string ToString() const
+  {
+    return m_id + "@" + std::to_string(m_created);
+  }
 };
 
 // A runner's own record in the store.
--- a/src/quarantine/prompt_part_table.cpp
+++ b/src/quarantine/prompt_part_table.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/prompt_part_table_p.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace siskindeal {
@@ -37,7 +38,14 @@
   std::size_t m_weight = 0;
   std::size_t m_crashes = 0;
 
-  auto operator<=>(const Explanation&) const = default;
+  bool operator<(const Explanation& aOther) const
+  {
+    return std::tie(m_cappedWeight, m_neverCompleted, m_weight, m_crashes) <
+           std::tie(aOther.m_cappedWeight,
+                    aOther.m_neverCompleted,
+                    aOther.m_weight,
+                    aOther.m_crashes);
+  }
 };
 
 bool
@@ -234,7 +242,7 @@
                               !evidence->m_lastCompletion.has_value(),
                               weight,
                               unexplained.size() };
-      if (IsSuspicious(next) && next > best) {
+      if (IsSuspicious(next) && best < next) {
         best = next;
         covered = std::move(unexplained);
       }
