--- a/tests/prompt_part_table_test.cpp
+++ b/tests/prompt_part_table_test.cpp
@@ -78,6 +78,8 @@
   CrashOften({ kFirst, kCulprit }, 4);
   EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Always), PartVerdict::Refuse);
   EXPECT_EQ(VerdictOf({ kCulprit, kOther }, Always), PartVerdict::Refuse);
+  EXPECT_EQ(m_table.Decide({ kFirst, kCulprit }, Always, m_now).m_part,
+            kCulprit);
 }
 
 TEST_F(PromptPartTableTest, PartOfAllRequestsIsNotBlamedForTheCulprit)
@@ -104,6 +106,9 @@
   ASSERT_EQ(VerdictOf({ kOther + 100 }, Always), PartVerdict::Trial);
   m_table.RecordTrial({ kOther + 100 }, m_now);
   Complete({ kFirst, kOther + 100 });
+  for (int i = 0; i < 100; ++i) {
+    Complete({ kFirst, kOther });
+  }
   EXPECT_EQ(VerdictOf({ kOther + 100 }), PartVerdict::Send);
 }
 
