Evidence of parts fits into a datagram

What callers saw: nothing yet; found when the diff was read. A datagram over 16 KB is lost with all that it holds, which would make gateways and regions seem gone to each other in the middle of a storm of crashes. Cause: 16 parts of 64 crashes each take 15 KB of a beacon or a region's report. Evidence: PartsOfManyCrashesFitIntoADatagram, 15,184 bytes before, 4,096 allowed. Why this works: of each part the 8 latest crashes and the 8 latest cleared ones are sent.

--- a/src/quarantine/prompt_part_table.cpp
+++ b/src/quarantine/prompt_part_table.cpp
@@ -55,15 +55,27 @@
          aExplanation.m_crashes >= kManyCrashes;
 }
 
+using CrashTimes = std::map<std::uint64_t, MonotonicTime>; // by id
+
 void
-Encode(std::uint64_t aId,
-       MonotonicTime::duration aAge,
-       v1::PartSuspicion::Crash& aTo)
+EncodeLatest(const CrashTimes& aCrashes,
+             MonotonicTime aNow,
+             google::protobuf::RepeatedPtrField<v1::PartSuspicion::Crash>& aTo)
 {
-  const auto age = std::chrono::duration_cast<milliseconds>(aAge);
-  aTo.set_id(aId);
-  aTo.set_age_ms(
-    static_cast<std::uint64_t>(std::max(age, milliseconds(0)).count()));
+  std::vector<std::pair<MonotonicTime, std::uint64_t>> latest;
+  latest.reserve(aCrashes.size());
+  for (const auto& [id, at] : aCrashes) {
+    latest.emplace_back(at, id);
+  }
+  std::sort(latest.rbegin(), latest.rend());
+  latest.resize(std::min(latest.size(), PromptPartTable::kMaxExported));
+  for (const auto& [at, id] : latest) {
+    const auto age = std::chrono::duration_cast<milliseconds>(aNow - at);
+    v1::PartSuspicion::Crash& crash = *aTo.Add();
+    crash.set_id(id);
+    crash.set_age_ms(
+      static_cast<std::uint64_t>(std::max(age, milliseconds(0)).count()));
+  }
 }
 
 } // namespace
@@ -391,12 +403,8 @@
     return suspicion;
   }
   suspicion.set_others_complete(found->second.m_othersComplete);
-  for (const auto& [id, at] : found->second.m_crashes) {
-    Encode(id, aNow - at, *suspicion.add_crashes());
-  }
-  for (const auto& [id, at] : found->second.m_cleared) {
-    Encode(id, aNow - at, *suspicion.add_cleared());
-  }
+  EncodeLatest(found->second.m_crashes, aNow, *suspicion.mutable_crashes());
+  EncodeLatest(found->second.m_cleared, aNow, *suspicion.mutable_cleared());
   return suspicion;
 }
 
--- a/src/quarantine/prompt_part_table_p.h
+++ b/src/quarantine/prompt_part_table_p.h
@@ -82,7 +82,8 @@
   std::vector<PromptPart> ChangedSince(std::uint64_t aNumber) const;
   // The sequence number of the last change.
   std::uint64_t Number() const { return m_sequence; }
-  // Returns an empty suspicion for a part without evidence.
+  // Returns an empty suspicion for a part without evidence. Holds the latest
+  // kMaxExported crashes of each kind, so that many fit into a datagram.
   v1::PartSuspicion Export(PromptPart aPart, MonotonicTime aNow) const;
   // The crashes that no completion has cleared.
   std::size_t CrashCount(PromptPart aPart) const;
@@ -91,6 +92,7 @@
   static constexpr std::size_t kMaxParts = 2048;
   static constexpr std::size_t kMaxCrashes = 32; // recorded per part
   static constexpr std::size_t kMaxCleared = 32;
+  static constexpr std::size_t kMaxExported = 8;
   // Runners that crash together may have one cause that is no request, such as
   // a power failure, so only some of the crashes of an episode count.
   static constexpr std::chrono::milliseconds kEpisode{ 300 };
--- a/tests/suspicion_exchange_test.cpp
+++ b/tests/suspicion_exchange_test.cpp
@@ -112,6 +112,34 @@
   EXPECT_EQ(advertised.size(), kSuspicions);
 }
 
+// A datagram that is too long is lost with all that it holds.
+TEST(SuspicionExchange, PartsOfManyCrashesFitIntoADatagram)
+{
+  constexpr std::size_t kMaxBytes = 4 << 10; // a quarter of a datagram
+  constexpr PromptPart kParts = 100;
+  SuspicionExchange gateway;
+  MonotonicTime now = kStart;
+  RequestTraits request{ kCrasher };
+  for (PromptPart part = 1; part <= kParts; ++part) {
+    request.m_parts.push_back(part);
+  }
+  for (int round = 0; round < 2; ++round) {
+    for (std::size_t i = 0; i < PromptPartTable::kMaxCrashes; ++i) {
+      now += std::chrono::seconds(1);
+      gateway.RecordCrash({ "i-1", 100U * round + i }, { request }, now);
+    }
+    if (round == 0) {
+      gateway.RecordCompletion(request, kOk, now, now);
+    }
+  }
+  std::size_t bytes = 0;
+  for (const v1::PartSuspicion& suspicion : gateway.PartsToAdvertise(now)) {
+    bytes += suspicion.ByteSizeLong();
+  }
+  EXPECT_GT(bytes, 0U);
+  EXPECT_LE(bytes, kMaxBytes);
+}
+
 TEST(SuspicionExchange, QuarantineInferredLongAfterTheCrashesIsAdvertised)
 {
   std::vector<SuspicionExchange> gateways(2);
