Gateways log when their event loop was delayed

The line and its counter come from the periodic task, which runs every 20 ms; a delay over 100 ms is reported. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{ 20 };
+constexpr milliseconds kMaxTickDelay{ 100 }; // longer ones are logged
 constexpr std::uint32_t kTicksPerHeartbeat = 7;
 constexpr std::uint32_t kTicksPerSecond = 50;
 constexpr FeedTiming kConfigFeedTiming{ milliseconds(2000), milliseconds(250) };
@@ -89,6 +90,7 @@
   , m_region(RegionOf(aSettings.m_gateway.m_regions, aSettings.m_node.m_place))
   , m_incarnation(NewIncarnation())
   , m_logTokens(kLogBurst)
+  , m_tickDelay(kTickInterval)
   , m_ticker(m_loop)
   , m_registerTimer(m_loop)
   , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
@@ -191,6 +193,14 @@
 Gateway::Tick()
 {
   const MonotonicTime now = LoopNow();
+  const milliseconds delay = m_tickDelay.Record(now);
+  if (delay > kMaxTickDelay) {
+    CountMetric("siskindeal_gateway_delayed_ticks_total");
+    LogRequest(
+      LogLevel::Warning,
+      "event loop delayed",
+      { { "delay_ms", delay.count() }, { "exchanges", m_exchanges.size() } });
+  }
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
     exchange->Tick(now);
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -10,6 +10,7 @@
 #include "gateway/route_index_p.h"
 #include "net/datagrams_p.h"
 #include "net/http_server_p.h"
+#include "net/tick_delay_p.h"
 #include "siskindeal/log.h"
 #include "site/object_feed_p.h"
 
@@ -164,6 +165,7 @@
   std::uint64_t m_logDropped = 0;
 
   std::uint32_t m_ticks = 0;
+  TickDelay m_tickDelay;
   Timer m_ticker;
   Timer m_registerTimer;
   boost::asio::signal_set m_signals;
