--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -91,6 +91,7 @@
     settings.m_gateway.m_answerLifetime = std::chrono::milliseconds(50);
     settings.m_gateway.m_graceSeconds = 5;
     settings.m_gateway.m_versionWithin = m_versionWithin;
+    settings.m_gateway.m_retrySlack = m_retrySlack;
     settings.m_platform.m_url = "http://" + m_site.Store().ToString();
     m_gateway = std::make_unique<Gateway>(settings, m_settingsFile);
     m_thread = std::thread([this] { m_gateway->Run(); });
@@ -189,6 +190,7 @@
 
   std::string m_settingsFile; // empty: no file
   std::chrono::milliseconds m_versionWithin{ 8000 };
+  double m_retrySlack = GatewayRoleSettings{}.m_retrySlack;
   SiteStandIn m_site;
   std::unique_ptr<Gateway> m_gateway;
   std::thread m_thread;
