Silent runners keep their requests

Callers saw: a stream broken off, or 502, where the runner was sound and only silent for a second; beside a change of the configuration this is a lost request.

Cause: the exchange closed the connection to a silent runner whenever a place was free elsewhere, before anything was known of the second runner. If that one rejected the request, reset it, failed or was silent too, or if the retry budget was used up, nothing was left to forward.

Change: an exchange may have several open attempts. The request goes to a second runner only if there is a place, an attempt and a retry of the budget for it, and the first run stays open. The first that brings something new wins and the others are cancelled; one that fails is dropped while another is open. A runner's error response is kept and forwarded if nothing better comes.

--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -7,6 +7,7 @@
 #include "siskindeal/clock.h"
 #include "siskindeal/site.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -48,6 +49,16 @@
     return found == m_record.m_versions.end() ? 0 : found->second;
   }
 
+  // Starts a backoff period; it doubles with each failure in a row.
+  void AvoidAfterFailure(MonotonicTime aNow)
+  {
+    constexpr std::chrono::milliseconds kBaseAvoidance{ 250 };
+    constexpr std::uint32_t kMaxDoublings = 4;
+    const std::uint32_t doublings =
+      std::min(m_consecutiveFailures++, kMaxDoublings);
+    m_avoidUntil = aNow + kBaseAvoidance * (1U << doublings);
+  }
+
   std::uint32_t Requests() const
   {
     return m_ownLoad.m_requests + m_peerLoad.m_requests;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -255,8 +255,8 @@
   }
   const auto& refusal = std::get<PlacementRefusal>(decision);
   m_predicted = refusal.m_predicted;
-  if (m_haveErrorAnswer) {
-    ForwardAnswer();
+  if (m_errorAnswer) {
+    ForwardAnswer(*m_errorAnswer);
   } else if (m_mayHaveRun) {
     Fail(m_lastReason);
   } else {
@@ -270,38 +270,35 @@
   const MonotonicTime now = LoopNow();
   constexpr milliseconds kConnectTimeout{ 400 };
   ++m_sends;
-  m_runner = aRunner.m_record.Incarnation();
-  m_address = aRunner.m_record.m_address;
   m_predicted = aPlacement.m_predicted;
-  m_loadBefore = aPlacement.m_load;
-  m_sentAt = m_lastProgress = now;
-  m_triedRunners.insert(m_runner.m_id);
-  m_gateway.Limits().RecordSend(m_runner, now);
+  m_attempt = std::make_shared<RunnerAttempt>();
+  m_openAttempts.push_back(m_attempt);
+  m_attempt->m_runner = aRunner.m_record.Incarnation();
+  m_attempt->m_address = aRunner.m_record.m_address;
+  m_attempt->m_predicted = aPlacement.m_predicted;
+  m_attempt->m_loadBefore = aPlacement.m_load;
+  m_attempt->m_sentAt = m_attempt->m_lastProgress = now;
+  m_triedRunners.insert(m_attempt->m_runner.m_id);
+  m_gateway.Limits().RecordSend(m_attempt->m_runner, now);
   LogIfSuspect();
   if (!IsPromptProven()) {
     m_gateway.Suspicions().RecordTrial(m_traits.m_parts, now);
   }
-  m_answer = {};
-  m_haveErrorAnswer = false;
-  m_answerBody.clear();
-  m_splitter = {};
-  m_repeatedBytes = 0;
-  m_isEventStream = false;
   ++aRunner.m_ownLoad.m_requests;
   aRunner.m_ownLoad.m_promptTokens += m_shape.m_promptTokens;
-  m_promptCounted = true;
+  m_attempt->m_promptCounted = true;
   OutgoingCall call;
   call.m_head = BuildHead(aRunner);
   call.m_body = m_request.m_body;
   call.m_echoName = dialect::kAttemptId;
   call.m_echo = m_id;
-  m_connection = m_gateway.Pool()->Acquire(m_address);
-  m_connection->Begin(std::move(call),
-                      kConnectTimeout,
-                      [self = shared_from_this()](const CallEvent& aEvent) {
-                        std::visit([&](const auto& aWhat) { self->On(aWhat); },
-                                   aEvent);
-                      });
+  m_attempt->m_connection = m_gateway.Pool()->Acquire(m_attempt->m_address);
+  m_attempt->m_connection->Begin(
+    std::move(call),
+    kConnectTimeout,
+    [self = shared_from_this(), attempt = m_attempt](const CallEvent& aEvent) {
+      std::visit([&](const auto& aWhat) { self->On(*attempt, aWhat); }, aEvent);
+    });
 }
 
 void
@@ -317,7 +314,7 @@
     LogLevel::Warning,
     "suspect forwarded",
     { { "id", m_id },
-      { "runner", m_runner.m_id },
+      { "runner", m_attempt->m_runner.m_id },
       { "fingerprint", FormatFingerprint(m_traits.m_fingerprint) },
       { "crashes", suspicion->m_crashes },
       { "attributed", suspicion->m_attributed } });
@@ -373,36 +370,57 @@
   return head;
 }
 
+bool
+CallerExchange::IsOpen(const RunnerAttempt& aAttempt) const
+{
+  return std::any_of(
+    m_openAttempts.begin(),
+    m_openAttempts.end(),
+    [&](const RunnerAttemptPtr& aOpen) { return aOpen.get() == &aAttempt; });
+}
+
 void
-CallerExchange::ReleasePromptTokens(RunnerState& aRunner)
+CallerExchange::ReleasePromptTokens(RunnerAttempt& aAttempt,
+                                    RunnerState& aRunner)
 {
-  if (m_promptCounted) {
-    m_promptCounted = false;
+  if (aAttempt.m_promptCounted) {
+    aAttempt.m_promptCounted = false;
     aRunner.m_ownLoad.m_promptTokens -=
       std::min(aRunner.m_ownLoad.m_promptTokens, m_shape.m_promptTokens);
   }
 }
 
 void
-CallerExchange::ReleaseRunner(RunnerHealth aHealth)
+CallerExchange::EndAttempt(RunnerAttempt& aAttempt, RunnerHealth aHealth)
 {
-  RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id);
+  std::erase_if(m_openAttempts, [&](const RunnerAttemptPtr& aOpen) {
+    return aOpen.get() == &aAttempt;
+  });
+  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
   if (runner == nullptr) {
     return;
   }
-  constexpr milliseconds kBaseAvoidance{ 250 };
-  constexpr std::uint32_t kMaxDoublings = 4;
-  ReleasePromptTokens(*runner);
+  ReleasePromptTokens(aAttempt, *runner);
   if (runner->m_ownLoad.m_requests > 0) {
     --runner->m_ownLoad.m_requests;
   }
   if (aHealth == RunnerHealth::Healthy) {
     runner->m_consecutiveFailures = 0;
-    return;
+  } else if (aHealth == RunnerHealth::Failed) {
+    runner->AvoidAfterFailure(LoopNow());
+  }
+}
+
+void
+CallerExchange::CancelAttempts(const RunnerAttempt* aExcept)
+{
+  const std::vector<RunnerAttemptPtr> attempts = m_openAttempts;
+  for (const RunnerAttemptPtr& attempt : attempts) {
+    if (attempt.get() != aExcept) {
+      attempt->m_connection->Abort();
+      EndAttempt(*attempt, RunnerHealth::Unknown);
+    }
   }
-  const std::uint32_t doublings =
-    std::min(runner->m_consecutiveFailures++, kMaxDoublings);
-  runner->m_avoidUntil = LoopNow() + kBaseAvoidance * (1U << doublings);
 }
 
 } // namespace siskindeal
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -16,7 +16,6 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirectedRequest = 421;
 constexpr int kTooManyRequests = 429;
-constexpr std::uint32_t kMaxSends = 5;
 // Longer responses aren't buffered, so that a runner that never ends one
 // doesn't exhaust the gateway's memory.
 constexpr std::size_t kMaxAnswerBytes = 4 << 20;
@@ -29,53 +28,71 @@
 {
   return aStatus / 100 == 2;
 }
+
+// Whether a status tells the caller that the request was not executed. Only the
+// gateway knows that for all attempts, so runners' own aren't forwarded.
+bool
+PromisesNotExecuted(int aStatus)
+{
+  return aStatus == kServiceUnavailable || aStatus == kTooManyRequests ||
+         aStatus == kRequestTimeout;
+}
+
+bool
+IsFailure(int aStatus)
+{
+  return aStatus / 100 == 5 || PromisesNotExecuted(aStatus);
+}
 } // namespace
 
 void
-CallerExchange::On(const ResponseHead& aHead)
+CallerExchange::On(RunnerAttempt& aAttempt, const ResponseHead& aHead)
 {
-  m_answer = aHead;
-  m_lastProgress = LoopNow();
-  ApplyResponseHead();
+  aAttempt.m_head = aHead;
+  aAttempt.m_lastProgress = LoopNow();
+  ApplyResponseHead(aAttempt);
   const std::string* type = aHead.m_fields.Find("content-type");
-  m_isEventStream = m_route->m_retryClass == RetryClass::Streaming &&
-                    IsSuccess(aHead.m_status) && type != nullptr &&
-                    type->rfind("text/event-stream", 0) == 0;
+  aAttempt.m_isEventStream = m_route->m_retryClass == RetryClass::Streaming &&
+                             IsSuccess(aHead.m_status) && type != nullptr &&
+                             type->rfind("text/event-stream", 0) == 0;
 }
 
 // Records the limit that the runner names, or that it names none.
 void
-CallerExchange::ApplyRunnerLimit()
+CallerExchange::ApplyRunnerLimit(const RunnerAttempt& aAttempt)
 {
-  const std::string* field = m_answer.m_fields.Find(dialect::kLimit);
+  const std::string* field = aAttempt.m_head.m_fields.Find(dialect::kLimit);
   std::optional<double> limit;
   if (field != nullptr) {
     const std::optional<double> decoded = dialect::DecodeLimit(*field);
     if (!decoded) {
-      m_gateway.LogRequest(
-        LogLevel::Warning,
-        "runner limit unreadable",
-        { { "id", m_id }, { "runner", m_runner.m_id }, { "limit", *field } });
+      m_gateway.LogRequest(LogLevel::Warning,
+                           "runner limit unreadable",
+                           { { "id", m_id },
+                             { "runner", aAttempt.m_runner.m_id },
+                             { "limit", *field } });
     }
     limit = decoded.value_or(0); // which allows few requests
   }
-  m_gateway.Limits().RecordResponse(m_runner, limit, m_sentAt, LoopNow());
+  m_gateway.Limits().RecordResponse(
+    aAttempt.m_runner, limit, aAttempt.m_sentAt, LoopNow());
 }
 
 void
-CallerExchange::ApplyResponseHead()
+CallerExchange::ApplyResponseHead(const RunnerAttempt& aAttempt)
 {
-  ApplyRunnerLimit();
-  RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id);
+  ApplyRunnerLimit(aAttempt);
+  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
   if (runner == nullptr) {
     return;
   }
-  if (const std::string* text = m_answer.m_fields.Find(dialect::kLoad)) {
+  const HttpFields& fields = aAttempt.m_head.m_fields;
+  if (const std::string* text = fields.Find(dialect::kLoad)) {
     if (const auto load = dialect::DecodeLoad(*text)) {
       runner->m_reportedRequests = load->m_running + load->m_waiting;
     }
   }
-  const std::string* version = m_answer.m_fields.Find(dialect::kVersions);
+  const std::string* version = fields.Find(dialect::kVersions);
   std::uint64_t number = 0;
   if (version != nullptr && !m_shape.m_model.empty() &&
       absl::SimpleAtoi(*version, &number) && number > 0) {
@@ -85,59 +102,68 @@
 }
 
 void
-CallerExchange::On(const ResponseBodyPart& aBody)
+CallerExchange::On(RunnerAttempt& aAttempt, const ResponseBodyPart& aBody)
 {
-  if (!m_isEventStream) {
-    m_lastProgress = LoopNow();
-    m_answerBody += aBody.m_bytes;
-    if (m_answerBody.size() > kMaxAnswerBytes) {
-      AbandonAttempt("response too large");
+  if (!aAttempt.m_isEventStream) {
+    aAttempt.m_lastProgress = LoopNow();
+    aAttempt.m_body += aBody.m_bytes;
+    if (aAttempt.m_body.size() > kMaxAnswerBytes) {
+      AbandonAttempt(aAttempt, "response too large");
     }
     return;
   }
-  const auto connection = m_connection;
-  for (const StreamEvent& event : m_splitter.Feed(aBody.m_bytes)) {
-    OnEvent(event);
-    if (m_phase == Phase::Done || m_connection != connection) {
+  for (const StreamEvent& event : aAttempt.m_splitter.Feed(aBody.m_bytes)) {
+    OnEvent(aAttempt, event);
+    if (!IsOpen(aAttempt)) {
       return;
     }
   }
-  if (m_splitter.PendingBytes() > kMaxEventBytes ||
-      m_repeatedBytes > kMaxRepeatedBytes) {
-    AbandonAttempt("stream without new events");
+  if (aAttempt.m_splitter.PendingBytes() > kMaxEventBytes ||
+      aAttempt.m_repeatedBytes > kMaxRepeatedBytes) {
+    AbandonAttempt(aAttempt, "stream without new events");
   }
 }
 
 void
-CallerExchange::AbandonAttempt(const std::string& aReason)
+CallerExchange::AbandonAttempt(RunnerAttempt& aAttempt,
+                               const std::string& aReason)
 {
-  m_connection->Abort();
-  OnAttemptFailed(CallFailure::MayHaveRun, aReason);
+  aAttempt.m_connection->Abort();
+  OnAttemptFailed(aAttempt, CallFailure::MayHaveRun, aReason);
 }
 
 void
-CallerExchange::OnEvent(const StreamEvent& aEvent)
+CallerExchange::OnEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent)
 {
   // A resumed stream may repeat events; each is forwarded once.
   if (aEvent.m_id && m_lastEventId && *aEvent.m_id <= *m_lastEventId) {
-    m_repeatedBytes += aEvent.m_bytes.size();
+    aAttempt.m_repeatedBytes += aEvent.m_bytes.size();
     return;
   }
-  m_repeatedBytes = 0;
-  m_lastProgress = LoopNow();
+  aAttempt.m_repeatedBytes = 0;
+  aAttempt.m_lastProgress = LoopNow();
   if (aEvent.m_id && m_lastEventId && *aEvent.m_id != *m_lastEventId + 1) {
-    AbandonAttempt("stream event missing");
+    AbandonAttempt(aAttempt, "stream event missing");
     return;
   }
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id)) {
-    ReleasePromptTokens(*runner);
+  if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id)) {
+    ReleasePromptTokens(aAttempt, *runner);
   }
   if (m_phase == Phase::Waiting) {
-    StartStream();
+    StartStream(aAttempt);
   }
-  if (m_phase != Phase::Streaming) {
-    return;
+  if (IsOpen(aAttempt)) {
+    if (m_openAttempts.size() > 1) {
+      m_attempt = aAttempt.shared_from_this();
+      CancelAttempts(&aAttempt);
+    }
+    ForwardEvent(aAttempt, aEvent);
   }
+}
+
+void
+CallerExchange::ForwardEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent)
+{
   const MonotonicTime now = LoopNow();
   if (m_eventCount++ == 0) {
     m_firstEventAt = now;
@@ -154,131 +180,163 @@
   m_caller->SendPart(aEvent.m_bytes);
   constexpr std::size_t kMaxUnsentBytes = 256 << 10;
   if (m_caller->Unsent() > kMaxUnsentBytes) {
-    m_connection->PauseReading(true);
-    m_caller->m_onDrained = [self = shared_from_this()] {
-      if (self->m_connection) {
-        self->m_connection->PauseReading(false);
+    aAttempt.m_connection->PauseReading(true);
+    m_caller->m_onDrained = [self = shared_from_this(),
+                             attempt = aAttempt.shared_from_this()] {
+      if (self->IsOpen(*attempt)) {
+        attempt->m_connection->PauseReading(false);
       }
     };
   }
 }
 
 void
-CallerExchange::StartStream()
+CallerExchange::StartStream(RunnerAttempt& aAttempt)
 {
-  if (m_answer.m_fields.Find(dialect::kSignature) == nullptr) {
-    AbandonAttempt("response has no runner signature");
+  const ResponseHead& head = aAttempt.m_head;
+  if (head.m_fields.Find(dialect::kSignature) == nullptr) {
+    AbandonAttempt(aAttempt, "response has no runner signature");
     return;
   }
   m_phase = Phase::Streaming;
-  m_caller->SendHead(m_answer.m_status,
-                     m_answer.m_reason,
-                     EndToEndFields(m_answer.m_fields),
-                     m_answer.m_length);
+  m_caller->SendHead(
+    head.m_status, head.m_reason, EndToEndFields(head.m_fields), head.m_length);
 }
 
 void
-CallerExchange::On(const ResponseEnd&)
+CallerExchange::On(RunnerAttempt& aAttempt, const ResponseEnd&)
 {
-  m_gateway.Pool()->Release(m_address, m_connection);
-  if (m_isEventStream) {
-    OnStreamEnd();
+  m_gateway.Pool()->Release(aAttempt.m_address, aAttempt.m_connection);
+  if (aAttempt.m_isEventStream) {
+    OnStreamEnd(aAttempt);
   } else {
-    OnCompleteAnswer();
+    OnCompleteAnswer(aAttempt);
   }
 }
 
 void
-CallerExchange::OnStreamEnd()
+CallerExchange::OnStreamEnd(RunnerAttempt& aAttempt)
 {
-  if (m_splitter.PendingBytes() > 0 || m_phase == Phase::Waiting) {
-    m_gateway.Crashes().OnConnectionLost(m_runner, m_address, SuspectTraits());
-    OnAttemptFailed(CallFailure::MayHaveRun,
+  if (aAttempt.m_splitter.PendingBytes() > 0 || m_phase == Phase::Waiting) {
+    m_gateway.Crashes().OnConnectionLost(
+      aAttempt.m_runner, aAttempt.m_address, SuspectTraits());
+    OnAttemptFailed(aAttempt,
+                    CallFailure::MayHaveRun,
                     "stream ended without a complete last event");
     return;
   }
-  ReleaseRunner(RunnerHealth::Healthy);
-  if (m_answer.m_endsWithConnection) {
-    m_gateway.Crashes().OnResponseClosed(
-      m_runner, m_address, m_traits, { m_answer.m_status, m_sentAt });
+  EndAttempt(aAttempt, RunnerHealth::Healthy);
+  const int status = aAttempt.m_head.m_status;
+  if (aAttempt.m_head.m_endsWithConnection) {
+    m_gateway.Crashes().OnResponseClosed(aAttempt.m_runner,
+                                         aAttempt.m_address,
+                                         m_traits,
+                                         { status, aAttempt.m_sentAt });
   } else {
     m_gateway.Suspicions().RecordCompletion(
-      m_traits, m_answer.m_status, m_sentAt, LoopNow());
+      m_traits, status, aAttempt.m_sentAt, LoopNow());
   }
+  CancelAttempts();
+  m_attempt = aAttempt.shared_from_this();
   m_caller->SendEnd();
   Finish("answered");
 }
 
 void
-CallerExchange::OnCompleteAnswer()
+CallerExchange::RecordDuration(const RunnerAttempt& aAttempt)
 {
-  const int status = m_answer.m_status;
+  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
+  if (runner == nullptr) {
+    return;
+  }
+  constexpr double kSampleWeight = 0.1;
+  const std::chrono::duration<double, std::milli> elapsed =
+    LoopNow() - aAttempt.m_sentAt;
+  runner->m_smoothedDuration =
+    runner->m_smoothedDuration.count() == 0
+      ? elapsed
+      : runner->m_smoothedDuration * (1 - kSampleWeight) +
+          elapsed * kSampleWeight;
+}
+
+void
+CallerExchange::OnCompleteAnswer(RunnerAttempt& aAttempt)
+{
+  const int status = aAttempt.m_head.m_status;
+  const HttpFields& fields = aAttempt.m_head.m_fields;
   const bool notExecuted =
     status == kMisdirectedRequest ||
     ((status == kServiceUnavailable || status == kTooManyRequests ||
       status == kBadRequest) &&
-     m_answer.m_fields.Find(dialect::kNotRun) != nullptr);
+     fields.Find(dialect::kNotRun) != nullptr);
   if (notExecuted) {
-    OnRefusedByRunner();
+    OnRefusedByRunner(aAttempt);
     return;
   }
-  const bool isSigned = m_answer.m_fields.Find(dialect::kSignature) != nullptr;
+  const bool isSigned = fields.Find(dialect::kSignature) != nullptr;
   if (IsSuccess(status) && !isSigned) {
-    OnAttemptFailed(CallFailure::MayHaveRun,
-                    "response has no runner signature");
+    OnAttemptFailed(
+      aAttempt, CallFailure::MayHaveRun, "response has no runner signature");
     return;
   }
   if (m_phase == Phase::Streaming) {
-    OnAttemptFailed(CallFailure::MayHaveRun,
+    OnAttemptFailed(aAttempt,
+                    CallFailure::MayHaveRun,
                     "stream resumption failed with status " +
                       std::to_string(status));
     return;
   }
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id)) {
-    constexpr double kSampleWeight = 0.1;
-    const std::chrono::duration<double, std::milli> elapsed =
-      LoopNow() - m_sentAt;
-    runner->m_smoothedDuration =
-      runner->m_smoothedDuration.count() == 0
-        ? elapsed
-        : runner->m_smoothedDuration * (1 - kSampleWeight) +
-            elapsed * kSampleWeight;
-  }
-  ReleaseRunner(RunnerHealth::Healthy);
+  RecordDuration(aAttempt);
+  EndAttempt(aAttempt, RunnerHealth::Healthy);
   m_gateway.Suspicions().RecordCompletion(
-    m_traits, status, m_sentAt, LoopNow());
+    m_traits, status, aAttempt.m_sentAt, LoopNow());
   m_mayHaveRun = true;
   ++m_attempts;
-  const bool failed = status / 100 == 5;
-  if (failed && m_route->IsRetryable() && m_attempts < m_route->m_maxAttempts &&
-      m_gateway.Retries().TakeRetry(m_service, LoopNow())) {
-    m_lastReason = "runner responded with status " + std::to_string(status);
-    m_haveErrorAnswer = true;
-    Dispatch();
+  if (IsFailure(status)) {
+    OnErrorAnswer(aAttempt);
     return;
   }
-  // These statuses tell the caller that the request was not executed. Only the
-  // gateway knows that for all attempts, so they aren't forwarded.
-  if (status == kServiceUnavailable || status == kTooManyRequests ||
-      status == kRequestTimeout) {
-    Fail("runner responded with status " + std::to_string(status));
+  CancelAttempts();
+  m_attempt = aAttempt.shared_from_this();
+  ForwardAnswer(aAttempt);
+}
+
+void
+CallerExchange::OnErrorAnswer(RunnerAttempt& aAttempt)
+{
+  const int status = aAttempt.m_head.m_status;
+  m_lastReason = "runner responded with status " + std::to_string(status);
+  if (!PromisesNotExecuted(status)) {
+    m_errorAnswer = aAttempt.shared_from_this();
+  }
+  if (!m_openAttempts.empty()) {
+    return; // another runner may still respond
+  }
+  if (status / 100 == 5 && m_route->IsRetryable() &&
+      m_attempts < m_route->m_maxAttempts &&
+      m_gateway.Retries().TakeRetry(m_service, LoopNow())) {
+    Dispatch();
     return;
   }
-  ForwardAnswer();
+  GiveUp(m_lastReason);
 }
 
 void
-CallerExchange::OnRefusedByRunner()
+CallerExchange::OnRefusedByRunner(RunnerAttempt& aAttempt)
 {
-  ReleaseRunner(RunnerHealth::Healthy);
-  m_lastReason = "runner rejected the request with status " +
-                 std::to_string(m_answer.m_status);
-  if (RunnerState* runner = m_gateway.Runners().Find(m_runner.m_id)) {
+  EndAttempt(aAttempt, RunnerHealth::Healthy);
+  const int status = aAttempt.m_head.m_status;
+  m_lastReason =
+    "runner rejected the request with status " + std::to_string(status);
+  if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id)) {
     constexpr milliseconds kRefusalAvoidance{ 150 };
     runner->m_avoidUntil =
       std::max(runner->m_avoidUntil, LoopNow() + kRefusalAvoidance);
   }
-  if (m_answer.m_status == kBadRequest && m_phase == Phase::Waiting) {
+  if (!m_openAttempts.empty()) {
+    return; // another runner may still respond
+  }
+  if (status == kBadRequest && m_phase == Phase::Waiting) {
     Refuse(kBadRequest, "runner rejected the request", milliseconds(0));
     return;
   }
@@ -287,20 +345,17 @@
     Dispatch();
     return;
   }
-  if (m_mayHaveRun) {
-    Fail(m_lastReason);
-  } else {
-    Refuse(kServiceUnavailable, m_lastReason, kShortRetryAfter);
-  }
+  GiveUp(m_lastReason);
 }
 
 void
-CallerExchange::On(const CallFailed& aFailure)
+CallerExchange::On(RunnerAttempt& aAttempt, const CallFailed& aFailure)
 {
   if (aFailure.m_how == CallFailure::MayHaveRun) {
-    m_gateway.Crashes().OnConnectionLost(m_runner, m_address, SuspectTraits());
+    m_gateway.Crashes().OnConnectionLost(
+      aAttempt.m_runner, aAttempt.m_address, SuspectTraits());
   }
-  OnAttemptFailed(aFailure.m_how, aFailure.m_reason);
+  OnAttemptFailed(aAttempt, aFailure.m_how, aFailure.m_reason);
 }
 
 bool
@@ -320,10 +375,11 @@
 }
 
 void
-CallerExchange::OnAttemptFailed(CallFailure aFailure,
+CallerExchange::OnAttemptFailed(RunnerAttempt& aAttempt,
+                                CallFailure aFailure,
                                 const std::string& aReason)
 {
-  ReleaseRunner(RunnerHealth::Failed);
+  EndAttempt(aAttempt, RunnerHealth::Failed);
   m_lastReason = aReason;
   if (aFailure == CallFailure::MayHaveRun) {
     m_mayHaveRun = true;
@@ -333,15 +389,19 @@
     LogLevel::Info,
     "attempt failed",
     { { "id", m_id },
-      { "runner", m_runner.m_id },
+      { "runner", aAttempt.m_runner.m_id },
       { "reason", aReason },
       { "may_have_run", aFailure == CallFailure::MayHaveRun },
-      { "events", m_eventCount } });
+      { "events", m_eventCount },
+      { "open_attempts", m_openAttempts.size() } });
+  if (!m_openAttempts.empty()) {
+    return; // another runner may still respond
+  }
   if (MayRetry(aFailure)) {
     Dispatch();
     return;
   }
-  Fail(aReason);
+  GiveUp(aReason);
 }
 
 } // namespace siskindeal
--- /dev/null
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -0,0 +1,86 @@
+// Sends a request to a second runner while the first one is silent.
+
+#include "gateway/caller_exchange_p.h"
+#include "siskindeal/metrics.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+} // namespace
+
+void
+CallerExchange::Tick(MonotonicTime aNow)
+{
+  if (m_phase == Phase::Done) {
+    return;
+  }
+  if (aNow >= m_deadline) {
+    OnDeadline();
+    return;
+  }
+  if (MayHedge(aNow)) {
+    Hedge(aNow);
+  }
+}
+
+milliseconds
+CallerExchange::SilenceLimit(const RunnerAttempt& aAttempt) const
+{
+  constexpr milliseconds kMinLimit{ 450 };
+  constexpr int kTargetLatencies = 3;
+  constexpr int kTargetGaps = 4;
+  constexpr int kPredictedLatencies = 2;
+  if (m_eventCount > 0 && m_phase == Phase::Streaming) {
+    return std::max(kMinLimit, m_route->m_targetGap * kTargetGaps);
+  }
+  return std::max({ kMinLimit,
+                    m_route->m_targetLatency * kTargetLatencies,
+                    aAttempt.m_predicted * kPredictedLatencies + kMinLimit });
+}
+
+bool
+CallerExchange::MayHedge(MonotonicTime aNow) const
+{
+  if (m_openAttempts.empty() || !m_route->IsRetryable() ||
+      m_sends >= kMaxSends ||
+      m_attempts + m_openAttempts.size() >= m_route->m_maxAttempts) {
+    return false;
+  }
+  return std::all_of(m_openAttempts.begin(),
+                     m_openAttempts.end(),
+                     [&](const RunnerAttemptPtr& aAttempt) {
+                       return aNow - aAttempt->m_lastProgress >
+                              SilenceLimit(*aAttempt);
+                     });
+}
+
+void
+CallerExchange::Hedge(MonotonicTime aNow)
+{
+  const Decision decision = Decide();
+  const auto* placement = std::get_if<Placement>(&decision);
+  if (placement == nullptr || !m_gateway.Retries().TakeRetry(m_service, aNow)) {
+    return;
+  }
+  for (const RunnerAttemptPtr& attempt : m_openAttempts) {
+    if (RunnerState* runner =
+          m_gateway.Runners().Find(attempt->m_runner.m_id)) {
+      runner->AvoidAfterFailure(aNow);
+    }
+  }
+  CountMetric("siskindeal_gateway_hedged_requests_total");
+  m_gateway.LogRequest(LogLevel::Info,
+                       "request hedged",
+                       { { "id", m_id },
+                         { "silent_runner", m_attempt->m_runner.m_id },
+                         { "runner", placement->m_runner },
+                         { "events", m_eventCount } });
+  SendTo(*m_gateway.Runners().Find(placement->m_runner), *placement);
+}
+
+} // namespace siskindeal
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -1,17 +1,20 @@
 #pragma once
 // One caller's request, from its arrival to the last byte of its response:
-// picks a runner, retries on failure and sends one final response.
+// picks a runner, retries on failure, sends the request to a second runner too
+// if the first falls silent, and sends one final response.
 // Keeps itself alive until it has finished.
 
-#include "gateway/event_splitter_p.h"
 #include "gateway/gateway_p.h"
+#include "gateway/runner_attempt_p.h"
 
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace siskindeal {
 
 inline constexpr int kServiceUnavailable = 503;
+inline constexpr std::uint32_t kMaxSends = 5; // of one request
 // Retry-After while the configuration or a runner is unavailable.
 inline constexpr std::chrono::milliseconds kShortRetryAfter{ 300 };
 
@@ -25,7 +28,7 @@
   CallerExchange(Gateway& aGateway, std::shared_ptr<ServerConnection> aCaller);
 
   void Start();
-  // Checks the deadline and the stall timeout; called periodically.
+  // Checks the deadline and whether the runner is silent; called periodically.
   void Tick(MonotonicTime aNow);
 
 private:
@@ -54,34 +57,51 @@
   std::string BuildHead(const RunnerState& aRunner) const;
   int PriorityNumber() const;
 
-  void On(const ResponseHead& aHead);
-  void On(const ResponseBodyPart& aBody);
-  void On(const ResponseEnd& aEnd);
-  void On(const CallFailed& aFailure);
-
-  void ApplyResponseHead();
-  void ApplyRunnerLimit();
-  void OnRefusedByRunner();
-  void OnCompleteAnswer();
-  void OnEvent(const StreamEvent& aEvent);
-  void OnStreamEnd();
-  // Closes the current attempt's connection; the attempt failed.
-  void AbandonAttempt(const std::string& aReason);
-  // The attempt ended without a usable response.
-  void OnAttemptFailed(CallFailure aFailure, const std::string& aReason);
+  void On(RunnerAttempt& aAttempt, const ResponseHead& aHead);
+  void On(RunnerAttempt& aAttempt, const ResponseBodyPart& aBody);
+  void On(RunnerAttempt& aAttempt, const ResponseEnd& aEnd);
+  void On(RunnerAttempt& aAttempt, const CallFailed& aFailure);
+
+  void ApplyResponseHead(const RunnerAttempt& aAttempt);
+  void ApplyRunnerLimit(const RunnerAttempt& aAttempt);
+  void OnRefusedByRunner(RunnerAttempt& aAttempt);
+  void OnCompleteAnswer(RunnerAttempt& aAttempt);
+  void OnErrorAnswer(RunnerAttempt& aAttempt);
+  void RecordDuration(const RunnerAttempt& aAttempt);
+  void OnEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent);
+  void ForwardEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent);
+  void OnStreamEnd(RunnerAttempt& aAttempt);
+  // Closes an attempt's connection; the attempt failed.
+  void AbandonAttempt(RunnerAttempt& aAttempt, const std::string& aReason);
+  // An attempt ended without a usable response.
+  void OnAttemptFailed(RunnerAttempt& aAttempt,
+                       CallFailure aFailure,
+                       const std::string& aReason);
   bool MayRetry(CallFailure aFailure);
+
+  // How long the runner may be silent before the request is hedged.
+  std::chrono::milliseconds SilenceLimit(const RunnerAttempt& aAttempt) const;
+  bool MayHedge(MonotonicTime aNow) const;
+  // Sends the request to a second runner. The silent attempts stay open.
+  void Hedge(MonotonicTime aNow);
+
   // Health of a runner, as judged from the end of an attempt.
   enum class RunnerHealth
   {
     Healthy,
     Failed, // the runner is avoided for a backoff period
+    Unknown,
   };
-  // Removes the current attempt's load from its runner.
-  void ReleaseRunner(RunnerHealth aHealth);
-  void ReleasePromptTokens(RunnerState& aRunner);
-
-  void StartStream();
-  void ForwardAnswer();
+  bool IsOpen(const RunnerAttempt& aAttempt) const;
+  // Ends an attempt, whose connection is closed or released: removes its load
+  // from its runner.
+  void EndAttempt(RunnerAttempt& aAttempt, RunnerHealth aHealth);
+  // Cancels all open attempts but one, if given.
+  void CancelAttempts(const RunnerAttempt* aExcept = nullptr);
+  void ReleasePromptTokens(RunnerAttempt& aAttempt, RunnerState& aRunner);
+
+  void StartStream(RunnerAttempt& aAttempt);
+  void ForwardAnswer(const RunnerAttempt& aAttempt);
   // Sends an error response. Omits Retry-After if aRetryAfter is zero.
   void SendError(int aStatus,
                  std::string_view aReason,
@@ -89,6 +109,8 @@
   void Refuse(int aStatus,
               std::string_view aReason,
               std::chrono::milliseconds aRetryAfter);
+  // Forwards the best response there is after the last attempt failed.
+  void GiveUp(std::string_view aReason);
   // Sends the final response if no runner's response can be forwarded.
   void Fail(std::string_view aReason);
   void OnDeadline();
@@ -109,28 +131,20 @@
   MonotonicTime m_deadline{}; // the caller's or the route's
   Phase m_phase = Phase::Waiting;
 
-  // The current attempt.
-  std::shared_ptr<HttpConnection> m_connection;
-  RunnerIncarnation m_runner;
-  Address m_address;
+  // More than one if the first runners are silent.
+  std::vector<RunnerAttemptPtr> m_openAttempts;
+  // The last one that was sent, or the one whose response is forwarded.
+  RunnerAttemptPtr m_attempt;
+  // Has a complete error response; forwarded if no other attempt succeeds.
+  RunnerAttemptPtr m_errorAnswer;
+  MonotonicTime m_firstEventAt{}; // of any attempt
+  // To the first byte; by the last placement or refusal.
   std::chrono::milliseconds m_predicted{ 0 };
-  RunnerLoad m_loadBefore; // of the runner when it was chosen
-  MonotonicTime m_sentAt{};
-  MonotonicTime m_lastProgress{};
-  bool m_promptCounted = false;
-  bool m_isEventStream = false;
-  MonotonicTime m_firstEventAt{}; // of this or an earlier attempt
-  ResponseHead m_answer;
-  std::string m_answerBody;
-  EventSplitter m_splitter;
-  std::size_t m_repeatedBytes = 0; // since the last event that was new
 
   std::set<std::string> m_triedRunners;
-  std::uint32_t m_attempts = 0; // attempts that may have executed
+  std::uint32_t m_attempts = 0; // ended attempts that may have executed
   std::uint32_t m_sends = 0;    // all attempts
   bool m_mayHaveRun = false;
-  // m_answer is a complete error response; forwarded if no retry is possible.
-  bool m_haveErrorAnswer = false;
 
   std::optional<std::uint64_t> m_lastEventId; // forwarded to the caller
   std::uint32_t m_eventCount = 0;
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -1,6 +1,7 @@
 // Sends the final response to the caller and enforces the timeouts.
 
 #include "gateway/caller_exchange_p.h"
+#include "siskindeal/invariant.h"
 #include "siskindeal/metrics.h"
 
 #include <absl/strings/str_format.h>
@@ -30,12 +31,12 @@
 }
 
 void
-CallerExchange::ForwardAnswer()
+CallerExchange::ForwardAnswer(const RunnerAttempt& aAttempt)
 {
-  m_caller->SendResponse(m_answer.m_status,
-                         m_answer.m_reason,
-                         EndToEndFields(m_answer.m_fields),
-                         m_answerBody);
+  m_caller->SendResponse(aAttempt.m_head.m_status,
+                         aAttempt.m_head.m_reason,
+                         EndToEndFields(aAttempt.m_head.m_fields),
+                         aAttempt.m_body);
   Finish("answered");
 }
 
@@ -67,6 +68,16 @@
   Finish("refused");
 }
 
+void
+CallerExchange::GiveUp(std::string_view aReason)
+{
+  if (m_errorAnswer) {
+    ForwardAnswer(*m_errorAnswer);
+  } else {
+    Fail(aReason);
+  }
+}
+
 void
 CallerExchange::Fail(std::string_view aReason)
 {
@@ -88,11 +99,8 @@
 CallerExchange::OnDeadline()
 {
   constexpr std::string_view kReason = "deadline exceeded";
-  if (m_connection) {
-    m_connection->Abort();
-    ReleaseRunner(RunnerHealth::Healthy);
-    m_mayHaveRun = true;
-  }
+  m_mayHaveRun = m_mayHaveRun || !m_openAttempts.empty();
+  CancelAttempts();
   if (m_phase == Phase::Streaming || !m_mayHaveRun) {
     Fail(kReason);
     return;
@@ -101,47 +109,13 @@
   Finish("timed out");
 }
 
-void
-CallerExchange::Tick(MonotonicTime aNow)
-{
-  if (m_phase == Phase::Done) {
-    return;
-  }
-  if (aNow >= m_deadline) {
-    OnDeadline();
-    return;
-  }
-  if (!m_connection || !m_route->IsRetryable()) {
-    return;
-  }
-  // A stalled attempt is abandoned if another runner can take the request.
-  constexpr milliseconds kMinStallTimeout{ 450 };
-  constexpr int kTargetLatencies = 3;
-  constexpr int kTargetGaps = 4;
-  constexpr int kPredictedLatencies = 2;
-  const milliseconds stallTimeout =
-    m_eventCount > 0 && m_phase == Phase::Streaming
-      ? std::max(kMinStallTimeout, m_route->m_targetGap * kTargetGaps)
-      : std::max({ kMinStallTimeout,
-                   m_route->m_targetLatency * kTargetLatencies,
-                   m_predicted * kPredictedLatencies + kMinStallTimeout });
-  if (aNow - m_lastProgress > stallTimeout &&
-      m_attempts + 1 < m_route->m_maxAttempts &&
-      std::holds_alternative<Placement>(Decide())) {
-    AbandonAttempt("runner stalled");
-  }
-}
-
 void
 CallerExchange::OnCallerDisconnected()
 {
   if (m_phase == Phase::Done) {
     return;
   }
-  if (m_connection) {
-    m_connection->Abort();
-    ReleaseRunner(RunnerHealth::Healthy);
-  }
+  CancelAttempts();
   Finish("caller left");
 }
 
@@ -150,10 +124,12 @@
 {
   const auto self = shared_from_this();
   const std::chrono::duration<double> elapsed = LoopNow() - m_request.m_arrived;
+  SISKINDEAL_INVARIANT(m_openAttempts.empty(),
+                       "attempts end before their request");
   m_phase = Phase::Done;
-  m_connection.reset();
   m_caller->m_onDisconnect = nullptr;
   m_gateway.Remove(self);
+  const RunnerLoad load = m_attempt ? m_attempt->m_loadBefore : RunnerLoad{};
   const std::string route = m_route == nullptr ? "" : m_route->m_name;
   CountMetric("siskindeal_gateway_requests_total",
               { { "outcome", std::string(aOutcome) } });
@@ -165,12 +141,12 @@
       { "outcome", aOutcome },
       { "reason", m_lastReason },
       { "route", route },
-      { "runner", m_runner.m_id },
+      { "runner", m_attempt ? m_attempt->m_runner.m_id : "" },
       { "sends", m_sends },
       { "events", m_eventCount },
       { "predicted_ms", m_predicted.count() },
-      { "requests_there", m_loadBefore.m_requests },
-      { "tokens_there", m_loadBefore.m_promptTokens },
+      { "requests_there", load.m_requests },
+      { "tokens_there", load.m_promptTokens },
       { "prompt_tokens", m_shape.m_promptTokens },
       { "first_ms", m_firstEventLatency.count() },
       { "worst_gap_ms", m_maxEventGap.count() },
--- /dev/null
+++ b/src/gateway/runner_attempt_p.h
@@ -0,0 +1,35 @@
+#pragma once
+// One send of a caller's request to a runner, with the state of its response.
+
+#include "dispatch/placement_p.h"
+#include "gateway/event_splitter_p.h"
+#include "net/http_connection_p.h"
+#include "siskindeal/clock.h"
+#include "siskindeal/site.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace siskindeal {
+
+struct RunnerAttempt : std::enable_shared_from_this<RunnerAttempt>
+{
+  std::shared_ptr<HttpConnection> m_connection;
+  RunnerIncarnation m_runner;
+  Address m_address;
+  std::chrono::milliseconds m_predicted{ 0 }; // to the first byte
+  RunnerLoad m_loadBefore; // of the runner when it was chosen
+  MonotonicTime m_sentAt{};
+  MonotonicTime m_lastProgress{};
+  bool m_promptCounted = false; // in the runner's load
+  bool m_isEventStream = false;
+  ResponseHead m_head;
+  std::string m_body;
+  EventSplitter m_splitter;
+  std::size_t m_repeatedBytes = 0; // since the last event that was new
+};
+
+using RunnerAttemptPtr = std::shared_ptr<RunnerAttempt>;
+
+} // namespace siskindeal
--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -97,7 +97,7 @@
     for (int i = 0; i < 3; ++i) {
       m_site.Put("config", "main", Config(++m_version));
     }
-    const std::string answer = caller.ReadAll();
+    std::string answer = caller.ReadAll();
     m_site.RunOnLoop([&] { timer.cancel(); });
     m_site.Remove("servers", id + "-1");
     m_site.Remove("servers", id + "-2");
