A caller that reads slowly doesn't make its runner look silent

While a caller's socket is full the gateway stops reading the runner's response.

SlowCallerIsNotTakenForASilentRunner failed before (2 runs, 1 wanted) and passes now: a paused attempt isn't silent, and its time starts anew when it is read again.

--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -180,16 +180,25 @@
   m_caller->SendPart(aEvent.m_bytes);
   constexpr std::size_t kMaxUnsentBytes = 256 << 10;
   if (m_caller->Unsent() > kMaxUnsentBytes) {
-    aAttempt.m_connection->PauseReading(true);
-    m_caller->m_onDrained = [self = shared_from_this(),
-                             attempt = aAttempt.shared_from_this()] {
-      if (self->IsOpen(*attempt)) {
-        attempt->m_connection->PauseReading(false);
-      }
-    };
+    PauseUntilDrained(aAttempt);
   }
 }
 
+void
+CallerExchange::PauseUntilDrained(RunnerAttempt& aAttempt)
+{
+  aAttempt.m_isPaused = true;
+  aAttempt.m_connection->PauseReading(true);
+  m_caller->m_onDrained = [self = shared_from_this(),
+                           attempt = aAttempt.shared_from_this()] {
+    if (self->IsOpen(*attempt)) {
+      attempt->m_isPaused = false;
+      attempt->m_lastProgress = LoopNow();
+      attempt->m_connection->PauseReading(false);
+    }
+  };
+}
+
 void
 CallerExchange::StartStream(RunnerAttempt& aAttempt)
 {
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -7,12 +7,8 @@
 
 namespace siskindeal {
 
-namespace {
-
 using std::chrono::milliseconds;
 
-} // namespace
-
 void
 CallerExchange::Tick(MonotonicTime aNow)
 {
@@ -43,6 +39,14 @@
                     aAttempt.m_predicted * kPredictedLatencies + kMinLimit });
 }
 
+bool
+CallerExchange::IsSilent(const RunnerAttempt& aAttempt,
+                         MonotonicTime aNow) const
+{
+  return !aAttempt.m_isPaused &&
+         aNow - aAttempt.m_lastProgress > SilenceLimit(aAttempt);
+}
+
 bool
 CallerExchange::MayHedge(MonotonicTime aNow) const
 {
@@ -54,8 +58,7 @@
   return std::all_of(m_openAttempts.begin(),
                      m_openAttempts.end(),
                      [&](const RunnerAttemptPtr& aAttempt) {
-                       return aNow - aAttempt->m_lastProgress >
-                              SilenceLimit(*aAttempt);
+                       return IsSilent(*aAttempt, aNow);
                      });
 }
 
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -70,6 +70,8 @@
   void RecordDuration(const RunnerAttempt& aAttempt);
   void OnEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent);
   void ForwardEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent);
+  // Stops reading the runner's response until the caller has taken more.
+  void PauseUntilDrained(RunnerAttempt& aAttempt);
   void OnStreamEnd(RunnerAttempt& aAttempt);
   // Closes an attempt's connection; the attempt failed.
   void AbandonAttempt(RunnerAttempt& aAttempt, const std::string& aReason);
@@ -81,6 +83,7 @@
 
   // How long the runner may be silent before the request is hedged.
   std::chrono::milliseconds SilenceLimit(const RunnerAttempt& aAttempt) const;
+  bool IsSilent(const RunnerAttempt& aAttempt, MonotonicTime aNow) const;
   bool MayHedge(MonotonicTime aNow) const;
   // Sends the request to a second runner. The silent attempts stay open.
   void Hedge(MonotonicTime aNow);
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -24,6 +24,7 @@
   MonotonicTime m_lastProgress{};
   bool m_promptCounted = false; // in the runner's load
   bool m_isEventStream = false;
+  bool m_isPaused = false; // not read from, because the caller reads slowly
   ResponseHead m_head;
   std::string m_body;
   EventSplitter m_splitter;
--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -206,6 +206,32 @@
   }
 }
 
+TEST_F(GatewaySilenceTest, SlowCallerIsNotTakenForASilentRunner)
+{
+  constexpr int kEvents = 512;
+  constexpr std::size_t kEventBytes = 64 << 10; // in all more than sockets hold
+  std::atomic<int> runs = 0;
+  const auto play = [&](const auto& aConnection) {
+    ++runs;
+    aConnection->SendHead(200, {}, StreamFields(), std::nullopt);
+    for (int id = 1; id <= kEvents; ++id) {
+      aConnection->SendPart("id: " + std::to_string(id) + "\ndata: " +
+                            std::string(kEventBytes, 'x') + "\n\n");
+    }
+    aConnection->SendEnd();
+  };
+  m_site.AddRunner("i-1", "chat", play);
+  m_site.AddRunner("i-2", "chat", play);
+  StartAndAwaitReady();
+  RawSocket caller(m_gateway->CallersPort());
+  caller.Send(Request("POST", "/chat/a"));
+  std::this_thread::sleep_for(kSilence);
+  const std::string answer = caller.ReadAll();
+  EXPECT_GT(answer.size(), kEvents * kEventBytes);
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+  EXPECT_EQ(runs, 1);
+}
+
 TEST_F(GatewaySilenceTest, NonIdempotentRequestIsNotSentAgainOnSilence)
 {
   const std::string answer = AnswerAcrossSilence(
