A second run takes over only with something new, and counts as an attempt

- a second response inside a stream: a kept 500 was forwarded after another run had begun to stream and broken off (not seen before hedging, a regression);
- more runs than max_attempts: a cancelled run wasn't counted, five runs where two are allowed (a regression);
- a stream broken off or ended early all the same: a second run won with a comment, or with an end that brought no event, and the sound first run was cancelled;
- 504 at the deadline although a complete error response was held.

Kept error responses are dropped when a stream begins and forwarded at the deadline otherwise; cancelled runs count; while several runs are open, only an event with a new id or a complete response decides, and events without an id are held until then; the budget is asked before runners are compared; a runner is put into backoff once for each silent run; streams without ids aren't hedged. The log names the runner whose response was forwarded.

The tests of silence now compare whole bodies.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -39,7 +39,7 @@
 }
 
 bool
-SharedRetryBudget::TakeRetry(const std::string& aService, MonotonicTime aNow)
+SharedRetryBudget::Allows(const std::string& aService, MonotonicTime aNow)
 {
   Window& window = m_windows[aService];
   DropExpired(window, aNow);
@@ -51,10 +51,16 @@
     kUsableShare *
     (m_allowance.m_ratio * static_cast<double>(window.m_requests.size()) +
      ownSlack);
-  if (static_cast<double>(window.m_retries.size()) + 1 > allowed) {
+  return static_cast<double>(window.m_retries.size()) + 1 <= allowed;
+}
+
+bool
+SharedRetryBudget::TakeRetry(const std::string& aService, MonotonicTime aNow)
+{
+  if (!Allows(aService, aNow)) {
     return false;
   }
-  window.m_retries.push_back(aNow);
+  m_windows[aService].m_retries.push_back(aNow);
   return true;
 }
 
--- a/src/dispatch/retry_budget_p.h
+++ b/src/dispatch/retry_budget_p.h
@@ -34,6 +34,8 @@
   // Keeps the largest count seen.
   void SetGatewayCount(std::size_t aCount);
   void RecordRequest(const std::string& aService, MonotonicTime aNow);
+  // Whether the budget allows one more retry now.
+  bool Allows(const std::string& aService, MonotonicTime aNow);
   // Counts one more retry and returns true if the budget allows it.
   bool TakeRetry(const std::string& aService, MonotonicTime aNow);
 
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -255,10 +255,8 @@
   }
   const auto& refusal = std::get<PlacementRefusal>(decision);
   m_predicted = refusal.m_predicted;
-  if (m_errorAnswer) {
-    ForwardAnswer(*m_errorAnswer);
-  } else if (m_mayHaveRun) {
-    Fail(m_lastReason);
+  if (m_mayHaveRun) {
+    GiveUp(m_lastReason);
   } else {
     Refuse(kServiceUnavailable, refusal.m_reason, refusal.m_retryAfter);
   }
@@ -271,32 +269,32 @@
   constexpr milliseconds kConnectTimeout{ 400 };
   ++m_sends;
   m_predicted = aPlacement.m_predicted;
-  m_attempt = std::make_shared<RunnerAttempt>();
-  m_openAttempts.push_back(m_attempt);
-  m_attempt->m_runner = aRunner.m_record.Incarnation();
-  m_attempt->m_address = aRunner.m_record.m_address;
-  m_attempt->m_predicted = aPlacement.m_predicted;
-  m_attempt->m_loadBefore = aPlacement.m_load;
-  m_attempt->m_sentAt = m_attempt->m_lastProgress = now;
-  m_triedRunners.insert(m_attempt->m_runner.m_id);
-  m_gateway.Limits().RecordSend(m_attempt->m_runner, now);
+  m_latest = std::make_shared<RunnerAttempt>();
+  m_openAttempts.push_back(m_latest);
+  m_latest->m_runner = aRunner.m_record.Incarnation();
+  m_latest->m_address = aRunner.m_record.m_address;
+  m_latest->m_predicted = aPlacement.m_predicted;
+  m_latest->m_loadBefore = aPlacement.m_load;
+  m_latest->m_sentAt = m_latest->m_lastProgress = now;
+  m_triedRunners.insert(m_latest->m_runner.m_id);
+  m_gateway.Limits().RecordSend(m_latest->m_runner, now);
   LogIfSuspect();
   if (!IsPromptProven()) {
     m_gateway.Suspicions().RecordTrial(m_traits.m_parts, now);
   }
   ++aRunner.m_ownLoad.m_requests;
   aRunner.m_ownLoad.m_promptTokens += m_shape.m_promptTokens;
-  m_attempt->m_promptCounted = true;
+  m_latest->m_promptCounted = true;
   OutgoingCall call;
   call.m_head = BuildHead(aRunner);
   call.m_body = m_request.m_body;
   call.m_echoName = dialect::kAttemptId;
   call.m_echo = m_id;
-  m_attempt->m_connection = m_gateway.Pool()->Acquire(m_attempt->m_address);
-  m_attempt->m_connection->Begin(
+  m_latest->m_connection = m_gateway.Pool()->Acquire(m_latest->m_address);
+  m_latest->m_connection->Begin(
     std::move(call),
     kConnectTimeout,
-    [self = shared_from_this(), attempt = m_attempt](const CallEvent& aEvent) {
+    [self = shared_from_this(), attempt = m_latest](const CallEvent& aEvent) {
       std::visit([&](const auto& aWhat) { self->On(*attempt, aWhat); }, aEvent);
     });
 }
@@ -314,7 +312,7 @@
     LogLevel::Warning,
     "suspect forwarded",
     { { "id", m_id },
-      { "runner", m_attempt->m_runner.m_id },
+      { "runner", m_latest->m_runner.m_id },
       { "fingerprint", FormatFingerprint(m_traits.m_fingerprint) },
       { "crashes", suspicion->m_crashes },
       { "attributed", suspicion->m_attributed } });
@@ -419,8 +417,17 @@
     if (attempt.get() != aExcept) {
       attempt->m_connection->Abort();
       EndAttempt(*attempt, RunnerHealth::Unknown);
+      m_mayHaveRun = true;
+      ++m_executions;
     }
   }
 }
 
+void
+CallerExchange::Choose(RunnerAttempt& aAttempt)
+{
+  m_forwarded = aAttempt.shared_from_this();
+  CancelAttempts(&aAttempt);
+}
+
 } // namespace siskindeal
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -140,6 +140,10 @@
     aAttempt.m_repeatedBytes += aEvent.m_bytes.size();
     return;
   }
+  if (!IsNews(aAttempt, aEvent)) {
+    HoldEvent(aAttempt, aEvent);
+    return;
+  }
   aAttempt.m_repeatedBytes = 0;
   aAttempt.m_lastProgress = LoopNow();
   if (aEvent.m_id && m_lastEventId && *aEvent.m_id != *m_lastEventId + 1) {
@@ -152,12 +156,29 @@
   if (m_phase == Phase::Waiting) {
     StartStream(aAttempt);
   }
-  if (IsOpen(aAttempt)) {
-    if (m_openAttempts.size() > 1) {
-      m_attempt = aAttempt.shared_from_this();
-      CancelAttempts(&aAttempt);
-    }
-    ForwardEvent(aAttempt, aEvent);
+  if (!IsOpen(aAttempt)) {
+    return;
+  }
+  if (m_forwarded.get() != &aAttempt || m_openAttempts.size() > 1) {
+    Choose(aAttempt);
+  }
+  ForwardEvent(aAttempt, aEvent);
+}
+
+bool
+CallerExchange::IsNews(const RunnerAttempt& aAttempt,
+                       const StreamEvent& aEvent) const
+{
+  return aEvent.m_id || m_openAttempts.size() == 1 ||
+         m_forwarded.get() == &aAttempt;
+}
+
+void
+CallerExchange::HoldEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent)
+{
+  aAttempt.m_heldEvents += aEvent.m_bytes;
+  if (aAttempt.m_heldEvents.size() > kMaxEventBytes) {
+    AbandonAttempt(aAttempt, "stream without new events");
   }
 }
 
@@ -177,6 +198,7 @@
   if (aEvent.m_id) {
     m_lastEventId = aEvent.m_id;
   }
+  m_caller->SendPart(std::exchange(aAttempt.m_heldEvents, {}));
   m_caller->SendPart(aEvent.m_bytes);
   constexpr std::size_t kMaxUnsentBytes = 256 << 10;
   if (m_caller->Unsent() > kMaxUnsentBytes) {
@@ -208,6 +230,7 @@
     return;
   }
   m_phase = Phase::Streaming;
+  m_failedAttempt.reset();
   m_caller->SendHead(
     head.m_status, head.m_reason, EndToEndFields(head.m_fields), head.m_length);
 }
@@ -234,6 +257,12 @@
                     "stream ended without a complete last event");
     return;
   }
+  if (m_forwarded.get() != &aAttempt && m_openAttempts.size() > 1) {
+    OnAttemptFailed(aAttempt,
+                    CallFailure::MayHaveRun,
+                    "resumed stream ended without a new event");
+    return;
+  }
   EndAttempt(aAttempt, RunnerHealth::Healthy);
   const int status = aAttempt.m_head.m_status;
   if (aAttempt.m_head.m_endsWithConnection) {
@@ -245,8 +274,8 @@
     m_gateway.Suspicions().RecordCompletion(
       m_traits, status, aAttempt.m_sentAt, LoopNow());
   }
-  CancelAttempts();
-  m_attempt = aAttempt.shared_from_this();
+  Choose(aAttempt);
+  m_caller->SendPart(std::exchange(aAttempt.m_heldEvents, {}));
   m_caller->SendEnd();
   Finish("answered");
 }
@@ -300,13 +329,11 @@
   m_gateway.Suspicions().RecordCompletion(
     m_traits, status, aAttempt.m_sentAt, LoopNow());
   m_mayHaveRun = true;
-  ++m_attempts;
+  ++m_executions;
   if (IsFailure(status)) {
     OnErrorAnswer(aAttempt);
     return;
   }
-  CancelAttempts();
-  m_attempt = aAttempt.shared_from_this();
   ForwardAnswer(aAttempt);
 }
 
@@ -316,13 +343,13 @@
   const int status = aAttempt.m_head.m_status;
   m_lastReason = "runner responded with status " + std::to_string(status);
   if (!PromisesNotExecuted(status)) {
-    m_errorAnswer = aAttempt.shared_from_this();
+    m_failedAttempt = aAttempt.shared_from_this();
   }
   if (!m_openAttempts.empty()) {
     return; // another runner may still respond
   }
   if (status / 100 == 5 && m_route->IsRetryable() &&
-      m_attempts < m_route->m_maxAttempts &&
+      m_executions < m_route->m_maxAttempts &&
       m_gateway.Retries().TakeRetry(m_service, LoopNow())) {
     Dispatch();
     return;
@@ -379,7 +406,7 @@
   const std::uint32_t maxAttempts = m_phase == Phase::Streaming
                                       ? m_route->m_maxAttempts + 1
                                       : m_route->m_maxAttempts;
-  return m_route->IsRetryable() && m_attempts < maxAttempts &&
+  return m_route->IsRetryable() && m_executions < maxAttempts &&
          m_gateway.Retries().TakeRetry(m_service, LoopNow());
 }
 
@@ -392,7 +419,7 @@
   m_lastReason = aReason;
   if (aFailure == CallFailure::MayHaveRun) {
     m_mayHaveRun = true;
-    ++m_attempts;
+    ++m_executions;
   }
   m_gateway.LogRequest(
     LogLevel::Info,
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -4,6 +4,7 @@
 #include "siskindeal/metrics.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace siskindeal {
 
@@ -50,9 +51,11 @@
 bool
 CallerExchange::MayHedge(MonotonicTime aNow) const
 {
-  if (m_openAttempts.empty() || !m_route->IsRetryable() ||
+  // Without event ids, a second run can't be told from a repetition.
+  const bool cannotResume = m_phase == Phase::Streaming && !m_lastEventId;
+  if (m_openAttempts.empty() || !m_route->IsRetryable() || cannotResume ||
       m_sends >= kMaxSends ||
-      m_attempts + m_openAttempts.size() >= m_route->m_maxAttempts) {
+      m_executions + m_openAttempts.size() >= m_route->m_maxAttempts) {
     return false;
   }
   return std::all_of(m_openAttempts.begin(),
@@ -65,14 +68,17 @@
 void
 CallerExchange::Hedge(MonotonicTime aNow)
 {
+  if (!m_gateway.Retries().Allows(m_service, aNow)) {
+    return;
+  }
   const Decision decision = Decide();
   const auto* placement = std::get_if<Placement>(&decision);
   if (placement == nullptr || !m_gateway.Retries().TakeRetry(m_service, aNow)) {
     return;
   }
   for (const RunnerAttemptPtr& attempt : m_openAttempts) {
-    if (RunnerState* runner =
-          m_gateway.Runners().Find(attempt->m_runner.m_id)) {
+    RunnerState* runner = m_gateway.Runners().Find(attempt->m_runner.m_id);
+    if (runner != nullptr && !std::exchange(attempt->m_isHedged, true)) {
       runner->AvoidAfterFailure(aNow);
     }
   }
@@ -80,7 +86,7 @@
   m_gateway.LogRequest(LogLevel::Info,
                        "request hedged",
                        { { "id", m_id },
-                         { "silent_runner", m_attempt->m_runner.m_id },
+                         { "silent_runner", m_latest->m_runner.m_id },
                          { "runner", placement->m_runner },
                          { "events", m_eventCount } });
   SendTo(*m_gateway.Runners().Find(placement->m_runner), *placement);
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -69,6 +69,9 @@
   void OnErrorAnswer(RunnerAttempt& aAttempt);
   void RecordDuration(const RunnerAttempt& aAttempt);
   void OnEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent);
+  // Whether an event shows that the attempt has got further than the others.
+  bool IsNews(const RunnerAttempt& aAttempt, const StreamEvent& aEvent) const;
+  void HoldEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent);
   void ForwardEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent);
   // Stops reading the runner's response until the caller has taken more.
   void PauseUntilDrained(RunnerAttempt& aAttempt);
@@ -101,10 +104,12 @@
   void EndAttempt(RunnerAttempt& aAttempt, RunnerHealth aHealth);
   // Cancels all open attempts but one, if given.
   void CancelAttempts(const RunnerAttempt* aExcept = nullptr);
+  // Makes an attempt the one whose response the caller gets.
+  void Choose(RunnerAttempt& aAttempt);
   void ReleasePromptTokens(RunnerAttempt& aAttempt, RunnerState& aRunner);
 
   void StartStream(RunnerAttempt& aAttempt);
-  void ForwardAnswer(const RunnerAttempt& aAttempt);
+  void ForwardAnswer(RunnerAttempt& aAttempt);
   // Sends an error response. Omits Retry-After if aRetryAfter is zero.
   void SendError(int aStatus,
                  std::string_view aReason,
@@ -136,17 +141,17 @@
 
   // More than one if the first runners are silent.
   std::vector<RunnerAttemptPtr> m_openAttempts;
-  // The last one that was sent, or the one whose response is forwarded.
-  RunnerAttemptPtr m_attempt;
+  RunnerAttemptPtr m_latest;    // the last one that was sent
+  RunnerAttemptPtr m_forwarded; // the caller gets its response
   // Has a complete error response; forwarded if no other attempt succeeds.
-  RunnerAttemptPtr m_errorAnswer;
+  RunnerAttemptPtr m_failedAttempt;
   MonotonicTime m_firstEventAt{}; // of any attempt
   // To the first byte; by the last placement or refusal.
   std::chrono::milliseconds m_predicted{ 0 };
 
   std::set<std::string> m_triedRunners;
-  std::uint32_t m_attempts = 0; // ended attempts that may have executed
-  std::uint32_t m_sends = 0;    // all attempts
+  std::uint32_t m_executions = 0; // ended attempts that may have executed
+  std::uint32_t m_sends = 0;      // all attempts
   bool m_mayHaveRun = false;
 
   std::optional<std::uint64_t> m_lastEventId; // forwarded to the caller
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -31,8 +31,9 @@
 }
 
 void
-CallerExchange::ForwardAnswer(const RunnerAttempt& aAttempt)
+CallerExchange::ForwardAnswer(RunnerAttempt& aAttempt)
 {
+  Choose(aAttempt);
   m_caller->SendResponse(aAttempt.m_head.m_status,
                          aAttempt.m_head.m_reason,
                          EndToEndFields(aAttempt.m_head.m_fields),
@@ -71,8 +72,8 @@
 void
 CallerExchange::GiveUp(std::string_view aReason)
 {
-  if (m_errorAnswer) {
-    ForwardAnswer(*m_errorAnswer);
+  if (m_failedAttempt) {
+    ForwardAnswer(*m_failedAttempt);
   } else {
     Fail(aReason);
   }
@@ -101,8 +102,8 @@
   constexpr std::string_view kReason = "deadline exceeded";
   m_mayHaveRun = m_mayHaveRun || !m_openAttempts.empty();
   CancelAttempts();
-  if (m_phase == Phase::Streaming || !m_mayHaveRun) {
-    Fail(kReason);
+  if (m_phase == Phase::Streaming || m_failedAttempt || !m_mayHaveRun) {
+    GiveUp(kReason);
     return;
   }
   SendError(kGatewayTimeout, kReason, milliseconds(0));
@@ -129,7 +130,8 @@
   m_phase = Phase::Done;
   m_caller->m_onDisconnect = nullptr;
   m_gateway.Remove(self);
-  const RunnerLoad load = m_attempt ? m_attempt->m_loadBefore : RunnerLoad{};
+  const RunnerAttemptPtr& reported = m_forwarded ? m_forwarded : m_latest;
+  const RunnerLoad load = reported ? reported->m_loadBefore : RunnerLoad{};
   const std::string route = m_route == nullptr ? "" : m_route->m_name;
   CountMetric("siskindeal_gateway_requests_total",
               { { "outcome", std::string(aOutcome) } });
@@ -141,7 +143,7 @@
       { "outcome", aOutcome },
       { "reason", m_lastReason },
       { "route", route },
-      { "runner", m_attempt ? m_attempt->m_runner.m_id : "" },
+      { "runner", reported ? reported->m_runner.m_id : "" },
       { "sends", m_sends },
       { "events", m_eventCount },
       { "predicted_ms", m_predicted.count() },
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -29,6 +29,8 @@
   std::string m_body;
   EventSplitter m_splitter;
   std::size_t m_repeatedBytes = 0; // since the last event that was new
+  std::string m_heldEvents; // without an id, while another attempt may go on
+  bool m_isHedged = false;  // the request was sent to another runner too
 };
 
 using RunnerAttemptPtr = std::shared_ptr<RunnerAttempt>;
--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -129,10 +129,35 @@
   std::atomic<int> m_cancelled = 0; // of its runs
 };
 
+// The body of a response; of a chunked one that has no end, what came of it and
+// "(cut off)".
+std::string
+BodyOf(const std::string& aAnswer)
+{
+  const auto end = aAnswer.find("\r\n\r\n");
+  const bool isChunked = aAnswer.find("chunked") < end;
+  std::string rest = end == std::string::npos ? "" : aAnswer.substr(end + 4);
+  if (!isChunked) {
+    return rest;
+  }
+  std::string body;
+  while (rest != "0\r\n\r\n") {
+    const auto line = rest.find("\r\n");
+    if (line == std::string::npos) {
+      return body + "(cut off)";
+    }
+    const std::size_t size = std::stoul(rest.substr(0, line), nullptr, 16);
+    body += rest.substr(line + 2, size);
+    rest = rest.substr(std::min(rest.size(), line + 2 + size + 2));
+  }
+  return body;
+}
+
 struct SilentPlace
 {
   const char* m_name;
   const char* m_service;
+  const char* m_body;
   SiteStandIn::Play m_begin;
   SiteStandIn::Play m_goOn;
 };
@@ -150,12 +175,14 @@
   return {
     { "head",
       "get",
+      "data: b",
       [](const auto&) {},
       [fields](const auto& aConnection) {
         aConnection->SendResponse(200, {}, fields("text/plain"), "data: b");
       } },
     { "body",
       "get",
+      "data: b",
       [fields](const auto& aConnection) {
         aConnection->SendHead(200, {}, fields("text/plain"), 7);
         aConnection->SendPart("data");
@@ -166,6 +193,7 @@
       } },
     { "stream",
       "chat",
+      "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
       [fields](const auto& aConnection) {
         aConnection->SendHead(
           200, {}, fields("text/event-stream"), std::nullopt);
@@ -186,13 +214,34 @@
       const std::string answer = AnswerAcrossSilence(
         place.m_service, place.m_begin, place.m_goOn, second.m_play);
       EXPECT_EQ(answer.rfind("HTTP/1.1 200 ", 0), 0U) << answer;
-      EXPECT_NE(answer.find("data: b"), std::string::npos) << answer;
-      EXPECT_EQ(answer.find("sig-8"), std::string::npos) << answer;
+      EXPECT_EQ(BodyOf(answer), place.m_body) << answer;
+      EXPECT_NE(answer.find("sig-7"), std::string::npos) << answer;
       EXPECT_EQ(m_runs, 2);
     }
   }
 }
 
+TEST_F(GatewaySilenceTest, SecondRunWithoutNewEventsDoesNotEndTheFirst)
+{
+  const SilentPlace stream = SilentPlaces().back();
+  const auto comment = [](const auto& aConnection) {
+    aConnection->SendHead(200, {}, StreamFields(), std::nullopt);
+    aConnection->SendPart(": welcome\n\nid: 1\ndata: a\n\n");
+    aConnection->AbortResponse();
+  };
+  const auto empty = [](const auto& aConnection) {
+    aConnection->SendHead(200, {}, StreamFields(), std::nullopt);
+    aConnection->SendEnd();
+  };
+  const SecondRunner seconds[] = { { "comment", comment }, { "empty", empty } };
+  for (const SecondRunner& second : seconds) {
+    SCOPED_TRACE(second.m_name);
+    const std::string answer =
+      AnswerAcrossSilence("chat", stream.m_begin, stream.m_goOn, second.m_play);
+    EXPECT_EQ(BodyOf(answer), stream.m_body) << answer;
+  }
+}
+
 TEST_F(GatewaySilenceTest, SilenceWithoutRetryBudgetDoesNotEndTheRequest)
 {
   m_retrySlack = 0;
@@ -201,7 +250,7 @@
     const std::string answer = AnswerAcrossSilence(
       place.m_service, place.m_begin, place.m_goOn, [](const auto&) {});
     EXPECT_EQ(answer.rfind("HTTP/1.1 200 ", 0), 0U) << answer;
-    EXPECT_NE(answer.find("data: b"), std::string::npos) << answer;
+    EXPECT_EQ(BodyOf(answer), place.m_body) << answer;
     EXPECT_EQ(m_runs, 1);
   }
 }
@@ -259,11 +308,65 @@
       aConnection->SendPart("id: 2\ndata: b\n\n");
       aConnection->SendEnd();
     });
-  EXPECT_NE(answer.find("data: b"), std::string::npos) << answer;
-  EXPECT_TRUE(answer.ends_with("0\r\n\r\n")) << answer;
+  EXPECT_EQ(BodyOf(answer), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n") << answer;
   EXPECT_EQ(m_cancelled, 1);
 }
 
+TEST_F(GatewaySilenceTest, RunsThatFallSilentInTurnKeepToMaxAttempts)
+{
+  std::atomic<int> runs = 0;
+  for (int i = 1; i <= 6; ++i) {
+    m_site.AddRunner(
+      "i-" + std::to_string(i), "chat", [&](const auto& aConnection) {
+        aConnection->SendHead(200, {}, StreamFields(), std::nullopt);
+        aConnection->SendPart("id: " + std::to_string(++runs) +
+                              "\ndata: x\n\n");
+      });
+  }
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 6; }));
+  SendRequest(Request("POST", "/chat/a"));
+  EXPECT_EQ(runs, 2);
+}
+
+TEST_F(GatewaySilenceTest, KeptErrorResponseIsNotSentInsideAStream)
+{
+  std::atomic<int> runs = 0;
+  const auto play = [&](const auto& aConnection) {
+    if (runs++ == 0) {
+      Answer(aConnection, 500, "failed");
+      return;
+    }
+    aConnection->SendHead(200, {}, StreamFields(), 200);
+    aConnection->SendPart("id: 1\ndata: a\n\n");
+    aConnection->AbortResponse();
+  };
+  m_site.AddRunner("i-1", "chat", play);
+  m_site.AddRunner("i-2", "chat", play);
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 2; }));
+  const std::string answer = SendRequest(Request("POST", "/chat/a"));
+  EXPECT_NE(answer.find("data: a"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
+}
+
+TEST_F(GatewaySilenceTest, KeptErrorResponseIsForwardedAtTheDeadline)
+{
+  std::atomic<int> runs = 0;
+  const auto play = [&](const auto& aConnection) {
+    if (runs++ == 1) {
+      Answer(aConnection, 500, "failed");
+    }
+  };
+  m_site.AddRunner("i-1", "get", play);
+  m_site.AddRunner("i-2", "get", play);
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 2; }));
+  const std::string answer = SendRequest(Request("POST", "/get/a"));
+  EXPECT_EQ(answer.rfind("HTTP/1.1 500 ", 0), 0U) << answer;
+  EXPECT_EQ(BodyOf(answer), "failed");
+}
+
 } // namespace
 
 } // namespace siskindeal
