A connection whose call ended while paused reads the next response

The gateway stops reading a response while its caller's socket is full. If the end of the response was already in the buffer, the connection went back to the pool without a pending read, and the next request on it got nothing until its deadline.

ConnectionPausedAtTheEndOfACallReadsTheNextResponse failed before (one response of two) and passes now: the end of a call ends its pause.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -268,6 +268,7 @@
   const bool keep = m_parser->keep_alive() && !m_parser->need_eof() &&
                     m_in.empty() && !m_writing && m_idleLimit > milliseconds(0);
   m_inCall = false;
+  m_paused = false;
   m_reusable = keep;
   m_idleSince = std::chrono::steady_clock::now();
   m_parser.reset();
