Ends of caller connections with unfinished work are logged by reason

When the server ended a connection with a request, a response or input unfinished, nothing said so: a timeout, a reset, a disconnect and a shutdown looked alike, and a request that was read and dropped left no trace at all.

One log line, at most one a second and reason, and one counter now tell why and what was cut off. Timers and closing have moved to a file of their own; no decision has changed.

Test: ServerConnectionTest.EndOfUnfinishedRequestIsCountedByReason.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -374,6 +374,7 @@
   m_callerListener->CloseIdle();
   const bool idle = m_exchanges.empty() && m_callerListener->Connections() == 0;
   if (idle || since > maxDrain) {
+    m_callerListener->RecordShutdown();
     m_loop.stop();
   }
 }
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -51,6 +51,8 @@
     if (m_connections.size() < m_maxConnections) {
       std::make_shared<ServerConnection>(m_loop, std::move(aSocket), *this)
         ->Start();
+    } else {
+      RecordEnd(ConnectionEnd::TooManyConnections, "connection");
     }
     Accept();
   });
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "net/message_parser_p.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
@@ -17,7 +18,6 @@
 
 constexpr std::size_t kMaxReadAheadBytes = 64 << 10; // of pipelined requests
 constexpr milliseconds kPeerSilenceTimeout{ 6000 };
-constexpr milliseconds kCloseLinger{ 500 };
 
 // Returns why the length of the body is ambiguous (RFC 9112, 6.1), or nothing.
 // Body bytes past a wrong length would be parsed as another request.
@@ -31,6 +31,23 @@
   return {};
 }
 
+ConnectionEnd
+ReadFailure(const NetError& aError)
+{
+  if (aError == boost::asio::error::eof) {
+    return ConnectionEnd::CallerClosed;
+  }
+  return aError == boost::asio::error::timed_out ? ConnectionEnd::CallerSilent
+                                                 : ConnectionEnd::CallerReset;
+}
+
+ConnectionEnd
+WriteFailure(const NetError& aError)
+{
+  return aError == boost::asio::error::timed_out ? ConnectionEnd::CallerSilent
+                                                 : ConnectionEnd::WriteFailed;
+}
+
 std::string_view
 ReasonOf(int aStatus)
 {
@@ -66,23 +83,6 @@
   return { local.address().to_string(), local.port() };
 }
 
-void
-ServerConnection::ArmIdleTimer(milliseconds aTimeout, bool aInHead)
-{
-  m_timer.expires_after(aTimeout);
-  m_timer.async_wait(
-    [self = shared_from_this(), aInHead](const NetError& aError) {
-      if (aError || self->m_inRequest || self->m_closed) {
-        return;
-      }
-      if (aInHead) {
-        self->Refuse(408, "timed out waiting for the request");
-      } else {
-        self->Close();
-      }
-    });
-}
-
 void
 ServerConnection::Read()
 {
@@ -105,10 +105,11 @@
     return;
   }
   if (aError) {
-    Disconnect();
+    Disconnect(ReadFailure(aError));
     return;
   }
   if (m_closing) {
+    RecordEnd(m_end);
     m_in.clear(); // input after the last response is discarded
   } else if (!m_inRequest) {
     Parse();
@@ -271,18 +272,6 @@
   FinishResponse();
 }
 
-void
-ServerConnection::AbortResponse()
-{
-  m_onDisconnect = nullptr;
-  m_keepAlive = false;
-  m_inRequest = false;
-  if (!m_closed) {
-    m_closing = true;
-    Write();
-  }
-}
-
 void
 ServerConnection::FinishResponse()
 {
@@ -330,7 +319,7 @@
     [self = shared_from_this()](const NetError& aError, std::size_t) {
       self->m_outWriting = {};
       if (aError) {
-        self->Disconnect();
+        self->Disconnect(WriteFailure(aError));
         return;
       }
       self->Write();
@@ -349,60 +338,4 @@
   }
 }
 
-void
-ServerConnection::CloseGracefully()
-{
-  // Closing with unread input would reset the connection, which could discard
-  // the last response before the client reads it.
-  NetError ignored;
-  m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-  m_timer.expires_after(kCloseLinger);
-  m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
-    if (!aError) {
-      self->Close();
-    }
-  });
-  Read();
-}
-
-void
-ServerConnection::CloseWhenIdle()
-{
-  m_keepAlive = false;
-  if (!m_inRequest && !m_parser && m_in.empty()) {
-    m_closing = true;
-    Write();
-  }
-}
-
-void
-ServerConnection::Disconnect()
-{
-  const auto self = shared_from_this();
-  const auto onGone = std::exchange(m_onDisconnect, nullptr);
-  const auto onSent = std::exchange(m_onSent, nullptr);
-  Close();
-  if (onGone) {
-    onGone();
-  }
-  if (onSent) {
-    onSent();
-  }
-}
-
-void
-ServerConnection::Close()
-{
-  if (m_closed) {
-    return;
-  }
-  m_closed = true;
-  m_onDrained = nullptr;
-  m_listener.m_connections.erase(this);
-  NotifySent();
-  NetError ignored;
-  m_timer.cancel(ignored);
-  m_socket.close(ignored);
-}
-
 } // namespace siskindeal
--- /dev/null
+++ b/src/net/http_server_close.cpp
@@ -0,0 +1,191 @@
+// The end of client connections: timeouts, graceful closing, and the record of
+// what was left unfinished.
+
+#include "net/http_server_p.h"
+#include "net/message_parser_p.h"
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCloseLinger{ 500 };
+
+std::string_view
+ToString(ConnectionEnd aReason)
+{
+  switch (aReason) {
+    case ConnectionEnd::LastResponse:
+      return "last response";
+    case ConnectionEnd::IdleTimeout:
+      return "idle timeout";
+    case ConnectionEnd::HeadTimeout:
+      return "timeout in head";
+    case ConnectionEnd::BodyTimeout:
+      return "timeout in body";
+    case ConnectionEnd::CallerClosed:
+      return "closed by caller";
+    case ConnectionEnd::CallerReset:
+      return "reset by caller";
+    case ConnectionEnd::CallerSilent:
+      return "caller unresponsive";
+    case ConnectionEnd::WriteFailed:
+      return "write failed";
+    case ConnectionEnd::ResponseAborted:
+      return "response aborted";
+    case ConnectionEnd::Shutdown:
+      return "shutdown";
+    case ConnectionEnd::TooManyConnections:
+      return "too many connections";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void
+HttpListener::RecordEnd(ConnectionEnd aReason, std::string_view aUnfinished)
+{
+  constexpr std::chrono::seconds kLogInterval{ 1 };
+  CountMetric("siskindeal_http_connections_ended_total",
+              { { "reason", std::string(ToString(aReason)) },
+                { "unfinished", std::string(aUnfinished) } });
+  EndRecord& record = m_endRecords[aReason];
+  ++record.m_count;
+  if (LoopNow() - record.m_loggedAt < kLogInterval) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "caller connection ended",
+      { { "reason", ToString(aReason) },
+        { "unfinished", aUnfinished },
+        { "port", m_port },
+        { "connections", std::exchange(record.m_count, 0) } });
+  record.m_loggedAt = LoopNow();
+}
+
+void
+HttpListener::RecordShutdown()
+{
+  ForEach([](ServerConnection& aConnection) {
+    aConnection.RecordEnd(ConnectionEnd::Shutdown);
+  });
+}
+
+std::string_view
+ServerConnection::Unfinished() const
+{
+  if (m_inRequest || Unsent() > 0) {
+    return "response";
+  }
+  if (m_parser) {
+    return m_parser->m_hasHead ? "request body" : "request head";
+  }
+  NetError ignored;
+  return m_in.empty() && m_socket.available(ignored) == 0 ? "" : "input";
+}
+
+void
+ServerConnection::RecordEnd(ConnectionEnd aReason)
+{
+  const std::string_view unfinished = Unfinished();
+  if (!unfinished.empty() && !std::exchange(m_endRecorded, true)) {
+    m_listener.RecordEnd(aReason, unfinished);
+  }
+}
+
+void
+ServerConnection::ArmIdleTimer(milliseconds aTimeout, bool aInHead)
+{
+  m_timer.expires_after(aTimeout);
+  m_timer.async_wait(
+    [self = shared_from_this(), aInHead](const NetError& aError) {
+      if (aError || self->m_inRequest || self->m_closed) {
+        return;
+      }
+      if (aInHead) {
+        self->RecordEnd(self->m_parser && self->m_parser->m_hasHead
+                          ? ConnectionEnd::BodyTimeout
+                          : ConnectionEnd::HeadTimeout);
+        self->Refuse(408, "timed out waiting for the request");
+      } else {
+        self->Close(ConnectionEnd::IdleTimeout);
+      }
+    });
+}
+
+void
+ServerConnection::AbortResponse()
+{
+  RecordEnd(ConnectionEnd::ResponseAborted);
+  m_onDisconnect = nullptr;
+  m_keepAlive = false;
+  m_inRequest = false;
+  if (!m_closed) {
+    m_closing = true;
+    Write();
+  }
+}
+
+void
+ServerConnection::CloseGracefully()
+{
+  // Closing with unread input would reset the connection, which could discard
+  // the last response before the client reads it.
+  NetError ignored;
+  m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  m_timer.expires_after(kCloseLinger);
+  m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
+    if (!aError) {
+      self->Close(self->m_end);
+    }
+  });
+  Read();
+}
+
+void
+ServerConnection::CloseWhenIdle()
+{
+  m_keepAlive = false;
+  if (!m_inRequest && !m_parser && m_in.empty()) {
+    m_closing = true;
+    m_end = ConnectionEnd::Shutdown;
+    Write();
+  }
+}
+
+void
+ServerConnection::Disconnect(ConnectionEnd aReason)
+{
+  const auto self = shared_from_this();
+  const auto onGone = std::exchange(m_onDisconnect, nullptr);
+  const auto onSent = std::exchange(m_onSent, nullptr);
+  Close(aReason);
+  if (onGone) {
+    onGone();
+  }
+  if (onSent) {
+    onSent();
+  }
+}
+
+void
+ServerConnection::Close(ConnectionEnd aReason)
+{
+  if (m_closed) {
+    return;
+  }
+  RecordEnd(aReason);
+  m_closed = true;
+  m_onDrained = nullptr;
+  m_listener.m_connections.erase(this);
+  NotifySent();
+  NetError ignored;
+  m_timer.cancel(ignored);
+  m_socket.close(ignored);
+}
+
+} // namespace siskindeal
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -8,6 +8,7 @@
 #include "siskindeal/site.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -29,6 +30,22 @@
 
 class HttpListener;
 
+// Why the server ends a connection.
+enum class ConnectionEnd
+{
+  LastResponse, // announced by Connection: close
+  IdleTimeout,
+  HeadTimeout,
+  BodyTimeout,
+  CallerClosed,
+  CallerReset,
+  CallerSilent, // it acknowledged nothing, or took nothing of a response
+  WriteFailed,
+  ResponseAborted,
+  Shutdown,
+  TooManyConnections,
+};
+
 // Fields and body of a response that the listener generates itself.
 struct LocalReply
 {
@@ -84,7 +101,10 @@
   // Closes the connection after the next response.
   void CloseAfterResponse() { m_keepAlive = false; }
   // Closes the connection as if the client had disconnected.
-  void Disconnect();
+  void Disconnect(ConnectionEnd aReason = ConnectionEnd::Shutdown);
+  // Records the end of the connection if it leaves a request, a response or
+  // input unfinished.
+  void RecordEnd(ConnectionEnd aReason);
 
 private:
   using Parser = MessageParser<true>;
@@ -96,8 +116,10 @@
   void Write();
   void FinishResponse();
   void ArmIdleTimer(std::chrono::milliseconds aTimeout, bool aInHead);
-  void Close();
+  void Close(ConnectionEnd aReason);
   void CloseGracefully();
+  // What would be lost if the connection ended now; empty: nothing.
+  std::string_view Unfinished() const;
   void NotifySent();
 
   Tcp::socket m_socket;
@@ -116,6 +138,8 @@
   bool m_sentContinue = false; // 100 Continue was sent
   bool m_closing = false;      // once pending output is written
   bool m_closed = false;
+  bool m_endRecorded = false;
+  ConnectionEnd m_end = ConnectionEnd::LastResponse; // reason for m_closing
 };
 
 // A listening socket and the connections accepted from it.
@@ -133,6 +157,8 @@
   void CloseIdle();
   // Closes all connections.
   void CloseAll();
+  // Records the open connections that the end of the process cuts off.
+  void RecordShutdown();
   // Further responses close their connection, so that clients reconnect.
   void AnnounceClose() { m_announceClose = true; }
 
@@ -152,6 +178,15 @@
   void ForEach(const std::function<void(ServerConnection&)>& aAction);
   // Logs at most once a second, since clients control how many requests fail.
   void LogRefusal(int aStatus, std::string_view aReason);
+  // Counts a connection that left something unfinished. Logs at most once a
+  // second for each reason.
+  void RecordEnd(ConnectionEnd aReason, std::string_view aUnfinished);
+
+  struct EndRecord
+  {
+    std::uint64_t m_count = 0; // since the last log line
+    MonotonicClockPoint m_loggedAt{};
+  };
 
   Loop& m_loop;
   Tcp::acceptor m_acceptor;
@@ -162,6 +197,7 @@
   bool m_announceClose = false;
   std::uint64_t m_refusals = 0; // since the last log line
   MonotonicClockPoint m_refusalLoggedAt{};
+  std::map<ConnectionEnd, EndRecord> m_endRecords;
 };
 
 } // namespace siskindeal
--- /dev/null
+++ b/tests/server_connection_test.cpp
@@ -0,0 +1,145 @@
+// Tests when the HTTP server ends a caller's connection, and what the caller
+// gets. The loop runs only in Turn, so that each order of events is certain.
+
+#include "net/http_server_p.h"
+#include "siskindeal/metrics.h"
+#include "support/raw_socket.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kShortTimeout{ 50 };
+constexpr milliseconds kLongTimeout{ 60000 };
+const std::string kRequest = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string kPost =
+  "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n";
+
+class ServerConnectionTest : public testing::Test
+{
+protected:
+  ServerConnectionTest()
+  {
+    m_listener.m_limits.m_idleTimeout = kLongTimeout;
+    m_listener.m_limits.m_headerTimeout = kLongTimeout;
+  }
+
+  ~ServerConnectionTest() override
+  {
+    m_listener.Stop();
+    m_listener.CloseAll();
+    Turn();
+  }
+
+  // Runs all handlers that are ready.
+  void Turn()
+  {
+    m_loop.restart();
+    m_loop.poll();
+  }
+
+  // The loop runs nothing until the short timeout has passed.
+  static void Stall()
+  {
+    std::this_thread::sleep_for(kShortTimeout + milliseconds(10));
+  }
+
+  RawSocket Connect()
+  {
+    RawSocket socket(m_listener.Port());
+    Turn();
+    return socket;
+  }
+
+  std::string Exchange(RawSocket& aSocket, const std::string& aBytes)
+  {
+    aSocket.Send(aBytes);
+    Turn();
+    return aSocket.ReadUntil("\r\n\r\n");
+  }
+
+  void Respond(const std::shared_ptr<ServerConnection>& aConnection)
+  {
+    m_requests.push_back(aConnection);
+    if (m_respond) {
+      aConnection->SendResponse(200, {}, {}, m_body);
+    }
+  }
+
+  static bool IsCounted(const std::string& aReason,
+                        const std::string& aUnfinished)
+  {
+    return MetricsText().find(
+             "siskindeal_http_connections_ended_total{reason=\"" + aReason +
+             "\",unfinished=\"" + aUnfinished + "\"}") != std::string::npos;
+  }
+
+  Loop m_loop{ 1 };
+  bool m_respond = true;
+  std::string m_body;
+  std::vector<std::shared_ptr<ServerConnection>> m_requests;
+  HttpListener m_listener{ m_loop,
+                           { "127.0.0.1", 0 },
+                           [this](const auto& aConnection) {
+                             Respond(aConnection);
+                           } };
+};
+
+TEST_F(ServerConnectionTest, EndOfUnfinishedRequestIsCountedByReason)
+{
+  m_respond = false;
+  {
+    RawSocket leaving = Connect();
+    leaving.Send("GET /a");
+  }
+  Turn();
+  EXPECT_TRUE(IsCounted("closed by caller", "request head"));
+
+  RawSocket resetting = Connect();
+  resetting.Send(kPost);
+  Turn();
+  resetting.Reset();
+  Turn();
+  EXPECT_TRUE(IsCounted("reset by caller", "request body"));
+
+  RawSocket aborted = Connect();
+  aborted.Send(kRequest);
+  Turn();
+  ASSERT_EQ(m_requests.size(), 1U);
+  m_requests[0]->AbortResponse();
+  EXPECT_TRUE(IsCounted("response aborted", "response"));
+
+  RawSocket cutOff = Connect();
+  cutOff.Send(kRequest);
+  Turn();
+  m_listener.RecordShutdown();
+  EXPECT_TRUE(IsCounted("shutdown", "response"));
+
+  m_listener.m_limits.m_headerTimeout = kShortTimeout;
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  RawSocket slowHead = Connect();
+  slowHead.Send("GET /a");
+  RawSocket slowBody = Connect();
+  slowBody.Send(kPost);
+  Turn();
+  Stall();
+  Turn();
+  EXPECT_TRUE(IsCounted("timeout in head", "request head"));
+  EXPECT_TRUE(IsCounted("timeout in body", "request body"));
+
+  m_listener.m_maxConnections = 0;
+  Connect();
+  EXPECT_TRUE(IsCounted("too many connections", "connection"));
+}
+
+} // namespace
+} // namespace siskindeal
