A timer's queued handler no longer ends a connection that went on

What callers saw: a connection closed in the middle of a request, a 408 for a request that was complete or still arriving, or a second response (408) after a 200. It happens when the loop was busy or paused for longer than a timeout, as while a large configuration is decoded.

Cause: expires_after cancels only waits that aren't due. A loop that was busy finds the input and the due timer in one turn; the input's handler arms the timer anew, and the queued handler of the earlier wait still runs. It took any connection outside a request for one whose own time was up, also one that had begun its next request or was lingering after its last response.

Why it works: one handler looks at the connection as it is when it runs, and does nothing before the timer's present expiry. The linger after the last response has a state of its own.

--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -98,23 +98,37 @@
 }
 
 void
-ServerConnection::ArmIdleTimer(milliseconds aTimeout, bool aInHead)
+ServerConnection::ArmTimer(milliseconds aTimeout)
 {
   m_timer.expires_after(aTimeout);
-  m_timer.async_wait(
-    [self = shared_from_this(), aInHead](const NetError& aError) {
-      if (aError || self->m_inRequest || self->m_closed) {
-        return;
-      }
-      if (aInHead) {
-        self->RecordEnd(self->m_parser && self->m_parser->m_hasHead
-                          ? ConnectionEnd::BodyTimeout
-                          : ConnectionEnd::HeadTimeout);
-        self->Refuse(408, "timed out waiting for the request");
-      } else {
-        self->Close(ConnectionEnd::IdleTimeout);
-      }
-    });
+  m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
+    if (!aError) {
+      self->OnTimer();
+    }
+  });
+}
+
+void
+ServerConnection::OnTimer()
+{
+  // A handler that is already queued can't be cancelled: the timer may have
+  // been armed anew since.
+  if (m_closed || m_inRequest || LoopNow() < m_timer.expiry()) {
+    return;
+  }
+  if (m_closing) {
+    if (m_lingering) {
+      Close(m_end);
+    }
+    return;
+  }
+  if (!m_parser) {
+    Close(ConnectionEnd::IdleTimeout);
+    return;
+  }
+  RecordEnd(m_parser->m_hasHead ? ConnectionEnd::BodyTimeout
+                                : ConnectionEnd::HeadTimeout);
+  Refuse(408, "timed out waiting for the request");
 }
 
 void
@@ -137,12 +151,8 @@
   // the last response before the client reads it.
   NetError ignored;
   m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-  m_timer.expires_after(kCloseLinger);
-  m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
-    if (!aError) {
-      self->Close(self->m_end);
-    }
-  });
+  m_lingering = true;
+  ArmTimer(kCloseLinger);
   Read();
 }
 
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -115,7 +115,8 @@
   void Refuse(int aStatus, std::string_view aReason);
   void Write();
   void FinishResponse();
-  void ArmIdleTimer(std::chrono::milliseconds aTimeout, bool aInHead);
+  void ArmTimer(std::chrono::milliseconds aTimeout);
+  void OnTimer();
   void Close(ConnectionEnd aReason);
   void CloseGracefully();
   // What would be lost if the connection ended now; empty: nothing.
@@ -137,6 +138,7 @@
   bool m_chunked = false;
   bool m_sentContinue = false; // 100 Continue was sent
   bool m_closing = false;      // once pending output is written
+  bool m_lingering = false;    // the output has been shut down
   bool m_closed = false;
   bool m_endRecorded = false;
   ConnectionEnd m_end = ConnectionEnd::LastResponse; // reason for m_closing
--- a/tests/server_connection_test.cpp
+++ b/tests/server_connection_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -20,6 +21,7 @@
 
 constexpr milliseconds kShortTimeout{ 50 };
 constexpr milliseconds kLongTimeout{ 60000 };
+constexpr std::size_t kMoreThanSocketBuffers = 32 << 20;
 const std::string kRequest = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 const std::string kPost =
   "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n";
@@ -75,6 +77,27 @@
     }
   }
 
+  // Returns how many bytes of the response's body the caller gets.
+  std::size_t ReadBody(RawSocket& aSocket)
+  {
+    auto size = std::async(std::launch::async, [&] {
+      const std::string head = aSocket.ReadUntil("\r\n\r\n");
+      std::size_t received = head.size() - head.find("\r\n\r\n") - 4;
+      while (received < m_body.size()) {
+        const std::size_t more = aSocket.ReadUntil("b").size();
+        if (more == 0) {
+          break;
+        }
+        received += more;
+      }
+      return received;
+    });
+    while (size.wait_for(milliseconds(1)) != std::future_status::ready) {
+      Turn();
+    }
+    return size.get();
+  }
+
   static bool IsCounted(const std::string& aReason,
                         const std::string& aUnfinished)
   {
@@ -141,5 +164,41 @@
   EXPECT_TRUE(IsCounted("too many connections", "connection"));
 }
 
+TEST_F(ServerConnectionTest, PartialHeadSurvivesQueuedIdleTimeout)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  RawSocket socket = Connect();
+  Stall();
+  socket.Send(kRequest.substr(0, 9));
+  Turn();
+  EXPECT_EQ(Exchange(socket, kRequest.substr(9)).substr(9, 3), "200");
+}
+
+TEST_F(ServerConnectionTest, NoSecondResponseFromQueuedHeadTimeout)
+{
+  m_listener.m_limits.m_headerTimeout = kShortTimeout;
+  RawSocket socket = Connect();
+  socket.Send(kRequest.substr(0, 9));
+  Turn();
+  Stall();
+  socket.Send(kRequest.substr(9));
+  Turn();
+  EXPECT_EQ(Exchange(socket, kRequest).substr(9, 3), "200");
+  EXPECT_EQ(m_requests.size(), 2U);
+}
+
+TEST_F(ServerConnectionTest, LongBodySurvivesQueuedBodyTimeout)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  constexpr std::size_t kSeveralReads = 200 << 10;
+  RawSocket socket = Connect();
+  socket.Send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+              std::to_string(kSeveralReads) + "\r\n\r\n");
+  Turn();
+  Stall();
+  EXPECT_EQ(Exchange(socket, std::string(kSeveralReads, 'b')).substr(9, 3),
+            "200");
+}
+
 } // namespace
 } // namespace siskindeal
