Timeouts of caller connections are decided after unread input was read

What callers saw: a request that had arrived in time, or the rest of one, got a closed connection or a 408, when the loop was busy or paused meanwhile.

Cause: the loop collects due timers and ready sockets, and runs what it has collected before it looks again. Bytes that come while it runs other handlers are in the socket, unread, when the timer's handler finds that nothing came.

Evidence: all three tests of LateInputTest failed before; none got its 200: RequestInSocketIsReadBeforeIdleTimeout, RestOfHeadInSocketIsReadBeforeTimeout, RestOfBodyInSocketIsReadBeforeTimeout

Why it works: a timer that is due while the socket holds input is armed again without delay. The loop's next look finds the input and runs its handler first; what is still missing then is decided on what has been read.

--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -122,6 +122,13 @@
     }
     return;
   }
+  // Input that came while the loop was busy is read first: the loop runs the
+  // handlers of sockets before those of timers that it finds due with them.
+  NetError ignored;
+  if (m_socket.available(ignored) > 0) {
+    ArmTimer(milliseconds(0));
+    return;
+  }
   if (!m_parser) {
     Close(ConnectionEnd::IdleTimeout);
     return;
--- a/tests/server_connection_test.cpp
+++ b/tests/server_connection_test.cpp
@@ -200,5 +200,49 @@
             "200");
 }
 
+// Bytes that arrive after the loop has collected the due timers and before it
+// runs the server's.
+class LateInputTest : public ServerConnectionTest
+{
+protected:
+  std::string ExchangeBeforeTimeout(RawSocket& aSocket,
+                                    const std::string& aBytes)
+  {
+    Timer earlier(m_loop, LoopNow() - milliseconds(1000));
+    earlier.async_wait([&](const NetError&) { aSocket.Send(aBytes); });
+    Stall();
+    Turn();
+    return aSocket.ReadUntil("\r\n\r\n");
+  }
+};
+
+TEST_F(LateInputTest, RequestInSocketIsReadBeforeIdleTimeout)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  RawSocket socket = Connect();
+  EXPECT_NE(ExchangeBeforeTimeout(socket, kRequest).find(" 200 "),
+            std::string::npos);
+}
+
+TEST_F(LateInputTest, RestOfHeadInSocketIsReadBeforeTimeout)
+{
+  m_listener.m_limits.m_headerTimeout = kShortTimeout;
+  RawSocket socket = Connect();
+  socket.Send(kRequest.substr(0, 9));
+  Turn();
+  EXPECT_NE(ExchangeBeforeTimeout(socket, kRequest.substr(9)).find(" 200 "),
+            std::string::npos);
+}
+
+TEST_F(LateInputTest, RestOfBodyInSocketIsReadBeforeTimeout)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  RawSocket socket = Connect();
+  socket.Send(kPost + "ab");
+  Turn();
+  EXPECT_NE(ExchangeBeforeTimeout(socket, "cd").find(" 200 "),
+            std::string::npos);
+}
+
 } // namespace
 } // namespace siskindeal
