Limits of a new configuration hold for connections that are already open

What callers saw: after a configuration with a longer idle, head or body time, a connection that was idle since before, or in the middle of a request, ended by the old limit. A caller that knows the new limit and reuses the connection within it meets the close; a request in arrival gets 408.

Cause: the limit was read when the timer was armed.

Evidence: LongerIdleTimeoutHoldsForIdleConnections and LongerTimeoutsHoldForRequestsInArrival failed before, with four of four connections ended; IdleConnectionStillEndsAfterItsTimeoutGrew guards the other side.

Why it works: the timer's handler compares the time since the connection began to wait with the limit of the moment and is armed again for the rest. A shorter limit applies from the next wait on, so that no connection ends sooner than it was promised.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -71,7 +71,7 @@
 {
   m_listener.m_connections.insert(this);
   PrepareSocket(m_socket, kPeerSilenceTimeout);
-  ArmTimer(m_listener.m_limits.m_idleTimeout);
+  AwaitInput();
   Read();
 }
 
@@ -129,7 +129,7 @@
     m_parser = std::make_shared<Parser>(
       static_cast<std::uint32_t>(limits.m_headerBytes), limits.m_bodyBytes);
     m_sentContinue = false;
-    ArmTimer(limits.m_headerTimeout);
+    AwaitInput();
   }
   const auto parser = m_parser;
   while (!m_in.empty() && !parser->is_done()) {
@@ -158,7 +158,7 @@
     return Refuse(400, problem);
   }
   if (!parser->is_done()) {
-    ArmTimer(m_listener.m_limits.m_idleTimeout);
+    AwaitInput();
     const std::string* expect = parser->m_fields.Find("expect");
     if (expect != nullptr && !m_sentContinue) {
       m_sentContinue = true;
@@ -286,7 +286,7 @@
   if (m_closing || m_closed) {
     return;
   }
-  ArmTimer(m_listener.m_limits.m_idleTimeout);
+  AwaitInput();
   if (!m_in.empty()) {
     boost::asio::post(m_timer.get_executor(), [self = shared_from_this()] {
       if (!self->m_inRequest) {
--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -97,6 +97,21 @@
   }
 }
 
+milliseconds
+ServerConnection::InputTimeout() const
+{
+  const ClientLimits& limits = m_listener.m_limits;
+  return m_parser && !m_parser->m_hasHead ? limits.m_headerTimeout
+                                          : limits.m_idleTimeout;
+}
+
+void
+ServerConnection::AwaitInput()
+{
+  m_awaitingSince = LoopNow();
+  ArmTimer(InputTimeout());
+}
+
 void
 ServerConnection::ArmTimer(milliseconds aTimeout)
 {
@@ -129,6 +144,12 @@
     ArmTimer(milliseconds(0));
     return;
   }
+  // The limits may have changed since the timer was armed.
+  const auto left = m_awaitingSince + InputTimeout() - LoopNow();
+  if (left.count() > 0) {
+    ArmTimer(std::chrono::ceil<milliseconds>(left));
+    return;
+  }
   if (!m_parser) {
     Close(ConnectionEnd::IdleTimeout);
     return;
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -115,6 +115,10 @@
   void Refuse(int aStatus, std::string_view aReason);
   void Write();
   void FinishResponse();
+  // Begins to wait for a request or for the rest of one.
+  void AwaitInput();
+  // The time allowed for that, by the present limits.
+  std::chrono::milliseconds InputTimeout() const;
   void ArmTimer(std::chrono::milliseconds aTimeout);
   void OnTimer();
   void Close(ConnectionEnd aReason);
@@ -125,6 +129,7 @@
 
   Tcp::socket m_socket;
   Timer m_timer;
+  MonotonicClockPoint m_awaitingSince{};
   HttpListener& m_listener;
   std::shared_ptr<Parser> m_parser;
   IncomingRequest m_request;
--- a/tests/server_connection_test.cpp
+++ b/tests/server_connection_test.cpp
@@ -244,5 +244,48 @@
             std::string::npos);
 }
 
+TEST_F(ServerConnectionTest, LongerIdleTimeoutHoldsForIdleConnections)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  RawSocket fresh = Connect();
+  RawSocket used = Connect();
+  Exchange(used, kRequest);
+  m_listener.m_limits.m_idleTimeout = kLongTimeout;
+  Stall();
+  Turn();
+  EXPECT_NE(Exchange(fresh, kRequest).find(" 200 "), std::string::npos);
+  EXPECT_NE(Exchange(used, kRequest).find(" 200 "), std::string::npos);
+}
+
+TEST_F(ServerConnectionTest, LongerTimeoutsHoldForRequestsInArrival)
+{
+  m_listener.m_limits.m_headerTimeout = kShortTimeout;
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  RawSocket inHead = Connect();
+  inHead.Send(kRequest.substr(0, 9));
+  RawSocket inBody = Connect();
+  inBody.Send(kPost + "ab");
+  Turn();
+  m_listener.m_limits.m_headerTimeout = kLongTimeout;
+  m_listener.m_limits.m_idleTimeout = kLongTimeout;
+  Stall();
+  Turn();
+  EXPECT_NE(Exchange(inHead, kRequest.substr(9)).find(" 200 "),
+            std::string::npos);
+  EXPECT_NE(Exchange(inBody, "cd").find(" 200 "), std::string::npos);
+}
+
+TEST_F(ServerConnectionTest, IdleConnectionStillEndsAfterItsTimeoutGrew)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  RawSocket socket = Connect();
+  m_listener.m_limits.m_idleTimeout = kShortTimeout * 2;
+  Stall();
+  Turn();
+  Stall();
+  Turn();
+  EXPECT_EQ(m_listener.Connections(), 0U);
+}
+
 } // namespace
 } // namespace siskindeal
