A response that its caller reads slowly is no longer cut off as idle

What callers saw: a kept connection closed in the middle of a response that the runner had completed, once the idle time had passed since the server queued its last byte.

Cause: the idle timer was armed when the response was complete in memory, and its handler closed the connection with the rest unsent.

Evidence, 32 MB to a reader that pauses for longer than the idle time, before: ResponseIsCompleteForReaderSlowerThanIdleTimeout 3910611 bytes received ResponseIsCompleteDespiteQueuedIdleTimeout 65491 bytes received ResponseIsCompleteDespiteQueuedHeadTimeout 65491 bytes received

Why it works: a connection is idle from the moment its response is written, and a timer's handler ends none that has bytes to send. A reader that takes nothing at all is still ended by the kernel after kPeerSilenceTimeout (TCP_USER_TIMEOUT covers a closed window).

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -286,7 +286,6 @@
   if (m_closing || m_closed) {
     return;
   }
-  AwaitInput();
   if (!m_in.empty()) {
     boost::asio::post(m_timer.get_executor(), [self = shared_from_this()] {
       if (!self->m_inRequest) {
@@ -309,6 +308,8 @@
     }
     if (m_closing) {
       CloseGracefully();
+    } else if (!m_inRequest && !m_parser) {
+      AwaitInput(); // the time in which the caller reads a response isn't idle
     }
     return;
   }
--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -137,6 +137,9 @@
     }
     return;
   }
+  if (!m_parser && Unsent() > 0) {
+    return; // armed again once the response is written
+  }
   // Input that came while the loop was busy is read first: the loop runs the
   // handlers of sockets before those of timers that it finds due with them.
   NetError ignored;
--- a/tests/server_connection_test.cpp
+++ b/tests/server_connection_test.cpp
@@ -287,5 +287,46 @@
   EXPECT_EQ(m_listener.Connections(), 0U);
 }
 
+TEST_F(ServerConnectionTest, ResponseIsCompleteDespiteQueuedIdleTimeout)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  m_body.assign(kMoreThanSocketBuffers, 'b');
+  RawSocket socket = Connect();
+  Stall();
+  socket.Send(kRequest);
+  Turn();
+  EXPECT_EQ(ReadBody(socket), m_body.size());
+}
+
+TEST_F(ServerConnectionTest, ResponseIsCompleteDespiteQueuedHeadTimeout)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  m_listener.m_limits.m_headerTimeout = kShortTimeout;
+  m_body.assign(kMoreThanSocketBuffers, 'b');
+  RawSocket socket = Connect();
+  socket.Send(kRequest.substr(0, 9));
+  Turn();
+  Stall();
+  socket.Send(kRequest.substr(9));
+  Turn();
+  EXPECT_EQ(ReadBody(socket), m_body.size());
+}
+
+TEST_F(ServerConnectionTest, ResponseIsCompleteForReaderSlowerThanIdleTimeout)
+{
+  m_listener.m_limits.m_idleTimeout = kShortTimeout;
+  m_body.assign(kMoreThanSocketBuffers, 'b');
+  RawSocket socket = Connect();
+  socket.Send(kRequest);
+  Turn();
+  Stall();
+  Turn();
+  EXPECT_EQ(ReadBody(socket), m_body.size());
+  Turn();
+  Stall();
+  Turn();
+  EXPECT_EQ(m_listener.Connections(), 0U);
+}
+
 } // namespace
 } // namespace siskindeal
