A request that meets the closing of idle connections is served or left unread

What callers saw: a whole request on a kept connection that got neither an answer nor a refusal while the gateway shut down, and no reset from which to conclude that it wasn't read; a request that may not be repeated was lost.

Cause: idle connections were shut down for sending at once, then read for half a second, and what was read was dropped. That also took connections whose next request was in the socket already, or on its way just after a response.

Evidence, before: RequestInSocketIsServedWhenIdleConnectionsClose got an end of stream, ConnectionUsedJustNowStaysOpenForNextRequest too, and in RequestAfterCloseOfIdleConnectionIsNotRead the request was read and dropped.

Why it works: a connection with input, with output to write, or used within the last 500 ms isn't idle; its next request is answered with Connection: close. Any other is closed without reading, so that the kernel resets a request that crosses the close. The 500 ms give a caller that pipelines the time to read its last response before such a reset.

--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -102,7 +102,8 @@
 void
 HttpListener::CloseIdle()
 {
-  ForEach([](ServerConnection& aConnection) { aConnection.CloseWhenIdle(); });
+  m_announceClose = true;
+  ForEach([](ServerConnection& aConnection) { aConnection.CloseIfIdle(); });
 }
 
 } // namespace siskindeal
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -109,7 +109,7 @@
     return;
   }
   if (m_closing) {
-    RecordEnd(m_end);
+    RecordEnd(ConnectionEnd::LastResponse);
     m_in.clear(); // input after the last response is discarded
   } else if (!m_inRequest) {
     Parse();
--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -84,8 +84,14 @@
   if (m_parser) {
     return m_parser->m_hasHead ? "request body" : "request head";
   }
+  return HasInput() ? "input" : "";
+}
+
+bool
+ServerConnection::HasInput() const
+{
   NetError ignored;
-  return m_in.empty() && m_socket.available(ignored) == 0 ? "" : "input";
+  return !m_in.empty() || m_socket.available(ignored) > 0;
 }
 
 void
@@ -133,7 +139,7 @@
   }
   if (m_closing) {
     if (m_lingering) {
-      Close(m_end);
+      Close(ConnectionEnd::LastResponse);
     }
     return;
   }
@@ -188,13 +194,15 @@
 }
 
 void
-ServerConnection::CloseWhenIdle()
+ServerConnection::CloseIfIdle()
 {
-  m_keepAlive = false;
-  if (!m_inRequest && !m_parser && m_in.empty()) {
-    m_closing = true;
-    m_end = ConnectionEnd::Shutdown;
-    Write();
+  const bool idle = !m_inRequest && !m_parser && !m_closing && !HasInput() &&
+                    Unsent() == 0 &&
+                    LoopNow() - m_awaitingSince >= m_listener.m_minIdleTime;
+  // Nothing is shut down or read first: a request that crosses the close stays
+  // unread, and the reset tells its caller so.
+  if (idle) {
+    Close(ConnectionEnd::Shutdown);
   }
 }
 
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -96,8 +96,8 @@
   // has closed.
   std::function<void()> m_onSent;
 
-  // Closes the connection now if it is idle, otherwise after its response.
-  void CloseWhenIdle();
+  // Closes the connection if it has been idle for the listener's m_minIdleTime.
+  void CloseIfIdle();
   // Closes the connection after the next response.
   void CloseAfterResponse() { m_keepAlive = false; }
   // Closes the connection as if the client had disconnected.
@@ -125,6 +125,8 @@
   void CloseGracefully();
   // What would be lost if the connection ended now; empty: nothing.
   std::string_view Unfinished() const;
+  // Whether input has arrived that no request has been made of.
+  bool HasInput() const;
   void NotifySent();
 
   Tcp::socket m_socket;
@@ -146,7 +148,6 @@
   bool m_lingering = false;    // the output has been shut down
   bool m_closed = false;
   bool m_endRecorded = false;
-  ConnectionEnd m_end = ConnectionEnd::LastResponse; // reason for m_closing
 };
 
 // A listening socket and the connections accepted from it.
@@ -160,7 +161,8 @@
 
   // Stops accepting; open connections close after their next response.
   void Stop();
-  // Closes idle connections now and others after their response.
+  // Closes connections that have been idle for m_minIdleTime. Others close
+  // after their next response, or when this is called again.
   void CloseIdle();
   // Closes all connections.
   void CloseAll();
@@ -177,6 +179,9 @@
   // status and reason. If unset, the reason is the body.
   std::function<LocalReply(int, std::string_view)> m_makeLocalReply;
   std::size_t m_maxConnections = 3000; // others are closed on accept
+  // Time for the caller to read its last response before CloseIdle resets a
+  // connection on which a further request arrives.
+  std::chrono::milliseconds m_minIdleTime{ 500 };
 
 private:
   friend class ServerConnection;
--- a/tests/server_connection_test.cpp
+++ b/tests/server_connection_test.cpp
@@ -328,5 +328,45 @@
   EXPECT_EQ(m_listener.Connections(), 0U);
 }
 
+TEST_F(ServerConnectionTest, RequestInSocketIsServedWhenIdleConnectionsClose)
+{
+  RawSocket socket = Connect();
+  Exchange(socket, kRequest);
+  m_listener.m_minIdleTime = milliseconds(0);
+  socket.Send(kRequest);
+  m_listener.Stop();
+  m_listener.CloseIdle();
+  Turn();
+  const std::string response = socket.ReadAll();
+  EXPECT_NE(response.find(" 200 "), std::string::npos);
+  EXPECT_NE(response.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(ServerConnectionTest, RequestAfterCloseOfIdleConnectionIsNotRead)
+{
+  RawSocket socket = Connect();
+  Exchange(socket, kRequest);
+  m_listener.m_minIdleTime = milliseconds(0);
+  m_listener.Stop();
+  m_listener.CloseIdle();
+  Turn();
+  socket.Send(kRequest);
+  Turn();
+  // The reset tells the caller so.
+  EXPECT_FALSE(socket.Send(kRequest));
+  EXPECT_EQ(m_requests.size(), 1U);
+}
+
+TEST_F(ServerConnectionTest, ConnectionUsedJustNowStaysOpenForNextRequest)
+{
+  RawSocket socket = Connect();
+  Exchange(socket, kRequest);
+  m_listener.m_minIdleTime = kLongTimeout;
+  m_listener.Stop();
+  m_listener.CloseIdle();
+  Turn();
+  EXPECT_NE(Exchange(socket, kRequest).find(" 200 "), std::string::npos);
+}
+
 } // namespace
 } // namespace siskindeal
