Pipelined requests are served before an announced close

What callers saw: requests that were pipelined behind the one being answered when the gateway began to shut down were read and dropped: neither an answer nor a refusal.

Cause: the first response after the shutdown began said Connection: close, also when the next request had been read or was in the socket.

Evidence: PipelinedRequestsAreServedBeforeAnnouncedClose, before: one of two requests handled.

Why it works: the close is announced by the first response behind which no input waits. A caller that sends more after reading that has been told so.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -220,7 +220,8 @@
     NotifySent();
     return;
   }
-  if (m_listener.m_announceClose) {
+  // Requests that were pipelined before the announcement are served.
+  if (m_listener.m_announceClose && !HasInput()) {
     m_keepAlive = false;
   }
   m_chunked = !aLength.has_value();
--- a/tests/server_connection_test.cpp
+++ b/tests/server_connection_test.cpp
@@ -368,5 +368,18 @@
   EXPECT_NE(Exchange(socket, kRequest).find(" 200 "), std::string::npos);
 }
 
+TEST_F(ServerConnectionTest, PipelinedRequestsAreServedBeforeAnnouncedClose)
+{
+  RawSocket socket = Connect();
+  m_listener.AnnounceClose();
+  socket.Send(kRequest + kRequest);
+  Turn();
+  const std::string responses = socket.ReadAll();
+  EXPECT_EQ(m_requests.size(), 2U);
+  EXPECT_EQ(responses.find("Connection: close"),
+            responses.rfind("Connection: close"));
+  EXPECT_GT(responses.find("Connection: close"), responses.rfind(" 200 "));
+}
+
 } // namespace
 } // namespace siskindeal
