What is unfinished at the end of the grace period is answered

What callers saw: a request in flight or in arrival when a draining gateway reached the end of its grace period got neither an answer nor a refusal.

Cause: the loop was stopped 300 ms before the end; that time was meant for the last responses, but none was made.

Evidence: EndOfGracePeriodAnswersWhatIsUnfinished, before: nothing came on any of three connections (a request that waits for its runner, one in its head, one in its body).

Why it works: at that point each exchange ends as at its deadline (504 if it may have run, 503 if not, a broken stream), each request in arrival gets 503, and the loop runs on for 200 ms to write them.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,6 +50,10 @@
 // A draining gateway accepts callers for this many lifetimes of a directory
 // answer, since they may have cached its address.
 constexpr int kDrainAddressLifetimes = 3;
+// Requests that are unfinished this long before the end of the grace period are
+// answered, and the process exits before it is killed.
+constexpr milliseconds kShutdownReserve{ 300 };
+constexpr milliseconds kExitReserve{ 100 };
 constexpr double kLogLinesPerSecond = 60;
 constexpr double kLogBurst = 200;
 
@@ -361,22 +365,33 @@
     return;
   }
   const auto since = LoopNow() - *m_drainingSince;
-  constexpr milliseconds kShutdownReserve{ 300 }; // to send the last responses
   const bool addressMayBeCached =
     since < m_settings.m_gateway.m_answerLifetime * kDrainAddressLifetimes;
-  const auto maxDrain =
-    std::chrono::duration<double>(m_settings.m_gateway.m_graceSeconds) -
-    kShutdownReserve;
+  const std::chrono::duration<double> grace(
+    m_settings.m_gateway.m_graceSeconds);
   if (addressMayBeCached) {
     return;
   }
   m_callerListener->Stop();
   m_callerListener->CloseIdle();
+  if (since > grace - kShutdownReserve) {
+    EndUnfinished();
+  }
   const bool idle = m_exchanges.empty() && m_callerListener->Connections() == 0;
-  if (idle || since > maxDrain) {
+  if (idle || since > grace - kExitReserve) {
     m_callerListener->RecordShutdown();
     m_loop.stop();
   }
 }
 
+void
+Gateway::EndUnfinished()
+{
+  const auto exchanges = m_exchanges;
+  for (const auto& exchange : exchanges) {
+    exchange->Tick(MonotonicTime::max()); // as if its deadline had passed
+  }
+  m_callerListener->RefuseIncomplete(kServiceUnavailable, "shutting down");
+}
+
 } // namespace siskindeal
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -125,6 +125,8 @@
   void Reload();
   void StartDrain();
   void MaybeStop();
+  // Answers all requests that are in flight or in arrival.
+  void EndUnfinished();
   std::shared_ptr<ObjectFeed> StartFeed(std::string_view aKind,
                                         FeedTiming aPace,
                                         FeedCallbacks aEvents);
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -93,6 +93,14 @@
   }
 }
 
+void
+HttpListener::RefuseIncomplete(int aStatus, std::string_view aReason)
+{
+  ForEach([&](ServerConnection& aConnection) {
+    aConnection.RefuseIncomplete(aStatus, aReason);
+  });
+}
+
 void
 HttpListener::CloseAll()
 {
--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -206,6 +206,15 @@
   }
 }
 
+void
+ServerConnection::RefuseIncomplete(int aStatus, std::string_view aReason)
+{
+  if (m_parser && !m_closing) {
+    RecordEnd(ConnectionEnd::Shutdown);
+    Refuse(aStatus, aReason);
+  }
+}
+
 void
 ServerConnection::Disconnect(ConnectionEnd aReason)
 {
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -98,6 +98,8 @@
 
   // Closes the connection if it has been idle for the listener's m_minIdleTime.
   void CloseIfIdle();
+  // Refuses the request that is in arrival, if there is one.
+  void RefuseIncomplete(int aStatus, std::string_view aReason);
   // Closes the connection after the next response.
   void CloseAfterResponse() { m_keepAlive = false; }
   // Closes the connection as if the client had disconnected.
@@ -164,6 +166,8 @@
   // Closes connections that have been idle for m_minIdleTime. Others close
   // after their next response, or when this is called again.
   void CloseIdle();
+  // Refuses the requests that are in arrival.
+  void RefuseIncomplete(int aStatus, std::string_view aReason);
   // Closes all connections.
   void CloseAll();
   // Records the open connections that the end of the process cuts off.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -238,6 +238,28 @@
   EXPECT_NE(socket.ReadAll().find("\r\n\r\nbooked"), std::string::npos);
 }
 
+TEST_F(GatewayTest, EndOfGracePeriodAnswersWhatIsUnfinished)
+{
+  m_graceSeconds = 1;
+  std::atomic<int> began = 0;
+  m_site.AddRunner("i-1", "post", [&](const auto&) { ++began; });
+  StartAndAwaitReady();
+  RawSocket waiting(m_gateway->CallersPort());
+  waiting.Send(Request("POST", "/post/a"));
+  EXPECT_TRUE(Eventually([&] { return began == 1; }));
+  const std::string request = Request("POST", "/post/a", {}, "four tees");
+  RawSocket inHead(m_gateway->CallersPort());
+  inHead.Send(request.substr(0, 20));
+  RawSocket inBody(m_gateway->CallersPort());
+  inBody.Send(request.substr(0, request.size() - 4));
+  ASSERT_TRUE(IsReady() && IsReady()); // both have been accepted meanwhile
+  m_gateway->RequestShutdown();
+  EXPECT_NE(waiting.ReadAll().find(" 504 "), std::string::npos);
+  EXPECT_NE(inHead.ReadAll().find(" 503 "), std::string::npos);
+  EXPECT_NE(inBody.ReadAll().find(" 503 "), std::string::npos);
+  EXPECT_EQ(began, 1);
+}
+
 TEST_F(GatewayTest, DirectoryListsTheGateway)
 {
   StartAndAwaitReady();
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -89,7 +89,7 @@
     settings.m_gateway.m_ready = { "127.0.0.1", 0 };
     settings.m_gateway.m_directory = { "127.0.0.1", 0 };
     settings.m_gateway.m_answerLifetime = std::chrono::milliseconds(50);
-    settings.m_gateway.m_graceSeconds = 5;
+    settings.m_gateway.m_graceSeconds = m_graceSeconds;
     settings.m_gateway.m_versionWithin = m_versionWithin;
     settings.m_platform.m_url = "http://" + m_site.Store().ToString();
     m_gateway = std::make_unique<Gateway>(settings, m_settingsFile);
@@ -189,6 +189,7 @@
 
   std::string m_settingsFile; // empty: no file
   std::chrono::milliseconds m_versionWithin{ 8000 };
+  double m_graceSeconds = 5;
   SiteStandIn m_site;
   std::unique_ptr<Gateway> m_gateway;
   std::thread m_thread;
