--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -51,6 +51,8 @@
     if (m_connections.size() < m_maxConnections) {
       std::make_shared<ServerConnection>(m_loop, std::move(aSocket), *this)
         ->Start();
+    } else {
+      RecordEnd(ConnectionEnd::TooManyConnections, "connection");
     }
     Accept();
   });
@@ -91,6 +93,14 @@
   }
 }
 
+void
+HttpListener::RefuseIncomplete(int aStatus, std::string_view aReason)
+{
+  ForEach([&](ServerConnection& aConnection) {
+    aConnection.RefuseIncomplete(aStatus, aReason);
+  });
+}
+
 void
 HttpListener::CloseAll()
 {
@@ -100,7 +110,8 @@
 void
 HttpListener::CloseIdle()
 {
-  ForEach([](ServerConnection& aConnection) { aConnection.CloseWhenIdle(); });
+  m_announceClose = true;
+  ForEach([](ServerConnection& aConnection) { aConnection.CloseIfIdle(); });
 }
 
 } // namespace siskindeal
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -8,6 +8,7 @@
 #include "siskindeal/site.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -29,6 +30,22 @@
 
 class HttpListener;
 
+// Why the server ends a connection.
+enum class ConnectionEnd
+{
+  LastResponse, // announced by Connection: close
+  IdleTimeout,
+  HeadTimeout,
+  BodyTimeout,
+  CallerClosed,
+  CallerReset,
+  CallerSilent, // it acknowledged nothing, or took nothing of a response
+  WriteFailed,
+  ResponseAborted,
+  Shutdown,
+  TooManyConnections,
+};
+
 // Fields and body of a response that the listener generates itself.
 struct LocalReply
 {
@@ -79,12 +96,17 @@
   // has closed.
   std::function<void()> m_onSent;
 
-  // Closes the connection now if it is idle, otherwise after its response.
-  void CloseWhenIdle();
+  // Closes the connection if it has been idle for the listener's m_minIdleTime.
+  void CloseIfIdle();
+  // Refuses the request that is in arrival, if there is one.
+  void RefuseIncomplete(int aStatus, std::string_view aReason);
   // Closes the connection after the next response.
   void CloseAfterResponse() { m_keepAlive = false; }
   // Closes the connection as if the client had disconnected.
-  void Disconnect();
+  void Disconnect(ConnectionEnd aReason = ConnectionEnd::Shutdown);
+  // Records the end of the connection if it leaves a request, a response or
+  // input unfinished.
+  void RecordEnd(ConnectionEnd aReason);
 
 private:
   using Parser = MessageParser<true>;
@@ -95,13 +117,23 @@
   void Refuse(int aStatus, std::string_view aReason);
   void Write();
   void FinishResponse();
-  void ArmIdleTimer(std::chrono::milliseconds aTimeout, bool aInHead);
-  void Close();
+  // Begins to wait for a request or for the rest of one.
+  void AwaitInput();
+  // The time allowed for that, by the present limits.
+  std::chrono::milliseconds InputTimeout() const;
+  void ArmTimer(std::chrono::milliseconds aTimeout);
+  void OnTimer();
+  void Close(ConnectionEnd aReason);
   void CloseGracefully();
+  // What would be lost if the connection ended now; empty: nothing.
+  std::string_view Unfinished() const;
+  // Whether input has arrived that no request has been made of.
+  bool HasInput() const;
   void NotifySent();
 
   Tcp::socket m_socket;
   Timer m_timer;
+  MonotonicClockPoint m_awaitingSince{};
   HttpListener& m_listener;
   std::shared_ptr<Parser> m_parser;
   IncomingRequest m_request;
@@ -115,7 +147,9 @@
   bool m_chunked = false;
   bool m_sentContinue = false; // 100 Continue was sent
   bool m_closing = false;      // once pending output is written
+  bool m_lingering = false;    // the output has been shut down
   bool m_closed = false;
+  bool m_endRecorded = false;
 };
 
 // A listening socket and the connections accepted from it.
@@ -129,10 +163,15 @@
 
   // Stops accepting; open connections close after their next response.
   void Stop();
-  // Closes idle connections now and others after their response.
+  // Closes connections that have been idle for m_minIdleTime. Others close
+  // after their next response, or when this is called again.
   void CloseIdle();
+  // Refuses the requests that are in arrival.
+  void RefuseIncomplete(int aStatus, std::string_view aReason);
   // Closes all connections.
   void CloseAll();
+  // Records the open connections that the end of the process cuts off.
+  void RecordShutdown();
   // Further responses close their connection, so that clients reconnect.
   void AnnounceClose() { m_announceClose = true; }
 
@@ -144,6 +183,9 @@
   // status and reason. If unset, the reason is the body.
   std::function<LocalReply(int, std::string_view)> m_makeLocalReply;
   std::size_t m_maxConnections = 3000; // others are closed on accept
+  // Time for the caller to read its last response before CloseIdle resets a
+  // connection on which a further request arrives.
+  std::chrono::milliseconds m_minIdleTime{ 500 };
 
 private:
   friend class ServerConnection;
@@ -152,6 +194,15 @@
   void ForEach(const std::function<void(ServerConnection&)>& aAction);
   // Logs at most once a second, since clients control how many requests fail.
   void LogRefusal(int aStatus, std::string_view aReason);
+  // Counts a connection that left something unfinished. Logs at most once a
+  // second for each reason.
+  void RecordEnd(ConnectionEnd aReason, std::string_view aUnfinished);
+
+  struct EndRecord
+  {
+    std::uint64_t m_count = 0; // since the last log line
+    MonotonicClockPoint m_loggedAt{};
+  };
 
   Loop& m_loop;
   Tcp::acceptor m_acceptor;
@@ -162,6 +213,7 @@
   bool m_announceClose = false;
   std::uint64_t m_refusals = 0; // since the last log line
   MonotonicClockPoint m_refusalLoggedAt{};
+  std::map<ConnectionEnd, EndRecord> m_endRecords;
 };
 
 } // namespace siskindeal
