Agents: an upstream that doesn't accept connections in time hasn't crashed

Callers saw: a request that had been in flight when a sound upstream did not accept connections for a moment was made a suspect, with all others in flight on that agent. Suspects are refused or run alone, and a second occurrence quarantines them.

Cause: after a lost connection or a passed deadline the agent probes its upstream with 200 ms for the whole probe. Each probe that had not been sent counted as a crash. That holds for a refused connection, but also for one that timed out: an upstream whose accept queue is full, or an agent that was paused itself between connecting and reading the result, since libcurl checks the time before it looks at the socket.

Evidence: UpstreamSilence.FullAcceptQueueIsNotACrash failed before in both of its cases ("deadline passes", "connection closed"): upstream_crashed was true and the request got a suspicion.

Fix: a reply states why there is none, and only a refused connection or another instance shows a crash. After any other failure the probe is repeated, at most ten times, as it was for connections that were accepted and dropped. The failure of such a run reaches its entry up to 2 s later than before.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -110,6 +110,15 @@
   Cancelled,   // cancelled after bytes of the request were sent
 };
 
+// Why an outgoing request has no complete response.
+enum class HttpFault
+{
+  None,
+  ConnectionRefused, // no process listens at the address
+  TimedOut,          // while connecting or waiting for the response
+  Other,
+};
+
 struct HttpClientRequest
 {
   std::string m_method = "GET";
@@ -130,6 +139,7 @@
 struct HttpReply
 {
   HttpOutcome m_outcome = HttpOutcome::NotSent;
+  HttpFault m_fault = HttpFault::None;
   int m_status = 0;
   HttpHeaders m_headers;
   std::string m_body;
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -355,8 +355,8 @@
 }
 
 // The upstream has crashed if it now refuses connections or reports a different
-// instance. If it accepts the connection and then drops it, it is still
-// shutting down, and the probe is repeated.
+// instance. Any other failure of the probe shows neither: the upstream may be
+// shutting down or may not respond for a while, and the probe is repeated.
 void
 RunSession::OnConnectionLost(const Error& aFailure, int aProbesLeft)
 {
@@ -370,7 +370,9 @@
   const auto self = shared_from_this();
   m_service->m_http.Start(
     std::move(probe), [self, aFailure, aProbesLeft](const HttpReply& aProbe) {
-      if (aProbe.m_outcome == HttpOutcome::SentNoReply && aProbesLeft > 0) {
+      const bool conclusive = aProbe.m_outcome == HttpOutcome::Answered ||
+                              aProbe.m_fault == HttpFault::ConnectionRefused;
+      if (!conclusive && aProbesLeft > 0) {
         self->OnConnectionLost(aFailure, aProbesLeft - 1);
         return;
       }
@@ -392,7 +394,7 @@
 bool
 RunSession::HasCrashed(const HttpReply& aProbe)
 {
-  if (aProbe.m_outcome == HttpOutcome::NotSent) {
+  if (aProbe.m_fault == HttpFault::ConnectionRefused) {
     return true;
   }
   // A restarted engine has lost its weights.
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace siskindeal {
@@ -216,10 +217,25 @@
   return WasSent() ? HttpOutcome::SentNoReply : HttpOutcome::NotSent;
 }
 
+HttpFault
+ClientCall::FaultOf(CURLcode aCode) const
+{
+  if (aCode == CURLE_OPERATION_TIMEDOUT) {
+    return HttpFault::TimedOut;
+  }
+  long systemError = 0;
+  curl_easy_getinfo(m_easy, CURLINFO_OS_ERRNO, &systemError);
+  return aCode == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED
+           ? HttpFault::ConnectionRefused
+           : HttpFault::Other;
+}
+
 void
 ClientCall::Finish(CURLcode aCode)
 {
   m_reply.m_outcome = OutcomeOf(aCode);
+  m_reply.m_fault = m_reply.m_outcome == HttpOutcome::Answered ? HttpFault::None
+                                                               : FaultOf(aCode);
   if (aCode != CURLE_OK) {
     m_reply.m_error = curl_easy_strerror(aCode);
   } else if (m_reply.m_outcome != HttpOutcome::Answered) {
@@ -233,6 +249,7 @@
 {
   const bool sent = m_easy != nullptr && WasSent();
   m_reply.m_outcome = sent ? HttpOutcome::Cancelled : HttpOutcome::NotSent;
+  m_reply.m_fault = HttpFault::Other;
   m_reply.m_error = "cancelled";
   InvokeCallback();
 }
--- a/src/http/client_call_p.h
+++ b/src/http/client_call_p.h
@@ -40,6 +40,7 @@
   bool WasSent() const;
   bool IsSelfDelimiting() const;
   HttpOutcome OutcomeOf(CURLcode aCode) const;
+  HttpFault FaultOf(CURLcode aCode) const;
   void InvokeCallback();
 
   HttpClientRequest m_request;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -221,7 +221,9 @@
                      {},
                      "body" });
     EXPECT_EQ(reply.m_outcome, test.m_outcome) << reply.m_error;
-    EXPECT_EQ(reply.m_error.empty(), test.m_outcome == HttpOutcome::Answered);
+    const bool answered = test.m_outcome == HttpOutcome::Answered;
+    EXPECT_EQ(reply.m_error.empty(), answered);
+    EXPECT_EQ(reply.m_fault, answered ? HttpFault::None : HttpFault::Other);
   }
   for (const auto& url :
        { "http://127.0.0.1:" + std::to_string(UnusedPort()) + "/",
@@ -229,8 +231,11 @@
          std::string("::"),
          std::string() }) {
     SCOPED_TRACE(url);
-    EXPECT_EQ(client.Fetch({ "POST", url, {}, "body" }).m_outcome,
-              HttpOutcome::NotSent);
+    const auto reply = client.Fetch({ "POST", url, {}, "body" });
+    EXPECT_EQ(reply.m_outcome, HttpOutcome::NotSent);
+    EXPECT_EQ(reply.m_fault,
+              url.starts_with("http:") ? HttpFault::ConnectionRefused
+                                       : HttpFault::Other);
   }
 }
 
@@ -315,7 +320,9 @@
     EXPECT_EQ(cancelled.get_future().get().m_outcome, HttpOutcome::Cancelled);
     HttpClientRequest slow{ "POST", Url(server, "/"), {}, "x" };
     slow.m_timeout = milliseconds(50);
-    EXPECT_EQ(client.Fetch(slow).m_outcome, HttpOutcome::SentNoReply);
+    const auto late = client.Fetch(slow);
+    EXPECT_EQ(late.m_outcome, HttpOutcome::SentNoReply);
+    EXPECT_EQ(late.m_fault, HttpFault::TimedOut);
     call->Cancel();
   }
   call->Cancel();
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -137,13 +137,12 @@
   Close();
 }
 
-RawServer::RawServer(ConnectionHandler aHandler)
+RawServer::RawServer(ConnectionHandler aHandler, int aBacklog)
   : m_listener(CreateBoundSocket())
   , m_port(BoundPort(m_listener))
   , m_handler(std::move(aHandler))
 {
-  constexpr int kBacklog = 16;
-  ThrowUnless(listen(m_listener, kBacklog) == 0, "listen");
+  ThrowUnless(listen(m_listener, aBacklog) == 0, "listen");
   m_thread = std::thread([this] {
     for (int number = 0;; ++number) {
       const int accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -53,7 +53,12 @@
 public:
   using ConnectionHandler = std::function<void(RawSocket&, int)>;
 
-  explicit RawServer(ConnectionHandler aHandler);
+  static constexpr int kDefaultBacklog = 16;
+
+  // Linux keeps one connection more than aBacklog waiting to be accepted, and
+  // ignores further attempts to connect.
+  explicit RawServer(ConnectionHandler aHandler,
+                     int aBacklog = kDefaultBacklog);
   ~RawServer();
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
--- /dev/null
+++ b/tests/upstream_silence_test.cpp
@@ -0,0 +1,107 @@
+// Tests what an agent concludes from an upstream that does not respond for a
+// while.
+
+#include "agent/run_p.h"
+
+#include "support/raw_socket.h"
+
+#include <absl/synchronization/notification.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskindeal {
+namespace {
+
+class RecordingSink final : public RunSink
+{
+public:
+  void Send(wire::RunEvent aEvent) override
+  {
+    m_events.push_back(std::move(aEvent));
+  }
+  void Finish() override { m_done.Notify(); }
+  void OnCancel(std::function<void()>) override {}
+
+  std::vector<wire::RunEvent> m_events;
+  absl::Notification m_done;
+};
+
+std::shared_ptr<RunService>
+MakeService(HttpClient& aHttp, const Clock& aClock, std::uint16_t aPort)
+{
+  UpstreamSettings upstream;
+  upstream.m_service = "svc";
+  upstream.m_url = "http://127.0.0.1:" + std::to_string(aPort);
+  upstream.m_kind = UpstreamSettings::Kind::Plain;
+  RunHooks hooks;
+  hooks.m_recordRequestBytes = [](std::uint64_t) {};
+  hooks.m_publishSuspicion = [](const wire::Suspicion&) {};
+  return std::make_shared<RunService>(
+    upstream, aHttp, aClock, "vm", 1, std::move(hooks));
+}
+
+wire::RunRequest
+MakeRequest(std::chrono::milliseconds aDeadline)
+{
+  wire::RunRequest request;
+  request.set_request_id("r");
+  request.set_attempt(1);
+  request.set_service("svc");
+  request.set_method("POST");
+  request.set_path("/work");
+  request.set_body("{}");
+  request.set_fingerprint(7);
+  request.set_deadline_ms(static_cast<std::uint64_t>(aDeadline.count()));
+  return request;
+}
+
+struct FullBacklogCase
+{
+  const char* m_case;
+  bool m_closes; // else the request's deadline passes
+};
+
+TEST(UpstreamSilence, FullAcceptQueueIsNotACrash)
+{
+  const SystemClock clock;
+  for (const auto& backlogCase :
+       { FullBacklogCase{ "deadline passes", false },
+         FullBacklogCase{ "connection closed", true } }) {
+    SCOPED_TRACE(backlogCase.m_case);
+    absl::Notification done;
+    std::optional<RawSocket> waiting;
+    std::uint16_t port = 0;
+    RawServer upstream(
+      [&](RawSocket& aSocket, int aConnection) {
+        aSocket.ReadUntil("\r\n\r\n");
+        if (aConnection > 0) {
+          return;
+        }
+        waiting.emplace(port);
+        if (backlogCase.m_closes) {
+          aSocket.Close();
+        }
+        done.WaitForNotification();
+        waiting.reset();
+      },
+      0);
+    port = upstream.Port();
+    HttpClient http;
+    const auto recorder = std::make_shared<RecordingSink>();
+    MakeService(http, clock, port)
+      ->OnRun(MakeRequest(std::chrono::milliseconds(500)), recorder);
+    recorder->m_done.WaitForNotification();
+    done.Notify();
+    const auto& failed = recorder->m_events.back().failed();
+    EXPECT_EQ(failed.verdict(), wire::RUN_VERDICT_MAY_HAVE_RUN);
+    EXPECT_FALSE(failed.upstream_crashed());
+    EXPECT_EQ(failed.suspicions_size(), 0);
+  }
+}
+
+} // namespace
+} // namespace siskindeal
