Agents: one unanswered poll doesn't take an upstream down

Callers saw: 503 `no_replica` with the verdict "may have run". A request whose first upstream had dropped it could not be sent to the second one, because that had not responded for a second, though it was sound and went on right after. Streams that should have been resumed there ended in the same way.

Cause: an agent reads its upstream's load every 500 ms with a timeout of 1 s, and one reading that failed for any reason made it tell the entries that its upstream is down. Readings overlapped, so a pause of the agent itself expired several at once, and a late failure could overrule a newer response.

Evidence: SilenceProcessTest.PausedUpstreamStillTakesRetries failed before in three of three runs (503, `no_replica`, "may have run"; the agent's log shows upstream_down 1.5 s after upstream_up). Requests that wait for admission were not refused: PausedUpstreamCompletesItsRequests passed before too, alone and beside a new configuration.

Fix: a refused or dropped connection takes an upstream down at once, as before; a reading that only expires does so after the third in a row. There is one reading at a time, so a pause of the agent can expire one of the three.

Cost: an upstream that hangs is taken out after three to four and a half seconds instead of one to one and a half.

Measured: both process tests pass in three of three runs, the decision's table in upstream_silence_test, process_test (5) and rollout_process_test (8) pass.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -178,7 +178,7 @@
     m_weights->FillRecord(record);
   }
   const OrderedLock lock(m_mutex);
-  record.set_upstream_down(!m_upstreamUp);
+  record.set_upstream_down(!m_upstream.IsUp());
   if (m_load) {
     *record.mutable_load() = *m_load;
   }
@@ -210,6 +210,12 @@
 void
 AgentNode::PollUpstream()
 {
+  {
+    const OrderedLock lock(m_mutex);
+    if (!m_upstream.TryBeginPoll()) {
+      return;
+    }
+  }
   HttpClientRequest request;
   request.m_url =
     m_settings.m_upstream.m_url + (IsModel() ? "/engine/load" : "/load");
@@ -224,16 +230,17 @@
 void
 AgentNode::OnLoadReply(const HttpReply& aReply)
 {
-  const bool up = aReply.m_outcome == HttpOutcome::Answered;
-  const auto load = up && aReply.m_status == kHttpOk
+  const bool answered = aReply.m_outcome == HttpOutcome::Answered;
+  const auto load = answered && aReply.m_status == kHttpOk
                       ? ParseLoad(aReply.m_body, m_settings.m_upstream.m_slots)
                       : std::nullopt;
   const bool restarted = m_runs->RecordInstance(aReply.m_headers);
   bool changed = false;
+  bool up = false;
   {
     const OrderedLock lock(m_mutex);
-    changed = up != m_upstreamUp;
-    m_upstreamUp = up;
+    changed = m_upstream.OnPolled(aReply);
+    up = m_upstream.IsUp();
     m_load = load;
   }
   if (restarted && !changed && m_weights) {
@@ -385,7 +392,7 @@
     return "draining";
   }
   const OrderedLock lock(m_mutex);
-  return m_upstreamUp ? "" : "the upstream is not responding";
+  return m_upstream.IsUp() ? "" : "the upstream is not responding";
 }
 
 void
--- a/src/agent/agent_p.h
+++ b/src/agent/agent_p.h
@@ -11,6 +11,7 @@
 #include "siskindeal/settings.h"
 #include "siskindeal/weights_agent.h"
 #include "siskindeal/worker_pool.h"
+#include "upstream_health_p.h"
 
 #include <atomic>
 #include <deque>
@@ -73,7 +74,7 @@
   std::optional<wire::Load> m_load ABSL_GUARDED_BY(m_mutex);
   std::deque<wire::CacheEvent> m_cacheEvents ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_lastCacheEvent ABSL_GUARDED_BY(m_mutex) = 0;
-  bool m_upstreamUp ABSL_GUARDED_BY(m_mutex) = false;
+  UpstreamHealth m_upstream ABSL_GUARDED_BY(m_mutex);
   std::atomic<bool> m_draining{ false };
   std::atomic<bool> m_started{ false };
   std::unique_ptr<NodeServer> m_server;
--- a/tests/upstream_silence_test.cpp
+++ b/tests/upstream_silence_test.cpp
@@ -2,6 +2,7 @@
 // while.
 
 #include "agent/run_p.h"
+#include "agent/upstream_health_p.h"
 
 #include "support/raw_socket.h"
 
@@ -103,5 +104,57 @@
   }
 }
 
+HttpReply
+PollReply(HttpOutcome aOutcome, HttpFault aFault)
+{
+  HttpReply reply;
+  reply.m_outcome = aOutcome;
+  reply.m_fault = aFault;
+  return reply;
+}
+
+struct PollCase
+{
+  const char* m_case;
+  std::vector<HttpReply> m_polls; // after one that was answered
+  bool m_up;
+};
+
+TEST(UpstreamSilence, UnansweredPollsInARowTakeAnUpstreamDown)
+{
+  const auto answered = PollReply(HttpOutcome::Answered, HttpFault::None);
+  const auto unanswered =
+    PollReply(HttpOutcome::SentNoReply, HttpFault::TimedOut);
+  const auto unconnected = PollReply(HttpOutcome::NotSent, HttpFault::TimedOut);
+  const auto refused =
+    PollReply(HttpOutcome::NotSent, HttpFault::ConnectionRefused);
+  const auto reset = PollReply(HttpOutcome::SentNoReply, HttpFault::Other);
+  for (const auto& pollCase : std::vector<PollCase>{
+         { "answered", { answered }, true },
+         { "one unanswered", { unanswered }, true },
+         { "two unanswered", { unanswered, unconnected }, true },
+         { "three unanswered", { unanswered, unconnected, unanswered }, false },
+         { "answered between",
+           { unanswered, unanswered, answered, unanswered, unanswered },
+           true },
+         { "refused", { refused }, false },
+         { "reset", { reset }, false },
+         { "unanswered after refused", { refused, unanswered }, false },
+         { "answered after refused", { refused, answered }, true },
+       }) {
+    UpstreamHealth health;
+    health.OnPolled(answered);
+    bool up = true;
+    for (const auto& reply : pollCase.m_polls) {
+      EXPECT_TRUE(health.TryBeginPoll());
+      EXPECT_FALSE(health.TryBeginPoll());
+      const bool changed = health.OnPolled(reply);
+      EXPECT_EQ(changed, health.IsUp() != up) << pollCase.m_case;
+      up = health.IsUp();
+    }
+    EXPECT_EQ(up, pollCase.m_up) << pollCase.m_case;
+  }
+}
+
 } // namespace
 } // namespace siskindeal
