Agents: a run waits for its upstream's accept queue longer than one second

Callers saw: a request ended as `upstream_failed`, not run, after 1 s, with its deadline a minute away and an upstream that accepted connections again 0.2 s later. A call with one runner was refused, any other spent a retry.

Cause: runs connected with the client's default of 1 s. Linux ignores attempts to connect while a listener's accept queue is full and repeats them after 1 s and 3 s, so no repeated attempt was ever awaited. A pause of the agent's HTTP thread while it connected had the same end, since libcurl checks the time first.

Fix: a run connects for up to 4 s, within its deadline. An upstream that has gone refuses the connection, which ends the attempt at once as before.

Cost: an upstream on another machine that drops all packets takes 4 s of a run instead of 1 s until it is tried elsewhere; agents run beside their upstreams.

--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -16,6 +16,9 @@
 constexpr int kHttpConflict = 409;
 constexpr int kHttpServiceUnavailable = 503;
 constexpr std::chrono::milliseconds kProbeTimeout{ 200 };
+// An upstream with a full accept queue ignores attempts to connect, which the
+// system repeats after 1 s and 3 s.
+constexpr std::chrono::milliseconds kConnectTimeout{ 4000 };
 constexpr int kMaxProbeRetries = 10;
 
 wire::RunVerdict
@@ -77,6 +80,7 @@
   request.m_body = m_request.body();
   m_service->m_hooks.m_recordRequestBytes(request.m_body.size());
   request.m_timeout = std::chrono::milliseconds(m_request.deadline_ms());
+  request.m_connectTimeout = kConnectTimeout;
   return request;
 }
 
--- a/tests/upstream_silence_test.cpp
+++ b/tests/upstream_silence_test.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace siskindeal {
@@ -104,6 +105,86 @@
   }
 }
 
+constexpr std::chrono::milliseconds kSilence{ 1200 };
+constexpr std::chrono::milliseconds kLongDeadline{ 60000 };
+
+TEST(UpstreamSilence, ConnectionIsMadeOnceTheUpstreamAcceptsAgain)
+{
+  const SystemClock clock;
+  absl::Notification accepted;
+  RawServer upstream(
+    [&](RawSocket& aSocket, int aConnection) {
+      if (aConnection == 0) {
+        accepted.Notify();
+        std::this_thread::sleep_for(kSilence);
+        return;
+      }
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    },
+    0);
+  const RawSocket paused(upstream.Port());
+  accepted.WaitForNotification();
+  RawSocket waiting(upstream.Port());
+  waiting.Send("\r\n\r\n");
+  HttpClient http;
+  const auto recorder = std::make_shared<RecordingSink>();
+  MakeService(http, clock, upstream.Port())
+    ->OnRun(MakeRequest(kLongDeadline), recorder);
+  recorder->m_done.WaitForNotification();
+  EXPECT_TRUE(recorder->m_events.back().has_finished())
+    << recorder->m_events.back().failed().what();
+}
+
+struct PauseCase
+{
+  const char* m_case;
+  bool m_stream;
+  std::vector<std::string> m_parts; // sent with a pause before each
+};
+
+TEST(UpstreamSilence, PausedResponseIsPassedOnWhole)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "transfer-encoding: chunked\r\n\r\n";
+  const SystemClock clock;
+  for (const auto& pauseCase : std::vector<PauseCase>{
+         { "before the response",
+           false,
+           { head + "content-length: 4\r\n\r\nbody" } },
+         { "in the head", false, { head, "content-length: 4\r\n\r\nbody" } },
+         { "in the body",
+           false,
+           { head + "content-length: 4\r\n\r\nbo", "dy" } },
+         { "in a stream",
+           true,
+           { chunked + "2\r\nbo\r\n", "2\r\ndy\r\n0\r\n\r\n" } },
+         { "in a chunk of a stream",
+           true,
+           { chunked + "4\r\nbo", "dy\r\n0\r\n\r\n" } },
+       }) {
+    RawServer upstream([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      for (const auto& part : pauseCase.m_parts) {
+        std::this_thread::sleep_for(kSilence);
+        aSocket.Send(part);
+      }
+    });
+    HttpClient http;
+    const auto recorder = std::make_shared<RecordingSink>();
+    auto request = MakeRequest(kLongDeadline);
+    request.set_stream(pauseCase.m_stream);
+    MakeService(http, clock, upstream.Port())->OnRun(request, recorder);
+    recorder->m_done.WaitForNotification();
+    std::string body;
+    for (const auto& event : recorder->m_events) {
+      body += event.body();
+    }
+    EXPECT_TRUE(recorder->m_events.back().has_finished()) << pauseCase.m_case;
+    EXPECT_EQ(body, "body") << pauseCase.m_case;
+  }
+}
+
 HttpReply
 PollReply(HttpOutcome aOutcome, HttpFault aFault)
 {
