Entries and agents: SIGHUP doesn't end the process

Callers saw: a request that had been read got neither an answer nor a refusal. Its connection closed ("Server returned nothing") when the entry was sent a SIGHUP; one at an agent broke off all its runs.

Cause: both roles block SIGTERM and SIGINT and wait for them, so that they drain, but left SIGHUP its default action, which ends the process at once. Gateways reload their settings on it and stagers ignore it.

Evidence: SilenceProcessTest.HangupSignalDoesNotEndRequestsInFlight failed before: the entry ended within 200 ms and the request had no response. The case of the agent wasn't reached then, since the entry was gone.

Fix: SIGHUP is blocked with the other two, logged and has no effect, as in a stager. These roles have no settings that could be reloaded.

--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -3,6 +3,7 @@
 #include "node/answer_p.h"
 
 #include "siskindeal/error.h"
+#include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 #include "siskindeal/operators.h"
 
@@ -18,12 +19,13 @@
 constexpr std::size_t kRetainedFreeBytes = 256 << 10;
 
 sigset_t
-StopSignals()
+HandledSignals()
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP); // ignored; by default it ends the process
   return signals;
 }
 
@@ -32,16 +34,23 @@
 void
 BlockStopSignals()
 {
-  const auto signals = StopSignals();
+  const auto signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
 void
 WaitForStopSignal()
 {
-  const auto signals = StopSignals();
-  int signal = 0;
-  while (sigwait(&signals, &signal) != 0) {
+  const auto signals = HandledSignals();
+  while (true) {
+    int signal = 0;
+    const bool received = sigwait(&signals, &signal) == 0;
+    if (received && signal != SIGHUP) {
+      return;
+    }
+    if (received) {
+      Log(LogLevel::Info, "hangup_ignored"); // settings are not reloaded
+    }
   }
 }
 
--- a/src/node/process_p.h
+++ b/src/node/process_p.h
@@ -13,11 +13,12 @@
 
 namespace siskindeal {
 
-// Blocks SIGTERM and SIGINT. Must be called before any thread is started.
+// Blocks SIGTERM, SIGINT and SIGHUP. Must be called before any thread is
+// started.
 void
 BlockStopSignals();
 
-// Waits for SIGTERM or SIGINT.
+// Waits for SIGTERM or SIGINT. SIGHUP is logged and has no effect.
 void
 WaitForStopSignal();
 
--- a/tests/silence_process_test.cpp
+++ b/tests/silence_process_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <future>
 #include <thread>
 
@@ -20,6 +21,7 @@
 // An upstream that is silent for as long as three polls is down.
 constexpr std::chrono::milliseconds kMaxSilence{ 2900 };
 constexpr std::chrono::milliseconds kRefusalTime{ 200 };
+constexpr std::chrono::milliseconds kPollInterval{ 10 };
 constexpr std::chrono::seconds kTimeout{ 60 };
 const std::string kBookingsPath = "/v1/services/teesheet/bookings";
 
@@ -66,6 +68,29 @@
   }
 }
 
+TEST_F(SilenceProcessTest, HangupSignalDoesNotEndRequestsInFlight)
+{
+  Fleet fleet(1, 0, 1);
+  auto& service = fleet.Service(0);
+  for (const std::string vm : { "entry-1", "teesheet-1" }) {
+    SCOPED_TRACE(vm);
+    standin::Fault freeze;
+    freeze.m_pathPrefix = "/bookings";
+    service.GetFaults().Set("freeze", freeze);
+    auto reply = Start({ "GET", fleet.Url("entry-1", kBookingsPath) });
+    while (service.Frozen() == 0) {
+      ASSERT_EQ(reply.wait_for(kPollInterval), std::future_status::timeout)
+        << reply.get().m_body << fleet.Logs();
+    }
+    auto& process = *fleet.GetVm(vm).m_process;
+    process.Signal(SIGHUP);
+    EXPECT_FALSE(process.EndsWithin(kRefusalTime));
+    service.Unfreeze();
+    const auto ended = reply.get();
+    EXPECT_EQ(ended.m_status, 200) << ended.m_error << ended.m_body;
+  }
+}
+
 TEST_F(SilenceProcessTest, PausedUpstreamStillTakesRetries)
 {
   Fleet fleet(1, 0, 2);
