--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -16,6 +16,9 @@
 constexpr int kHttpConflict = 409;
 constexpr int kHttpServiceUnavailable = 503;
 constexpr std::chrono::milliseconds kProbeTimeout{ 200 };
+// An upstream with a full accept queue ignores attempts to connect, which the
+// system repeats after 1 s and 3 s.
+constexpr std::chrono::milliseconds kConnectTimeout{ 4000 };
 constexpr int kMaxProbeRetries = 10;
 
 wire::RunVerdict
@@ -77,6 +80,7 @@
   request.m_body = m_request.body();
   m_service->m_hooks.m_recordRequestBytes(request.m_body.size());
   request.m_timeout = std::chrono::milliseconds(m_request.deadline_ms());
+  request.m_connectTimeout = kConnectTimeout;
   return request;
 }
 
@@ -355,8 +359,8 @@
 }
 
 // The upstream has crashed if it now refuses connections or reports a different
-// instance. If it accepts the connection and then drops it, it is still
-// shutting down, and the probe is repeated.
+// instance. Any other failure of the probe shows neither: the upstream may be
+// shutting down or may not respond for a while, and the probe is repeated.
 void
 RunSession::OnConnectionLost(const Error& aFailure, int aProbesLeft)
 {
@@ -370,7 +374,9 @@
   const auto self = shared_from_this();
   m_service->m_http.Start(
     std::move(probe), [self, aFailure, aProbesLeft](const HttpReply& aProbe) {
-      if (aProbe.m_outcome == HttpOutcome::SentNoReply && aProbesLeft > 0) {
+      const bool conclusive = aProbe.m_outcome == HttpOutcome::Answered ||
+                              aProbe.m_fault == HttpFault::ConnectionRefused;
+      if (!conclusive && aProbesLeft > 0) {
         self->OnConnectionLost(aFailure, aProbesLeft - 1);
         return;
       }
@@ -392,7 +398,7 @@
 bool
 RunSession::HasCrashed(const HttpReply& aProbe)
 {
-  if (aProbe.m_outcome == HttpOutcome::NotSent) {
+  if (aProbe.m_fault == HttpFault::ConnectionRefused) {
     return true;
   }
   // A restarted engine has lost its weights.
