Placement leaves out leaving and waiting runners; peers hear who leaves

Placer::Place skips runners that are leaving and those whose wait hasn't ended. If no runner is left and some wait, requests are refused at once with the earliest end of the waits plus jitter. That isn't cut to the time that callers wait, as for limits, since no runner takes work before. Runners that this request has tried count too, as the caller may be sent to them when it returns.

Gateways tell each other which runners are leaving, as they do with limits (RunnerLeavingReport); waits aren't told.

No response is read yet, so gateways behave as before until then. The three tests of NoticePlacement need the new parameter of Place and pass; dispatch_test and gateway_regions_test pass.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -147,11 +147,34 @@
                   std::max(maxDelay, kMinRetryAfter));
 }
 
+PlacementRefusal
+Placer::RefuseForNow(const std::vector<RunnerIncarnation>& aLimited,
+                     const std::vector<RunnerIncarnation>& aWaiting,
+                     const RunnerLimits& aLimits,
+                     const RunnerNotices& aNotices,
+                     milliseconds aTimeLeft,
+                     MonotonicTime aNow)
+{
+  if (aLimited.empty()) {
+    // Not cut to the time that callers wait: no runner takes work before.
+    const milliseconds jitter(m_random.Below(kRetryAfterJitter.count()));
+    return { "the runners want no requests for now",
+             std::max(kMinRetryAfter, aNotices.RetryAfter(aWaiting, aNow)) +
+               jitter };
+  }
+  milliseconds delay = aLimits.RetryAfter(aLimited);
+  if (!aWaiting.empty()) {
+    delay = std::min(delay, aNotices.RetryAfter(aWaiting, aNow));
+  }
+  return { "the runners' limits are used up", RetryAfter(delay, aTimeLeft) };
+}
+
 Decision
 Placer::Place(const RequestShape& aShape,
               const ServiceRecord& aService,
               RunnerTable& aRunners,
               const RunnerLimits& aLimits,
+              const RunnerNotices& aNotices,
               const std::set<std::string>& aTried,
               MonotonicTime aNow)
 {
@@ -159,14 +182,25 @@
   double bestCost = 0;
   bool bestAvoided = false;
   std::vector<RunnerIncarnation> limited;
+  std::vector<RunnerIncarnation> waiting;
   for (const RunnerState* runner : aRunners.Usable(aShape.m_service)) {
+    const RunnerIncarnation incarnation = runner->m_record.Incarnation();
     const Ms predicted = Predict(aShape, aService, *runner);
-    if (aTried.count(runner->m_record.m_id) > 0 ||
+    if (aNotices.IsLeaving(incarnation) ||
         !HoldsVersion(aShape, *runner, predicted)) {
       continue;
     }
-    if (!aLimits.Allows(runner->m_record.Incarnation(), aNow)) {
-      limited.push_back(runner->m_record.Incarnation());
+    // Before the runners that were tried, since a caller that returns may be
+    // sent to those.
+    if (aNotices.WaitEnd(incarnation, aNow)) {
+      waiting.push_back(incarnation);
+      continue;
+    }
+    if (aTried.count(runner->m_record.m_id) > 0) {
+      continue;
+    }
+    if (!aLimits.Allows(incarnation, aNow)) {
+      limited.push_back(incarnation);
       continue;
     }
     const bool avoided =
@@ -181,10 +215,9 @@
       bestAvoided = avoided;
     }
   }
-  if (best == nullptr && !limited.empty()) {
-    return PlacementRefusal{ "the runners' limits are used up",
-                             RetryAfter(aLimits.RetryAfter(limited),
-                                        aShape.m_timeLeft) };
+  if (best == nullptr && !(limited.empty() && waiting.empty())) {
+    return RefuseForNow(
+      limited, waiting, aLimits, aNotices, aShape.m_timeLeft, aNow);
   }
   if (best == nullptr) {
     return PlacementRefusal{ "no eligible runner",
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -3,6 +3,7 @@
 // refuses the request. Does no I/O; the caller passes time and random seed.
 
 #include "dispatch/runner_limits_p.h"
+#include "dispatch/runner_notices_p.h"
 #include "dispatch/runner_table_p.h"
 #include "siskindeal/random.h"
 
@@ -56,12 +57,13 @@
   {
   }
 
-  // Chooses among the runners of the request's service, except those in aTried
-  // and those whose limit is used up.
+  // Chooses among the runners of the request's service, except those in aTried,
+  // those whose limit is used up, and those that leave or want no requests.
   Decision Place(const RequestShape& aShape,
                  const ServiceRecord& aService,
                  RunnerTable& aRunners,
                  const RunnerLimits& aLimits,
+                 const RunnerNotices& aNotices,
                  const std::set<std::string>& aTried,
                  MonotonicTime aNow);
 
@@ -75,6 +77,14 @@
   double DistanceMs(const std::string& aPlace) const;
   std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aExcess,
                                        std::chrono::milliseconds aTimeLeft);
+  // The refusal if all runners that could take the request are excluded by
+  // their limits or waits.
+  PlacementRefusal RefuseForNow(const std::vector<RunnerIncarnation>& aLimited,
+                                const std::vector<RunnerIncarnation>& aWaiting,
+                                const RunnerLimits& aLimits,
+                                const RunnerNotices& aNotices,
+                                std::chrono::milliseconds aTimeLeft,
+                                MonotonicTime aNow);
 
   std::string m_place;
   std::map<std::string, std::string> m_regions; // by place
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -241,6 +241,7 @@
                                          m_routes->Service(m_service),
                                          m_gateway.Runners(),
                                          m_gateway.Limits(),
+                                         m_gateway.Notices(),
                                          m_triedRunners,
                                          now);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -202,6 +202,7 @@
   ApplyPeerLoads();
   if (m_ticks % kTicksPerHeartbeat == 0) {
     UpdateLimits();
+    UpdateNotices();
     const bool includeVersions = m_ticks % kTicksPerSecond < kTicksPerHeartbeat;
     Advertise(includeVersions);
   } else {
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -39,6 +39,9 @@
   for (const v1::RunnerLimitReport& limit : aCommon.m_limits) {
     *aTo.add_limits() = limit;
   }
+  for (const v1::RunnerLeavingReport& leaving : aCommon.m_leaving) {
+    *aTo.add_leaving() = leaving;
+  }
 }
 
 } // namespace
@@ -67,6 +70,7 @@
     m_suspicions.Merge(suspicion, LoopNow());
   }
   MergeLimits(aBeacon.limits());
+  MergeLeaving(aBeacon.leaving());
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
     UpdateGatewayCount();
   }
@@ -88,6 +92,7 @@
     m_suspicions.Merge(suspicion, LoopNow());
   }
   MergeLimits(report.limits());
+  MergeLeaving(report.leaving());
   for (const v1::RunnerReport& runnerReport : report.runners()) {
     if (RunnerState* runner = m_runners.Find(runnerReport.runner())) {
       ApplyRunnerReport(*runner, runnerReport);
@@ -237,8 +242,7 @@
                                    m_peers.ServingAddresses(now).size() + 1 };
   };
   const auto isKnown = [&](const RunnerIncarnation& aRunner) {
-    const RunnerState* runner = m_runners.Find(aRunner.m_id);
-    return runner != nullptr && runner->m_record.Incarnation() == aRunner;
+    return IsListed(aRunner);
   };
   m_limits.Update(positionOf, isKnown, now);
 }
@@ -249,7 +253,8 @@
   // Taken once, since each call continues where the last one ended.
   const Advertisement common = { m_suspicions.SuspicionsToAdvertise(LoopNow()),
                                  m_suspicions.PartsToAdvertise(LoopNow()),
-                                 LimitsToAdvertise() };
+                                 LimitsToAdvertise(),
+                                 LeavingToAdvertise() };
   SendHeartbeat(aIncludeVersions, common);
   SendRegionReport(aIncludeVersions, common);
 }
--- a/src/gateway/gateway_endpoints.cpp
+++ b/src/gateway/gateway_endpoints.cpp
@@ -93,7 +93,8 @@
 {
   nlohmann::json runners = nlohmann::json::array();
   for (const auto& [id, state] : m_runners.All()) {
-    const auto limit = m_limits.LimitOf(state.m_record.Incarnation());
+    const RunnerIncarnation incarnation = state.m_record.Incarnation();
+    const auto limit = m_limits.LimitOf(incarnation);
     runners.push_back(
       { { "id", id },
         { "service", state.m_record.m_service },
@@ -104,6 +105,8 @@
         { "others", state.m_peerLoad.m_requests },
         { "told", state.m_reportedRequests },
         { "limit", limit ? nlohmann::json(*limit) : nlohmann::json() },
+        { "leaving", m_notices.IsLeaving(incarnation) },
+        { "wait_ms", m_notices.RetryAfter({ incarnation }, LoopNow()).count() },
         { "versions", state.m_record.m_versions } });
   }
   nlohmann::json suspects = nlohmann::json::array();
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -50,6 +50,12 @@
   const std::shared_ptr<const RouteIndex>& Routes() const { return m_routes; }
   RunnerTable& Runners() { return m_runners; }
   RunnerLimits& Limits() { return m_limits; }
+  const RunnerNotices& Notices() const { return m_notices; }
+  // Records what a runner states about itself in its response to a request.
+  void RecordNotice(const std::string& aRequest,
+                    const RunnerIncarnation& aRunner,
+                    const ResponseHead& aHead,
+                    MonotonicTime aSentAt);
   Placer& RequestPlacer() { return m_placer; }
   SharedRetryBudget& Retries() { return m_retries; }
   CrashWatch& Crashes() { return m_crashes; }
@@ -77,6 +83,7 @@
     std::vector<wire::Suspicion> m_suspicions;
     std::vector<v1::PartSuspicion> m_partSuspicions;
     std::vector<v1::RunnerLimitReport> m_limits;
+    std::vector<v1::RunnerLeavingReport> m_leaving;
   };
 
   void OnConfig(const SiteObject& aObject);
@@ -110,6 +117,12 @@
   void MergeLimits(
     const google::protobuf::RepeatedPtrField<v1::RunnerLimitReport>& aLimits);
   void UpdateLimits();
+  std::vector<v1::RunnerLeavingReport> LeavingToAdvertise();
+  void MergeLeaving(
+    const google::protobuf::RepeatedPtrField<v1::RunnerLeavingReport>&
+      aLeaving);
+  void UpdateNotices();
+  bool IsListed(const RunnerIncarnation& aRunner);
   void AppendRegionLoads(v1::RegionReport& aReport);
   void SendToStagers();
   void ApplyPeerLoads();
@@ -141,6 +154,7 @@
   bool m_haveGatewayList = false;
   MonotonicTime m_startedAt = LoopNow();
   RunnerLimits m_limits;
+  RunnerNotices m_notices;
   Placer m_placer;
   SharedRetryBudget m_retries;
   SuspicionExchange m_suspicions;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace siskindeal {
 
 namespace {
@@ -108,9 +110,10 @@
   table.Find("a")->m_ownLoad = { 12, 6000 };
   table.Find("bb")->m_peerLoad = { 3, 500 };
   Placer placer = NewPlacer();
-  EXPECT_EQ(RunnerOf(placer.Place(
-              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
-            "bb");
+  EXPECT_EQ(
+    RunnerOf(placer.Place(
+      Shape(), Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart)),
+    "bb");
 }
 
 TEST(Placement, PrefersItsRegionWhileTheLatencyCostIsSmall)
@@ -119,13 +122,15 @@
   table.Replace({ Runner("near", "kin-a"), Runner("far", "mbj-a") }, kStart);
   Placer placer = NewPlacer();
   table.Find("near")->m_ownLoad = { 2, 600 };
-  EXPECT_EQ(RunnerOf(placer.Place(
-              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
-            "near");
+  EXPECT_EQ(
+    RunnerOf(placer.Place(
+      Shape(), Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart)),
+    "near");
   table.Find("near")->m_ownLoad = { 14, 9000 };
-  EXPECT_EQ(RunnerOf(placer.Place(
-              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
-            "far");
+  EXPECT_EQ(
+    RunnerOf(placer.Place(
+      Shape(), Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart)),
+    "far");
 }
 
 TEST(Placement, RunnerWhoseLimitIsUsedUpIsLeftToOthersOrRefused)
@@ -137,10 +142,11 @@
   limits.RecordResponse(
     table.Find("a")->m_record.Incarnation(), 0.5, kStart, kStart);
   Placer placer = NewPlacer();
-  EXPECT_EQ(
-    RunnerOf(placer.Place(Shape(), Engine(), table, limits, {}, kStart)), "bb");
-  const Decision decision =
-    placer.Place(Shape(), Engine(), table, limits, { "bb" }, kStart);
+  EXPECT_EQ(RunnerOf(placer.Place(
+              Shape(), Engine(), table, limits, RunnerNotices(), {}, kStart)),
+            "bb");
+  const Decision decision = placer.Place(
+    Shape(), Engine(), table, limits, RunnerNotices(), { "bb" }, kStart);
   const auto* refusal = std::get_if<PlacementRefusal>(&decision);
   ASSERT_NE(refusal, nullptr);
   EXPECT_EQ(refusal->m_reason, "the runners' limits are used up");
@@ -153,8 +159,8 @@
   table.Replace({ Runner("a") }, kStart);
   table.Find("a")->m_peerLoad = { 40, 20000 };
   Placer placer = NewPlacer();
-  const Decision decision =
-    placer.Place(Shape(), Engine(), table, RunnerLimits(), {}, kStart);
+  const Decision decision = placer.Place(
+    Shape(), Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart);
   const auto* refusal = std::get_if<PlacementRefusal>(&decision);
   ASSERT_NE(refusal, nullptr);
   EXPECT_GT(refusal->m_retryAfter, milliseconds(0));
@@ -172,15 +178,18 @@
   Placer placer = NewPlacer();
   RequestShape shape = Shape();
   EXPECT_EQ(
-    RunnerOf(placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart)),
+    RunnerOf(placer.Place(
+      shape, Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart)),
     "a");
   shape.m_isCallerRetry = true;
   EXPECT_EQ(
-    RunnerOf(placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart)),
+    RunnerOf(placer.Place(
+      shape, Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart)),
     "refused");
   table.Find("a")->m_peerLoad = { 3, 0 };
   EXPECT_EQ(
-    RunnerOf(placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart)),
+    RunnerOf(placer.Place(
+      shape, Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart)),
     "a");
 }
 
@@ -191,11 +200,17 @@
   table.Find("a")->m_avoidUntil = kStart + milliseconds(100);
   table.Find("bb")->m_ownLoad = { 10, 4000 };
   Placer placer = NewPlacer();
-  EXPECT_EQ(RunnerOf(placer.Place(
-              Shape(), Engine(), table, RunnerLimits(), {}, kStart)),
-            "bb");
-  EXPECT_EQ(RunnerOf(placer.Place(
-              Shape(), Engine(), table, RunnerLimits(), { "bb" }, kStart)),
+  EXPECT_EQ(
+    RunnerOf(placer.Place(
+      Shape(), Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart)),
+    "bb");
+  EXPECT_EQ(RunnerOf(placer.Place(Shape(),
+                                  Engine(),
+                                  table,
+                                  RunnerLimits(),
+                                  RunnerNotices(),
+                                  { "bb" },
+                                  kStart)),
             "a");
 }
 
@@ -230,8 +245,8 @@
     shape.m_minVersion = versions.m_minVersion;
     shape.m_nextVersion = versions.m_nextVersion;
     shape.m_nextDueIn = milliseconds(versions.m_nextDueInMs);
-    const Decision decision =
-      placer.Place(shape, Engine(), table, RunnerLimits(), {}, kStart);
+    const Decision decision = placer.Place(
+      shape, Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart);
     EXPECT_EQ(std::holds_alternative<Placement>(decision), versions.m_placed);
   }
 }
@@ -263,6 +278,69 @@
 // For any order of requests and retries and any distribution over gateways, the
 // total number of retries stays within the shared allowance.
 // A gateway that has just started doesn't know how many others share the slack.
+class NoticePlacement : public testing::Test
+{
+protected:
+  NoticePlacement()
+  {
+    m_shape.m_service = "get";
+    m_shape.m_target = milliseconds(400);
+    m_shape.m_timeLeft = std::chrono::seconds(6);
+    RunnerRecord first;
+    first.m_id = "i-1";
+    first.m_created = kCreated;
+    first.m_service = "get";
+    RunnerRecord second = first;
+    second.m_id = "i-2";
+    m_table.Replace({ first, second }, kStart);
+  }
+
+  Decision Place(const std::set<std::string>& aTried = {})
+  {
+    return m_placer.Place(
+      m_shape, {}, m_table, RunnerLimits(), m_notices, aTried, kStart);
+  }
+
+  static constexpr std::uint64_t kCreated = 7;
+  const RunnerIncarnation m_first{ "i-1", kCreated };
+  const RunnerIncarnation m_second{ "i-2", kCreated };
+  RequestShape m_shape;
+  RunnerTable m_table;
+  RunnerNotices m_notices;
+  Placer m_placer{ "here", {}, 7 };
+};
+
+TEST_F(NoticePlacement, LeavingAndWaitingRunnersAreLeftOut)
+{
+  m_notices.RecordLeaving(m_first, kStart);
+  ASSERT_TRUE(std::holds_alternative<Placement>(Place()));
+  EXPECT_EQ(std::get<Placement>(Place()).m_runner, "i-2");
+  m_notices.RecordWait(m_second, RunnerNotices::Seconds(1), kStart);
+  EXPECT_TRUE(std::holds_alternative<PlacementRefusal>(Place()));
+}
+
+TEST_F(NoticePlacement, RefusalsNameTheEarliestEndAndAreSpread)
+{
+  m_notices.RecordWait(m_first, RunnerNotices::Seconds(30), kStart);
+  m_notices.RecordWait(m_second, RunnerNotices::Seconds(20), kStart);
+  std::set<milliseconds> delays;
+  for (int i = 0; i < 20; ++i) {
+    const auto refusal = std::get<PlacementRefusal>(Place());
+    EXPECT_GE(refusal.m_retryAfter, std::chrono::seconds(20));
+    EXPECT_LT(refusal.m_retryAfter, std::chrono::seconds(21));
+    delays.insert(refusal.m_retryAfter);
+  }
+  EXPECT_GT(delays.size(), 10U);
+}
+
+TEST_F(NoticePlacement, RunnerThatWasTriedCountsForTheTimeToReturn)
+{
+  m_notices.RecordLeaving(m_second, kStart);
+  m_notices.RecordWait(m_first, RunnerNotices::Seconds(20), kStart);
+  EXPECT_GE(std::get<PlacementRefusal>(Place({ "i-1" })).m_retryAfter,
+            std::chrono::seconds(20));
+}
+
 TEST(SharedRetryBudget, GatewaysStartedTogetherStayWithinTheSharedSlack)
 {
   constexpr std::size_t kGateways = 9;
--- a/tests/gateway_regions_test.cpp
+++ b/tests/gateway_regions_test.cpp
@@ -1,62 +1,12 @@
 // Tests reports between the gateways of different regions.
 
 #include "support/gateway_fixture.h"
-
-#include <boost/asio/ip/udp.hpp>
-
-#include <array>
+#include "support/remote_process.h"
 
 namespace siskindeal {
 
 namespace {
 
-using Udp = boost::asio::ip::udp;
-
-// Another process that exchanges datagrams with the gateway.
-class RemoteProcess
-{
-public:
-  RemoteProcess()
-    : m_socket(m_loop, Udp::endpoint(Loopback(), 0))
-  {
-    m_socket.non_blocking(true);
-  }
-
-  static boost::asio::ip::address Loopback()
-  {
-    return boost::asio::ip::make_address("127.0.0.1");
-  }
-
-  Address LocalAddress() const
-  {
-    return { "127.0.0.1", m_socket.local_endpoint().port() };
-  }
-
-  void Send(const v1::Datagram& aDatagram, std::uint16_t aPort)
-  {
-    m_socket.send_to(boost::asio::buffer(aDatagram.SerializeAsString()),
-                     { Loopback(), aPort });
-  }
-
-  // The next datagram received; none if the queue is empty.
-  std::optional<v1::Datagram> TryReceive()
-  {
-    NetError error;
-    const std::size_t got =
-      m_socket.receive(boost::asio::buffer(m_in), 0, error);
-    v1::Datagram datagram;
-    if (error || !datagram.ParseFromArray(m_in.data(), static_cast<int>(got))) {
-      return std::nullopt;
-    }
-    return datagram;
-  }
-
-private:
-  Loop m_loop{ 1 };
-  Udp::socket m_socket;
-  std::array<char, 16 << 10> m_in{};
-};
-
 class GatewayRegionsTest : public GatewayTest
 {
 protected:
