Gateways heed runners that leave or want no requests

Callers saw refusals and failures from runners that had announced them: the gateway went on sending requests, retries and resumed streams to a runner whose responses had Server-Leaving, and to one whose 503 had named a time in Retry-After, while others could take them.

Cause: only Server-Limit was read from responses.

Gateway::RecordNotice now takes all three headers from each response's head, logs malformed ones and records them where Placer::Place asks. A 421 says nothing of the runner that was meant, as another one may use the address.

A gateway stops at once, also where the runner is the only one: no setting names how long it still serves, and runners that are listed as draining are treated so too. The 503 is neither a failure nor a crash.

--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -57,31 +57,11 @@
                              type->rfind("text/event-stream", 0) == 0;
 }
 
-// Records the limit that the runner names, or that it names none.
-void
-CallerExchange::ApplyRunnerLimit(const RunnerAttempt& aAttempt)
-{
-  const std::string* field = aAttempt.m_head.m_fields.Find(dialect::kLimit);
-  std::optional<double> limit;
-  if (field != nullptr) {
-    const std::optional<double> decoded = dialect::DecodeLimit(*field);
-    if (!decoded) {
-      m_gateway.LogRequest(LogLevel::Warning,
-                           "runner limit unreadable",
-                           { { "id", m_id },
-                             { "runner", aAttempt.m_runner.m_id },
-                             { "limit", *field } });
-    }
-    limit = decoded.value_or(0); // which allows few requests
-  }
-  m_gateway.Limits().RecordResponse(
-    aAttempt.m_runner, limit, aAttempt.m_sentAt, LoopNow());
-}
-
 void
 CallerExchange::ApplyResponseHead(const RunnerAttempt& aAttempt)
 {
-  ApplyRunnerLimit(aAttempt);
+  m_gateway.RecordNotice(
+    m_id, aAttempt.m_runner, aAttempt.m_head, aAttempt.m_sentAt);
   RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
   if (runner == nullptr) {
     return;
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -63,7 +63,6 @@
   void On(RunnerAttempt& aAttempt, const CallFailed& aFailure);
 
   void ApplyResponseHead(const RunnerAttempt& aAttempt);
-  void ApplyRunnerLimit(const RunnerAttempt& aAttempt);
   void OnRefusedByRunner(RunnerAttempt& aAttempt);
   void OnCompleteAnswer(RunnerAttempt& aAttempt);
   void OnErrorAnswer(RunnerAttempt& aAttempt);
