A part that crashes runners is tried beside one with more crashes

Cause: the part with most crashes explains them, and a part whose other crashes don't suffice by themselves isn't suspected. When nearly all runners crash, a sound part that was in flight at most of them, and at a crash of another cause, explains nearly all of the culprit's. CulpritBesideAPartWithMoreCrashesIsTried: sent before, now refused but for its trial. Why this works: a part that has enough crashes for a quarantine, and one that no blamed part explains, is suspected too. One request tries it: its completion releases it, its crash counts. A part all of whose crashes the blamed part explains is sent as before.

--- a/src/quarantine/prompt_part_table.cpp
+++ b/src/quarantine/prompt_part_table.cpp
@@ -57,6 +57,16 @@
 
 using CrashTimes = std::map<std::uint64_t, MonotonicTime>; // by id
 
+MonotonicTime
+LatestOf(const CrashTimes& aCrashes)
+{
+  MonotonicTime latest{};
+  for (const auto& [id, at] : aCrashes) {
+    latest = std::max(latest, at);
+  }
+  return latest;
+}
+
 void
 EncodeLatest(const CrashTimes& aCrashes,
              MonotonicTime aNow,
@@ -235,7 +245,7 @@
 {
   m_blamed.clear();
   m_groups.clear();
-  std::vector<std::pair<PromptPart, const Evidence*>> candidates;
+  Candidates candidates;
   for (const auto& [part, evidence] : m_evidence) {
     if (evidence.m_othersComplete && !CompletedLately(evidence) &&
         evidence.m_crashes.size() >= kSuspectWeight) {
@@ -260,12 +270,9 @@
       }
     }
     if (covered.empty()) {
-      return;
-    }
-    MonotonicTime lastCrash{};
-    for (const auto& [id, at] : covered) {
-      lastCrash = std::max(lastCrash, at);
+      break;
     }
+    const MonotonicTime lastCrash = LatestOf(covered);
     std::vector<PromptPart> group;
     for (const auto& [part, evidence] : candidates) {
       if (!m_blamed.contains(part) &&
@@ -277,6 +284,27 @@
     m_groups.push_back(std::move(group));
     explained.insert(covered.begin(), covered.end());
   }
+  BlameRivals(candidates, explained);
+}
+
+void
+PromptPartTable::BlameRivals(const Candidates& aCandidates,
+                             const Crashes& aExplained)
+{
+  if (m_blamed.empty()) {
+    return;
+  }
+  for (const auto& [part, evidence] : aCandidates) {
+    if (m_blamed.contains(part) ||
+        WeightOf(evidence->m_crashes) < kQuarantineWeight ||
+        Unexplained(*evidence, aExplained).empty()) {
+      continue;
+    }
+    m_blamed[part] = { kSuspectWeight,
+                       LatestOf(evidence->m_crashes),
+                       m_groups.size() };
+    m_groups.push_back({ part });
+  }
 }
 
 bool
--- a/src/quarantine/prompt_part_table_p.h
+++ b/src/quarantine/prompt_part_table_p.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace siskindeal {
@@ -120,6 +121,8 @@
     MonotonicTime m_trialUntil{};
   };
 
+  using Candidates = std::vector<std::pair<PromptPart, const Evidence*>>;
+
   struct Blame
   {
     std::size_t m_weight = 0; // the crashes that count
@@ -136,6 +139,9 @@
                       const Crashes& aExplained) const;
   // Recomputes m_blamed and m_groups.
   void Attribute();
+  // Suspects parts with many crashes, not all of them explained by the blamed
+  // parts: a part that was only beside the culprit may have more crashes.
+  void BlameRivals(const Candidates& aCandidates, const Crashes& aExplained);
   void AddCrash(Evidence& aEvidence, std::uint64_t aId, MonotonicTime aAt);
   void ClearCrash(Evidence& aEvidence, std::uint64_t aId, MonotonicTime aAt);
   void MarkChanged(Evidence& aEvidence);
--- a/tests/prompt_part_table_test.cpp
+++ b/tests/prompt_part_table_test.cpp
@@ -20,6 +20,7 @@
 constexpr PromptPart kOther = 3;
 constexpr PromptPart kCompanion = 4; // comes only with the culprit
 constexpr PromptPart kSecondCulprit = 5;
+constexpr PromptPart kBystander = 6; // in flight beside the culprit by chance
 const MonotonicTime kStart{ std::chrono::hours(1) };
 
 bool
@@ -130,6 +131,16 @@
   EXPECT_EQ(VerdictOf({ kFirst, kCulprit }), PartVerdict::Refuse);
 }
 
+TEST_F(PromptPartTableTest, CulpritBesideAPartWithMoreCrashesIsTried)
+{
+  CrashOften({ kFirst, kCulprit, kBystander }, 4);
+  CrashOften({ kBystander }, 2);
+  CrashOften({ kFirst, kCulprit }, 1);
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Never), PartVerdict::Refuse);
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Always), PartVerdict::Trial);
+  EXPECT_EQ(VerdictOf({ kFirst, kOther }, Never), PartVerdict::Send);
+}
+
 TEST_F(PromptPartTableTest, TwoCulpritsAtOnceAreBothQuarantined)
 {
   for (int i = 0; i < 5; ++i) {
