Completions of older requests don't keep a part from being suspected

Cause: a completion counted for its part until 30 others had completed, however old it was. While most runners are down nothing completes. A completion from before all present crashes counted too, when parts were compared. CompletionDoesNotClearThePartWhileFewOthersComplete and CompletionFromBeforeTheCrashesDoesNotExcuseThePart failed before. Why this works: a completion counts for a second at most, and is forgotten when no crash is left that it could speak against. A sound part that is suspected for it is released by its trial.

--- a/src/quarantine/prompt_part_table.cpp
+++ b/src/quarantine/prompt_part_table.cpp
@@ -23,6 +23,9 @@
 // A part that has completed isn't suspected before this many other requests
 // have completed since: most parts are cleared soon.
 constexpr std::size_t kOthersToSuspect = 30;
+// Time after which a completion suggests nothing even if no other requests
+// complete, since most runners are down.
+constexpr milliseconds kCompletionCounts{ 1000 };
 constexpr milliseconds kSuspectRetryAfter{ 1000 };
 constexpr milliseconds kQuarantineRetryAfter{ 30000 };
 // Time from the last crash of a quarantined part to the next trial. Doubles
@@ -120,6 +123,8 @@
   const bool wasEvidence = aEvidence.m_crashes.erase(aId) > 0;
   if (aEvidence.m_crashes.empty()) {
     aEvidence.m_othersComplete = false;
+    // A completion from before all crashes suggests nothing about them.
+    aEvidence.m_lastCompletion.reset();
   }
   aEvidence.m_cleared.try_emplace(aId, aAt);
   if (aEvidence.m_cleared.size() > kMaxCleared) {
@@ -144,7 +149,7 @@
     AddCrash(m_evidence[part], aCrash.m_id, aCrash.m_at);
   }
   Evict();
-  Attribute();
+  Attribute(aCrash.m_at);
 }
 
 void
@@ -176,7 +181,7 @@
       }
     }
   }
-  Attribute();
+  Attribute(aNow);
 }
 
 bool
@@ -216,9 +221,10 @@
 }
 
 bool
-PromptPartTable::CompletedLately(const Evidence& aEvidence)
+PromptPartTable::CompletedLately(const Evidence& aEvidence, MonotonicTime aNow)
 {
   if (!aEvidence.m_lastCompletion ||
+      aNow - aEvidence.m_lastCompletion->m_at > kCompletionCounts ||
       aEvidence.m_lastCompletion->m_othersSince >= kOthersToSuspect) {
     return false;
   }
@@ -241,13 +247,13 @@
 }
 
 void
-PromptPartTable::Attribute()
+PromptPartTable::Attribute(MonotonicTime aNow)
 {
   m_blamed.clear();
   m_groups.clear();
   Candidates candidates;
   for (const auto& [part, evidence] : m_evidence) {
-    if (evidence.m_othersComplete && !CompletedLately(evidence) &&
+    if (evidence.m_othersComplete && !CompletedLately(evidence, aNow) &&
         evidence.m_crashes.size() >= kSuspectWeight) {
       candidates.emplace_back(part, &evidence);
     }
@@ -385,7 +391,7 @@
   const bool changed = m_sequence != before;
   if (changed) {
     Evict();
-    Attribute();
+    Attribute(aNow);
   }
   return changed;
 }
--- a/src/quarantine/prompt_part_table_p.h
+++ b/src/quarantine/prompt_part_table_p.h
@@ -132,13 +132,13 @@
 
   // Whether a completion suggests that the part is sound, although its request
   // may have been sent before the crashes.
-  static bool CompletedLately(const Evidence& aEvidence);
+  static bool CompletedLately(const Evidence& aEvidence, MonotonicTime aNow);
   // The number of crashes that count as evidence.
   static std::size_t WeightOf(const Crashes& aCrashes);
   Crashes Unexplained(const Evidence& aEvidence,
                       const Crashes& aExplained) const;
   // Recomputes m_blamed and m_groups.
-  void Attribute();
+  void Attribute(MonotonicTime aNow);
   // Suspects parts with many crashes, not all of them explained by the blamed
   // parts: a part that was only beside the culprit may have more crashes.
   void BlameRivals(const Candidates& aCandidates, const Crashes& aExplained);
--- a/tests/prompt_part_run_test.cpp
+++ b/tests/prompt_part_run_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -441,10 +442,18 @@
   int m_lateSoundRefused = 0;
 };
 
+std::vector<std::uint64_t>
+FirstSeeds()
+{
+  std::vector<std::uint64_t> seeds(kSeeds);
+  std::iota(seeds.begin(), seeds.end(), 1);
+  return seeds;
+}
+
 void
-RunScenarios(std::uint64_t aSeeds, bool aWasSound)
+RunScenarios(const std::vector<std::uint64_t>& aSeeds, bool aWasSound)
 {
-  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+  for (const std::uint64_t seed : aSeeds) {
     Random random(seed);
     Scenario scenario = RandomScenario(random);
     scenario.m_wasSound = aWasSound;
@@ -464,12 +473,28 @@
 
 TEST(PromptPartRun, PartThatCrashesRunnersIsStoppedAndSoundRequestsAreServed)
 {
-  RunScenarios(kSeeds, false);
+  RunScenarios(FirstSeeds(), false);
 }
 
 TEST(PromptPartRun, PartThatWasSoundAndBeginsToCrashRunnersIsStopped)
 {
-  RunScenarios(kSeeds, true);
+  RunScenarios(FirstSeeds(), true);
+}
+
+// Seeds that failed when played by hand.
+TEST(PromptPartRun, PartThatWasSoundIsStoppedAlthoughNearlyAllRunnersCrash)
+{
+  RunScenarios({ 1001, 1004, 1033, 1037, 1040, 1169, 1249, 1251, 1273 }, true);
+}
+
+TEST(PromptPartRun, PartThatWasSoundIsStoppedBesideOtherSuspects)
+{
+  RunScenarios({ 1041, 1172, 1211 }, true);
+}
+
+TEST(PromptPartRun, PartThatCrashesRunnersIsStoppedBesideOtherSuspects)
+{
+  RunScenarios({ 1019 }, false);
 }
 
 } // namespace
--- a/tests/prompt_part_table_test.cpp
+++ b/tests/prompt_part_table_test.cpp
@@ -178,6 +178,31 @@
   EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Always), PartVerdict::Refuse);
 }
 
+// As while most runners are down.
+TEST_F(PromptPartTableTest, CompletionDoesNotClearThePartWhileFewOthersComplete)
+{
+  const MonotonicTime before = m_now - seconds(1);
+  CrashOften({ kFirst, kCulprit }, 4);
+  CompleteSentAt(before, { kFirst, kCulprit });
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }), PartVerdict::Send);
+  Wait(seconds(2));
+  Complete({ kFirst, kOther });
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Always), PartVerdict::Refuse);
+}
+
+TEST_F(PromptPartTableTest, CompletionFromBeforeTheCrashesDoesNotExcuseThePart)
+{
+  CrashOften({ kCulprit }, 1);
+  Complete({ kCulprit });
+  CrashOften({ kCulprit, kBystander }, 4);
+  for (int i = 0; i < 100; ++i) {
+    Complete({ kOther });
+  }
+  CrashOften({ kCulprit }, 1);
+  EXPECT_EQ(VerdictOf({ kCulprit }, Always), PartVerdict::Refuse);
+  EXPECT_EQ(VerdictOf({ kBystander }), PartVerdict::Send);
+}
+
 TEST_F(PromptPartTableTest, RunnersLostAtOnceDoNotQuarantineAPart)
 {
   struct Case
