--- a/src/quarantine/prompt_part_table.cpp
+++ b/src/quarantine/prompt_part_table.cpp
@@ -23,6 +23,9 @@
 // A part that has completed isn't suspected before this many other requests
 // have completed since: most parts are cleared soon.
 constexpr std::size_t kOthersToSuspect = 30;
+// Time after which a completion suggests nothing even if no other requests
+// complete, since most runners are down.
+constexpr milliseconds kCompletionCounts{ 1000 };
 constexpr milliseconds kSuspectRetryAfter{ 1000 };
 constexpr milliseconds kQuarantineRetryAfter{ 30000 };
 // Time from the last crash of a quarantined part to the next trial. Doubles
@@ -57,6 +60,16 @@
 
 using CrashTimes = std::map<std::uint64_t, MonotonicTime>; // by id
 
+MonotonicTime
+LatestOf(const CrashTimes& aCrashes)
+{
+  MonotonicTime latest{};
+  for (const auto& [id, at] : aCrashes) {
+    latest = std::max(latest, at);
+  }
+  return latest;
+}
+
 void
 EncodeLatest(const CrashTimes& aCrashes,
              MonotonicTime aNow,
@@ -110,6 +123,8 @@
   const bool wasEvidence = aEvidence.m_crashes.erase(aId) > 0;
   if (aEvidence.m_crashes.empty()) {
     aEvidence.m_othersComplete = false;
+    // A completion from before all crashes suggests nothing about them.
+    aEvidence.m_lastCompletion.reset();
   }
   aEvidence.m_cleared.try_emplace(aId, aAt);
   if (aEvidence.m_cleared.size() > kMaxCleared) {
@@ -134,7 +149,7 @@
     AddCrash(m_evidence[part], aCrash.m_id, aCrash.m_at);
   }
   Evict();
-  Attribute();
+  Attribute(aCrash.m_at);
 }
 
 void
@@ -166,7 +181,7 @@
       }
     }
   }
-  Attribute();
+  Attribute(aNow);
 }
 
 bool
@@ -206,9 +221,10 @@
 }
 
 bool
-PromptPartTable::CompletedLately(const Evidence& aEvidence)
+PromptPartTable::CompletedLately(const Evidence& aEvidence, MonotonicTime aNow)
 {
   if (!aEvidence.m_lastCompletion ||
+      aNow - aEvidence.m_lastCompletion->m_at > kCompletionCounts ||
       aEvidence.m_lastCompletion->m_othersSince >= kOthersToSuspect) {
     return false;
   }
@@ -231,13 +247,13 @@
 }
 
 void
-PromptPartTable::Attribute()
+PromptPartTable::Attribute(MonotonicTime aNow)
 {
   m_blamed.clear();
   m_groups.clear();
-  std::vector<std::pair<PromptPart, const Evidence*>> candidates;
+  Candidates candidates;
   for (const auto& [part, evidence] : m_evidence) {
-    if (evidence.m_othersComplete && !CompletedLately(evidence) &&
+    if (evidence.m_othersComplete && !CompletedLately(evidence, aNow) &&
         evidence.m_crashes.size() >= kSuspectWeight) {
       candidates.emplace_back(part, &evidence);
     }
@@ -260,12 +276,9 @@
       }
     }
     if (covered.empty()) {
-      return;
-    }
-    MonotonicTime lastCrash{};
-    for (const auto& [id, at] : covered) {
-      lastCrash = std::max(lastCrash, at);
+      break;
     }
+    const MonotonicTime lastCrash = LatestOf(covered);
     std::vector<PromptPart> group;
     for (const auto& [part, evidence] : candidates) {
       if (!m_blamed.contains(part) &&
@@ -277,6 +290,27 @@
     m_groups.push_back(std::move(group));
     explained.insert(covered.begin(), covered.end());
   }
+  BlameRivals(candidates, explained);
+}
+
+void
+PromptPartTable::BlameRivals(const Candidates& aCandidates,
+                             const Crashes& aExplained)
+{
+  if (m_blamed.empty()) {
+    return;
+  }
+  for (const auto& [part, evidence] : aCandidates) {
+    if (m_blamed.contains(part) ||
+        WeightOf(evidence->m_crashes) < kQuarantineWeight ||
+        Unexplained(*evidence, aExplained).empty()) {
+      continue;
+    }
+    m_blamed[part] = { kSuspectWeight,
+                       LatestOf(evidence->m_crashes),
+                       m_groups.size() };
+    m_groups.push_back({ part });
+  }
 }
 
 bool
@@ -357,7 +391,7 @@
   const bool changed = m_sequence != before;
   if (changed) {
     Evict();
-    Attribute();
+    Attribute(aNow);
   }
   return changed;
 }
--- a/tests/prompt_part_table_test.cpp
+++ b/tests/prompt_part_table_test.cpp
@@ -20,6 +20,7 @@
 constexpr PromptPart kOther = 3;
 constexpr PromptPart kCompanion = 4; // comes only with the culprit
 constexpr PromptPart kSecondCulprit = 5;
+constexpr PromptPart kBystander = 6; // in flight beside the culprit by chance
 const MonotonicTime kStart{ std::chrono::hours(1) };
 
 bool
@@ -130,6 +131,16 @@
   EXPECT_EQ(VerdictOf({ kFirst, kCulprit }), PartVerdict::Refuse);
 }
 
+TEST_F(PromptPartTableTest, CulpritBesideAPartWithMoreCrashesIsTried)
+{
+  CrashOften({ kFirst, kCulprit, kBystander }, 4);
+  CrashOften({ kBystander }, 2);
+  CrashOften({ kFirst, kCulprit }, 1);
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Never), PartVerdict::Refuse);
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Always), PartVerdict::Trial);
+  EXPECT_EQ(VerdictOf({ kFirst, kOther }, Never), PartVerdict::Send);
+}
+
 TEST_F(PromptPartTableTest, TwoCulpritsAtOnceAreBothQuarantined)
 {
   for (int i = 0; i < 5; ++i) {
@@ -167,6 +178,31 @@
   EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Always), PartVerdict::Refuse);
 }
 
+// As while most runners are down.
+TEST_F(PromptPartTableTest, CompletionDoesNotClearThePartWhileFewOthersComplete)
+{
+  const MonotonicTime before = m_now - seconds(1);
+  CrashOften({ kFirst, kCulprit }, 4);
+  CompleteSentAt(before, { kFirst, kCulprit });
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }), PartVerdict::Send);
+  Wait(seconds(2));
+  Complete({ kFirst, kOther });
+  EXPECT_EQ(VerdictOf({ kFirst, kCulprit }, Always), PartVerdict::Refuse);
+}
+
+TEST_F(PromptPartTableTest, CompletionFromBeforeTheCrashesDoesNotExcuseThePart)
+{
+  CrashOften({ kCulprit }, 1);
+  Complete({ kCulprit });
+  CrashOften({ kCulprit, kBystander }, 4);
+  for (int i = 0; i < 100; ++i) {
+    Complete({ kOther });
+  }
+  CrashOften({ kCulprit }, 1);
+  EXPECT_EQ(VerdictOf({ kCulprit }, Always), PartVerdict::Refuse);
+  EXPECT_EQ(VerdictOf({ kBystander }), PartVerdict::Send);
+}
+
 TEST_F(PromptPartTableTest, RunnersLostAtOnceDoNotQuarantineAPart)
 {
   struct Case
