Exchanges are expired by name, and hedging by what it asks

Expire replaces a Tick with the end of time, and the log names the shutdown as the reason; NeedsHedge doesn't promise a place. No decision changes.

--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -17,14 +17,22 @@
     return;
   }
   if (aNow >= m_deadline) {
-    OnDeadline();
+    OnDeadline("deadline exceeded");
     return;
   }
-  if (MayHedge(aNow)) {
+  if (NeedsHedge(aNow)) {
     Hedge(aNow);
   }
 }
 
+void
+CallerExchange::Expire(std::string_view aReason)
+{
+  if (m_phase != Phase::Done) {
+    OnDeadline(aReason);
+  }
+}
+
 milliseconds
 CallerExchange::SilenceLimit(const RunnerAttempt& aAttempt) const
 {
@@ -49,7 +57,7 @@
 }
 
 bool
-CallerExchange::MayHedge(MonotonicTime aNow) const
+CallerExchange::NeedsHedge(MonotonicTime aNow) const
 {
   // Without event ids, a second run can't be told from a repetition.
   const bool cannotResume = m_phase == Phase::Streaming && !m_lastEventId;
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -30,6 +30,8 @@
   void Start();
   // Checks the deadline and whether the runner is silent; called periodically.
   void Tick(MonotonicTime aNow);
+  // Ends the request as at its deadline.
+  void Expire(std::string_view aReason);
 
 private:
   // Progress of the response to the caller.
@@ -86,7 +88,8 @@
   // How long the runner may be silent before the request is hedged.
   std::chrono::milliseconds SilenceLimit(const RunnerAttempt& aAttempt) const;
   bool IsSilent(const RunnerAttempt& aAttempt, MonotonicTime aNow) const;
-  bool MayHedge(MonotonicTime aNow) const;
+  // Whether all open attempts are silent and another one is allowed.
+  bool NeedsHedge(MonotonicTime aNow) const;
   // Sends the request to a second runner. The silent attempts stay open.
   void Hedge(MonotonicTime aNow);
 
@@ -120,7 +123,7 @@
   void GiveUp(std::string_view aReason);
   // Sends the final response if no runner's response can be forwarded.
   void Fail(std::string_view aReason);
-  void OnDeadline();
+  void OnDeadline(std::string_view aReason);
   void OnCallerDisconnected();
   void Finish(std::string_view aOutcome);
   std::chrono::milliseconds TimeLeft(MonotonicTime aNow) const;
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -97,16 +97,15 @@
 }
 
 void
-CallerExchange::OnDeadline()
+CallerExchange::OnDeadline(std::string_view aReason)
 {
-  constexpr std::string_view kReason = "deadline exceeded";
   m_mayHaveRun = m_mayHaveRun || !m_openAttempts.empty();
   CancelAttempts();
   if (m_phase == Phase::Streaming || m_failedAttempt || !m_mayHaveRun) {
-    GiveUp(kReason);
+    GiveUp(aReason);
     return;
   }
-  SendError(kGatewayTimeout, kReason, milliseconds(0));
+  SendError(kGatewayTimeout, aReason, milliseconds(0));
   Finish("timed out");
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -400,7 +400,7 @@
 {
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
-    exchange->Tick(MonotonicTime::max()); // as if its deadline had passed
+    exchange->Expire("gateway is shutting down");
   }
   m_callerListener->RefuseIncomplete(kServiceUnavailable, "shutting down");
 }
