Stand-in store: waiting for a watch doesn't depend on other kinds

Cause: it waited for a watch from the latest revision of all kinds. If a runner was registered after the stagers had listed their versions, the next such watch came only when the present one timed out, after 20 s too.

It waits for the latest revision of the kind now, and for one watch at least, which is what it promises: the client has processed all changes of that kind. ChangesOfOtherKindsDoNotDelayAwaitWatched failed before and passes now.

--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/dialect.h"
 #include "site/object_feed_p.h"
 #include "support/raw_socket.h"
+#include "support/site.h"
 
 #include <gtest/gtest.h>
 
@@ -75,6 +76,20 @@
   EXPECT_EQ(waits[2], kWait);
 }
 
+TEST(SiteStandIn, ChangesOfOtherKindsDoNotDelayAwaitWatched)
+{
+  constexpr std::uint64_t kFirstRevision = 101;
+  SiteStandIn site;
+  site.Put("versions", "m", { { "version", 1 } });
+  RawSocket watcher(site.Store().m_port);
+  watcher.Send(
+    "GET " +
+    dialect::WatchPath("versions", kFirstRevision, std::chrono::minutes(1)) +
+    " HTTP/1.1\r\nHost: x\r\n\r\n");
+  site.Put("servers", "i-1", { { "service", "s" } });
+  EXPECT_TRUE(site.AwaitWatched("versions"));
+}
+
 } // namespace
 
 } // namespace siskindeal
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -107,12 +107,19 @@
 {
   constexpr std::chrono::seconds kTimeout{ 20 };
   std::uint64_t written = 0;
-  RunOnLoop([&] { written = m_revision; });
+  RunOnLoop([&] {
+    for (const Change& change : m_changes) {
+      written = change.m_kind == aKind ? change.m_revision : written;
+    }
+  });
   const auto end = std::chrono::steady_clock::now() + kTimeout;
   while (std::chrono::steady_clock::now() < end) {
-    std::uint64_t watched = 0;
-    RunOnLoop([&] { watched = m_watchedSince[aKind]; });
-    if (watched >= written) {
+    bool watched = false;
+    RunOnLoop([&] {
+      const auto since = m_watchedSince.find(aKind);
+      watched = since != m_watchedSince.end() && since->second >= written;
+    });
+    if (watched) {
       return true;
     }
     std::this_thread::sleep_for(kWatchInterval);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -37,9 +37,9 @@
            const std::string& aName,
            const nlohmann::json& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
-  // Waits until a watch of the kind starts after the latest revision: its
-  // client has then received and processed all earlier changes. Returns false
-  // on timeout.
+  // Waits until a watch of the kind starts at the kind's latest revision or
+  // later: its client has then received and processed all its changes. Returns
+  // false on timeout.
   bool AwaitWatched(const std::string& aKind);
   // Returns how often a kind was listed.
   std::size_t ListCount(const std::string& aKind);
