A request whose caller has left already isn't sent to a runner

What callers saw: nothing; runners got work for callers that had gone. The end of the stream was read only after the request had been sent.

Change: once a request is read, the server looks whether the end of the caller's stream follows it in the socket, and then ends the connection instead.

RequestOfACallerThatHasLeftIsNotHandled failed before and passes now.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -181,9 +181,23 @@
     m_inRequest = false;
     return Refuse(400, "missing Host header");
   }
+  if (HasCallerLeft()) {
+    Disconnect(ConnectionEnd::CallerClosed);
+    return;
+  }
   m_listener.m_handler(self);
 }
 
+bool
+ServerConnection::HasCallerLeft()
+{
+  char next = 0;
+  NetError error;
+  m_socket.receive(
+    boost::asio::buffer(&next, 1), Tcp::socket::message_peek, error);
+  return error && error != boost::asio::error::would_block;
+}
+
 void
 ServerConnection::Refuse(int aStatus, std::string_view aReason)
 {
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -115,6 +115,9 @@
   void OnRead(const NetError& aError);
   void Parse();
   void Refuse(int aStatus, std::string_view aReason);
+  // Whether the caller closed the connection right after its request. A request
+  // that is read late must not reach a runner then.
+  bool HasCallerLeft();
   void Write();
   void FinishResponse();
   // Begins to wait for a request or for the rest of one.
--- a/tests/server_connection_test.cpp
+++ b/tests/server_connection_test.cpp
@@ -381,5 +381,27 @@
   EXPECT_GT(responses.find("Connection: close"), responses.rfind(" 200 "));
 }
 
+TEST(ServerConnection, RequestOfACallerThatHasLeftIsNotHandled)
+{
+  Loop loop;
+  int handled = 0;
+  HttpListener listener(loop, { "127.0.0.1", 0 }, [&](const auto& aConnection) {
+    ++handled;
+    aConnection->SendResponse(200, {}, {}, "");
+    loop.stop();
+  });
+  {
+    RawSocket caller(listener.Port());
+    caller.Send("GET /gone HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  loop.run_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(handled, 0);
+  loop.restart();
+  RawSocket caller(listener.Port());
+  caller.Send("GET /here HTTP/1.1\r\nHost: x\r\n\r\n");
+  loop.run_for(std::chrono::seconds(10));
+  EXPECT_EQ(handled, 1);
+}
+
 } // namespace
 } // namespace siskindeal
