Limits and notices take turns by one function; unused predicate and repeated text removed

RunnerLimits and RunnerNotices each had the loop that picks what to advertise next: TakeTurns. RunnerNotices::Allows was called by tests only, which now ask what Placer asks. SuspicionExchange wrote out lists of parts in two places. OnDeadline repeated what CancelAttempts records. No decision, order or bound changes.

--- a/src/dispatch/runner_limits.cpp
+++ b/src/dispatch/runner_limits.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/runner_limits_p.h"
 
+#include "dispatch/take_turns_p.h"
 #include "siskindeal/log.h"
 
 #include <algorithm>
@@ -201,20 +202,15 @@
 RunnerLimits::Advertise(MonotonicTime aNow)
 {
   std::vector<std::pair<RunnerIncarnation, RunnerLimit>> advertised;
-  auto next = m_lastAdvertised ? m_limits.upper_bound(*m_lastAdvertised)
-                               : m_limits.begin();
-  for (std::size_t i = 0;
-       i < m_limits.size() && advertised.size() < kMaxAdvertised;
-       ++i, ++next) {
-    if (next == m_limits.end()) {
-      next = m_limits.begin();
+  const auto take = [&](const RunnerIncarnation& aRunner, const Known& aKnown) {
+    const bool due =
+      aKnown.m_limit.m_perSecond || aNow < aKnown.m_advertiseUntil;
+    if (due) {
+      advertised.emplace_back(aRunner, aKnown.m_limit);
     }
-    const Known& known = next->second;
-    if (known.m_limit.m_perSecond || aNow < known.m_advertiseUntil) {
-      advertised.emplace_back(next->first, known.m_limit);
-      m_lastAdvertised = next->first;
-    }
-  }
+    return due;
+  };
+  TakeTurns(m_limits, m_lastAdvertised, kMaxAdvertised, take);
   return advertised;
 }
 
--- a/src/dispatch/runner_notices.cpp
+++ b/src/dispatch/runner_notices.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/runner_notices_p.h"
 
+#include "dispatch/take_turns_p.h"
 #include "siskindeal/log.h"
 
 #include <algorithm>
@@ -119,13 +120,6 @@
   return found->second;
 }
 
-bool
-RunnerNotices::Allows(const RunnerIncarnation& aRunner,
-                      MonotonicTime aNow) const
-{
-  return !IsLeaving(aRunner) && !WaitEnd(aRunner, aNow);
-}
-
 milliseconds
 RunnerNotices::RetryAfter(const std::vector<RunnerIncarnation>& aRunners,
                           MonotonicTime aNow) const
@@ -144,19 +138,14 @@
 RunnerNotices::Advertise()
 {
   std::vector<RunnerIncarnation> advertised;
-  auto next = m_lastAdvertised ? m_leaving.upper_bound(*m_lastAdvertised)
-                               : m_leaving.begin();
-  for (std::size_t i = 0;
-       i < m_leaving.size() && advertised.size() < kMaxAdvertised;
-       ++i, ++next) {
-    if (next == m_leaving.end()) {
-      next = m_leaving.begin();
-    }
-    if (next->second.m_isListed) {
-      advertised.push_back(next->first);
-      m_lastAdvertised = next->first;
+  const auto take = [&](const RunnerIncarnation& aRunner,
+                        const Leaving& aLeaving) {
+    if (aLeaving.m_isListed) {
+      advertised.push_back(aRunner);
     }
-  }
+    return aLeaving.m_isListed;
+  };
+  TakeTurns(m_leaving, m_lastAdvertised, kMaxAdvertised, take);
   return advertised;
 }
 
--- a/src/dispatch/runner_notices_p.h
+++ b/src/dispatch/runner_notices_p.h
@@ -40,8 +40,6 @@
   // Returns nullopt if the runner may get requests, as far as its wait decides.
   std::optional<MonotonicTime> WaitEnd(const RunnerIncarnation& aRunner,
                                        MonotonicTime aNow) const;
-  // Whether the runner may get a request from this gateway now.
-  bool Allows(const RunnerIncarnation& aRunner, MonotonicTime aNow) const;
   // The time until the first of these runners' waits ends.
   std::chrono::milliseconds RetryAfter(
     const std::vector<RunnerIncarnation>& aRunners,
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -99,7 +99,6 @@
 void
 CallerExchange::OnDeadline(std::string_view aReason)
 {
-  m_mayHaveRun = m_mayHaveRun || !m_openAttempts.empty();
   CancelAttempts();
   if (m_phase == Phase::Streaming || m_failedAttempt || !m_mayHaveRun) {
     GiveUp(aReason);
--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -30,6 +30,16 @@
          std::to_string(aPart.m_crashes) + (aPart.m_quarantined ? "q" : "");
 }
 
+std::string
+Describe(const std::vector<PromptPart>& aParts)
+{
+  std::string text;
+  for (const PromptPart part : aParts) {
+    text += FormatFingerprint(part) + ' ';
+  }
+  return text;
+}
+
 // The parts of the requests, without duplicates.
 std::vector<PromptPart>
 PartsOf(const std::vector<RequestTraits>& aRequests)
@@ -63,17 +73,13 @@
       suspects += Describe(*listing) + ' ';
     }
   }
-  std::string partText;
-  for (const PromptPart part : parts) {
-    partText += FormatFingerprint(part) + ' ';
-  }
   Log(LogLevel::Warning,
       "runner crashed",
       { { "runner", aRunner.m_id },
         { "created", aRunner.m_created },
         { "requests", aInFlight.size() },
         { "suspects", suspects },
-        { "parts", partText } });
+        { "parts", Describe(parts) } });
 }
 
 void
@@ -106,12 +112,10 @@
   if (!m_parts.RecordTrial(aParts, aNow)) {
     return;
   }
-  std::string described;
-  for (const PromptPart part : aParts) {
-    described += FormatFingerprint(part) + ' ';
-  }
   CountMetric("siskindeal_gateway_part_trials_total", {});
-  Log(LogLevel::Warning, "suspected parts tried", { { "parts", described } });
+  Log(LogLevel::Warning,
+      "suspected parts tried",
+      { { "parts", Describe(aParts) } });
 }
 
 bool
--- a/tests/runner_notices_run_test.cpp
+++ b/tests/runner_notices_run_test.cpp
@@ -183,7 +183,9 @@
 
   void Offer(Gateway& aGateway, const Runner& aRunner)
   {
-    if (!aGateway.m_notices->Allows(aRunner.m_is, m_now)) {
+    const RunnerNotices& notices = *aGateway.m_notices;
+    if (notices.IsLeaving(aRunner.m_is) ||
+        notices.WaitEnd(aRunner.m_is, m_now)) {
       CheckWithheld(aGateway, aRunner);
       return;
     }
--- a/tests/runner_notices_test.cpp
+++ b/tests/runner_notices_test.cpp
@@ -35,6 +35,14 @@
   return false;
 }
 
+bool
+MayGetRequests(const RunnerNotices& aNotices,
+               const RunnerIncarnation& aRunner,
+               MonotonicTime aNow)
+{
+  return !aNotices.IsLeaving(aRunner) && !aNotices.WaitEnd(aRunner, aNow);
+}
+
 dialect::RunnerNotice
 Decode(int aStatus, const std::map<std::string, std::string>& aFields)
 {
@@ -49,8 +57,8 @@
   RunnerNotices notices;
   EXPECT_TRUE(notices.RecordLeaving(kRunner, kStart));
   EXPECT_FALSE(notices.RecordLeaving(kRunner, kStart));
-  EXPECT_FALSE(notices.Allows(kRunner, kStart + seconds(60)));
-  EXPECT_TRUE(notices.Allows(kRestarted, kStart));
+  EXPECT_FALSE(MayGetRequests(notices, kRunner, kStart + seconds(60)));
+  EXPECT_TRUE(MayGetRequests(notices, kRestarted, kStart));
 }
 
 TEST(RunnerNotices, OlderMessageDoesNotStopARestartedRunner)
@@ -59,7 +67,7 @@
   notices.RecordLeaving(kRunner, kStart);
   notices.Update(Listed, kStart);
   notices.MergeLeaving(kRunner, kStart + seconds(30));
-  EXPECT_TRUE(notices.Allows(kRestarted, kStart + seconds(30)));
+  EXPECT_TRUE(MayGetRequests(notices, kRestarted, kStart + seconds(30)));
 }
 
 TEST(RunnerNotices, LeavingRunnerThatIsListedAgainGetsNothing)
@@ -69,7 +77,7 @@
   notices.Update(NotListed, kStart + seconds(10));
   EXPECT_TRUE(notices.Advertise().empty());
   notices.Update(Listed, kStart + seconds(20));
-  EXPECT_FALSE(notices.Allows(kRunner, kStart + seconds(20)));
+  EXPECT_FALSE(MayGetRequests(notices, kRunner, kStart + seconds(20)));
   EXPECT_EQ(notices.Advertise().size(), 1U);
 }
 
@@ -83,8 +91,8 @@
     notices.RecordWait(runner, Seconds(60), now);
   }
   const MonotonicTime now = kStart + seconds(6);
-  EXPECT_TRUE(notices.Allows({ "i-0", 1 }, now));
-  EXPECT_FALSE(notices.Allows({ "i-1", 1 }, now));
+  EXPECT_TRUE(MayGetRequests(notices, { "i-0", 1 }, now));
+  EXPECT_FALSE(MayGetRequests(notices, { "i-1", 1 }, now));
   notices.Update(NotListed,
                  now + RunnerNotices::kMemory + std::chrono::minutes(1));
   EXPECT_FALSE(notices.IsLeaving({ "i-1", 1 }));
@@ -111,9 +119,9 @@
   RunnerNotices notices;
   notices.RecordWait(kRunner, Seconds(2.5), kStart);
   notices.RecordWait(kRunner, Seconds(0.5), kStart);
-  EXPECT_FALSE(notices.Allows(kRunner, kStart + milliseconds(2499)));
-  EXPECT_TRUE(notices.Allows(kRunner, kStart + milliseconds(2500)));
-  EXPECT_TRUE(notices.Allows(kRestarted, kStart));
+  EXPECT_FALSE(MayGetRequests(notices, kRunner, kStart + milliseconds(2499)));
+  EXPECT_TRUE(MayGetRequests(notices, kRunner, kStart + milliseconds(2500)));
+  EXPECT_TRUE(MayGetRequests(notices, kRestarted, kStart));
 }
 
 TEST(RunnerNotices, UnusableWaitsAreReplaced)
