--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases into review/.build.
+# Builds the stand-ins of the cases, and the programs in review/more, into
+# review/.build.
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p .build
@@ -9,7 +10,7 @@
     standin/http.cpp -o ".build/$(basename "$1" .cpp)"
 }
 jobs=()
-for case in standin/*_case.cpp; do
+for case in standin/*_case.cpp more/*.cpp; do
   build "$case" &
   jobs+=($!)
 done
--- a/review/standin/lab.cpp
+++ b/review/standin/lab.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -404,6 +405,7 @@
   if (m_id != 0) {
     return;
   }
+  prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the case's program
   const int log =
     open(aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(log, STDOUT_FILENO);
@@ -431,6 +433,19 @@
   return m_id > 0;
 }
 
+std::int64_t
+Process::MemoryKb() const
+{
+  std::ifstream status("/proc/" + std::to_string(m_id) + "/status");
+  const std::string key = "VmRSS:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind(key, 0) == 0) {
+      return std::atoll(line.c_str() + key.size());
+    }
+  }
+  return 0;
+}
+
 Process::~Process()
 {
   if (Running()) {
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -180,6 +180,9 @@
   bool Running();
   // How the process ended, once it has.
   const std::string& End() const { return m_end; }
+  // Its resident memory; 0 if it has ended.
+  std::int64_t MemoryKb() const;
+  pid_t Id() const { return m_id; }
 
 private:
   pid_t m_id;
