Requests require the due weights, however many versions are named

Cause: a bounded memory whose oldest entry decides, and which drops the oldest first. NamedVersions kept eight versions, datagrams and relays passed on four of them. Where the due one had been dropped, NewestOlderThan returned 0, which also meant that none was named, so requests went out without an expected version.

Now only what can't decide any more is dropped: a version that a newer one named as early outdoes, and all but the newest of those past the greatest age that is asked for. Where the rest is too long, two neighbours become one, the newer version with the earlier time: what is forgotten makes the decision stricter, never laxer. Gateways and stagers tell each other at most 16 entries reduced the same way. "None" is an empty optional, in the shape of requests too.

A version's age is no longer taken for less than it may be. A version found after a watch was interrupted, or at the start, got an age of 0 or 3 s that no report could correct, as the earliest time was kept. An assumed time is now marked, also between processes, and a report replaces it; at the start a version counts as due after 3 s, after an interrupted watch as named when the watch was last known to work, at most 3 s ago.

The gateway logs "weights due" with how many runners hold the version.

GatewayTest.VersionsNamedInARowDoNotLetOldWeightsRun failed before: no request was refused in 20 s.

--- a/src/dispatch/named_versions_p.h
+++ b/src/dispatch/named_versions_p.h
@@ -4,39 +4,81 @@
 // times, which keep counting while the machine is suspended.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace siskindeal {
 
 class NamedVersions
 {
 public:
+  // A version and the time since which it counts as named.
+  struct Entry
+  {
+    std::uint64_t m_version = 0;
+    std::chrono::milliseconds m_namedAt{ 0 };
+
+    bool operator==(const Entry&) const = default;
+  };
+  // Both the versions and the times ascend.
+  using Entries = std::vector<Entry>;
+
+  // aMaxAge: the greatest age that NewestOlderThan is asked for.
+  explicit NamedVersions(
+    std::chrono::milliseconds aMaxAge = std::chrono::minutes(1))
+    : m_maxAge(aMaxAge)
+  {
+  }
+
   // Records that a version was named no later than aAt. Keeps the earliest time
-  // of several reports. Returns true if the version was unknown.
+  // of several reports. Returns true if the version is newer than all known.
   bool Record(const std::string& aModel,
               std::uint64_t aVersion,
               std::chrono::milliseconds aAt);
+  // Records a version whose time is a guess, which a report replaces. Returns
+  // true if the version is newer than all known.
+  bool RecordAssumed(const std::string& aModel,
+                     std::uint64_t aVersion,
+                     std::chrono::milliseconds aAt);
 
-  // Returns the newest version that was named at least aAge ago, or 0.
-  std::uint64_t NewestOlderThan(const std::string& aModel,
-                                std::chrono::milliseconds aAge,
-                                std::chrono::milliseconds aNow) const;
+  // Returns the newest version that was named at least aAge ago.
+  std::optional<std::uint64_t> NewestOlderThan(
+    const std::string& aModel,
+    std::chrono::milliseconds aAge,
+    std::chrono::milliseconds aNow) const;
 
-  // Returns the next known version after aVersion, or 0.
-  std::uint64_t NextAfter(const std::string& aModel,
-                          std::uint64_t aVersion) const;
-  std::uint64_t Newest(const std::string& aModel) const;
-  // Returns zero for an unknown version.
-  std::chrono::milliseconds NamedAt(const std::string& aModel,
-                                    std::uint64_t aVersion) const;
+  // Returns the next known version after aVersion.
+  std::optional<Entry> NextAfter(const std::string& aModel,
+                                 std::uint64_t aVersion) const;
+  std::optional<std::uint64_t> Newest(const std::string& aModel) const;
+  // Returns the time since which requests for aVersion are satisfied by nothing
+  // older: the time of the first known version that is not older.
+  std::optional<std::chrono::milliseconds> NamedAt(
+    const std::string& aModel,
+    std::uint64_t aVersion) const;
 
-  using Times = std::map<std::uint64_t, std::chrono::milliseconds>;
-  const std::map<std::string, Times>& All() const { return m_models; }
+  // Returns the entries of a model, at most aMaxEntries, as Fold reduces them.
+  Entries Summary(const std::string& aModel, std::size_t aMaxEntries) const;
+  std::vector<std::string> Models() const;
+  // Returns the version whose time is a guess, if it is the newest.
+  std::optional<Entry> Assumed(const std::string& aModel) const;
 
 private:
-  std::map<std::string, Times> m_models;
+  // Reduces the number of entries. A version that is left out is replaced by
+  // the next newer one, which then counts as named as early: requests are never
+  // allowed to run on weights older than the entries require.
+  static void Fold(Entries& aEntries, std::size_t aMaxEntries);
+  Entries All(const std::string& aModel) const;
+
+  std::chrono::milliseconds m_maxAge;
+  std::map<std::string, Entries> m_reported; // by model
+  // The newest version in the store, where nobody has said when it was named.
+  std::map<std::string, Entry> m_assumed; // by model
 };
 
 } // namespace siskindeal
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -175,6 +175,15 @@
   return places;
 }
 
+// The oldest weights for a request that starts after aWait; unset: any.
+std::optional<std::uint64_t>
+RequiredVersion(const RequestShape& aShape, Ms aWait)
+{
+  const bool nextIsDue =
+    aShape.m_nextVersion && aWait * kMaxWaitFactor > aShape.m_nextDueIn;
+  return nextIsDue ? aShape.m_nextVersion : aShape.m_minVersion;
+}
+
 // Whether the runner's weights are new enough for a request that starts after
 // aWait.
 bool
@@ -184,11 +193,7 @@
     return true;
   }
   const std::uint64_t held = aRunner.VersionOf(aShape.m_model);
-  const bool nextIsDue =
-    aShape.m_nextVersion > 0 && aWait * kMaxWaitFactor > aShape.m_nextDueIn;
-  const std::uint64_t minVersion =
-    nextIsDue ? aShape.m_nextVersion : aShape.m_minVersion;
-  return held > 0 && held >= minVersion;
+  return held > 0 && held >= RequiredVersion(aShape, aWait).value_or(0);
 }
 
 } // namespace
@@ -356,7 +361,8 @@
     runner.m_record.m_id,
     std::chrono::duration_cast<milliseconds>(candidate.m_predicted),
     { runner.Requests(),
-      runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens }
+      runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens },
+    RequiredVersion(aShape, candidate.m_predicted)
   };
 }
 
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -25,10 +25,10 @@
   std::chrono::milliseconds m_timeLeft{ 0 }; // until the caller's deadline
   bool m_isCallerRetry = false;              // retried by the caller
   bool m_alreadyStarted = false;             // resumed or sent before
-  std::uint64_t m_minVersion = 0;            // of the weights; 0: any
+  std::optional<std::uint64_t> m_minVersion; // of the weights; unset: any
   // A newer version that requests must run on once m_nextDueIn has passed. A
-  // request that may still wait by then is not sent to older weights. 0: none.
-  std::uint64_t m_nextVersion = 0;
+  // request that may still wait by then is not sent to older weights.
+  std::optional<std::uint64_t> m_nextVersion;
   std::chrono::milliseconds m_nextDueIn{ 0 };
 };
 
@@ -37,6 +37,8 @@
   std::string m_runner; // id
   std::chrono::milliseconds m_predicted{ 0 };
   RunnerLoad m_load; // of the runner, excluding this request
+  // The oldest weights that the request may begin on; unset: any.
+  std::optional<std::uint64_t> m_requiredVersion;
 };
 
 struct PlacementRefusal
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -47,8 +47,6 @@
 // Keys are refused this long before the revocation bound, since a stalled watch
 // may miss changes for a second.
 constexpr milliseconds kRevokeMargin{ 1300 };
-// Runners with old weights get no new requests this long before the bound.
-constexpr milliseconds kVersionMargin{ 1000 };
 // A draining gateway accepts callers for this many lifetimes of a directory
 // answer, since they may have cached its address.
 constexpr int kDrainAddressLifetimes = 3;
@@ -86,6 +84,8 @@
   , m_store(AddressOfUrl(aSettings.m_platform.m_url))
   , m_pool(std::make_shared<ConnectionPool>(m_loop))
   , m_random(StableHash(NewId()))
+  , m_named(std::max<milliseconds>(aSettings.m_gateway.m_versionWithin,
+                                   std::chrono::minutes(1)))
   , m_placer(aSettings.m_node.m_place,
              aSettings.m_gateway.m_regions,
              StableHash(NewId()))
@@ -191,10 +191,8 @@
   m_versionFeed = StartFeed(
     dialect::kVersionKind,
     kVersionFeedTiming,
-    { forEach([this](const SiteObject& aObject) { OnListedVersion(aObject); }),
-      [this](const SiteObject& aObject) {
-        OnVersion(aObject, milliseconds(0));
-      },
+    { forEach([this](const SiteObject& aObject) { OnVersion(aObject); }),
+      [this](const SiteObject& aObject) { OnVersion(aObject); },
       [] {} },
     m_readsStore);
   m_gatewayFeed =
@@ -248,6 +246,7 @@
     UpdateNotices();
     UpdateConfigSources();
     m_configServer.Tick();
+    LogDueVersions();
     m_placer.SetPeers(m_peers.ServingInRegion(now) + 1,
                       kTickInterval * TicksPerLoadReport());
     const bool includeVersions = m_ticks % kTicksPerSecond < kTicksPerHeartbeat;
@@ -304,18 +303,6 @@
   return known ? BootTime() - *known : milliseconds(-1);
 }
 
-void
-Gateway::SetVersions(RequestShape& aShape) const
-{
-  const milliseconds now = BootTime();
-  const milliseconds within =
-    m_settings.m_gateway.m_versionWithin - kVersionMargin;
-  aShape.m_minVersion = m_named.NewestOlderThan(aShape.m_model, within, now);
-  aShape.m_nextVersion = m_named.NextAfter(aShape.m_model, aShape.m_minVersion);
-  aShape.m_nextDueIn =
-    within - (now - m_named.NamedAt(aShape.m_model, aShape.m_nextVersion));
-}
-
 PartDecision
 Gateway::DecideParts(const std::vector<PromptPart>& aParts) const
 {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -76,6 +76,9 @@
   bool ConfigIsSuperseded() const;
   // Sets the versions of weights that the request may run on.
   void SetVersions(RequestShape& aShape) const;
+  // The version that nothing must begin without any more, even what was sent
+  // before it was due; none for an unnamed model.
+  std::optional<std::uint64_t> OverdueVersion(const std::string& aModel) const;
   void Add(const std::shared_ptr<CallerExchange>& aExchange);
   void Remove(const std::shared_ptr<CallerExchange>& aExchange);
   // Logs one line about a request, subject to a rate limit.
@@ -118,12 +121,13 @@
   // Applies a list or changes that another gateway read.
   void ApplyRunnerDelta(const RunnerListDelta& aDelta,
                         const RunnerListMark& aMark);
-  // aAge: the known or assumed time since the version was named.
-  void OnVersion(const SiteObject& aObject, std::chrono::milliseconds aAge);
-  // A version found in a list, which doesn't say when it was named.
-  void OnListedVersion(const SiteObject& aObject);
+  void OnVersion(const SiteObject& aObject);
   void MergeNamedVersions(
     const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
+  // The age at which requests have to run on a version or a newer one.
+  std::chrono::milliseconds DueAge() const;
+  // Logs which versions have become due, and how many runners hold them.
+  void LogDueVersions();
   void OnGateway(const SiteObject& aObject);
   void OnGateways(const std::vector<SiteObject>& aObjects);
   // Reads the registered gateways until all that had registered before this one
@@ -194,6 +198,7 @@
   // Boot time up to which CheckForRunnerOutage was told that they are known.
   std::optional<std::chrono::milliseconds> m_runnersKnownUntil;
   NamedVersions m_named;
+  std::map<std::string, std::uint64_t> m_dueVersions; // logged, by model
   ConfigServer m_configServer{ m_runnerList, m_named };
   std::shared_ptr<ConfigFollower> m_configFollower;
   ConfigLag m_configLag;
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -13,9 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRegisterRetryDelay{ 700 };
-// Assumed age of a version found in a list, until another process reports when
-// it was named.
-constexpr milliseconds kAssumedAge{ 3000 };
+// A version that is found when the process starts counts as due this long after
+// the start, until another process reports when it was named.
+constexpr milliseconds kDueAfterStart{ 3000 };
 constexpr milliseconds kGatewayDiscoveryTime{ 1000 };
 // Runners expire from the list after three heartbeats of 1.2 s, so in an outage
 // of the store that is shorter none does.
@@ -126,42 +126,106 @@
 }
 
 void
-Gateway::OnVersion(const SiteObject& aObject, milliseconds aAge)
+Gateway::OnVersion(const SiteObject& aObject)
 {
   const auto named = ReadNamedVersion(aObject);
-  if (named &&
-      m_named.Record(named->m_model, named->m_version, BootTime() - aAge)) {
-    Log(LogLevel::Info,
-        "weights named",
-        { { "model", named->m_model },
-          { "version", named->m_version },
-          { "assumed_age_ms", aAge.count() } });
-    // Only one gateway of a region reads the store.
-    Advertise(true);
-    SendToStagers();
+  if (!named) {
+    return;
+  }
+  const milliseconds now = BootTime();
+  const auto unseen = m_versionFeed->UnseenFor();
+  const milliseconds uptime =
+    std::chrono::duration_cast<milliseconds>(LoopNow() - m_startedAt);
+  const milliseconds age = unseen.value_or(
+    std::max(milliseconds(0),
+             DueAge() - std::max(milliseconds(0), kDueAfterStart - uptime)));
+  const bool isExact = unseen == milliseconds(0);
+  const bool isNewest =
+    isExact
+      ? m_named.Record(named->m_model, named->m_version, now)
+      : m_named.RecordAssumed(named->m_model, named->m_version, now - age);
+  if (!isNewest) {
+    return;
   }
+  Log(LogLevel::Info,
+      "weights named",
+      { { "model", named->m_model },
+        { "version", named->m_version },
+        { "age_ms", age.count() },
+        { "assumed", !isExact } });
+  // Only one gateway of a region reads the store.
+  Advertise(true);
+  SendToStagers();
 }
 
 void
-Gateway::OnListedVersion(const SiteObject& aObject)
+Gateway::MergeNamedVersions(
+  const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
 {
-  const auto named = ReadNamedVersion(aObject);
-  const bool isKnown =
-    named &&
-    m_named.NamedAt(named->m_model, named->m_version) != milliseconds(0);
-  if (!isKnown) {
-    OnVersion(aObject, kAssumedAge);
+  for (const v1::NamedAge& named : aNamed) {
+    if (RecordNamedAge(m_named, named, BootTime())) {
+      Log(LogLevel::Info,
+          "weights named",
+          { { "model", named.model() },
+            { "version", named.version() },
+            { "age_ms", named.age_ms() },
+            { "assumed", named.assumed() },
+            { "source", "peer" } });
+    }
   }
 }
 
+milliseconds
+Gateway::DueAge() const
+{
+  // Runners with old weights get no new requests this long before the bound.
+  constexpr milliseconds kVersionMargin{ 1000 };
+  return m_settings.m_gateway.m_versionWithin - kVersionMargin;
+}
+
 void
-Gateway::MergeNamedVersions(
-  const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
+Gateway::SetVersions(RequestShape& aShape) const
 {
-  for (const v1::NamedAge& named : aNamed) {
-    m_named.Record(named.model(),
-                   named.version(),
-                   BootTime() - milliseconds(named.age_ms()));
+  const milliseconds now = BootTime();
+  aShape.m_minVersion = m_named.NewestOlderThan(aShape.m_model, DueAge(), now);
+  const auto next =
+    m_named.NextAfter(aShape.m_model, aShape.m_minVersion.value_or(0));
+  aShape.m_nextVersion = next ? std::optional(next->m_version) : std::nullopt;
+  aShape.m_nextDueIn =
+    next ? DueAge() - (now - next->m_namedAt) : milliseconds(0);
+}
+
+std::optional<std::uint64_t>
+Gateway::OverdueVersion(const std::string& aModel) const
+{
+  // In which a runner notices that its caller has closed the connection.
+  constexpr milliseconds kCancelMargin{ 350 };
+  return m_named.NewestOlderThan(
+    aModel, m_settings.m_gateway.m_versionWithin - kCancelMargin, BootTime());
+}
+
+void
+Gateway::LogDueVersions()
+{
+  for (const std::string& model : m_named.Models()) {
+    const auto due = m_named.NewestOlderThan(model, DueAge(), BootTime());
+    if (!due || m_dueVersions[model] == *due) {
+      continue;
+    }
+    m_dueVersions[model] = *due;
+    std::size_t current = 0;
+    std::size_t outdated = 0;
+    for (const auto& [id, state] : m_runners.All()) {
+      if (state.m_record.m_versions.count(model) > 0) {
+        ++(state.VersionOf(model) >= *due ? current : outdated);
+      }
+    }
+    Log(LogLevel::Info,
+        "weights due",
+        { { "model", model },
+          { "version", *due },
+          { "runners_current", current },
+          { "runners_outdated", outdated } });
   }
 }
 
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// Of one model, newest first. A process that learns only of the newest would
-// use weights older than the one before until the newest is due.
-constexpr std::size_t kMaxAdvertisedVersions = 4;
+// Of one model.
+constexpr std::size_t kMaxAdvertisedVersions = 16;
 
 using Udp = boost::asio::ip::udp;
 
@@ -26,20 +25,38 @@
                 std::chrono::milliseconds aBootTime,
                 google::protobuf::RepeatedPtrField<v1::NamedAge>& aTo)
 {
-  for (const auto& [model, times] : aNamed.All()) {
-    std::size_t count = 0;
-    for (auto entry = times.rbegin();
-         entry != times.rend() && count < kMaxAdvertisedVersions;
-         ++entry, ++count) {
-      v1::NamedAge& named = *aTo.Add();
-      named.set_model(model);
-      named.set_version(entry->first);
-      named.set_age_ms(
-        static_cast<std::uint32_t>((aBootTime - entry->second).count()));
+  const auto append = [&](const std::string& aModel,
+                          const NamedVersions::Entry& aEntry,
+                          bool aAssumed) {
+    v1::NamedAge& named = *aTo.Add();
+    named.set_model(aModel);
+    named.set_version(aEntry.m_version);
+    named.set_age_ms(
+      static_cast<std::uint32_t>((aBootTime - aEntry.m_namedAt).count()));
+    named.set_assumed(aAssumed);
+  };
+  for (const std::string& model : aNamed.Models()) {
+    for (const NamedVersions::Entry& entry :
+         aNamed.Summary(model, kMaxAdvertisedVersions)) {
+      append(model, entry, false);
+    }
+    if (const auto assumed = aNamed.Assumed(model)) {
+      append(model, *assumed, true);
     }
   }
 }
 
+bool
+RecordNamedAge(NamedVersions& aNamed,
+               const v1::NamedAge& aAge,
+               std::chrono::milliseconds aBootTime)
+{
+  const std::chrono::milliseconds at =
+    aBootTime - std::chrono::milliseconds(aAge.age_ms());
+  return aAge.assumed() ? aNamed.RecordAssumed(aAge.model(), aAge.version(), at)
+                        : aNamed.Record(aAge.model(), aAge.version(), at);
+}
+
 DatagramSocket::DatagramSocket(Loop& aLoop,
                                const Address& aAddress,
                                Receiver aReceiver)
--- a/src/net/datagrams_p.h
+++ b/src/net/datagrams_p.h
@@ -14,12 +14,20 @@
 
 namespace siskindeal {
 
-// Adds the newest versions named for each model, with their ages.
+// Adds the versions named for each model that still decide something, with
+// their ages.
 void
 AppendNamedAges(const NamedVersions& aNamed,
                 std::chrono::milliseconds aBootTime,
                 google::protobuf::RepeatedPtrField<v1::NamedAge>& aTo);
 
+// Records one version that another process reported. Returns true if it is
+// newer than all known.
+bool
+RecordNamedAge(NamedVersions& aNamed,
+               const v1::NamedAge& aAge,
+               std::chrono::milliseconds aBootTime);
+
 class DatagramSocket
 {
 public:
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -20,7 +20,6 @@
 constexpr std::uint64_t kMaxBodyBytes = 256ULL << 20;
 // Of informational responses and those to earlier calls.
 constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
-constexpr milliseconds kPeerSilenceTimeout{ 3000 };
 // Share of the upstream's keep-alive timeout for which an idle connection is
 // reused, so that a call does not race with the upstream's close.
 constexpr double kIdleShare = 0.6;
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -14,6 +14,9 @@
 
 namespace siskindeal {
 
+// A peer that acknowledges nothing for this long is taken for unreachable.
+inline constexpr std::chrono::milliseconds kPeerSilenceTimeout{ 3000 };
+
 template<bool isRequest>
 class MessageParser;
 
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds kRecoveryWait{ 200 };
 // Responses that take longer than this, without the wait, are logged.
 constexpr milliseconds kSlowResponse{ 500 };
+// What is reported after an interruption was in the store for no longer than
+// this, as other processes pass on what they learn meanwhile.
+constexpr milliseconds kMaxUnseen{ 3000 };
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
 
@@ -82,6 +85,7 @@
     return;
   }
   m_active = aActive;
+  RecordInterruption();
   if (!m_active) {
     m_timer.cancel();
   } else if (!m_calling) {
@@ -105,6 +109,30 @@
   RecordKnown(aRevision, aKnownUntil);
 }
 
+void
+ObjectFeed::RecordInterruption()
+{
+  if (m_respondedAt && !m_interruptedAt) {
+    // A connection that has gone silent is noticed only after some time.
+    m_interruptedAt =
+      std::max(*m_respondedAt, BootTime() - kPeerSilenceTimeout);
+  }
+}
+
+void
+ObjectFeed::RecordResponse()
+{
+  const milliseconds now = BootTime();
+  if (!m_respondedAt) {
+    m_unseenFor.reset();
+  } else {
+    m_unseenFor = m_interruptedAt ? std::min(kMaxUnseen, now - *m_interruptedAt)
+                                  : milliseconds(0);
+  }
+  m_interruptedAt.reset();
+  m_respondedAt = now;
+}
+
 void
 ObjectFeed::List(const std::string& aAfter)
 {
@@ -203,6 +231,7 @@
   }
   m_failures = 0;
   m_haveList = true;
+  RecordResponse();
   m_knownUntil = std::max(m_knownUntil.value_or(aSentAt), aSentAt);
   m_reason = "after list";
   m_events.m_onList(m_listed);
@@ -239,6 +268,7 @@
         "store history unavailable; listing again",
         { { "kind", m_kind } });
     m_haveList = false;
+    RecordInterruption();
     m_reason = "history gone";
     return List({});
   }
@@ -255,6 +285,7 @@
   }
   const milliseconds wait = WatchWait();
   m_failures = 0;
+  RecordResponse();
   m_lastHadChanges = !changes.m_objects.empty();
   m_revision = std::max(m_revision, changes.m_revision);
   // A watch that times out without changes proves that there were none while it
@@ -277,6 +308,7 @@
 ObjectFeed::OnFailure(const std::string& aReason, std::size_t aReceived)
 {
   ++m_failures;
+  RecordInterruption();
   m_reason = "failure";
   if (std::has_single_bit(m_failures)) { // the first, second, fourth and so on
     Log(LogLevel::Warning,
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -60,6 +60,13 @@
   {
     return m_knownUntil;
   }
+  // The longest time for which what is being reported may have been in the
+  // store unnoticed. Zero after a watch that was never interrupted, none if
+  // nothing was known before.
+  std::optional<std::chrono::milliseconds> UnseenFor() const
+  {
+    return m_unseenFor;
+  }
   // All changes up to this revision of the store are known.
   std::uint64_t Revision() const { return m_revision; }
   std::uint64_t Calls() const { return m_calls; }
@@ -81,6 +88,10 @@
   void ScheduleNext(std::chrono::milliseconds aDelay);
   // aReceived: the bytes of the response's body that arrived.
   void OnFailure(const std::string& aReason, std::size_t aReceived);
+  // Records that changes may have gone unnoticed.
+  void RecordInterruption();
+  // Records that a response with all changes has arrived.
+  void RecordResponse();
   void LogSlowResponse(const BufferedResponse& aAnswer,
                        std::chrono::milliseconds aSentAt) const;
 
@@ -96,6 +107,11 @@
   std::uint64_t m_revision = 0;
   std::uint64_t m_basis = 0; // changes when revisions are of another list
   std::optional<std::chrono::milliseconds> m_knownUntil;
+  // Boot time until which changes would have been noticed, while they may not
+  // be any more.
+  std::optional<std::chrono::milliseconds> m_interruptedAt;
+  std::optional<std::chrono::milliseconds> m_respondedAt; // boot time
+  std::optional<std::chrono::milliseconds> m_unseenFor;
   std::uint32_t m_failures = 0;
   std::string_view m_reason = "start"; // of the next call
   std::uint64_t m_calls = 0;
--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -16,13 +16,6 @@
 constexpr milliseconds kNonRepeatableDrain{ 2500 };
 constexpr milliseconds kDeadlineMargin{ 1000 }; // before the version is due
 constexpr milliseconds kLoadTimeout{ 2500 };    // then the load is retried
-// If a version was named kMinNamedGap before the next one, the fleet has most
-// of its pieces. The next one's fetch is still in time if it starts
-// kMaxNewerDelay late, or later if kMostlyHeldFraction of the pieces are here.
-constexpr milliseconds kMinNamedGap{ 1500 };
-constexpr milliseconds kMaxNewerDelay{ 2200 };
-constexpr double kMostlyHeldFraction = 0.75;
-constexpr milliseconds kMaxNewerDelayMostlyHeld{ 3500 };
 constexpr milliseconds kPeerTimeout{ 3500 };
 constexpr std::size_t kMaxLoggedBodyBytes = 200;
 
@@ -81,7 +74,9 @@
 milliseconds
 Stager::SinceNamed(std::uint64_t aVersion) const
 {
-  return BootTime() - m_named.NamedAt(m_model, aVersion);
+  // An unnamed version isn't due.
+  const auto namedAt = m_named.NamedAt(m_model, aVersion);
+  return namedAt ? BootTime() - *namedAt : milliseconds(0);
 }
 
 double
@@ -95,21 +90,15 @@
          static_cast<double>(held.size());
 }
 
-// True if m_target should be fetched completely before a newer version is
-// started: its pieces are being fetched, it was named at least kMinNamedGap
-// before the newer one, and that one can still be fetched in time.
-bool
-Stager::ShouldFinishTargetFirst(std::uint64_t aNewest) const
+FetchProgress
+Stager::Progress() const
 {
-  const milliseconds newestAge = SinceNamed(aNewest);
-  const milliseconds namedGap = SinceNamed(m_target) - newestAge;
-  return m_fetchStage != FetchStage::Resting &&
-         m_fetchStage != FetchStage::Listing && LoadedVersion() < m_target &&
-         m_named.NamedAt(m_model, m_target).count() > 0 &&
-         namedGap >= kMinNamedGap &&
-         newestAge < (HeldFraction() >= kMostlyHeldFraction
-                        ? kMaxNewerDelayMostlyHeld
-                        : kMaxNewerDelay);
+  const std::uint64_t loading = m_load ? m_load->m_pieces.m_version : 0;
+  return { m_target,
+           m_fetchStage != FetchStage::Resting &&
+             m_fetchStage != FetchStage::Listing,
+           HeldFraction(),
+           std::max(LoadedVersion(), loading) };
 }
 
 void
@@ -134,9 +123,11 @@
 void
 Stager::StepFetch()
 {
-  const std::uint64_t newest = m_named.Newest(m_model);
-  if (newest > m_target && !ShouldFinishTargetFirst(newest)) {
-    m_target = newest;
+  const auto newest = m_named.Newest(m_model);
+  if (newest && *newest > m_target &&
+      !ShouldFinishTargetFirst(
+        Progress(), m_named, m_model, *newest, BootTime())) {
+    m_target = *newest;
     BeginVersion();
     return;
   }
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -8,6 +8,7 @@
 #include "net/http_server_p.h"
 #include "site/object_feed_p.h"
 #include "stager/fetch_plan_p.h"
+#include "stager/fetch_target_p.h"
 #include "stager/load_turn_p.h"
 #include "weights/link_shaper_p.h"
 
@@ -90,14 +91,11 @@
   void OnVersion(const SiteObject& aObject);
   // Watches the store for named versions while no gateway reports them.
   void UpdateVersionFeed();
-  // Records that a version was named aAge ago, as reported by the store or by
-  // another process.
-  void RecordNamed(const std::string& aModel,
-                   std::uint64_t aVersion,
-                   std::chrono::milliseconds aAge);
+  void OnNewestVersion(const std::string& aModel, std::uint64_t aVersion);
+  // Records versions that another process reported.
   void RecordNamed(
     const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
-  bool ShouldFinishTargetFirst(std::uint64_t aNewest) const;
+  FetchProgress Progress() const;
   double HeldFraction() const;
   std::chrono::milliseconds SinceNamed(std::uint64_t aVersion) const;
   // Reads the configuration unless it was read recently. With many routes it is
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -45,8 +45,20 @@
 void
 Stager::OnVersion(const SiteObject& aObject)
 {
-  if (const auto named = ReadNamedVersion(aObject)) {
-    RecordNamed(named->m_model, named->m_version, milliseconds(0));
+  const auto named = ReadNamedVersion(aObject);
+  if (!named) {
+    return;
+  }
+  const milliseconds now = BootTime();
+  const auto unseen = m_versionFeed->UnseenFor();
+  const bool isNewest =
+    unseen == milliseconds(0)
+      ? m_named.Record(named->m_model, named->m_version, now)
+      : m_named.RecordAssumed(named->m_model,
+                              named->m_version,
+                              now - unseen.value_or(milliseconds(0)));
+  if (isNewest) {
+    OnNewestVersion(named->m_model, named->m_version);
   }
 }
 
@@ -65,18 +77,15 @@
 }
 
 void
-Stager::RecordNamed(const std::string& aModel,
-                    std::uint64_t aVersion,
-                    milliseconds aAge)
+Stager::OnNewestVersion(const std::string& aModel, std::uint64_t aVersion)
 {
-  if (!m_named.Record(aModel, aVersion, BootTime() - aAge)) {
-    return;
-  }
+  const auto namedAt = m_named.NamedAt(aModel, aVersion);
   Log(LogLevel::Info,
       "weights named",
       { { "model", aModel },
         { "version", aVersion },
-        { "age_ms", aAge.count() } });
+        { "age_ms", namedAt ? (BootTime() - *namedAt).count() : 0 },
+        { "assumed", m_named.Assumed(aModel).has_value() } });
   ReadPeers();
 }
 
@@ -86,7 +95,9 @@
   const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
 {
   for (const v1::NamedAge& named : aNamed) {
-    RecordNamed(named.model(), named.version(), milliseconds(named.age_ms()));
+    if (RecordNamedAge(m_named, named, BootTime())) {
+      OnNewestVersion(named.model(), named.version());
+    }
   }
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1,7 +1,6 @@
 // Tests a gateway's runner table, request placement, version tracking and retry
 // budget.
 
-#include "dispatch/named_versions_p.h"
 #include "dispatch/placement_p.h"
 #include "dispatch/retry_budget_p.h"
 
@@ -293,8 +292,8 @@
 {
   const char* m_name;
   std::uint64_t m_heldVersion;
-  std::uint64_t m_minVersion;
-  std::uint64_t m_nextVersion;
+  std::optional<std::uint64_t> m_minVersion;
+  std::optional<std::uint64_t> m_nextVersion;
   int m_nextDueInMs;
   bool m_placed;
 };
@@ -302,12 +301,12 @@
 TEST(Placement, RequiresTheVersionThatIsDue)
 {
   const VersionCase cases[] = {
-    { "no version named", 1, 0, 0, 0, true },
-    { "no weights", 0, 0, 0, 0, false },
-    { "held version is older than required", 1, 2, 0, 0, false },
-    { "held version is newer than required", 3, 2, 0, 0, true },
-    { "next version is due during the wait", 1, 0, 2, 50, false },
-    { "next version is due after the wait", 1, 0, 2, 3000, true },
+    { "no version named", 1, {}, {}, 0, true },
+    { "no weights", 0, {}, {}, 0, false },
+    { "held version is older than required", 1, 2, {}, 0, false },
+    { "held version is newer than required", 3, 2, {}, 0, true },
+    { "next version is due during the wait", 1, {}, 2, 50, false },
+    { "next version is due after the wait", 1, {}, 2, 3000, true },
   };
   for (const VersionCase& versions : cases) {
     SCOPED_TRACE(versions.m_name);
@@ -326,30 +325,6 @@
   }
 }
 
-TEST(NamedVersions, EachVersionIsDueFromTheTimeItWasNamed)
-{
-  NamedVersions named;
-  EXPECT_TRUE(named.Record(kModel, 2, milliseconds(1000)));
-  EXPECT_TRUE(named.Record(kModel, 3, milliseconds(3000)));
-  EXPECT_FALSE(named.Record(kModel, 3, milliseconds(3500)));
-  EXPECT_EQ(
-    named.NewestOlderThan(kModel, milliseconds(8000), milliseconds(8999)), 0U);
-  EXPECT_EQ(
-    named.NewestOlderThan(kModel, milliseconds(8000), milliseconds(9000)), 2U);
-  EXPECT_EQ(
-    named.NewestOlderThan(kModel, milliseconds(8000), milliseconds(11000)), 3U);
-  EXPECT_EQ(named.NextAfter(kModel, 2), 3U);
-  EXPECT_EQ(named.NextAfter(kModel, 3), 0U);
-}
-
-TEST(NamedVersions, KeepsTheEarliestReportedTime)
-{
-  NamedVersions named;
-  named.Record(kModel, 2, milliseconds(5000));
-  named.Record(kModel, 2, milliseconds(1000));
-  EXPECT_EQ(named.NamedAt(kModel, 2), milliseconds(1000));
-}
-
 // For any order of requests and retries and any distribution over gateways, the
 // total number of retries stays within the shared allowance.
 // A gateway that has just started doesn't know how many others share the slack.
--- a/tests/gateway_runs_test.cpp
+++ b/tests/gateway_runs_test.cpp
@@ -303,6 +303,25 @@
   EXPECT_EQ(expected, "3");
 }
 
+TEST_F(GatewayTest, VersionsNamedInARowDoNotLetOldWeightsRun)
+{
+  m_versionWithin = std::chrono::milliseconds(4500);
+  m_site.AddRunner(
+    "i-1",
+    "get",
+    [](const auto& aConnection) { Answer(aConnection); },
+    json{ { "models", { { { "name", "m" }, { "version", 1 } } } } });
+  StartAndAwaitReady();
+  const std::string request =
+    Request("GET", "/get/a", "X-Siskindeal-Model: m\r\n");
+  int version = 1;
+  EXPECT_TRUE(Eventually([&] {
+    m_site.Put("versions", "m", { { "model", "m" }, { "version", ++version } });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    return SendRequest(request).find(" 503 ") != std::string::npos;
+  }));
+}
+
 } // namespace
 
 } // namespace siskindeal
