A request that is placed by the next version names it to the runner

Before a version is due, a request that may still wait when it becomes due is placed at runners that hold it already, but was sent without an expected version. If the runner had restarted, or the report of its weights was wrong, it would begin on others, and nothing would notice.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -286,6 +286,8 @@
   m_latest->m_address = aRunner.m_record.m_address;
   m_latest->m_predicted = aPlacement.m_predicted;
   m_latest->m_loadBefore = aPlacement.m_load;
+  m_latest->m_heldVersion = aRunner.VersionOf(m_shape.m_model);
+  m_latest->m_requiredVersion = aPlacement.m_requiredVersion;
   m_latest->m_sentAt = m_latest->m_lastProgress = now;
   m_triedRunners.insert(m_latest->m_runner.m_id);
   m_gateway.Limits().RecordSend(m_latest->m_runner, now);
@@ -364,7 +366,7 @@
   if (m_lastEventId) {
     AppendField(head, dialect::kLastEventId, std::to_string(*m_lastEventId));
   }
-  if (m_shape.m_minVersion > 0) {
+  if (m_latest->m_requiredVersion) {
     // The runner rejects the request if it holds a different version by then.
     const std::uint64_t held = aRunner.VersionOf(m_shape.m_model);
     AppendField(head, dialect::kExpectVersion, std::to_string(held));
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace siskindeal {
@@ -20,6 +21,10 @@
   Address m_address;
   std::chrono::milliseconds m_predicted{ 0 }; // to the first byte
   RunnerLoad m_loadBefore; // of the runner when it was chosen
+  // Of the runner's weights when it was chosen; 0: it held none.
+  std::uint64_t m_heldVersion = 0;
+  // The oldest weights that the request may begin on; unset: any.
+  std::optional<std::uint64_t> m_requiredVersion;
   MonotonicTime m_sentAt{};
   MonotonicTime m_lastProgress{};
   bool m_promptCounted = false; // in the runner's load
--- a/tests/named_versions_test.cpp
+++ b/tests/named_versions_test.cpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/named_versions_p.h"
 
+#include "dispatch/placement_p.h"
 #include "net/datagrams_p.h"
 #include "siskindeal/random.h"
 
@@ -177,6 +178,33 @@
   }
 }
 
+TEST(Placement, RequestPlacedByTheNextVersionRequiresIt)
+{
+  RunnerRecord runner;
+  runner.m_id = "a";
+  runner.m_service = "chat";
+  runner.m_versions[kModel] = 2;
+  RunnerTable table;
+  const MonotonicTime now{ std::chrono::hours(1) };
+  table.Replace({ runner }, now);
+  Placer placer{ "here", {}, 7 };
+  RequestShape shape;
+  shape.m_service = "chat";
+  shape.m_model = kModel;
+  shape.m_target = milliseconds(400);
+  shape.m_timeLeft = milliseconds(4000);
+  shape.m_nextVersion = 2;
+  const auto required = [&](milliseconds aDueIn) {
+    shape.m_nextDueIn = aDueIn;
+    return std::get<Placement>(
+             placer.Place(
+               shape, {}, table, RunnerLimits(), RunnerNotices(), {}, now))
+      .m_requiredVersion;
+  };
+  EXPECT_EQ(required(milliseconds(10)), 2U);
+  EXPECT_EQ(required(milliseconds(3000)), std::nullopt);
+}
+
 } // namespace
 
 } // namespace siskindeal
