A request doesn't begin late on weights that became due while it waited

Up to 1 s before a version is due, requests are sent to runners with older weights without an expected version. One that waits there for longer, at a runner that is slow or falls silent for a moment, begins after the bound.

A runner that has loaded the version meanwhile keeps the request.

GatewayTest.RequestDoesNotBeginLateOnWeightsThatBecameDue failed before: 504 at the deadline, from the runner with the old weights.

--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -20,11 +20,46 @@
     OnDeadline("deadline exceeded");
     return;
   }
-  if (NeedsHedge(aNow)) {
+  WithdrawOutdated();
+  if (m_phase != Phase::Done && NeedsHedge(aNow)) {
     Hedge(aNow);
   }
 }
 
+void
+CallerExchange::WithdrawOutdated()
+{
+  if (m_shape.m_model.empty()) {
+    return;
+  }
+  const std::vector<RunnerAttemptPtr> attempts = m_openAttempts;
+  for (const RunnerAttemptPtr& attempt : attempts) {
+    if (!IsOpen(*attempt) || attempt->m_head.m_status != 0) {
+      continue;
+    }
+    const RunnerState* runner =
+      m_gateway.Runners().Find(attempt->m_runner.m_id);
+    const auto overdue = m_gateway.OverdueVersion(m_shape.m_model);
+    if (runner == nullptr || !overdue ||
+        runner->VersionOf(m_shape.m_model) >= *overdue) {
+      continue;
+    }
+    CountMetric("siskindeal_gateway_withdrawn_requests_total");
+    m_gateway.LogRequest(
+      LogLevel::Info,
+      "request withdrawn",
+      { { "id", m_id },
+        { "runner", attempt->m_runner.m_id },
+        { "weights_held", runner->VersionOf(m_shape.m_model) },
+        { "weights_due", *overdue },
+        { "sent_ms_ago",
+          std::chrono::duration_cast<milliseconds>(LoopNow() -
+                                                   attempt->m_sentAt)
+            .count() } });
+    AbandonAttempt(*attempt, "the runner's weights are due to be replaced");
+  }
+}
+
 void
 CallerExchange::Expire(std::string_view aReason)
 {
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -85,6 +85,9 @@
                        const std::string& aReason);
   bool MayRetry(CallFailure aFailure);
 
+  // Ends attempts that haven't begun to be answered at runners whose weights
+  // are about to be past the bound, since they would begin on those.
+  void WithdrawOutdated();
   // How long the runner may be silent before the request is hedged.
   std::chrono::milliseconds SilenceLimit(const RunnerAttempt& aAttempt) const;
   bool IsSilent(const RunnerAttempt& aAttempt, MonotonicTime aNow) const;
--- a/tests/gateway_runs_test.cpp
+++ b/tests/gateway_runs_test.cpp
@@ -322,6 +322,40 @@
   }));
 }
 
+TEST_F(GatewayTest, RequestDoesNotBeginLateOnWeightsThatBecameDue)
+{
+  m_versionWithin = std::chrono::milliseconds(1100);
+  std::vector<std::shared_ptr<ServerConnection>> silent;
+  const auto holds = [](int aVersion) {
+    return json{ { "models",
+                   { { { "name", "m" }, { "version", aVersion } } } } };
+  };
+  std::atomic<bool> received = false;
+  m_site.AddRunner(
+    "i-1",
+    "get",
+    [&](const auto& aConnection) {
+      silent.push_back(aConnection);
+      received = true;
+    },
+    holds(1));
+  StartAndAwaitReady();
+  std::string answer;
+  std::thread caller([&] {
+    answer = SendRequest(Request("GET", "/get/a", "X-Siskindeal-Model: m\r\n"));
+  });
+  EXPECT_TRUE(Eventually([&] { return received.load(); }));
+  m_site.AddRunner(
+    "i-2",
+    "get",
+    [](const auto& aConnection) { Answer(aConnection); },
+    holds(2));
+  EXPECT_TRUE(Eventually([&] { return RunnerCount() == 2; }));
+  m_site.Put("versions", "m", { { "model", "m" }, { "version", 2 } });
+  caller.join();
+  EXPECT_NE(answer.find(" 200 "), std::string::npos) << answer;
+}
+
 } // namespace
 
 } // namespace siskindeal
