Stagers go back to the former rule for versions named in a row

The origin serves the two newest versions only, so what is finished first is often withdrawn on the way.

The test of the changed rule stays as known red: versions that replace each other still keep the fleet from all of them until they end.

--- a/src/stager/fetch_target.cpp
+++ b/src/stager/fetch_target.cpp
@@ -26,20 +26,15 @@
                         milliseconds aNow)
 {
   const auto newestAt = aNamed.NamedAt(aModel, aNewest);
-  // Counted from the oldest version that the target would satisfy. Otherwise
-  // versions that are named one soon after the other would keep each other from
-  // ever being fetched completely.
-  const auto missing = aNamed.NextAfter(aModel, aProgress.m_coming);
-  if (!newestAt || !missing || !aProgress.m_hasPieceList ||
-      aProgress.m_isWithdrawn || aProgress.m_target <= aProgress.m_coming ||
-      missing->m_version > aProgress.m_target) {
+  const auto targetAt = aNamed.NamedAt(aModel, aProgress.m_target);
+  if (!newestAt || !targetAt || !aProgress.m_hasPieceList ||
+      aProgress.m_target <= aProgress.m_coming) {
     return false;
   }
   const milliseconds maxDelay = aProgress.m_heldFraction >= kMostlyHeldFraction
                                   ? kMaxNewerDelayMostlyHeld
                                   : kMaxNewerDelay;
-  return *newestAt - missing->m_namedAt >= kMinNamedGap &&
-         aNow - *newestAt < maxDelay;
+  return *newestAt - *targetAt >= kMinNamedGap && aNow - *newestAt < maxDelay;
 }
 
 } // namespace siskindeal
--- a/src/stager/fetch_target_p.h
+++ b/src/stager/fetch_target_p.h
@@ -16,8 +16,7 @@
 {
   std::uint64_t m_target = 0; // the version that is being fetched
   bool m_hasPieceList = false;
-  bool m_isWithdrawn = false; // the origin doesn't serve it any more
-  double m_heldFraction = 0;  // of its pieces
+  double m_heldFraction = 0; // of its pieces
   // The newest version that the runner holds or is loading; 0: none.
   std::uint64_t m_coming = 0;
 };
--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -21,7 +21,6 @@
 constexpr std::uint32_t kMaxCorruptPieces = 8;    // then the list is suspect
 constexpr milliseconds kPeerDiscoveryTime{ 250 }; // after start
 constexpr milliseconds kListHolderTimeout{ 1500 };
-constexpr int kGone = 410;
 
 } // namespace
 
@@ -33,7 +32,6 @@
   m_buffer.clear();
   m_imported.clear();
   m_corruptPieces = 0;
-  m_isWithdrawn = false;
   EnterFetchStage(FetchStage::Listing);
   ListPieces();
 }
@@ -323,8 +321,6 @@
           { "status", aAnswer.m_status },
           { "reason", aAnswer.m_failure } });
     m_plan->Finish(aFetch, false, LoopNow());
-    m_isWithdrawn =
-      m_isWithdrawn || (aFetch.m_from.empty() && aAnswer.m_status == kGone);
     if (aAnswer.m_status == 200 && ++m_corruptPieces >= kMaxCorruptPieces) {
       m_listSuspect = true;
       BeginVersion();
--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -97,7 +97,6 @@
   return { m_target,
            m_fetchStage != FetchStage::Resting &&
              m_fetchStage != FetchStage::Listing,
-           m_isWithdrawn,
            HeldFraction(),
            std::max(LoadedVersion(), loading) };
 }
@@ -210,10 +209,8 @@
   inputs.m_vm = m_settings.m_node.m_rpc.m_host;
   inputs.m_versionKey = VersionKey(version);
   inputs.m_empty = LoadedVersion() == 0;
-  const auto first = m_named.NextAfter(m_model, LoadedVersion());
   inputs.m_timeLeft =
-    m_settings.m_stager.m_versionWithin - kDeadlineMargin -
-    SinceNamed(first ? std::min(first->m_version, version) : version);
+    m_settings.m_stager.m_versionWithin - kDeadlineMargin - SinceNamed(version);
   for (const auto& [host, peer] : m_peers) {
     // Turns are decided per region, so that each keeps enough runners serving.
     if (peer.m_stager.m_region == m_region &&
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -204,7 +204,6 @@
   PieceList m_pieces;
   std::string m_listText;     // m_pieces as received, served to peers
   bool m_listSuspect = false; // too many pieces did not match
-  bool m_isWithdrawn = false; // the origin doesn't serve m_target any more
   std::unique_ptr<FetchPlan> m_plan;
   std::uint32_t m_corruptPieces = 0;
   MonotonicTime m_fetchStageAt{};
