What is assumed of a version never delays another one; a pause is noticed

An independent review of the fix found ways in which outdated weights would still run, or requests would be refused or cut for nothing:

- A report of a newer version erased the assumed time of an older one, so that the older one fell due up to 5 s late; a later assumption replaced an earlier one.
Each assumed version is now kept until that version is reported, with the earliest time.
- After a pause of the process, a watch's response that had waited counted as new.
The feed is told that the process runs and counts from the pause on; only a response to a request sent after it ends the doubt.
- A gateway that takes over reading after it had run for a while took any version for due at once.
It now counts as 3 s old.
- An attempt was withdrawn though its work may have begun (only streams show that by their first event), or though it named the version to its runner; its runner then counted as failed.
- Of the versions that come due while a request waits, only the next one counted.
- Raising the bound by SIGHUP could make the requirement laxer; ages of over 49 days wrapped round between processes.
Versions are kept for as long as the bound, so that summaries of many aren't folded needlessly.

--- a/src/dispatch/named_versions.cpp
+++ b/src/dispatch/named_versions.cpp
@@ -9,9 +9,9 @@
 
 using std::chrono::milliseconds;
 
-// Of one model. While they are named one after the other, folding counts each
-// as named at most about two of this many parts of the greatest age too early.
+// Of one model.
 constexpr std::size_t kMaxEntries = 64;
+constexpr std::size_t kMaxAssumed = 8;
 
 NamedVersions::Entries::iterator
 FirstNotOlder(NamedVersions::Entries& aEntries, std::uint64_t aVersion)
@@ -25,6 +25,18 @@
     });
 }
 
+// Adds a version, or keeps the earlier of its two times.
+void
+Put(NamedVersions::Entries& aEntries, std::uint64_t aVersion, milliseconds aAt)
+{
+  auto at = FirstNotOlder(aEntries, aVersion);
+  if (at == aEntries.end() || at->m_version != aVersion) {
+    aEntries.insert(at, { aVersion, aAt });
+  } else {
+    at->m_namedAt = std::min(at->m_namedAt, aAt);
+  }
+}
+
 } // namespace
 
 bool
@@ -33,24 +45,14 @@
                       milliseconds aAt)
 {
   const auto newest = Newest(aModel);
-  const auto assumed = m_assumed.find(aModel);
-  if (assumed != m_assumed.end() && assumed->second.m_version <= aVersion) {
-    m_assumed.erase(assumed);
+  if (const auto assumed = m_assumed.find(aModel); assumed != m_assumed.end()) {
+    std::erase_if(assumed->second, [&](const Entry& aEntry) {
+      return aEntry.m_version == aVersion;
+    });
   }
   Entries& entries = m_reported[aModel];
-  auto at = FirstNotOlder(entries, aVersion);
-  if (at != entries.end() && at->m_namedAt <= aAt) {
-    return false; // requires nothing that a version not older doesn't
-  }
-  if (at == entries.end() || at->m_version != aVersion) {
-    at = entries.insert(at, { aVersion, aAt });
-  }
-  at->m_namedAt = aAt;
-  const auto outdone =
-    std::find_if(entries.begin(), at, [&](const Entry& aEntry) {
-      return aEntry.m_namedAt >= aAt;
-    });
-  entries.erase(outdone, at);
+  Put(entries, aVersion, aAt);
+  RemoveOutdone(entries);
   // Only the newest of those that are past the greatest age still decides.
   const milliseconds latest = entries.back().m_namedAt;
   while (entries.size() > 1 && latest - entries[1].m_namedAt >= m_maxAge) {
@@ -66,11 +68,49 @@
                              milliseconds aAt)
 {
   const auto newest = Newest(aModel);
-  if (newest && aVersion <= *newest) {
-    return false;
+  const auto reported = m_reported.find(aModel);
+  if (reported != m_reported.end()) {
+    const auto found = FirstNotOlder(reported->second, aVersion);
+    const bool isReported =
+      found != reported->second.end() &&
+      (found->m_version == aVersion || found->m_namedAt <= aAt);
+    // Those before the oldest that is kept don't decide any more.
+    if (isReported || aVersion < reported->second.front().m_version) {
+      return false;
+    }
+  }
+  Entries& entries = m_assumed[aModel];
+  Put(entries, aVersion, aAt);
+  if (entries.size() > kMaxAssumed) {
+    entries[1].m_namedAt = std::min(entries[0].m_namedAt, entries[1].m_namedAt);
+    entries.erase(entries.begin());
+  }
+  return !newest || aVersion > *newest;
+}
+
+void
+NamedVersions::RaiseMaxAge(milliseconds aMaxAge)
+{
+  if (aMaxAge <= m_maxAge) {
+    return;
+  }
+  for (auto& [model, entries] : m_reported) {
+    entries.front().m_namedAt -= aMaxAge - m_maxAge;
+  }
+  m_maxAge = aMaxAge;
+}
+
+void
+NamedVersions::RemoveOutdone(Entries& aEntries)
+{
+  Entries kept;
+  for (auto entry = aEntries.rbegin(); entry != aEntries.rend(); ++entry) {
+    if (kept.empty() || entry->m_namedAt < kept.back().m_namedAt) {
+      kept.push_back(*entry);
+    }
   }
-  m_assumed[aModel] = { aVersion, aAt };
-  return true;
+  std::reverse(kept.begin(), kept.end());
+  aEntries = std::move(kept);
 }
 
 void
@@ -96,22 +136,18 @@
 {
   const auto reported = m_reported.find(aModel);
   Entries entries = reported == m_reported.end() ? Entries() : reported->second;
-  if (const auto assumed = Assumed(aModel)) {
-    // Older versions that were named since then require nothing more.
-    std::erase_if(entries, [&](const Entry& aEntry) {
-      return aEntry.m_namedAt >= assumed->m_namedAt;
-    });
-    entries.push_back(*assumed);
+  for (const Entry& assumed : Assumed(aModel)) {
+    Put(entries, assumed.m_version, assumed.m_namedAt);
   }
+  RemoveOutdone(entries);
   return entries;
 }
 
-std::optional<NamedVersions::Entry>
+NamedVersions::Entries
 NamedVersions::Assumed(const std::string& aModel) const
 {
   const auto assumed = m_assumed.find(aModel);
-  return assumed == m_assumed.end() ? std::nullopt
-                                    : std::optional(assumed->second);
+  return assumed == m_assumed.end() ? Entries() : assumed->second;
 }
 
 std::optional<std::uint64_t>
@@ -128,16 +164,21 @@
                                  : std::optional(found->m_version);
 }
 
+NamedVersions::Entries
+NamedVersions::After(const std::string& aModel, std::uint64_t aVersion) const
+{
+  Entries entries = All(aModel);
+  std::erase_if(
+    entries, [&](const Entry& aEntry) { return aEntry.m_version <= aVersion; });
+  return entries;
+}
+
 std::optional<NamedVersions::Entry>
 NamedVersions::NextAfter(const std::string& aModel,
                          std::uint64_t aVersion) const
 {
-  const Entries entries = All(aModel);
-  const auto next =
-    std::find_if(entries.begin(), entries.end(), [&](const Entry& aEntry) {
-      return aEntry.m_version > aVersion;
-    });
-  return next == entries.end() ? std::nullopt : std::optional(*next);
+  const Entries entries = After(aModel, aVersion);
+  return entries.empty() ? std::nullopt : std::optional(entries.front());
 }
 
 std::optional<std::uint64_t>
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -179,9 +179,13 @@
 std::optional<std::uint64_t>
 RequiredVersion(const RequestShape& aShape, Ms aWait)
 {
-  const bool nextIsDue =
-    aShape.m_nextVersion && aWait * kMaxWaitFactor > aShape.m_nextDueIn;
-  return nextIsDue ? aShape.m_nextVersion : aShape.m_minVersion;
+  std::optional<std::uint64_t> required = aShape.m_minVersion;
+  for (const UpcomingVersion& upcoming : aShape.m_upcoming) {
+    if (aWait * kMaxWaitFactor > upcoming.m_dueIn) {
+      required = std::max(required.value_or(0), upcoming.m_version);
+    }
+  }
+  return required;
 }
 
 // Whether the runner's weights are new enough for a request that starts after
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -15,6 +15,13 @@
 
 namespace siskindeal {
 
+// A newer version of weights that requests must run on once m_dueIn has passed.
+struct UpcomingVersion
+{
+  std::uint64_t m_version = 0;
+  std::chrono::milliseconds m_dueIn{ 0 };
+};
+
 // The properties of a request that placement depends on.
 struct RequestShape
 {
@@ -26,10 +33,9 @@
   bool m_isCallerRetry = false;              // retried by the caller
   bool m_alreadyStarted = false;             // resumed or sent before
   std::optional<std::uint64_t> m_minVersion; // of the weights; unset: any
-  // A newer version that requests must run on once m_nextDueIn has passed. A
-  // request that may still wait by then is not sent to older weights.
-  std::optional<std::uint64_t> m_nextVersion;
-  std::chrono::milliseconds m_nextDueIn{ 0 };
+  // A request that may still wait when one of them becomes due is not sent to
+  // older weights.
+  std::vector<UpcomingVersion> m_upcoming;
 };
 
 struct Placement
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -393,9 +393,10 @@
 void
 CallerExchange::OnAttemptFailed(RunnerAttempt& aAttempt,
                                 CallFailure aFailure,
-                                const std::string& aReason)
+                                const std::string& aReason,
+                                RunnerHealth aHealth)
 {
-  EndAttempt(aAttempt, RunnerHealth::Failed);
+  EndAttempt(aAttempt, aHealth);
   m_lastReason = aReason;
   if (aFailure == CallFailure::MayHaveRun) {
     m_mayHaveRun = true;
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -29,37 +29,56 @@
 void
 CallerExchange::WithdrawOutdated()
 {
-  if (m_shape.m_model.empty()) {
+  // Other responses may have begun long before their head arrives.
+  if (m_shape.m_model.empty() || m_openAttempts.empty() ||
+      m_route->m_retryClass != RetryClass::Streaming) {
+    return;
+  }
+  const auto overdue = m_gateway.OverdueVersion(m_shape.m_model);
+  if (!overdue) {
     return;
   }
   const std::vector<RunnerAttemptPtr> attempts = m_openAttempts;
   for (const RunnerAttemptPtr& attempt : attempts) {
-    if (!IsOpen(*attempt) || attempt->m_head.m_status != 0) {
-      continue;
-    }
-    const RunnerState* runner =
-      m_gateway.Runners().Find(attempt->m_runner.m_id);
-    const auto overdue = m_gateway.OverdueVersion(m_shape.m_model);
-    if (runner == nullptr || !overdue ||
-        runner->VersionOf(m_shape.m_model) >= *overdue) {
-      continue;
+    if (IsOpen(*attempt) && MayBeginOutdated(*attempt, *overdue)) {
+      Withdraw(*attempt, *overdue);
     }
-    CountMetric("siskindeal_gateway_withdrawn_requests_total");
-    m_gateway.LogRequest(
-      LogLevel::Info,
-      "request withdrawn",
-      { { "id", m_id },
-        { "runner", attempt->m_runner.m_id },
-        { "weights_held", runner->VersionOf(m_shape.m_model) },
-        { "weights_due", *overdue },
-        { "sent_ms_ago",
-          std::chrono::duration_cast<milliseconds>(LoopNow() -
-                                                   attempt->m_sentAt)
-            .count() } });
-    AbandonAttempt(*attempt, "the runner's weights are due to be replaced");
   }
 }
 
+bool
+CallerExchange::MayBeginOutdated(const RunnerAttempt& aAttempt,
+                                 std::uint64_t aOverdue) const
+{
+  const bool hasBegun = !aAttempt.m_promptCounted;
+  const bool isGuarded =
+    aAttempt.m_requiredVersion && aAttempt.m_heldVersion >= aOverdue;
+  const RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
+  return !hasBegun && !isGuarded && runner != nullptr &&
+         runner->VersionOf(m_shape.m_model) < aOverdue;
+}
+
+void
+CallerExchange::Withdraw(RunnerAttempt& aAttempt, std::uint64_t aOverdue)
+{
+  CountMetric("siskindeal_gateway_withdrawn_requests_total");
+  m_gateway.LogRequest(
+    LogLevel::Info,
+    "request withdrawn",
+    { { "id", m_id },
+      { "runner", aAttempt.m_runner.m_id },
+      { "weights_held", aAttempt.m_heldVersion },
+      { "weights_due", aOverdue },
+      { "sent_ms_ago",
+        std::chrono::duration_cast<milliseconds>(LoopNow() - aAttempt.m_sentAt)
+          .count() } });
+  aAttempt.m_connection->Abort();
+  OnAttemptFailed(aAttempt,
+                  CallFailure::MayHaveRun,
+                  "the runner's weights are due to be replaced",
+                  RunnerHealth::Unknown);
+}
+
 void
 CallerExchange::Expire(std::string_view aReason)
 {
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -79,15 +79,28 @@
   void OnStreamEnd(RunnerAttempt& aAttempt);
   // Closes an attempt's connection; the attempt failed.
   void AbandonAttempt(RunnerAttempt& aAttempt, const std::string& aReason);
+  // Health of a runner, as judged from the end of an attempt.
+  enum class RunnerHealth
+  {
+    Healthy,
+    Failed, // the runner is avoided for a backoff period
+    Unknown,
+  };
   // An attempt ended without a usable response.
   void OnAttemptFailed(RunnerAttempt& aAttempt,
                        CallFailure aFailure,
-                       const std::string& aReason);
+                       const std::string& aReason,
+                       RunnerHealth aHealth = RunnerHealth::Failed);
   bool MayRetry(CallFailure aFailure);
 
   // Ends attempts that haven't begun to be answered at runners whose weights
   // are about to be past the bound, since they would begin on those.
   void WithdrawOutdated();
+  // Whether an attempt that hasn't begun may begin on weights older than
+  // aOverdue.
+  bool MayBeginOutdated(const RunnerAttempt& aAttempt,
+                        std::uint64_t aOverdue) const;
+  void Withdraw(RunnerAttempt& aAttempt, std::uint64_t aOverdue);
   // How long the runner may be silent before the request is hedged.
   std::chrono::milliseconds SilenceLimit(const RunnerAttempt& aAttempt) const;
   bool IsSilent(const RunnerAttempt& aAttempt, MonotonicTime aNow) const;
@@ -96,13 +109,6 @@
   // Sends the request to a second runner. The silent attempts stay open.
   void Hedge(MonotonicTime aNow);
 
-  // Health of a runner, as judged from the end of an attempt.
-  enum class RunnerHealth
-  {
-    Healthy,
-    Failed, // the runner is avoided for a backoff period
-    Unknown,
-  };
   bool IsOpen(const RunnerAttempt& aAttempt) const;
   // Ends an attempt, whose connection is closed or released: removes its load
   // from its runner.
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -150,9 +150,14 @@
       { "prompt_tokens", m_shape.m_promptTokens },
       { "weights_held", reported ? reported->m_heldVersion : 0 },
       { "weights_required",
-        reported ? reported->m_requiredVersion.value_or(0) : 0 },
-      { "weights_next", m_shape.m_nextVersion.value_or(0) },
-      { "next_due_ms", m_shape.m_nextDueIn.count() },
+        reported ? reported->m_requiredVersion.value_or(0)
+                 : m_shape.m_minVersion.value_or(0) },
+      { "weights_next",
+        m_shape.m_upcoming.empty() ? 0 : m_shape.m_upcoming.front().m_version },
+      { "next_due_ms",
+        m_shape.m_upcoming.empty()
+          ? 0
+          : m_shape.m_upcoming.front().m_dueIn.count() },
       { "first_ms", m_firstEventLatency.count() },
       { "worst_gap_ms", m_maxEventGap.count() },
       { "ms", elapsed.count() * 1000 },
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,8 +84,7 @@
   , m_store(AddressOfUrl(aSettings.m_platform.m_url))
   , m_pool(std::make_shared<ConnectionPool>(m_loop))
   , m_random(StableHash(NewId()))
-  , m_named(std::max<milliseconds>(aSettings.m_gateway.m_versionWithin,
-                                   std::chrono::minutes(1)))
+  , m_named(aSettings.m_gateway.m_versionWithin)
   , m_placer(aSettings.m_node.m_place,
              aSettings.m_gateway.m_regions,
              StableHash(NewId()))
@@ -232,6 +231,7 @@
       "event loop delayed",
       { { "delay_ms", delay.count() }, { "exchanges", m_exchanges.size() } });
   }
+  m_versionFeed->RecordAlive();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
     exchange->Tick(now);
@@ -366,6 +366,7 @@
   try {
     const GatewaySettings settings = ReadGatewaySettings(m_settingsFile);
     m_settings.m_gateway = settings.m_gateway;
+    m_named.RaiseMaxAge(settings.m_gateway.m_versionWithin);
     m_retries.SetAllowance(AllowanceOf(settings.m_gateway));
     Log(LogLevel::Info, "settings reloaded");
   } catch (const SettingsError& error) {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -124,6 +124,9 @@
   void OnVersion(const SiteObject& aObject);
   void MergeNamedVersions(
     const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
+  // The age of a version that is found by a process that hasn't read the store
+  // before.
+  std::chrono::milliseconds AgeAtStart() const;
   // The age at which requests have to run on a version or a newer one.
   std::chrono::milliseconds DueAge() const;
   // Logs which versions have become due, and how many runners hold them.
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -16,6 +16,8 @@
 // A version that is found when the process starts counts as due this long after
 // the start, until another process reports when it was named.
 constexpr milliseconds kDueAfterStart{ 3000 };
+// Of a version found by a process that has just begun to read the store.
+constexpr milliseconds kMaxAssumedAge{ 3000 };
 constexpr milliseconds kGatewayDiscoveryTime{ 1000 };
 // Runners expire from the list after three heartbeats of 1.2 s, so in an outage
 // of the store that is shorter none does.
@@ -134,11 +136,7 @@
   }
   const milliseconds now = BootTime();
   const auto unseen = m_versionFeed->UnseenFor();
-  const milliseconds uptime =
-    std::chrono::duration_cast<milliseconds>(LoopNow() - m_startedAt);
-  const milliseconds age = unseen.value_or(
-    std::max(milliseconds(0),
-             DueAge() - std::max(milliseconds(0), kDueAfterStart - uptime)));
+  const milliseconds age = unseen.value_or(AgeAtStart());
   const bool isExact = unseen == milliseconds(0);
   const bool isNewest =
     isExact
@@ -158,6 +156,16 @@
   SendToStagers();
 }
 
+milliseconds
+Gateway::AgeAtStart() const
+{
+  const auto uptime =
+    std::chrono::duration_cast<milliseconds>(LoopNow() - m_startedAt);
+  // Others have told a process that has run for longer of what was named.
+  return uptime < kDueAfterStart ? DueAge() - (kDueAfterStart - uptime)
+                                 : kMaxAssumedAge;
+}
+
 void
 Gateway::MergeNamedVersions(
   const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
@@ -188,11 +196,12 @@
 {
   const milliseconds now = BootTime();
   aShape.m_minVersion = m_named.NewestOlderThan(aShape.m_model, DueAge(), now);
-  const auto next =
-    m_named.NextAfter(aShape.m_model, aShape.m_minVersion.value_or(0));
-  aShape.m_nextVersion = next ? std::optional(next->m_version) : std::nullopt;
-  aShape.m_nextDueIn =
-    next ? DueAge() - (now - next->m_namedAt) : milliseconds(0);
+  aShape.m_upcoming.clear();
+  for (const NamedVersions::Entry& entry :
+       m_named.After(aShape.m_model, aShape.m_minVersion.value_or(0))) {
+    aShape.m_upcoming.push_back(
+      { entry.m_version, DueAge() - (now - entry.m_namedAt) });
+  }
 }
 
 std::optional<std::uint64_t>
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
+
 namespace siskindeal {
 
 namespace {
@@ -31,8 +33,8 @@
     v1::NamedAge& named = *aTo.Add();
     named.set_model(aModel);
     named.set_version(aEntry.m_version);
-    named.set_age_ms(
-      static_cast<std::uint32_t>((aBootTime - aEntry.m_namedAt).count()));
+    named.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      (aBootTime - aEntry.m_namedAt).count(), 0, UINT32_MAX)));
     named.set_assumed(aAssumed);
   };
   for (const std::string& model : aNamed.Models()) {
@@ -40,8 +42,8 @@
          aNamed.Summary(model, kMaxAdvertisedVersions)) {
       append(model, entry, false);
     }
-    if (const auto assumed = aNamed.Assumed(model)) {
-      append(model, *assumed, true);
+    for (const NamedVersions::Entry& entry : aNamed.Assumed(model)) {
+      append(model, entry, true);
     }
   }
 }
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -26,6 +26,8 @@
 // What is reported after an interruption was in the store for no longer than
 // this, as other processes pass on what they learn meanwhile.
 constexpr milliseconds kMaxUnseen{ 3000 };
+// After a longer one, what had arrived before it may only be read now.
+constexpr milliseconds kMaxPause{ 300 };
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
 
@@ -112,24 +114,48 @@
 void
 ObjectFeed::RecordInterruption()
 {
-  if (m_respondedAt && !m_interruptedAt) {
+  if (!m_respondedAt) {
+    return;
+  }
+  const milliseconds now = BootTime();
+  if (!m_interruptedAt) {
     // A connection that has gone silent is noticed only after some time.
-    m_interruptedAt =
-      std::max(*m_respondedAt, BootTime() - kPeerSilenceTimeout);
+    m_interruptedAt = std::max(*m_respondedAt, now - kPeerSilenceTimeout);
   }
+  m_interruptionNoticedAt = now;
 }
 
 void
-ObjectFeed::RecordResponse()
+ObjectFeed::RecordAlive()
 {
   const milliseconds now = BootTime();
-  if (!m_respondedAt) {
-    m_unseenFor.reset();
-  } else {
-    m_unseenFor = m_interruptedAt ? std::min(kMaxUnseen, now - *m_interruptedAt)
-                                  : milliseconds(0);
+  if (m_respondedAt && m_aliveAt && now - *m_aliveAt > kMaxPause) {
+    m_pausedAt = std::min(m_pausedAt.value_or(*m_aliveAt), *m_aliveAt);
+    m_interruptionNoticedAt = now;
+  }
+  m_aliveAt = now;
+}
+
+void
+ObjectFeed::RecordResponse(milliseconds aSentAt)
+{
+  if (m_aliveAt) {
+    RecordAlive(); // nothing else may have run since a pause
+  }
+  const milliseconds now = BootTime();
+  m_unseenFor.reset();
+  if (m_respondedAt) {
+    const auto since = [&](const std::optional<milliseconds>& aTime) {
+      return aTime ? now - *aTime : milliseconds(0);
+    };
+    m_unseenFor =
+      std::max(std::min(kMaxUnseen, since(m_interruptedAt)), since(m_pausedAt));
+  }
+  // A response to an earlier request may have been waiting all the while.
+  if (aSentAt >= m_interruptionNoticedAt) {
+    m_interruptedAt.reset();
+    m_pausedAt.reset();
   }
-  m_interruptedAt.reset();
   m_respondedAt = now;
 }
 
@@ -231,7 +257,7 @@
   }
   m_failures = 0;
   m_haveList = true;
-  RecordResponse();
+  RecordResponse(aSentAt);
   m_knownUntil = std::max(m_knownUntil.value_or(aSentAt), aSentAt);
   m_reason = "after list";
   m_events.m_onList(m_listed);
@@ -285,7 +311,7 @@
   }
   const milliseconds wait = WatchWait();
   m_failures = 0;
-  RecordResponse();
+  RecordResponse(aSentAt);
   m_lastHadChanges = !changes.m_objects.empty();
   m_revision = std::max(m_revision, changes.m_revision);
   // A watch that times out without changes proves that there were none while it
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -50,6 +50,10 @@
   void RecordKnown(std::uint64_t aRevision,
                    std::chrono::milliseconds aKnownUntil);
 
+  // Records that the process is running. Called periodically, so that a pause
+  // of the process is noticed.
+  void RecordAlive();
+
   // Records, too, that the data now goes back to another process's list, whose
   // revisions say nothing about the former ones.
   void Continue(std::uint64_t aRevision, std::chrono::milliseconds aKnownUntil);
@@ -91,7 +95,7 @@
   // Records that changes may have gone unnoticed.
   void RecordInterruption();
   // Records that a response with all changes has arrived.
-  void RecordResponse();
+  void RecordResponse(std::chrono::milliseconds aSentAt);
   void LogSlowResponse(const BufferedResponse& aAnswer,
                        std::chrono::milliseconds aSentAt) const;
 
@@ -110,7 +114,11 @@
   // Boot time until which changes would have been noticed, while they may not
   // be any more.
   std::optional<std::chrono::milliseconds> m_interruptedAt;
+  // Boot time since which the process didn't run, so that responses waited.
+  std::optional<std::chrono::milliseconds> m_pausedAt;
+  std::chrono::milliseconds m_interruptionNoticedAt{ 0 }; // of either
   std::optional<std::chrono::milliseconds> m_respondedAt; // boot time
+  std::optional<std::chrono::milliseconds> m_aliveAt;     // boot time
   std::optional<std::chrono::milliseconds> m_unseenFor;
   std::uint32_t m_failures = 0;
   std::string_view m_reason = "start"; // of the next call
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -249,6 +249,7 @@
 {
   const MonotonicTime now = LoopNow();
   const bool idle = m_fetchStage == FetchStage::Resting && !m_load;
+  m_versionFeed->RecordAlive();
   if (m_model.empty() && now - m_configReadAt >= kConfigRetryInterval) {
     ReadConfig();
   }
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -16,6 +16,8 @@
 
 constexpr milliseconds kStoreTimeout{ 1500 };
 constexpr milliseconds kConfigMinAge{ 8000 }; // randomly up to twice as long
+// Of a version found by a process that hasn't read the store before.
+constexpr milliseconds kMaxAssumedAge{ 3000 };
 // Gateways tell a new stager of themselves once a second.
 constexpr milliseconds kGatewayDiscoveryTime{ 1500 };
 
@@ -56,7 +58,7 @@
       ? m_named.Record(named->m_model, named->m_version, now)
       : m_named.RecordAssumed(named->m_model,
                               named->m_version,
-                              now - unseen.value_or(milliseconds(0)));
+                              now - unseen.value_or(kMaxAssumedAge));
   if (isNewest) {
     OnNewestVersion(named->m_model, named->m_version);
   }
@@ -85,7 +87,7 @@
       { { "model", aModel },
         { "version", aVersion },
         { "age_ms", namedAt ? (BootTime() - *namedAt).count() : 0 },
-        { "assumed", m_named.Assumed(aModel).has_value() } });
+        { "assumed", !m_named.Assumed(aModel).empty() } });
   ReadPeers();
 }
 
