Test: a change found after an interruption isn't taken for new

How long a change may have been in the store unnoticed: unknown at the first list, nothing on a healthy watch, and at least the pause after a failed watch or a pause of the process.

--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -77,6 +79,72 @@
   EXPECT_EQ(waits[2], kWait);
 }
 
+// How long each change that is reported may have been in the store, where the
+// store or the process fails before it.
+std::vector<std::optional<milliseconds>>
+UnseenTimes(const std::function<void(RawSocket&)>& aPlay,
+            const std::function<void(ObjectFeed&)>& aBeforeChange)
+{
+  std::vector<std::optional<milliseconds>> unseen;
+  Loop loop{ 1 };
+  const RawServer store([&](RawSocket& aSocket, int aConnection) {
+    if (aConnection == 0) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(JsonResponse(
+        R"({"items":[{"metadata":{"name":"m"},"spec":{}}],"has_more":false,"at":5})"));
+      aPlay(aSocket);
+    }
+    aSocket.ReadUntil("\r\n\r\n");
+    aSocket.Send(JsonResponse(
+      R"({"events":[{"object":{"metadata":{"name":"m"},"spec":{}}}],"at":6})"));
+    aSocket.ReadUntil("\r\n\r\n");
+  });
+  std::shared_ptr<ObjectFeed> feed;
+  feed = std::make_shared<ObjectFeed>(
+    loop,
+    std::make_shared<ConnectionPool>(loop),
+    Address{ "127.0.0.1", store.Port() },
+    "versions",
+    FeedTiming{ kWait, milliseconds(1) },
+    FeedCallbacks{ [&](const auto&) {
+                    unseen.push_back(feed->UnseenFor());
+                    aBeforeChange(*feed);
+                  },
+                   [&](const auto&) {
+                     unseen.push_back(feed->UnseenFor());
+                     feed->Stop();
+                     loop.stop();
+                   },
+                   [] {} });
+  feed->Start();
+  loop.run();
+  return unseen;
+}
+
+TEST(ObjectFeed, ChangeAfterAnInterruptionIsNotTakenForNew)
+{
+  const auto nothing = [](ObjectFeed&) {};
+  const auto healthy = UnseenTimes([](RawSocket&) {}, nothing);
+  EXPECT_EQ(healthy,
+            (std::vector<std::optional<milliseconds>>{ std::nullopt,
+                                                       milliseconds(0) }));
+  const auto failed = UnseenTimes(
+    [](RawSocket& aSocket) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send("HTTP/1.1 503 Service Unavailable\r\n"
+                   "Content-Length: 0\r\n\r\n");
+    },
+    nothing);
+  EXPECT_GT(failed.at(1), milliseconds(0));
+  const auto paused =
+    UnseenTimes([](RawSocket&) {},
+                [](ObjectFeed& aFeed) {
+                  aFeed.RecordAlive();
+                  std::this_thread::sleep_for(milliseconds(400));
+                });
+  EXPECT_GE(paused.at(1), milliseconds(400));
+}
+
 TEST(ObjectFeed, ChangeThatALaterOneReplacesIsNotApplied)
 {
   struct Case
