A gateway's own pause isn't taken for an outage of the list of runners

A gateway that had been frozen for over 2 s took the gap in what it knew for an outage of the store, in which runners expire from the list, and kept removed runners until they could have come back.

The time for which the process didn't run no longer counts towards the gap. ListOutage.PauseOfTheProcessIsNotTakenForAnOutage states the cases; the rule before (any gap of over 2 s) fails those of a pause.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -232,6 +232,7 @@
       { { "delay_ms", delay.count() }, { "exchanges", m_exchanges.size() } });
   }
   m_versionFeed->RecordAlive();
+  m_runnerOutage.RecordAlive(BootTime());
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
     exchange->Tick(now);
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -2,6 +2,7 @@
 // The gateway process: accepts callers' requests and forwards each to a runner.
 // Single-threaded: everything runs on one event loop.
 
+#include "dispatch/list_outage_p.h"
 #include "dispatch/named_versions_p.h"
 #include "dispatch/placement_p.h"
 #include "dispatch/retry_budget_p.h"
@@ -198,8 +199,7 @@
   std::shared_ptr<const RouteIndex> m_routes; // null before the first config
   std::shared_ptr<const std::string> m_configSpec; // compressed; likewise
   RunnerList m_runnerList;                         // as in the store
-  // Boot time up to which CheckForRunnerOutage was told that they are known.
-  std::optional<std::chrono::milliseconds> m_runnersKnownUntil;
+  ListOutage m_runnerOutage;
   NamedVersions m_named;
   std::map<std::string, std::uint64_t> m_dueVersions; // logged, by model
   ConfigServer m_configServer{ m_runnerList, m_named };
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -19,9 +19,6 @@
 // Of a version found by a process that has just begun to read the store.
 constexpr milliseconds kMaxAssumedAge{ 3000 };
 constexpr milliseconds kGatewayDiscoveryTime{ 1000 };
-// Runners expire from the list after three heartbeats of 1.2 s, so in an outage
-// of the store that is shorter none does.
-constexpr milliseconds kMinOutage{ 2000 };
 constexpr int kOk = 200;
 
 } // namespace
@@ -56,11 +53,9 @@
 void
 Gateway::CheckForRunnerOutage(milliseconds aKnownUntil)
 {
-  if (m_runnersKnownUntil && aKnownUntil - *m_runnersKnownUntil > kMinOutage) {
+  if (m_runnerOutage.RecordKnown(aKnownUntil, BootTime())) {
     m_runners.RecordListFailure(LoopNow());
   }
-  m_runnersKnownUntil =
-    std::max(m_runnersKnownUntil.value_or(aKnownUntil), aKnownUntil);
 }
 
 void
