A response sent before a pause doesn't make the pause an outage again

After a pause the response of before it is read first. A pause now counts for the span that it covers, until what is known has passed its end.

ListOutage.ResponseReadFirstAfterAPauseIsNotTakenForAnOutage, with that order of responses, failed before.

--- a/src/dispatch/list_outage_p.h
+++ b/src/dispatch/list_outage_p.h
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
-#include <utility>
+#include <vector>
 
 namespace siskindeal {
 
@@ -19,7 +19,7 @@
   void RecordAlive(std::chrono::milliseconds aNow)
   {
     if (m_aliveAt && aNow - *m_aliveAt > kMaxPause) {
-      m_paused += aNow - *m_aliveAt;
+      m_pauses.push_back({ *m_aliveAt, aNow });
     }
     m_aliveAt = aNow;
   }
@@ -32,11 +32,25 @@
     RecordAlive(aNow); // nothing else may have run since a pause
     const std::chrono::milliseconds before = m_knownUntil.value_or(aKnownUntil);
     m_knownUntil = std::max(before, aKnownUntil);
-    const auto paused = std::exchange(m_paused, std::chrono::milliseconds(0));
-    return aKnownUntil - before - paused > kMinOutage;
+    std::chrono::milliseconds paused{ 0 };
+    for (const Pause& pause : m_pauses) {
+      paused += std::max(std::chrono::milliseconds(0),
+                         std::min(pause.m_to, *m_knownUntil) -
+                           std::max(pause.m_from, before));
+    }
+    std::erase_if(m_pauses, [&](const Pause& aPause) {
+      return aPause.m_to <= *m_knownUntil;
+    });
+    return *m_knownUntil - before - paused > kMinOutage;
   }
 
 private:
+  struct Pause
+  {
+    std::chrono::milliseconds m_from{ 0 };
+    std::chrono::milliseconds m_to{ 0 };
+  };
+
   // Runners expire from the list after three heartbeats of 1.2 s, so in an
   // outage of the store that is shorter none does.
   static constexpr std::chrono::milliseconds kMinOutage{ 2000 };
@@ -44,7 +58,7 @@
 
   std::optional<std::chrono::milliseconds> m_knownUntil;
   std::optional<std::chrono::milliseconds> m_aliveAt;
-  std::chrono::milliseconds m_paused{ 0 }; // since something was learned last
+  std::vector<Pause> m_pauses; // that ended after m_knownUntil
 };
 
 } // namespace siskindeal
--- a/tests/list_outage_test.cpp
+++ b/tests/list_outage_test.cpp
@@ -64,6 +64,8 @@
   EXPECT_FALSE(outage.RecordKnown(kStart, kStart));
   RunProcess(outage, kStart, kStart + milliseconds(400));
   const milliseconds woken = kStart + milliseconds(5000);
+  // It was sent before the pause; the next one is as of now.
+  EXPECT_FALSE(outage.RecordKnown(kStart + milliseconds(300), woken));
   EXPECT_FALSE(outage.RecordKnown(woken, woken));
 }
 
