Bytes without an end are bounded on both sides of a connection

The parser takes such a line, and a trailer, only whole, so that what it couldn't use yet was kept without a bound; the limits of heads and bodies don't count it.

Both the client's and the server's connections now end once more than a head and 64 KB wait for the parser; a caller gets 400.

HttpConnection.ResponseWithoutAnEndDoesNotGrowWithoutBound failed before (48 MB taken, all that the test sends), HttpServer.RequestWithoutAnEndIsRejected too (no answer for 10 s).

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -227,6 +227,9 @@
       return;
     }
     if (used == 0) {
+      if (m_in.size() > kMaxHeadBytes + kMaxUnparsedBytes) {
+        Fail("too many bytes without an end");
+      }
       return; // the parser needs more bytes
     }
   }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -147,6 +147,9 @@
       return Refuse(400, error.message());
     }
     if (used == 0) {
+      if (m_in.size() > m_listener.m_limits.m_headerBytes + kMaxUnparsedBytes) {
+        return Refuse(400, "too many bytes without an end");
+      }
       break;
     }
   }
--- a/src/net/message_parser_p.h
+++ b/src/net/message_parser_p.h
@@ -12,6 +12,10 @@
 
 namespace siskindeal {
 
+// Bytes that may arrive before the parser can use them, beyond a head: the line
+// with a chunk's size, or a trailer, which the parser takes only whole.
+inline constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
+
 template<bool isRequest>
 class MessageParser final : public boost::beast::http::basic_parser<isRequest>
 {
--- a/tests/http_connection_test.cpp
+++ b/tests/http_connection_test.cpp
@@ -2,10 +2,13 @@
 
 #include "net/http_connection_p.h"
 #include "net/http_server_p.h"
+#include "support/raw_socket.h"
 
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace siskindeal {
 
 namespace {
@@ -48,6 +51,82 @@
   connection->Abort();
 }
 
+constexpr std::size_t kEndlessBytes = 48 << 20; // what a test sends at most
+
+// Sends a part again and again; returns how many bytes the peer took before it
+// closed the connection.
+std::size_t
+SendWithoutEnd(RawSocket& aSocket, const std::string& aPart)
+{
+  std::size_t sent = 0;
+  while (sent < kEndlessBytes && aSocket.Send(aPart)) {
+    sent += aPart.size();
+  }
+  return sent;
+}
+
+const std::string kChunkedHead =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Plays a response that begins with aHead and goes on with aPart without an
+// end.
+std::size_t
+BytesTakenOf(const std::string& aHead, const std::string& aPart)
+{
+  Loop loop{ 1 };
+  std::size_t sent = 0;
+  {
+    const RawServer server([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(aHead);
+      sent = SendWithoutEnd(aSocket, aPart);
+    });
+    CallBuffered(loop,
+                 std::make_shared<ConnectionPool>(loop),
+                 { "127.0.0.1", server.Port() },
+                 "GET",
+                 "/a",
+                 {},
+                 std::chrono::seconds(20),
+                 [&](const BufferedResponse& aAnswer) {
+                   EXPECT_EQ(aAnswer.m_status, 0);
+                   loop.stop();
+                 });
+    loop.run();
+  }
+  return sent;
+}
+
+TEST(HttpConnection, ResponseWithoutAnEndDoesNotGrowWithoutBound)
+{
+  const std::string parts[] = { std::string(1 << 16, '0'),
+                                "1;" + std::string(1 << 16, 'x') };
+  const std::string heads[] = { "HTTP/1.1 200 OK\r\nX-Endless: ",
+                                kChunkedHead,
+                                kChunkedHead + "0\r\nX-Trailer: " };
+  for (const std::string& head : heads) {
+    for (const std::string& part : parts) {
+      SCOPED_TRACE(head + " ... " + part.substr(0, 2));
+      EXPECT_LT(BytesTakenOf(head, part), kEndlessBytes);
+    }
+  }
+}
+
+TEST(HttpServer, RequestWithoutAnEndIsRejected)
+{
+  Loop loop{ 1 };
+  HttpListener listener(loop, { "127.0.0.1", 0 }, [](const auto&) {});
+  listener.m_limits.m_headerTimeout = std::chrono::minutes(1);
+  std::thread thread([&] { loop.run(); });
+  RawSocket caller(listener.Port());
+  caller.Send("POST /a HTTP/1.1\r\nHost: x\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n" +
+              std::string(1 << 20, '0'));
+  EXPECT_NE(caller.ReadUntil("\r\n").find(" 400 "), std::string::npos);
+  loop.stop();
+  thread.join();
+}
+
 } // namespace
 
 } // namespace siskindeal
