Discard responses that nothing ties to the request in flight

Clients were told 503 for requests that a runner had run (REFUSED), or such a request ran at a second runner (TWICE).

Cause: a response without X-Siskindeal-Attempt-Id counted as the response to the request in flight, and a connection was taken from the pool without a look at what had arrived on it, so that bytes received before a request was written answered it; the request was then written all the same.

Change: on a connection that has carried a call, only a response with the request's id is its response; others are discarded and logged, and the connection isn't kept. On a new connection nothing else can have been answered, so a response without an id counts. Unread bytes are looked for when a connection leaves the pool and right before the request is written; the call then fails as not sent. A copy that arrives after that has the id of its own request, or none, so it decides nothing; if no other response comes, the request may have run.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -23,7 +23,7 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    if (MayKeep(*connection)) {
+    if (MayKeep(*connection) && !connection->HasUnreadInput()) {
       return connection;
     }
     connection->Abort();
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,12 +1,17 @@
 #include "net/http_connection_p.h"
 #include "net/message_parser_p.h"
+#include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
 
 #include <absl/strings/numbers.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <array>
+#include <cerrno>
 
 namespace siskindeal {
 
@@ -106,9 +111,22 @@
                          });
 }
 
+bool
+HttpConnection::HasUnreadInput()
+{
+  char byte = 0;
+  const auto received = ::recv(
+    m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void
 HttpConnection::Write()
 {
+  if (HasUnreadInput()) {
+    Fail("closed, or bytes received, before the request was sent");
+    return;
+  }
   m_writing = true;
   m_sentAny = true;
   const std::array<boost::asio::const_buffer, 2> buffers = {
@@ -151,6 +169,10 @@
     Close(); // closed by the peer, or bytes that belong to no call
     return;
   }
+  if (!m_sentAny) {
+    Fail("closed, or bytes received, before the request was sent");
+    return;
+  }
   if (!m_in.empty()) {
     Parse();
   }
@@ -245,13 +267,42 @@
     m_discardResponse = true;
     return;
   }
-  if (!m_call.m_echo.empty()) {
-    const std::string* echo = head.m_fields.Find(m_call.m_echoName);
-    m_discardResponse = echo != nullptr && *echo != m_call.m_echo;
-  }
-  if (!m_discardResponse) {
+  if (IsTied(head.m_fields)) {
     Emit(head);
+    return;
   }
+  m_discardResponse = true;
+  m_hasDiscarded = true;
+  LogDiscarded(head);
+}
+
+bool
+HttpConnection::IsTied(const HttpFields& aFields) const
+{
+  if (m_call.m_echoName.empty()) {
+    return true;
+  }
+  if (const std::string* echo = aFields.Find(m_call.m_echoName)) {
+    return *echo == m_call.m_echo;
+  }
+  return !m_hasCarriedCall || m_call.m_echo.empty();
+}
+
+void
+HttpConnection::LogDiscarded(const ResponseHead& aHead)
+{
+  const std::string* echo = aHead.m_fields.Find(m_call.m_echoName);
+  CountMetric("siskindeal_discarded_responses_total",
+              { { "id", echo == nullptr ? "none" : "other" } });
+  Log(LogLevel::Warning,
+      "response discarded",
+      { { "id", m_call.m_echo },
+        { "from", m_remote.address().to_string() },
+        { "port", m_remote.port() },
+        { "status", aHead.m_status },
+        { "response_id", echo == nullptr ? "" : *echo },
+        { "first_call", !m_hasCarriedCall },
+        { "writing", m_writing } });
 }
 
 void
@@ -264,10 +315,13 @@
     m_idleLimit = std::chrono::duration_cast<milliseconds>(*limit * kIdleShare);
   }
   // The connection is not reused if bytes are left over, which belong to no
-  // request, or if the request body is only partly written.
+  // request, if the request body is only partly written, or if the peer sent
+  // a response to another call.
   const bool keep = m_parser->keep_alive() && !m_parser->need_eof() &&
-                    m_in.empty() && !m_writing && m_idleLimit > milliseconds(0);
+                    m_in.empty() && !m_writing && !m_hasDiscarded &&
+                    m_idleLimit > milliseconds(0);
   m_inCall = false;
+  m_hasCarriedCall = true;
   m_paused = false;
   m_reusable = keep;
   m_idleSince = std::chrono::steady_clock::now();
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -23,7 +23,8 @@
   std::string m_head; // request line and fields, including the empty line
   std::string m_body;
   // A field that the response echoes. A response with another value belongs to
-  // an earlier call and is dropped. Empty: any response is accepted.
+  // an earlier call and is dropped, and so is one without the field on a
+  // connection that has carried a call. Empty name: any response is accepted.
   std::string_view m_echoName;
   std::string m_echo;
 };
@@ -83,6 +84,9 @@
   void PauseReading(bool aPaused);
 
   bool Reusable() const { return m_reusable; }
+  // Whether the peer has closed the connection or sent bytes that weren't read.
+  // Between two calls, such bytes are the response to none.
+  bool HasUnreadInput();
   MonotonicClockPoint IdleSince() const { return m_idleSince; }
   std::chrono::milliseconds IdleLimit() const { return m_idleLimit; }
 
@@ -96,6 +100,9 @@
   void Parse();
   void NewParser();
   void OnHead();
+  // Whether a response belongs to the present call.
+  bool IsTied(const HttpFields& aFields) const;
+  void LogDiscarded(const ResponseHead& aHead);
   void OnEnd();
   void Fail(std::string aReason);
   void Emit(const CallEvent& aEvent);
@@ -120,6 +127,8 @@
   bool m_paused = false;
   bool m_reusable = false;
   bool m_discardResponse = false; // informational, or of an earlier call
+  bool m_hasDiscarded = false;    // a final response
+  bool m_hasCarriedCall = false;  // before the present one
   std::size_t m_discardedBytes = 0;
   bool m_closed = false;
 };
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -1,13 +1,17 @@
 #include "support/raw_socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <system_error>
+#include <thread>
 #include <utility>
 
 namespace siskindeal {
@@ -97,6 +101,16 @@
   return true;
 }
 
+void
+RawSocket::AwaitAcknowledged()
+{
+  int unacknowledged = 0;
+  while (ioctl(m_socket, SIOCOUTQ, &unacknowledged) == 0 &&
+         unacknowledged > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 std::string
 RawSocket::ReadUntil(std::string_view aDelimiter)
 {
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -25,6 +25,8 @@
 
   // Returns false if the connection fails before all bytes are sent.
   bool Send(std::string_view aBytes);
+  // Waits until the peer's kernel has received all bytes that were sent.
+  void AwaitAcknowledged();
   // Reads until aDelimiter is received, the peer closes or the read times out.
   std::string ReadUntil(std::string_view aDelimiter);
   // Reads until the peer closes.
