Continue a stream only with the next events of a signed event stream

Cause: a runner's response was judged as a stream by its type and any 2xx, the signature was checked for the first runner only, what stood between two empty lines counted as an event, events without an id were forwarded from any run, and a resumed stream that ended without a new event counted as complete. A stream whose events have no ids was begun anew inside itself. The head to the caller had the first runner's Content-Length, while the body was the second's.

Change: a stream goes on only at a signed 200 text/event-stream without an encoding, with numbered events from its first one on. Each event's lines must be fields or comments. A stream without an id for each event isn't sent to a second runner, and a resumption without a new event has failed. Streams go to the caller in chunks; what can't go on ends without the last chunk.

--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -43,6 +43,19 @@
 {
   return aStatus / 100 == 5 || PromisesNotExecuted(aStatus);
 }
+
+// Whether a response's events may be forwarded as they arrive, and resumed.
+bool
+IsEventStream(const ResponseHead& aHead)
+{
+  constexpr int kOk = 200;
+  const std::string* type = aHead.m_fields.Find("content-type");
+  const std::string* encoding = aHead.m_fields.Find("content-encoding");
+  return aHead.m_status == kOk && type != nullptr &&
+         type->rfind("text/event-stream", 0) == 0 &&
+         (encoding == nullptr || *encoding == "identity");
+}
+
 } // namespace
 
 void
@@ -51,10 +64,15 @@
   aAttempt.m_head = aHead;
   aAttempt.m_lastProgress = LoopNow();
   ApplyResponseHead(aAttempt);
-  const std::string* type = aHead.m_fields.Find("content-type");
-  aAttempt.m_isEventStream = m_route->m_retryClass == RetryClass::Streaming &&
-                             IsSuccess(aHead.m_status) && type != nullptr &&
-                             type->rfind("text/event-stream", 0) == 0;
+  aAttempt.m_isEventStream =
+    m_route->m_retryClass == RetryClass::Streaming && IsEventStream(aHead);
+  const bool isSigned = aHead.m_fields.Find(dialect::kSignature) != nullptr;
+  if (m_phase == Phase::Streaming && IsSuccess(aHead.m_status) &&
+      !(aAttempt.m_isEventStream && isSigned)) {
+    AbandonAttempt(aAttempt,
+                   "stream resumption is not a signed event stream, status " +
+                     std::to_string(aHead.m_status));
+  }
 }
 
 void
@@ -115,6 +133,18 @@
 void
 CallerExchange::OnEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent)
 {
+  if (!aEvent.m_isWellFormed) {
+    AbandonAttempt(aAttempt, "bytes in the stream are no event");
+    return;
+  }
+  const bool isContinuation =
+    m_phase == Phase::Streaming && m_forwarded.get() != &aAttempt;
+  if (isContinuation && !aEvent.m_id) {
+    if (aEvent.m_hasFields) {
+      AbandonAttempt(aAttempt, "resumed stream has an event without an id");
+    }
+    return;
+  }
   // A resumed stream may repeat events; each is forwarded once.
   if (aEvent.m_id && m_lastEventId && *aEvent.m_id <= *m_lastEventId) {
     aAttempt.m_repeatedBytes += aEvent.m_bytes.size();
@@ -178,6 +208,8 @@
   if (aEvent.m_id) {
     m_lastEventId = aEvent.m_id;
   }
+  m_hasUnnumberedEvents =
+    m_hasUnnumberedEvents || (!aEvent.m_id && aEvent.m_hasFields);
   m_caller->SendPart(std::exchange(aAttempt.m_heldEvents, {}));
   m_caller->SendPart(aEvent.m_bytes);
   constexpr std::size_t kMaxUnsentBytes = 256 << 10;
@@ -211,8 +243,9 @@
   }
   m_phase = Phase::Streaming;
   m_failedAttempt.reset();
+  // Without the runner's length, which a resumed stream needn't have.
   m_caller->SendHead(
-    head.m_status, head.m_reason, EndToEndFields(head.m_fields), head.m_length);
+    head.m_status, head.m_reason, EndToEndFields(head.m_fields), std::nullopt);
 }
 
 void
@@ -237,7 +270,7 @@
                     "stream ended without a complete last event");
     return;
   }
-  if (m_forwarded.get() != &aAttempt && m_openAttempts.size() > 1) {
+  if (m_forwarded.get() != &aAttempt) {
     OnAttemptFailed(aAttempt,
                     CallFailure::MayHaveRun,
                     "resumed stream ended without a new event");
@@ -374,6 +407,13 @@
   OnAttemptFailed(aAttempt, aFailure.m_how, aFailure.m_reason);
 }
 
+bool
+CallerExchange::MayResume() const
+{
+  return m_phase != Phase::Streaming ||
+         (m_lastEventId.has_value() && !m_hasUnnumberedEvents);
+}
+
 bool
 CallerExchange::MayRetry(CallFailure aFailure)
 {
@@ -383,6 +423,9 @@
   if (aFailure == CallFailure::NotSent) {
     return true; // no runner received it
   }
+  if (!MayResume()) {
+    return false;
+  }
   const std::uint32_t maxAttempts = m_phase == Phase::Streaming
                                       ? m_route->m_maxAttempts + 1
                                       : m_route->m_maxAttempts;
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -59,9 +59,7 @@
 bool
 CallerExchange::NeedsHedge(MonotonicTime aNow) const
 {
-  // Without event ids, a second run can't be told from a repetition.
-  const bool cannotResume = m_phase == Phase::Streaming && !m_lastEventId;
-  if (m_openAttempts.empty() || !m_route->IsRetryable() || cannotResume ||
+  if (m_openAttempts.empty() || !m_route->IsRetryable() || !MayResume() ||
       m_sends >= kMaxSends ||
       m_executions + m_openAttempts.size() >= m_route->m_maxAttempts) {
     return false;
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -84,6 +84,9 @@
                        CallFailure aFailure,
                        const std::string& aReason);
   bool MayRetry(CallFailure aFailure);
+  // Whether another runner can go on where the stream has got to, if it has
+  // begun: without event ids, a second run can't be told from a repetition.
+  bool MayResume() const;
 
   // How long the runner may be silent before the request is hedged.
   std::chrono::milliseconds SilenceLimit(const RunnerAttempt& aAttempt) const;
@@ -157,6 +160,7 @@
   bool m_mayHaveRun = false;
 
   std::optional<std::uint64_t> m_lastEventId; // forwarded to the caller
+  bool m_hasUnnumberedEvents = false;         // forwarded to the caller
   std::uint32_t m_eventCount = 0;
   // From the request's arrival to its first event.
   std::chrono::duration<double, std::milli> m_firstEventLatency{ 0 };
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -1,11 +1,43 @@
 #include "gateway/event_splitter_p.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace siskindeal {
 
 namespace {
 
+// Whether a line is a field with a lower-case name. Heads of HTTP messages and
+// JSON aren't.
+bool
+IsField(std::string_view aLine)
+{
+  const std::string_view name = aLine.substr(0, aLine.find(':'));
+  return !name.empty() && std::all_of(name.begin(), name.end(), [](char aByte) {
+    return (aByte >= 'a' && aByte <= 'z') || (aByte >= '0' && aByte <= '9') ||
+           aByte == '-' || aByte == '_';
+  });
+}
+
+void
+CheckLines(StreamEvent& aEvent)
+{
+  std::string_view rest = aEvent.m_bytes;
+  while (!rest.empty()) {
+    const auto end = rest.find('\n');
+    std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    if (line.empty() || line.front() == ':') {
+      continue;
+    }
+    aEvent.m_hasFields = true;
+    aEvent.m_isWellFormed = aEvent.m_isWellFormed && IsField(line);
+  }
+}
+
 // The value of the event's "id" line.
 std::optional<std::uint64_t>
 EventId(std::string_view aEvent)
@@ -59,6 +91,7 @@
     }
     const std::string_view event = rest.substr(0, end);
     events.push_back({ std::string(event), EventId(event) });
+    CheckLines(events.back());
     rest.remove_prefix(end);
   }
   m_pending.erase(0, m_pending.size() - rest.size());
--- a/src/gateway/event_splitter_p.h
+++ b/src/gateway/event_splitter_p.h
@@ -14,6 +14,8 @@
 {
   std::string m_bytes; // including the empty line at its end
   std::optional<std::uint64_t> m_id;
+  bool m_isWellFormed = true; // all lines are fields or comments
+  bool m_hasFields = false;   // not only comments
 };
 
 class EventSplitter
