An unusable entry of the store affects no other entry

Callers got no answers: one entry whose field held nested arrays ended every gateway by signal 11, at each start, and one with two bytes that aren't UTF-8 hid all runners after a restart.

Cause: a list or a watch was parsed as one value. Any error threw all of it away, and each spec was serialized again, which recurses once per level.

Lists and watches are now split at their entries by a scan that needs neither valid strings nor a bound on depth. Only the metadata is parsed there; a spec is kept as text and parsed by what uses it, with at most 64 levels, checked before a value is built. An entry whose name is readable keeps it, so a change to something unusable is still known as a change. A page whose entries have no usable name ends the list instead of being asked for again without end.

--- /dev/null
+++ b/include/siskindeal/json.h
@@ -0,0 +1,41 @@
+#pragma once
+// Reads JSON that comes from outside the process. The nesting of a value is
+// checked before it is built, since copying or serializing a value recurses
+// once per level. Errors are nlohmann::json::exception.
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace siskindeal {
+
+inline constexpr std::size_t kMaxJsonDepth = 64;
+
+class JsonError final : public nlohmann::json::exception
+{
+public:
+  explicit JsonError(const std::string& aReason);
+};
+
+// Parses a text that nests no deeper than kMaxJsonDepth.
+nlohmann::json
+ParseJson(std::string_view aText);
+
+// Returns the texts of an object's members by name, or of an array's elements.
+// Checks only what is needed to find their ends: a text may be malformed, nest
+// deeply or hold invalid UTF-8. They point into aText.
+using JsonMemberTexts = std::vector<std::pair<std::string, std::string_view>>;
+JsonMemberTexts
+SplitJsonObject(std::string_view aText);
+std::vector<std::string_view>
+SplitJsonArray(std::string_view aText);
+
+// Returns the text of the last member of that name, or an empty one.
+std::string_view
+FindJsonMember(const JsonMemberTexts& aMembers, std::string_view aName);
+
+} // namespace siskindeal
--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -164,7 +164,8 @@
   std::vector<std::string> m_digests; // SHA-256, hexadecimal
 };
 
-// An object of the platform's store; m_spec is its JSON text.
+// An object of the platform's store; m_spec is its JSON text as received,
+// which may be malformed, or empty if the object can't be used.
 struct SiteObject
 {
   std::string m_name;
@@ -180,6 +181,8 @@
   std::vector<SiteObject> m_objects;
   std::uint64_t m_revision = 0;
   bool m_hasMore = false; // the next page starts after the last name
+  // Why objects were left out, or have no spec.
+  std::vector<std::string> m_rejected;
 };
 
 // Returns the region of a place, or the place itself if the table lacks it.
--- /dev/null
+++ b/src/kernel/json.cpp
@@ -0,0 +1,204 @@
+#include "siskindeal/json.h"
+
+#include <algorithm>
+
+namespace siskindeal {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kErrorId = 600; // the library's own are below
+constexpr std::size_t kMaxReasonBytes = 200;
+constexpr std::string_view kSpaces = " \t\r\n";
+
+// Moves over a JSON text by its strings, brackets and separators.
+class Scanner
+{
+public:
+  explicit Scanner(std::string_view aText)
+    : m_text(aText)
+  {
+  }
+
+  bool TryConsume(char aCharacter)
+  {
+    SkipSpaces();
+    if (m_at == m_text.size() || m_text[m_at] != aCharacter) {
+      return false;
+    }
+    ++m_at;
+    return true;
+  }
+
+  void Consume(char aCharacter)
+  {
+    if (!TryConsume(aCharacter)) {
+      throw JsonError(std::string("expected '") + aCharacter + "' at byte " +
+                      std::to_string(m_at));
+    }
+  }
+
+  void ConsumeEnd()
+  {
+    SkipSpaces();
+    if (m_at != m_text.size()) {
+      throw JsonError("unexpected text at byte " + std::to_string(m_at));
+    }
+  }
+
+  std::string_view TakeValue()
+  {
+    SkipSpaces();
+    const std::size_t start = m_at;
+    if (m_at == m_text.size()) {
+      throw JsonError("value missing at byte " + std::to_string(start));
+    }
+    if (m_text[m_at] == '"') {
+      SkipString();
+    } else if (m_text[m_at] == '{' || m_text[m_at] == '[') {
+      SkipNested(m_text.size());
+    } else {
+      m_at = std::min(m_text.find_first_of(",:]} \t\r\n", m_at), m_text.size());
+    }
+    if (m_at == start) {
+      throw JsonError("value missing at byte " + std::to_string(start));
+    }
+    return m_text.substr(start, m_at - start);
+  }
+
+  // Throws if a bracket opens below aMaxDepth others.
+  void CheckDepth(std::size_t aMaxDepth)
+  {
+    while ((m_at = m_text.find_first_of("\"[{", m_at)) !=
+           std::string_view::npos) {
+      if (m_text[m_at] == '"') {
+        SkipString();
+      } else {
+        SkipNested(aMaxDepth);
+      }
+    }
+  }
+
+private:
+  void SkipSpaces()
+  {
+    m_at = std::min(m_text.find_first_not_of(kSpaces, m_at), m_text.size());
+  }
+
+  void SkipString()
+  {
+    for (++m_at; m_at < m_text.size(); ++m_at) {
+      if (m_text[m_at] == '"') {
+        ++m_at;
+        return;
+      }
+      if (m_text[m_at] == '\\') {
+        ++m_at;
+      }
+    }
+    throw JsonError("string without an end");
+  }
+
+  void SkipNested(std::size_t aMaxDepth)
+  {
+    std::size_t depth = 0;
+    while ((m_at = m_text.find_first_of("\"[]{}", m_at)) !=
+           std::string_view::npos) {
+      const char character = m_text[m_at];
+      if (character == '"') {
+        SkipString();
+        continue;
+      }
+      ++m_at;
+      const bool opens = character == '[' || character == '{';
+      depth = opens ? depth + 1 : depth - 1;
+      if (depth > aMaxDepth) {
+        throw JsonError("nested deeper than " + std::to_string(aMaxDepth) +
+                        " levels");
+      }
+      if (depth == 0) {
+        return;
+      }
+    }
+    throw JsonError("bracket without an end");
+  }
+
+  std::string_view m_text;
+  std::size_t m_at = 0;
+};
+
+std::string
+MemberName(std::string_view aText)
+{
+  return aText.find('\\') == std::string_view::npos
+           ? std::string(aText.substr(1, aText.size() - 2))
+           : ParseJson(aText).get<std::string>();
+}
+
+} // namespace
+
+JsonError::JsonError(const std::string& aReason)
+  : Json::exception(kErrorId, aReason.c_str())
+{
+}
+
+Json
+ParseJson(std::string_view aText)
+{
+  Scanner(aText).CheckDepth(kMaxJsonDepth);
+  try {
+    return Json::parse(aText);
+  } catch (const Json::exception& error) { // which may quote the whole text
+    throw JsonError(std::string(error.what()).substr(0, kMaxReasonBytes));
+  }
+}
+
+JsonMemberTexts
+SplitJsonObject(std::string_view aText)
+{
+  Scanner scanner(aText);
+  JsonMemberTexts members;
+  scanner.Consume('{');
+  if (!scanner.TryConsume('}')) {
+    do {
+      const std::string_view name = scanner.TakeValue();
+      if (name.front() != '"') {
+        throw JsonError("member without a name");
+      }
+      scanner.Consume(':');
+      members.emplace_back(MemberName(name), scanner.TakeValue());
+    } while (scanner.TryConsume(','));
+    scanner.Consume('}');
+  }
+  scanner.ConsumeEnd();
+  return members;
+}
+
+std::vector<std::string_view>
+SplitJsonArray(std::string_view aText)
+{
+  Scanner scanner(aText);
+  std::vector<std::string_view> elements;
+  scanner.Consume('[');
+  if (!scanner.TryConsume(']')) {
+    do {
+      elements.push_back(scanner.TakeValue());
+    } while (scanner.TryConsume(','));
+    scanner.Consume(']');
+  }
+  scanner.ConsumeEnd();
+  return elements;
+}
+
+std::string_view
+FindJsonMember(const JsonMemberTexts& aMembers, std::string_view aName)
+{
+  const auto found =
+    std::find_if(aMembers.rbegin(), aMembers.rend(), [&](const auto& aMember) {
+      return aMember.first == aName;
+    });
+  return found == aMembers.rend() ? std::string_view() : found->second;
+}
+
+} // namespace siskindeal
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -3,6 +3,7 @@
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
+#include "site/site_objects_p.h"
 
 #include <algorithm>
 #include <bit>
@@ -111,6 +112,7 @@
   if (aAfter.empty()) {
     m_listed.clear();
   }
+  m_listedAfter = aAfter;
   Fetch(dialect::ListPath(m_kind, aAfter, dialect::Freshness::Current),
         kResponseTimeout,
         &ObjectFeed::OnList);
@@ -187,12 +189,20 @@
   if (m_listed.empty()) {
     m_revision = page.m_revision;
   }
+  LogRejected(m_kind, page);
+  const std::string last =
+    page.m_objects.empty() ? m_listedAfter : page.m_objects.back().m_name;
   for (SiteObject& object : page.m_objects) {
     m_listed.push_back(std::move(object));
   }
-  if (page.m_hasMore && !m_listed.empty()) {
+  if (page.m_hasMore && last != m_listedAfter) {
     m_reason = "next page";
-    return List(m_listed.back().m_name);
+    return List(last);
+  }
+  if (page.m_hasMore) { // no entry of the page has a usable name
+    Log(LogLevel::Warning,
+        "store list incomplete",
+        { { "kind", m_kind }, { "after", m_listedAfter } });
   }
   if (m_failures > 0 || !m_haveList) {
     Log(LogLevel::Info,
@@ -253,6 +263,7 @@
   } catch (const std::invalid_argument& error) {
     return OnFailure(error.what(), aAnswer.m_body.size());
   }
+  LogRejected(m_kind, changes);
   const milliseconds wait = WatchWait();
   m_failures = 0;
   m_lastHadChanges = !changes.m_objects.empty();
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -93,6 +93,7 @@
   Timer m_timer;
   Random m_random;
   std::vector<SiteObject> m_listed; // from the pages read so far
+  std::string m_listedAfter;        // the page being read starts after this
   std::uint64_t m_revision = 0;
   std::uint64_t m_basis = 0; // changes when revisions are of another list
   std::optional<std::chrono::milliseconds> m_knownUntil;
--- a/src/site/site_objects.cpp
+++ b/src/site/site_objects.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/dialect.h"
 #include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
 
 #include <stdexcept>
 
@@ -9,6 +10,9 @@
 
 namespace {
 
+// Decoders may quote the input.
+constexpr std::size_t kMaxReasonBytes = 300;
+
 template<typename Decode>
 auto
 DecodeOrLog(Decode aDecode, const SiteObject& aObject, std::string_view aEvent)
@@ -20,13 +24,33 @@
     Log(LogLevel::Warning,
         aEvent,
         { { "name", aObject.m_name },
-          { "reason", std::string_view(error.what()) } });
+          { "reason",
+            std::string_view(error.what()).substr(0, kMaxReasonBytes) } });
     return std::nullopt;
   }
 }
 
 } // namespace
 
+void
+LogRejected(std::string_view aKind, const SiteObjects& aObjects)
+{
+  if (aObjects.m_rejected.empty()) {
+    return;
+  }
+  CountMetric("siskindeal_store_entries_rejected_total",
+              { { "kind", std::string(aKind) } },
+              aObjects.m_rejected.size());
+  Log(LogLevel::Warning,
+      "store entries rejected",
+      { { "kind", aKind },
+        { "rejected", aObjects.m_rejected.size() },
+        { "kept", aObjects.m_objects.size() },
+        { "first",
+          std::string_view(aObjects.m_rejected.front())
+            .substr(0, kMaxReasonBytes) } });
+}
+
 std::optional<RunnerRecord>
 ReadRunner(const SiteObject& aObject)
 {
--- a/src/site/site_objects_p.h
+++ b/src/site/site_objects_p.h
@@ -4,10 +4,15 @@
 
 #include "siskindeal/site.h"
 
+#include <string_view>
 #include <vector>
 
 namespace siskindeal {
 
+// Logs and counts the objects of a kind that couldn't be read.
+void
+LogRejected(std::string_view aKind, const SiteObjects& aObjects);
+
 // Returns none if the object is not a valid runner.
 std::optional<RunnerRecord>
 ReadRunner(const SiteObject& aObject);
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -249,17 +249,18 @@
   if (aAnswer.m_status != 200) {
     return;
   }
-  std::vector<SiteObject> objects;
+  SiteObjects objects;
   try {
-    objects = dialect::DecodeList(aAnswer.m_body).m_objects;
+    objects = dialect::DecodeList(aAnswer.m_body);
   } catch (const std::invalid_argument& error) {
     Log(LogLevel::Warning,
         "runner list rejected",
         { { "reason", std::string_view(error.what()) } });
     return;
   }
+  LogRejected(dialect::kRunnerKind, objects);
   const std::string& ownHost = m_settings.m_node.m_rpc.m_host;
-  for (const RunnerRecord& runner : ReadRunners(objects)) {
+  for (const RunnerRecord& runner : ReadRunners(objects.m_objects)) {
     const std::string& host = runner.m_address.m_host;
     if (runner.m_service == m_settings.m_stager.m_service && host != ownHost) {
       m_peerHosts[host] =
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -1,6 +1,7 @@
 #include "support/site.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/post.hpp>
 
@@ -97,6 +98,29 @@
   RunOnLoop([&] { ApplyChange(aKind, aName, &aSpec); });
 }
 
+void
+SiteStandIn::PutText(const std::string& aKind,
+                     const std::string& aName,
+                     const std::string& aSpec)
+{
+  RunOnLoop([&] {
+    const std::string key = "text " + std::to_string(m_texts.size()) + " .";
+    m_texts[key] = aSpec;
+    const json spec = key;
+    ApplyChange(aKind, aName, &spec);
+  });
+}
+
+std::string
+SiteStandIn::Serialize(const json& aBody) const
+{
+  std::string body = aBody.dump();
+  for (const auto& [key, text] : m_texts) {
+    body = absl::StrReplaceAll(body, { { "\"" + key + "\"", text } });
+  }
+  return body;
+}
+
 void
 SiteStandIn::Remove(const std::string& aKind, const std::string& aName)
 {
@@ -287,8 +311,8 @@
     200,
     {},
     {},
-    json{ { "items", items }, { "has_more", false }, { "at", m_revision } }
-      .dump());
+    Serialize(
+      { { "items", items }, { "has_more", false }, { "at", m_revision } }));
 }
 
 void
@@ -323,7 +347,7 @@
   }
   m_copiesSent[aWatch.m_kind] += events.size();
   aWatch.m_connection->SendResponse(
-    200, {}, {}, json{ { "events", events }, { "at", m_revision } }.dump());
+    200, {}, {}, Serialize({ { "events", events }, { "at", m_revision } }));
   return true;
 }
 
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -36,6 +36,10 @@
   void Put(const std::string& aKind,
            const std::string& aName,
            const nlohmann::json& aSpec);
+  // The same for a spec that need not be valid JSON.
+  void PutText(const std::string& aKind,
+               const std::string& aName,
+               const std::string& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
   // Waits until a watch of the kind starts at the kind's latest revision or
   // later: its client has then received and processed all its changes. Returns
@@ -105,9 +109,12 @@
   // Keeps a request for m_silentKind without a response.
   void LeaveUnanswered(const std::shared_ptr<ServerConnection>& aConnection);
   void ServeWatches();
+  // Serializes a response; texts of PutText take the place of their keys.
+  std::string Serialize(const nlohmann::json& aBody) const;
   bool ServeWatch(const Watch& aWatch, bool aTimedOut);
 
   std::map<std::string, std::map<std::string, Object>> m_objects; // by kind
+  std::map<std::string, std::string> m_texts; // of PutText, by a key
   std::deque<Change> m_changes;
   std::deque<Watch> m_watches;
   std::map<std::string, std::uint64_t> m_watchedSince; // by kind, maximum
