A runner whose entry names no runner any more is not used

Cause: Gateway::OnRunner ignored a change that it couldn't decode, and kept the former record. A gateway that listed anew dropped the runner, so two disagreed.

Such a change now removes the runner from the list that is passed on, and drops it here at once: its entry exists, so it can't be one that expired in an outage of the store, which is kept for a time.

Before: RunnerWhoseEntryNamesNoRunnerAnyMoreIsNotUsed, "RunnerCount() == 1 Actual: false" for each replacement. After: passes.

--- a/src/dispatch/runner_table.cpp
+++ b/src/dispatch/runner_table.cpp
@@ -88,6 +88,16 @@
   }
 }
 
+void
+RunnerTable::Withdraw(const std::string& aId)
+{
+  if (m_runners.erase(aId) > 0) {
+    Log(LogLevel::Info,
+        "runner removed from list",
+        { { "runner", aId }, { "kept", false }, { "withdrawn", true } });
+  }
+}
+
 void
 RunnerTable::Sweep(MonotonicTime aNow)
 {
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -74,6 +74,9 @@
   void Put(const RunnerRecord& aRunner);
   // Marks a runner missing; drops it unless it may have only expired.
   void Remove(const std::string& aId, MonotonicTime aNow);
+  // Drops a runner whose entry is there but names no runner to use. It has not
+  // expired, so it isn't kept.
+  void Withdraw(const std::string& aId);
   // Records that reading the list failed. Runners may expire from it during an
   // outage and are listed again after it, so missing ones are kept until then.
   void RecordListFailure(MonotonicTime aNow);
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 namespace siskindeal {
 
 namespace {
@@ -35,7 +37,10 @@
     return;
   }
   const auto runner = ReadRunner(aObject);
-  if (runner && m_runnerList.Put(*runner, revision)) {
+  if (!runner) {
+    m_runnerList.Remove(aObject.m_name, revision);
+    m_runners.Withdraw(aObject.m_name);
+  } else if (m_runnerList.Put(*runner, revision)) {
     m_runners.Put(*runner);
   }
 }
@@ -49,6 +54,15 @@
   m_runnerList.Replace(runners,
                        { StableHash(NewId()), m_runnerFeed->Revision() });
   m_runners.Replace(runners, LoopNow());
+  std::set<std::string> usable;
+  for (const RunnerRecord& runner : runners) {
+    usable.insert(runner.m_id);
+  }
+  for (const SiteObject& object : aObjects) {
+    if (usable.count(object.m_name) == 0) {
+      m_runners.Withdraw(object.m_name);
+    }
+  }
 }
 
 void
--- a/tests/store_entries_test.cpp
+++ b/tests/store_entries_test.cpp
@@ -190,6 +190,41 @@
             std::string::npos);
 }
 
+TEST_F(GatewayTest, RunnerWhoseEntryNamesNoRunnerAnyMoreIsNotUsed)
+{
+  const std::string replacements[] = {
+    R"({"service":"get","address":"10.0.0.1:80","state":"retired"})",
+    R"({"service":"get","address":"10.0.0.1:80"})",
+    WithZone("\"\xff\""),
+    "{}",
+  };
+  m_site.AddRunner(
+    "i-0", "get", [](const auto& aConnection) { Answer(aConnection); });
+  StartAndAwaitReady();
+  int runners = 0;
+  for (const std::string& replacement : replacements) {
+    SCOPED_TRACE(replacement);
+    const std::string name = "i-" + std::to_string(++runners);
+    m_site.AddRunner(
+      name, "get", [](const auto& aConnection) { Answer(aConnection); });
+    EXPECT_TRUE(Eventually([&] { return RunnerCount() == 2; }));
+    m_site.PutText("servers", name, replacement);
+    EXPECT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+  }
+}
+
+TEST(RunnerTable, RunnerWhoseEntryIsUnusableIsNotKeptAfterAnOutage)
+{
+  constexpr MonotonicTime kNow{ std::chrono::hours(1) };
+  RunnerTable table;
+  RunnerRecord runner;
+  runner.m_id = "i-1";
+  table.Put(runner);
+  table.RecordListFailure(kNow);
+  table.Withdraw("i-1");
+  EXPECT_EQ(table.Find("i-1"), nullptr);
+}
+
 } // namespace
 
 } // namespace siskindeal
