Crashes of a runner that restarts under its id count apart

Cause: a crash was counted for the id and the creation of the entry in the store. A runner that starts again under its id replaces its entry; the creation stays, and nothing read `born`, so all its crashes were one. The other way round, one crash seen by two gateways counted twice if the entry had lapsed and been listed again between their reads.

A start of a runner is now its id and `born`: RunnerIncarnation decides by it, and only where it is missing by the creation; that is said there and nowhere else. A gateway of the former release names a start by its creation; RunnerTable::Resolve finds it.

config_relay_test compares `born` too. While gateways of both releases run, they name one crash by two names.

--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -108,15 +108,27 @@
 {
   std::string m_id;
   std::uint64_t m_created = 0; // store revision at its record's creation
+  std::uint64_t m_born = 0;    // Unix ms of its start; 0: not stated
 
-  bool operator==(const RunnerIncarnation&) const = default;
+  // Tells starts under one id apart. Writers that don't state the time of the
+  // start are told apart by their records' creation, which also changes when a
+  // record lapses and returns.
+  std::uint64_t Start() const { return m_born != 0 ? m_born : m_created; }
+
+  bool operator==(const RunnerIncarnation& aOther) const
+  {
+    return Key() == aOther.Key();
+  }
   bool operator<(const RunnerIncarnation& aOther) const
   {
-    return std::tie(m_id, m_created) < std::tie(aOther.m_id, aOther.m_created);
+    return Key() < aOther.Key();
   }
-  std::string ToString() const
+  std::string ToString() const { return m_id + "@" + std::to_string(Start()); }
+
+private:
+  std::tuple<const std::string&, bool, std::uint64_t> Key() const
   {
-    return m_id + "@" + std::to_string(m_created);
+    return { m_id, m_born != 0, Start() };
   }
 };
 
@@ -125,6 +137,7 @@
 {
   std::string m_id;
   std::uint64_t m_created = 0; // store revision at its creation
+  std::uint64_t m_born = 0;    // Unix ms of the runner's start; 0: not stated
   std::string m_service;
   Address m_address;
   std::string m_place;
@@ -132,7 +145,7 @@
   bool m_draining = false;
   std::map<std::string, std::uint64_t> m_versions; // weights, by model
 
-  RunnerIncarnation Incarnation() const { return { m_id, m_created }; }
+  RunnerIncarnation Incarnation() const { return { m_id, m_created, m_born }; }
   bool operator==(const RunnerRecord&) const = default;
 };
 
@@ -148,7 +161,8 @@
 // State that a model runner reports.
 struct EngineReport
 {
-  bool m_busy = false; // an order is in progress
+  std::uint64_t m_born = 0; // as RunnerRecord
+  bool m_busy = false;      // an order is in progress
   std::uint64_t m_sequence = 0;
   std::uint32_t m_waiting = 0;
   std::uint32_t m_running = 0;
--- a/src/dispatch/runner_table.cpp
+++ b/src/dispatch/runner_table.cpp
@@ -106,6 +106,25 @@
   return found == m_runners.end() ? nullptr : &found->second;
 }
 
+RunnerState*
+RunnerTable::Find(const RunnerIncarnation& aRunner)
+{
+  RunnerState* state = Find(aRunner.m_id);
+  return state != nullptr && state->m_record.Incarnation() == aRunner ? state
+                                                                      : nullptr;
+}
+
+RunnerIncarnation
+RunnerTable::Resolve(const RunnerIncarnation& aNamed) const
+{
+  const auto found = m_runners.find(aNamed.m_id);
+  if (aNamed.m_born != 0 || found == m_runners.end() ||
+      found->second.m_record.m_created != aNamed.m_created) {
+    return aNamed;
+  }
+  return found->second.m_record.Incarnation();
+}
+
 RunnerState*
 RunnerTable::FindByAddress(const Address& aAddress)
 {
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -82,8 +82,14 @@
 
   // Returns null if there is no such runner.
   RunnerState* Find(const std::string& aId);
+  // Returns null unless this start of the runner is the one known.
+  RunnerState* Find(const RunnerIncarnation& aRunner);
   RunnerState* FindByAddress(const Address& aAddress);
 
+  // Returns the start that another process names. A process that doesn't state
+  // the time of the start names the record's creation.
+  RunnerIncarnation Resolve(const RunnerIncarnation& aNamed) const;
+
   // Returns the runners of a service that are not draining.
   std::vector<RunnerState*> Usable(const std::string& aService);
 
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -214,6 +214,7 @@
     v1::RunnerLimitReport& report = reports.emplace_back();
     report.set_runner(runner.m_id);
     report.set_created(runner.m_created);
+    report.set_born(runner.m_born);
     report.set_limited(limit.m_perSecond.has_value());
     report.set_per_second(limit.m_perSecond.value_or(0));
     report.set_age_ms(ageOf(limit.m_namedAt));
@@ -234,7 +235,10 @@
     }
     limit.m_namedAt = now - milliseconds(report.age_ms());
     limit.m_since = now - milliseconds(report.since_ms());
-    m_limits.Merge({ report.runner(), report.created() }, limit, now);
+    m_limits.Merge(
+      m_runners.Resolve({ report.runner(), report.created(), report.born() }),
+      limit,
+      now);
   }
 }
 
--- a/src/gateway/gateway_notices.cpp
+++ b/src/gateway/gateway_notices.cpp
@@ -60,6 +60,7 @@
     v1::RunnerLeavingReport& report = reports.emplace_back();
     report.set_runner(runner.m_id);
     report.set_created(runner.m_created);
+    report.set_born(runner.m_born);
   }
   return reports;
 }
@@ -69,15 +70,16 @@
   const google::protobuf::RepeatedPtrField<v1::RunnerLeavingReport>& aLeaving)
 {
   for (const v1::RunnerLeavingReport& report : aLeaving) {
-    m_notices.MergeLeaving({ report.runner(), report.created() }, LoopNow());
+    m_notices.MergeLeaving(
+      m_runners.Resolve({ report.runner(), report.created(), report.born() }),
+      LoopNow());
   }
 }
 
 bool
 Gateway::IsListed(const RunnerIncarnation& aRunner)
 {
-  const RunnerState* runner = m_runners.Find(aRunner.m_id);
-  return runner != nullptr && runner->m_record.Incarnation() == aRunner;
+  return m_runners.Find(aRunner) != nullptr;
 }
 
 void
--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -77,6 +77,7 @@
       "runner crashed",
       { { "runner", aRunner.m_id },
         { "created", aRunner.m_created },
+        { "born", aRunner.m_born },
         { "requests", aInFlight.size() },
         { "suspects", suspects },
         { "parts", Describe(parts) } });
--- a/src/site/config_relay.cpp
+++ b/src/site/config_relay.cpp
@@ -85,6 +85,7 @@
     v1::RunnerEntry& entry = *reply.add_runners();
     entry.set_id(runner.m_id);
     entry.set_created(runner.m_created);
+    entry.set_born(runner.m_born);
     entry.set_service(runner.m_service);
     entry.set_address(runner.m_address.ToString());
     entry.set_place(runner.m_place);
@@ -109,6 +110,7 @@
     RunnerRecord& runner = delta.m_runners.emplace_back();
     runner.m_id = entry.id();
     runner.m_created = entry.created();
+    runner.m_born = entry.born();
     runner.m_service = entry.service();
     runner.m_address = ParseAddress(entry.address());
     runner.m_place = entry.place();
--- a/tests/config_relay_test.cpp
+++ b/tests/config_relay_test.cpp
@@ -171,6 +171,7 @@
   RunnerRecord runner;
   runner.m_id = aId;
   runner.m_created = 3;
+  runner.m_born = 1764793000000;
   runner.m_service = "chat";
   runner.m_address = { "10.0.0.1", 80 };
   runner.m_place = "here";
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <list>
 #include <string_view>
+#include <utility>
 
 namespace siskindeal {
 
@@ -129,6 +130,30 @@
   EXPECT_EQ(m_crashes, 2);
 }
 
+TEST_F(CrashingRunnersTest, CrashesOfARunnerThatReplacesItsEntryCountApart)
+{
+  const std::string poison = Request("GET", "/get/poison");
+  bool started = false;
+  for (std::uint64_t start = 0; start < 5; ++start) {
+    const Address address =
+      m_site.AddRunner("i-1",
+                       "get",
+                       [this](const auto& aConnection) {
+                         ++m_crashes;
+                         m_site.CrashRunner(aConnection->LocalAddress());
+                       },
+                       { { "born", 1764793000000 + start } });
+    if (!std::exchange(started, true)) {
+      StartAndAwaitReady();
+    }
+    ASSERT_TRUE(Eventually(
+      [&] { return State().find(address.ToString()) != std::string::npos; }));
+    (void)SendRequest(poison);
+    ASSERT_TRUE(Eventually([&] { return AllCrashesRecorded(); }));
+  }
+  EXPECT_EQ(m_crashes, 2);
+}
+
 // The parts of a prompt, as callers list them.
 std::string
 PromptField(const std::string& aSharedParts, int aRequest)
