Show callers with HTTP/1.0 whether a stream is complete

What callers saw: a caller with HTTP/1.0 got a stream with chunk sizes in its body, and the same close at the end of a stream that broke off as at the end of a complete one.

Cause: ServerConnection::SendHead sent chunks whatever the request's version.

Evidence: GatewaySpliceTest.CallerWithoutChunksSeesWhetherItsStreamIsComplete before the change: Transfer-Encoding found in both heads, and "caller.WasReset() Which is: false, !complete Which is: true".

Change: without a length, such a caller's response ends with its connection. The socket is set to reset when closed until all of the response is written, so that any other end of the connection, that of the process too, is a reset.

All tests of gateway_splice, server_connection, http, http_refusal, http_connection, untied_response, buffered_call, gateway, gateway_runs and gateway_silence pass. An end of the process in such a stream wasn't tested.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -168,7 +168,9 @@
     return;
   }
   m_timer.cancel();
+  constexpr int kFirstVersionWithChunks = 11;
   m_keepAlive = parser->keep_alive();
+  m_takesChunks = parser->m_version >= kFirstVersionWithChunks;
   m_request = { std::move(parser->m_method),
                 std::move(parser->m_target),
                 std::move(parser->m_fields),
@@ -238,7 +240,12 @@
   if (m_listener.m_announceClose && !HasInput()) {
     m_keepAlive = false;
   }
-  m_chunked = !aLength.has_value();
+  m_chunked = !aLength.has_value() && m_takesChunks;
+  m_endsWithConnection = !aLength.has_value() && !m_takesChunks;
+  if (m_endsWithConnection) {
+    m_keepAlive = false;
+    ResetOnClose(true);
+  }
   m_out += "HTTP/1.1 " + std::to_string(aStatus) + " ";
   m_out += aReason.empty() ? ReasonOf(aStatus) : aReason;
   m_out += "\r\n";
@@ -251,7 +258,7 @@
   const bool hasBody = aStatus != 204 && aStatus != 304;
   if (m_chunked) {
     AppendField(m_out, "Transfer-Encoding", "chunked");
-  } else if (hasBody) {
+  } else if (hasBody && aLength) {
     AppendField(m_out, "Content-Length", std::to_string(*aLength));
   }
   m_out += "\r\n";
--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -175,17 +175,31 @@
   m_onDisconnect = nullptr;
   m_keepAlive = false;
   m_inRequest = false;
+  if (m_endsWithConnection) {
+    Close(ConnectionEnd::ResponseAborted);
+    return;
+  }
   if (!m_closed) {
     m_closing = true;
     Write();
   }
 }
 
+void
+ServerConnection::ResetOnClose(bool aReset)
+{
+  NetError ignored;
+  m_socket.set_option(boost::asio::socket_base::linger(aReset, 0), ignored);
+}
+
 void
 ServerConnection::CloseGracefully()
 {
   // Closing with unread input would reset the connection, which could discard
   // the last response before the client reads it.
+  if (m_endsWithConnection) {
+    ResetOnClose(false);
+  }
   NetError ignored;
   m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
   m_lingering = true;
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -73,7 +73,8 @@
                     const HttpFields& aFields,
                     std::string_view aBody);
   // Sends the head of a response whose body follows in parts, chunked unless a
-  // length is given.
+  // length is given. A client without chunks (HTTP/1.0) gets a body that ends
+  // with the connection; if that body is incomplete, a reset shows it.
   void SendHead(int aStatus,
                 std::string_view aReason,
                 const HttpFields& aFields,
@@ -128,6 +129,8 @@
   void OnTimer();
   void Close(ConnectionEnd aReason);
   void CloseGracefully();
+  // Whether the connection's close, by whatever cause, is to be a reset.
+  void ResetOnClose(bool aReset);
   // What would be lost if the connection ended now; empty: nothing.
   std::string_view Unfinished() const;
   // Whether input has arrived that no request has been made of.
@@ -148,9 +151,11 @@
   bool m_keepAlive = true;
   bool m_isHead = false; // the response has no body
   bool m_chunked = false;
-  bool m_sentContinue = false; // 100 Continue was sent
-  bool m_closing = false;      // once pending output is written
-  bool m_lingering = false;    // the output has been shut down
+  bool m_takesChunks = true;         // the client does
+  bool m_endsWithConnection = false; // the response that was begun
+  bool m_sentContinue = false;       // 100 Continue was sent
+  bool m_closing = false;            // once pending output is written
+  bool m_lingering = false;          // the output has been shut down
   bool m_closed = false;
   bool m_endRecorded = false;
 };
--- a/src/net/message_parser_p.h
+++ b/src/net/message_parser_p.h
@@ -25,7 +25,8 @@
 
   std::string m_method; // of a request
   std::string m_target;
-  int m_status = 0; // of a response
+  int m_version = 11; // ten times the HTTP version, of a request
+  int m_status = 0;   // of a response
   std::string m_reason;
   HttpFields m_fields;
   std::optional<std::uint64_t> m_length; // unset: chunked, or until close
@@ -44,9 +45,10 @@
   void on_request_impl(boost::beast::http::verb,
                        StringView aMethod,
                        StringView aTarget,
-                       int,
+                       int aVersion,
                        Error&) override
   {
+    m_version = aVersion;
     m_method = View(aMethod);
     m_target = View(aTarget);
   }
--- a/tests/gateway_splice_test.cpp
+++ b/tests/gateway_splice_test.cpp
@@ -404,6 +404,29 @@
   EXPECT_FALSE(received.m_complete);
 }
 
+TEST_F(GatewaySpliceTest, CallerWithoutChunksSeesWhetherItsStreamIsComplete)
+{
+  const std::string whole = kFirst + kSecond + kThird;
+  std::string request = Request("POST", "/chat/old");
+  request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  for (const bool complete : { true, false }) {
+    SCOPED_TRACE(complete);
+    SetRunners([complete](RawSocket& aSocket, int aNumber) {
+      aSocket.Send(aNumber == 0 ? BrokenStream()
+                   : complete   ? Chunked(kSignedStream, kThird)
+                                : WithLength("500 F", kSignature, "failed"));
+    });
+    RawSocket caller(m_gateway->CallersPort());
+    caller.Send(request);
+    const Received received = Decode(caller.ReadAll());
+    EXPECT_EQ(received.m_head.find("Transfer-Encoding"), std::string::npos);
+    EXPECT_EQ(caller.WasReset(), !complete);
+    if (complete) {
+      EXPECT_EQ(received.m_body, whole);
+    }
+  }
+}
+
 } // namespace
 
 } // namespace siskindeal
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -121,6 +121,7 @@
   while (aDelimiter.empty() || text.find(aDelimiter) == std::string::npos) {
     const auto size = recv(m_socket, bytes.data(), bytes.size(), 0);
     if (size <= 0) {
+      m_wasReset = size < 0 && errno == ECONNRESET;
       break;
     }
     text.append(bytes.data(), static_cast<std::size_t>(size));
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -31,6 +31,8 @@
   std::string ReadUntil(std::string_view aDelimiter);
   // Reads until the peer closes.
   std::string ReadAll();
+  // Whether the last read ended with a reset of the connection by the peer.
+  bool WasReset() const { return m_wasReset; }
   void Close();
   // Closes the connection with a TCP reset.
   void Reset();
@@ -46,6 +48,7 @@
   }
 
   int m_socket = -1;
+  bool m_wasReset = false;
 };
 
 // Accepts connections on 127.0.0.1 and handles one at a time. The handler gets
