Numbers from outside that don't fit their field are rejected

An age of 2^64-1 ms from another process was a time to come.

Cause: the JSON library's get<> and value() convert between kinds of numbers silently, and durations were made from unsigned wire fields as they came.

Keep-Alive is read by from_chars (atoi has no defined result out of range) and bounded. Ages, offsets and ports of peers, in datagrams and replies, pass through wire_values.h; what a peer knew of runners is never later than now. Gateway registrations are parsed with the bound on depth.

--- a/include/siskindeal/json.h
+++ b/include/siskindeal/json.h
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,6 +27,28 @@
 nlohmann::json
 ParseJson(std::string_view aText);
 
+// Returns a whole number from 0 to aMax. Throws for any other value: the
+// library's own conversions wrap and truncate.
+std::uint64_t
+ReadJsonCount(const nlohmann::json& aValue, std::uint64_t aMax);
+
+// Returns a number within the bounds.
+double
+ReadJsonNumber(const nlohmann::json& aValue, double aMin, double aMax);
+
+// Reads a member of an object; returns aDefault if there is none.
+template<typename T>
+T
+JsonCountOr(const nlohmann::json& aObject,
+            const char* aName,
+            T aDefault,
+            T aMax = std::numeric_limits<T>::max())
+{
+  const auto found = aObject.find(aName);
+  return found == aObject.end() ? aDefault
+                                : static_cast<T>(ReadJsonCount(*found, aMax));
+}
+
 // Returns the texts of an object's members by name, or of an array's elements.
 // Checks only what is needed to find their ends: a text may be malformed, nest
 // deeply or hold invalid UTF-8. They point into aText.
--- a/src/agent/run.cpp
+++ b/src/agent/run.cpp
@@ -3,6 +3,7 @@
 #include "run_session_p.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
+#include "siskindeal/wire_values.h"
 
 namespace siskindeal {
 
@@ -325,7 +326,7 @@
 RunService::OnCancel(const wire::CancelRequest& aRequest)
 {
   const auto key = AttemptKey(aRequest.request_id(), aRequest.attempt());
-  const std::chrono::milliseconds age(aRequest.age_ms());
+  const std::chrono::milliseconds age = MillisFromWire(aRequest.age_ms());
   wire::CancelReply reply;
   std::shared_ptr<RunSession> running;
   std::shared_ptr<RunSession> waiting;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,6 +1,7 @@
 #include "traffic_p.h"
 
 #include "siskindeal/metrics.h"
+#include "siskindeal/wire_values.h"
 
 #include <set>
 
@@ -29,7 +30,7 @@
     report.m_running = record.load().running();
     report.m_waiting = record.load().waiting();
     report.m_age =
-      std::chrono::milliseconds(record.load().report_age_ms()) + sinceReceived;
+      MillisFromWire(record.load().report_age_ms()) + sinceReceived;
   }
   return report;
 }
--- a/src/gateway/config_follower.cpp
+++ b/src/gateway/config_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
+#include "siskindeal/wire_values.h"
 
 namespace siskindeal {
 
@@ -84,7 +85,7 @@
   }
   // The request arrived after it was sent, so this is never too late.
   const milliseconds knownUntil =
-    std::min(aSentAt + milliseconds(reply.known_until_ms()), BootTime());
+    std::min(aSentAt + OffsetFromWire(reply.known_until_ms()), BootTime());
   m_onReply(reply, knownUntil, aPeer.m_vm);
   ScheduleNext(kPause);
 }
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway_p.h"
 #include "net/gzip_p.h"
 #include "siskindeal/metrics.h"
+#include "siskindeal/wire_values.h"
 
 #include <algorithm>
 
@@ -85,11 +86,11 @@
   }
   MergeNamedVersions(aReply.named());
   if (aReply.has_runners()) {
-    OnRunnerListReply(aReply.runners(),
-                      aKnownUntil +
-                        milliseconds(aReply.runners().known_until_ms() -
-                                     aReply.known_until_ms()),
-                      aPeer);
+    const milliseconds knownUntil =
+      aKnownUntil + OffsetFromWire(aReply.runners().known_until_ms()) -
+      OffsetFromWire(aReply.known_until_ms());
+    OnRunnerListReply(
+      aReply.runners(), std::min(knownUntil, BootTime()), aPeer);
   }
   if (m_routes && m_routes->Config().m_version >= aReply.version()) {
     m_configFeed->RecordKnown(aReply.revision(), aKnownUntil);
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_p.h"
 #include "siskindeal/digest.h"
+#include "siskindeal/wire_values.h"
 
 namespace siskindeal {
 
@@ -232,8 +233,8 @@
     if (report.limited()) {
       limit.m_perSecond = report.per_second();
     }
-    limit.m_namedAt = now - milliseconds(report.age_ms());
-    limit.m_since = now - milliseconds(report.since_ms());
+    limit.m_namedAt = now - MillisFromWire(report.age_ms());
+    limit.m_since = now - MillisFromWire(report.since_ms());
     m_limits.Merge({ report.runner(), report.created() }, limit, now);
   }
 }
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -2,10 +2,10 @@
 
 #include "gateway/gateway_p.h"
 #include "siskindeal/digest.h"
+#include "siskindeal/json.h"
+#include "siskindeal/wire_values.h"
 #include "site/site_objects_p.h"
 
-#include <nlohmann/json.hpp>
-
 #include <set>
 
 namespace siskindeal {
@@ -175,7 +175,7 @@
   for (const v1::NamedAge& named : aNamed) {
     m_named.Record(named.model(),
                    named.version(),
-                   BootTime() - milliseconds(named.age_ms()));
+                   BootTime() - MillisFromWire(named.age_ms()));
   }
 }
 
@@ -187,7 +187,7 @@
     return;
   }
   try {
-    const auto spec = nlohmann::json::parse(aObject.m_spec);
+    const auto spec = ParseJson(aObject.m_spec);
     m_peers.Register(aObject.m_name,
                      ParseAddress(spec.at("datagrams").get<std::string>()),
                      spec.at("region").get<std::string>());
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,6 +2,7 @@
 
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
+#include "siskindeal/wire_values.h"
 
 #include <algorithm>
 #include <set>
@@ -284,9 +285,9 @@
     holder.m_isInOwnRegion = peer.m_region == m_ownRegion;
     if (peer.m_config) {
       holder.m_address = { peer.m_address.m_host,
-                           static_cast<std::uint16_t>(peer.m_config->port()) };
+                           PortFromWire(peer.m_config->port()) };
       holder.m_version = peer.m_config->version();
-      holder.m_age = std::chrono::milliseconds(peer.m_config->age_ms());
+      holder.m_age = MillisFromWire(peer.m_config->age_ms());
     }
   }
   return holders;
--- a/src/kernel/json.cpp
+++ b/src/kernel/json.cpp
@@ -1,6 +1,7 @@
 #include "siskindeal/json.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace siskindeal {
 
@@ -154,6 +155,39 @@
   }
 }
 
+std::uint64_t
+ReadJsonCount(const Json& aValue, std::uint64_t aMax)
+{
+  constexpr double kExactLimit = 9007199254740992.0; // 2^53
+  std::uint64_t count = 0;
+  if (aValue.is_number_unsigned()) {
+    count = aValue.get<std::uint64_t>();
+  } else if (const double number =
+               aValue.is_number_float() ? aValue.get<double>() : -1;
+             number >= 0 && number < kExactLimit &&
+             number == std::floor(number)) {
+    count = static_cast<std::uint64_t>(number);
+  } else {
+    throw JsonError("expected a whole number from 0 to " +
+                    std::to_string(aMax));
+  }
+  if (count > aMax) {
+    throw JsonError("number above " + std::to_string(aMax));
+  }
+  return count;
+}
+
+double
+ReadJsonNumber(const Json& aValue, double aMin, double aMax)
+{
+  const double number = aValue.is_number() ? aValue.get<double>() : NAN;
+  if (!(number >= aMin && number <= aMax)) {
+    throw JsonError("expected a number from " + std::to_string(aMin) + " to " +
+                    std::to_string(aMax));
+  }
+  return number;
+}
+
 JsonMemberTexts
 SplitJsonObject(std::string_view aText)
 {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace siskindeal {
 
@@ -25,6 +27,8 @@
 // reused, so that a call does not race with the upstream's close.
 constexpr double kIdleShare = 0.6;
 constexpr milliseconds kDefaultIdleLimit{ 4000 };
+constexpr milliseconds kMaxIdleLimit = std::chrono::hours(1);
+constexpr std::string_view kTimeoutKey = "timeout=";
 
 // Parses "timeout=N" of a Keep-Alive header.
 std::optional<milliseconds>
@@ -33,12 +37,18 @@
   if (aField == nullptr) {
     return std::nullopt;
   }
-  const auto at = aField->find("timeout=");
+  const auto at = aField->find(kTimeoutKey);
   if (at == std::string::npos) {
     return std::nullopt;
   }
-  const int seconds = std::atoi(aField->c_str() + at + 8);
-  return milliseconds(seconds * 1000);
+  int seconds = 0;
+  const char* const first = aField->data() + at + kTimeoutKey.size();
+  const auto [end, error] =
+    std::from_chars(first, aField->data() + aField->size(), seconds);
+  if (error != std::errc{} || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::min<milliseconds>(std::chrono::seconds(seconds), kMaxIdleLimit);
 }
 
 } // namespace
--- a/src/quarantine/prompt_part_table.cpp
+++ b/src/quarantine/prompt_part_table.cpp
@@ -1,4 +1,5 @@
 #include "quarantine/prompt_part_table_p.h"
+#include "siskindeal/wire_values.h"
 
 #include <algorithm>
 #include <tuple>
@@ -379,10 +380,10 @@
   const std::uint64_t before = m_sequence;
   Evidence& evidence = m_evidence[aSuspicion.part()];
   for (const v1::PartSuspicion::Crash& crash : aSuspicion.cleared()) {
-    ClearCrash(evidence, crash.id(), aNow - milliseconds(crash.age_ms()));
+    ClearCrash(evidence, crash.id(), aNow - MillisFromWire(crash.age_ms()));
   }
   for (const v1::PartSuspicion::Crash& crash : aSuspicion.crashes()) {
-    AddCrash(evidence, crash.id(), aNow - milliseconds(crash.age_ms()));
+    AddCrash(evidence, crash.id(), aNow - MillisFromWire(crash.age_ms()));
   }
   if (aSuspicion.others_complete() && !evidence.m_crashes.empty() &&
       !std::exchange(evidence.m_othersComplete, true)) {
--- a/src/site/config_relay.cpp
+++ b/src/site/config_relay.cpp
@@ -3,6 +3,7 @@
 #include "net/gzip_p.h"
 #include "net/query_p.h"
 #include "platform/dialect.h"
+#include "siskindeal/wire_values.h"
 
 #include <absl/strings/numbers.h>
 
@@ -28,9 +29,7 @@
 milliseconds
 QueryMillis(std::string_view aTarget, std::string_view aName)
 {
-  constexpr std::uint64_t kMaxMillis = 1ULL << 40;
-  return milliseconds(
-    std::min(QueryNumber(aTarget, aName).value_or(0), kMaxMillis));
+  return MillisFromWire(QueryNumber(aTarget, aName).value_or(0));
 }
 
 } // namespace
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -3,6 +3,7 @@
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
+#include "siskindeal/wire_values.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
@@ -144,9 +145,8 @@
     }
     m_gateways[key] = { aFrom,
                         LoopNow(),
-                        static_cast<std::uint16_t>(
-                          aDatagram.gateway().config().port()),
-                        milliseconds(aDatagram.gateway().config().age_ms()) };
+                        PortFromWire(aDatagram.gateway().config().port()),
+                        MillisFromWire(aDatagram.gateway().config().age_ms()) };
     return;
   }
   if (!aDatagram.has_stager()) {
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -2,6 +2,7 @@
 // store.
 
 #include "siskindeal/log.h"
+#include "siskindeal/wire_values.h"
 #include "site/config_relay_p.h"
 #include "site/site_objects_p.h"
 #include "stager/stager_p.h"
@@ -86,7 +87,7 @@
   const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed)
 {
   for (const v1::NamedAge& named : aNamed) {
-    RecordNamed(named.model(), named.version(), milliseconds(named.age_ms()));
+    RecordNamed(named.model(), named.version(), MillisFromWire(named.age_ms()));
   }
 }
 
