--- a/tests/store_entries_test.cpp
+++ b/tests/store_entries_test.cpp
@@ -128,9 +128,11 @@
   };
   for (const std::string& text : metadata) {
     SCOPED_TRACE(text.substr(0, 80));
-    const SiteObjects page = dialect::DecodeList(
-      Page(Entry("a", kSound) + R"(,{"metadata":)" + text + R"(,"spec":)" +
-           kSound + "}," + Entry("c", kSound)));
+    std::string items = Entry("a", kSound);
+    items.append(R"(,{"metadata":)").append(text);
+    items.append(R"(,"spec":)").append(kSound).append("},");
+    items.append(Entry("c", kSound));
+    const SiteObjects page = dialect::DecodeList(Page(items));
     EXPECT_EQ(IdsOf(page.m_objects), "a c ");
     EXPECT_FALSE(page.m_rejected.empty());
   }
