Readers of entries, agents and operators bound the depth of JSON

What callers see: nothing yet shown; a stored value that nests deeply was built whole, and operators' responses serialize such values, which recurses.

They go through ParseJson, ParseJsonOrDiscard or CheckJsonDepth now.

--- a/include/siskindeal/json.h
+++ b/include/siskindeal/json.h
@@ -27,6 +27,14 @@
 nlohmann::json
 ParseJson(std::string_view aText);
 
+// The same, but returns a discarded value on errors.
+nlohmann::json
+ParseJsonOrDiscard(std::string_view aText);
+
+// Throws if a text nests deeper than kMaxJsonDepth.
+void
+CheckJsonDepth(std::string_view aText);
+
 // Returns a whole number from 0 to aMax. Throws for any other value: the
 // library's own conversions wrap and truncate.
 std::uint64_t
--- a/src/agent/upstream_reports.cpp
+++ b/src/agent/upstream_reports.cpp
@@ -1,3 +1,4 @@
+#include "siskindeal/json.h"
 #include "upstream_reports_p.h"
 
 #include <absl/strings/numbers.h>
@@ -33,7 +34,7 @@
 std::optional<wire::Load>
 ParseLoad(const std::string& aJson, std::uint32_t aSlots)
 {
-  const auto json = Json::parse(aJson, nullptr, false);
+  const auto json = ParseJsonOrDiscard(aJson);
   if (!json.is_object()) {
     return std::nullopt;
   }
@@ -55,7 +56,7 @@
 ParseCacheEvents(const std::string& aJson)
 {
   std::vector<wire::CacheEvent> events;
-  const auto json = Json::parse(aJson, nullptr, false);
+  const auto json = ParseJsonOrDiscard(aJson);
   if (!json.is_object() || !json.contains("events")) {
     return events;
   }
--- a/src/agent/weights_record.cpp
+++ b/src/agent/weights_record.cpp
@@ -3,6 +3,7 @@
 #include "siskindeal/digest.h"
 #include "siskindeal/error.h"
 #include "siskindeal/fleet_config.h"
+#include "siskindeal/json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -40,7 +41,7 @@
 {
   WeightsRecord record;
   try {
-    const auto json = Json::parse(aJson);
+    const auto json = ParseJson(aJson);
     json.at("tokens").get_to(record.m_tokens);
     for (const auto& entry : json.at("entries")) {
       record.m_entries.push_back(
@@ -73,13 +74,13 @@
   const std::string prefix = kLeasePrefix;
   std::map<std::string, std::uint64_t> tokens;
   try {
-    const auto listing = Json::parse(aJson);
+    const auto listing = ParseJson(aJson);
     for (const auto& object : listing.at("objects")) {
       const auto key = object.at("key").get<std::string>();
       if (key.rfind(prefix, 0) != 0 || object.value("deleted", false)) {
         continue;
       }
-      const auto lease = Json::parse(object.at("value").get<std::string>());
+      const auto lease = ParseJson(object.at("value").get<std::string>());
       auto& token = tokens[key.substr(prefix.size())];
       token = std::max(token, lease.value("token", std::uint64_t{ 0 }));
     }
--- a/src/claims/records.cpp
+++ b/src/claims/records.cpp
@@ -1,6 +1,7 @@
 #include "siskindeal/claims.h"
 
 #include "siskindeal/digest.h"
+#include "siskindeal/json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -126,7 +127,7 @@
 ClaimShard::DecodeHead(const std::string& aJson)
 {
   try {
-    const auto json = nlohmann::json::parse(aJson);
+    const auto json = ParseJson(aJson);
     Head head;
     head.m_epoch = json.at("epoch").get<std::uint64_t>();
     head.m_home = json.at("home").get<std::string>();
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -2,6 +2,7 @@
 
 #include "siskindeal/clock.h"
 #include "siskindeal/digest.h"
+#include "siskindeal/json.h"
 #include "siskindeal/operators.h"
 
 namespace siskindeal {
@@ -23,7 +24,7 @@
 Json
 ParseJson(const HttpReply& aReply)
 {
-  Json body = Json::parse(aReply.m_body, nullptr, false);
+  Json body = ParseJsonOrDiscard(aReply.m_body);
   if (body.is_discarded()) {
     throw CommandError(ExitStatus::Failed,
                        "the entry's response is not JSON (status " +
@@ -35,7 +36,7 @@
 ErrorDetails
 ParseErrorDetails(const HttpReply& aReply)
 {
-  const Json body = Json::parse(aReply.m_body, nullptr, false);
+  const Json body = ParseJsonOrDiscard(aReply.m_body);
   const bool hasDetails =
     body.is_object() && body.contains("error") && body["error"].is_object();
   if (!hasDetails) {
@@ -58,7 +59,7 @@
 std::string
 FormatConflict(const HttpReply& aReply)
 {
-  const Json body = Json::parse(aReply.m_body, nullptr, false);
+  const Json body = ParseJsonOrDiscard(aReply.m_body);
   if (!body.is_object()) {
     return "";
   }
--- a/src/config/fleet_config.cpp
+++ b/src/config/fleet_config.cpp
@@ -1,6 +1,7 @@
 #include "siskindeal/fleet_config.h"
 
 #include "siskindeal/error.h"
+#include "siskindeal/json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -205,7 +206,7 @@
 {
   Json json;
   try {
-    json = Json::parse(aJson);
+    json = ParseJson(aJson);
   } catch (const Json::exception& failure) {
     throw Error(Reason::BadRequest,
                 Verdict::NotRun,
--- a/src/kernel/json.cpp
+++ b/src/kernel/json.cpp
@@ -147,7 +147,7 @@
 Json
 ParseJson(std::string_view aText)
 {
-  Scanner(aText).CheckDepth(kMaxJsonDepth);
+  CheckJsonDepth(aText);
   try {
     return Json::parse(aText);
   } catch (const Json::exception& error) { // which may quote the whole text
@@ -155,6 +155,22 @@
   }
 }
 
+Json
+ParseJsonOrDiscard(std::string_view aText)
+{
+  try {
+    return ParseJson(aText);
+  } catch (const Json::exception&) {
+    return Json(Json::value_t::discarded);
+  }
+}
+
+void
+CheckJsonDepth(std::string_view aText)
+{
+  Scanner(aText).CheckDepth(kMaxJsonDepth);
+}
+
 std::uint64_t
 ReadJsonCount(const Json& aValue, std::uint64_t aMax)
 {
--- a/src/lease/lease_holder.cpp
+++ b/src/lease/lease_holder.cpp
@@ -1,6 +1,7 @@
 #include "lease/lease_holder_p.h"
 
 #include "siskindeal/invariant.h"
+#include "siskindeal/json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,7 +55,7 @@
 ParseLease(const std::string& aJson)
 {
   try {
-    const auto json = nlohmann::json::parse(aJson);
+    const auto json = ParseJson(aJson);
     return { json.at("holder").get<std::string>(),
              json.at("token").get<std::uint64_t>(),
              std::chrono::milliseconds(
--- a/src/operators/responses.cpp
+++ b/src/operators/responses.cpp
@@ -1,6 +1,7 @@
 #include "operators/responses_p.h"
 
 #include "node/answer_p.h"
+#include "siskindeal/json.h"
 
 namespace siskindeal {
 
@@ -15,7 +16,7 @@
   if (aValue.empty()) {
     return nullptr;
   }
-  Json value = Json::parse(aValue, nullptr, false);
+  Json value = ParseJsonOrDiscard(aValue);
   return value.is_discarded() ? Json(aValue) : value;
 }
 
--- a/src/operators/target.cpp
+++ b/src/operators/target.cpp
@@ -1,6 +1,7 @@
 #include "siskindeal/target.h"
 
 #include "siskindeal/error.h"
+#include "siskindeal/json.h"
 #include "siskindeal/overloaded.h"
 
 #include <nlohmann/json.hpp>
@@ -182,6 +183,7 @@
       return true;
     };
   try {
+    CheckJsonDepth(aJson);
     target = Json::parse(aJson, findDuplicate);
   } catch (const Json::exception& error) {
     throw Error(Reason::BadRequest,
@@ -258,7 +260,7 @@
 ParseTargetStatus(const std::string& aJson)
 {
   try {
-    const Json json = Json::parse(aJson);
+    const Json json = ParseJson(aJson);
     TargetStatus status;
     status.m_name = json.at("name");
     status.m_met = json.at("met");
--- a/src/platform/object_json.cpp
+++ b/src/platform/object_json.cpp
@@ -1,4 +1,5 @@
 #include "platform/object_json_p.h"
+#include "siskindeal/json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,13 +27,13 @@
 PlatformObject
 ParseObject(const std::string& aJson)
 {
-  return ObjectFromJson(nlohmann::json::parse(aJson));
+  return ObjectFromJson(ParseJson(aJson));
 }
 
 PlatformChanges
 ParseChanges(const std::string& aJson)
 {
-  const auto json = nlohmann::json::parse(aJson);
+  const auto json = ParseJson(aJson);
   PlatformChanges changes;
   changes.m_outcome = PlatformOutcome::Ok;
   changes.m_revision = json.at("revision").get<std::uint64_t>();
@@ -45,7 +46,7 @@
 VmList
 ParseVms(const std::string& aJson)
 {
-  const auto json = nlohmann::json::parse(aJson);
+  const auto json = ParseJson(aJson);
   VmList list;
   list.m_outcome = PlatformOutcome::Ok;
   for (const auto& vm : json.at("vms")) {
--- a/src/quarantine/quarantine_keeper.cpp
+++ b/src/quarantine/quarantine_keeper.cpp
@@ -3,6 +3,7 @@
 #include "siskindeal/digest.h"
 #include "siskindeal/fleet_config.h"
 #include "siskindeal/invariant.h"
+#include "siskindeal/json.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 #include "siskindeal/operators.h"
@@ -72,7 +73,7 @@
 {
   wire::Suspicion suspicion;
   try {
-    const auto json = nlohmann::json::parse(aJson);
+    const auto json = ParseJson(aJson);
     std::uint64_t fingerprint = 0;
     if (!absl::SimpleHexAtoi(json.at("fingerprint").get<std::string>(),
                              &fingerprint)) {
--- a/src/rollout/planner.cpp
+++ b/src/rollout/planner.cpp
@@ -1,6 +1,7 @@
 #include "rollout/planner_p.h"
 
 #include "siskindeal/error.h"
+#include "siskindeal/json.h"
 
 #include <absl/strings/str_format.h>
 #include <absl/time/time.h>
@@ -38,7 +39,7 @@
 ParseCatalogueEntry(const std::string& aJson)
 {
   try {
-    const auto json = nlohmann::json::parse(aJson);
+    const auto json = ParseJson(aJson);
     CatalogueEntry entry{ json.at("release").get<std::string>(),
                           json.value("adapter", false) };
     if (!entry.m_release.empty()) {
--- a/src/weights/engine.cpp
+++ b/src/weights/engine.cpp
@@ -1,3 +1,4 @@
+#include "siskindeal/json.h"
 #include "weights/engine_p.h"
 
 #include <nlohmann/json.hpp>
@@ -29,7 +30,7 @@
     return state;
   }
   try {
-    const auto json = nlohmann::json::parse(aReply.m_body);
+    const auto json = ParseJson(aReply.m_body);
     state.m_answered = aReply.m_status == kStatusOk;
     state.m_staleToken = aReply.m_status == kStatusConflict;
     state.m_loaded = json.value("loaded", std::vector<std::string>{});
@@ -111,7 +112,7 @@
                }
                std::optional<std::vector<std::uint32_t>> chunks;
                try {
-                 chunks = nlohmann::json::parse(aReply.m_body)
+                 chunks = ParseJson(aReply.m_body)
                             .at("chunks")
                             .get<std::vector<std::uint32_t>>();
                } catch (const nlohmann::json::exception&) {
--- a/src/weights/manifest.cpp
+++ b/src/weights/manifest.cpp
@@ -2,6 +2,7 @@
 
 #include "siskindeal/digest.h"
 #include "siskindeal/error.h"
+#include "siskindeal/json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -84,7 +85,7 @@
 {
   Manifest manifest;
   try {
-    const auto json = nlohmann::json::parse(aJson);
+    const auto json = ParseJson(aJson);
     json.at("size").get_to(manifest.m_size);
     json.at("chunk_size").get_to(manifest.m_chunkSize);
     json.at("chunks").get_to(manifest.m_chunkDigests);
--- a/tests/input_fuzz_test.cpp
+++ b/tests/input_fuzz_test.cpp
@@ -404,6 +404,32 @@
   }
 }
 
+TEST(InputFuzz, DeepNestingInAMemberThatIsNotReadIsRejected)
+{
+  constexpr std::size_t kDepth = 100000;
+  const auto nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const auto withNested = [&](std::string aObject) {
+    aObject.back() = ',';
+    return aObject + R"("other":)" + nested + "}";
+  };
+  const std::string object = R"({"key":"k","version":1})";
+  const std::string objects = R"({"revision":1,"objects":[]})";
+  const std::string vms = R"({"vms":[]})";
+  const std::string load = R"({"running":1})";
+  const std::string events =
+    R"({"events":[{"sequence":1,"prefix_hash":"7","evicted":false}]})";
+  EXPECT_NO_THROW(ParseObject(object));
+  EXPECT_ANY_THROW(ParseObject(withNested(object)));
+  EXPECT_NO_THROW(ParseChanges(objects));
+  EXPECT_ANY_THROW(ParseChanges(withNested(objects)));
+  EXPECT_NO_THROW(ParseVms(vms));
+  EXPECT_ANY_THROW(ParseVms(withNested(vms)));
+  EXPECT_TRUE(ParseLoad(load, 1));
+  EXPECT_FALSE(ParseLoad(withNested(load), 1));
+  EXPECT_EQ(ParseCacheEvents(events).size(), 1U);
+  EXPECT_TRUE(ParseCacheEvents(withNested(events)).empty());
+}
+
 // An upstream that sends an invalid report stays up. The report is ignored.
 TEST(InputFuzz, ParsesAnUpstreamReportOrIgnoresIt)
 {
