--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -2,10 +2,10 @@
 
 #include "gateway/gateway_p.h"
 #include "siskindeal/digest.h"
+#include "siskindeal/json.h"
+#include "siskindeal/wire_values.h"
 #include "site/site_objects_p.h"
 
-#include <nlohmann/json.hpp>
-
 #include <set>
 
 namespace siskindeal {
@@ -255,7 +255,7 @@
     return;
   }
   try {
-    const auto spec = nlohmann::json::parse(aObject.m_spec);
+    const auto spec = ParseJson(aObject.m_spec);
     m_peers.Register(aObject.m_name,
                      ParseAddress(spec.at("datagrams").get<std::string>()),
                      spec.at("region").get<std::string>());
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -2,6 +2,7 @@
 // store.
 
 #include "siskindeal/log.h"
+#include "siskindeal/wire_values.h"
 #include "site/config_relay_p.h"
 #include "site/site_objects_p.h"
 #include "stager/stager_p.h"
