A runner that starts anew isn't held to its former wait

Cause: waits were kept by id alone, because an entry that lapses and is listed anew has a new creation though the runner is the same, and the creation was all that told starts apart. `born` tells them apart, so waits are kept by incarnation.

RunnerNotices.RunnerThatStartsAnewIsNotHeldToItsFormerWait failed before and passes beside RunnerThatIsListedAnewKeepsItsWait. A runner whose entry lacks `born` (no sound writer's does) loses its wait when it is listed anew.

--- a/src/dispatch/runner_notices.cpp
+++ b/src/dispatch/runner_notices.cpp
@@ -55,6 +55,7 @@
       "runner is leaving",
       { { "runner", aRunner.m_id },
         { "created", aRunner.m_created },
+        { "born", aRunner.m_born },
         { "from_peer", !aIsListed } });
   return true;
 }
@@ -79,10 +80,10 @@
                           MonotonicTime aNow)
 {
   const milliseconds wait = ToWait(aNamed);
-  if (!m_waits.contains(aRunner.m_id)) {
+  if (!m_waits.contains(aRunner)) {
     MakeRoom(m_waits, [](MonotonicTime aEnd) { return aEnd; });
   }
-  MonotonicTime& end = m_waits[aRunner.m_id];
+  MonotonicTime& end = m_waits[aRunner];
   end = std::max(end, aNow + wait);
   return wait;
 }
@@ -113,7 +114,7 @@
 RunnerNotices::WaitEnd(const RunnerIncarnation& aRunner,
                        MonotonicTime aNow) const
 {
-  const auto found = m_waits.find(aRunner.m_id);
+  const auto found = m_waits.find(aRunner);
   if (found == m_waits.end() || found->second <= aNow) {
     return std::nullopt;
   }
--- a/src/dispatch/runner_notices_p.h
+++ b/src/dispatch/runner_notices_p.h
@@ -71,9 +71,7 @@
                   MonotonicTime aNow);
 
   std::map<RunnerIncarnation, Leaving> m_leaving;
-  // Their ends, by runner id: the store may list a runner again as if it had
-  // started anew.
-  std::map<std::string, MonotonicTime> m_waits;
+  std::map<RunnerIncarnation, MonotonicTime> m_waits; // their ends
   std::optional<RunnerIncarnation> m_lastAdvertised;
 };
 
