Nothing is kept of a runner's earlier start under the same id

Seen: what a gateway knew of a runner outlived its restart: failures in a row and their backoff, requests in flight there, the load that peers and answers told, the time it was avoided while it loaded, and the weights that a stager's or another region's late report named. A request that had been sent to the former start counted as tried at the new one, and its end took from the new one's load.

Cause: the table of runners, the attempts, what a request had tried, and the datagrams named a runner by id or address.

A runner that starts again begins with an empty state. What an attempt learns goes to the start that it was sent to; a request may try a new start. Loads, notices of stagers and reports between regions carry `born`: those of a former start are left out, and a later start that a stager reports before the store lists it (as in an outage) counts at once, with no weights but those reported since. An entry of an earlier start that comes late undoes nothing; if it lasts for 10 s it is taken over, for a clock that was set back. Reports without `born` count as before.

Tests of placement and of peers name runners by incarnation where they named ids (signatures); what they expect is unchanged.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -269,7 +269,7 @@
               RunnerTable& aRunners,
               const RunnerLimits& aLimits,
               const RunnerNotices& aNotices,
-              const std::set<std::string>& aTried,
+              const std::set<RunnerIncarnation>& aTried,
               MonotonicTime aNow)
 {
   RecordArrival(aShape.m_service, aNow);
@@ -290,7 +290,7 @@
       waiting.push_back(incarnation);
       continue;
     }
-    if (aTried.count(runner->m_record.m_id) > 0) {
+    if (aTried.contains(incarnation)) {
       continue;
     }
     if (!aLimits.Allows(incarnation, aNow)) {
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -69,7 +69,7 @@
                  RunnerTable& aRunners,
                  const RunnerLimits& aLimits,
                  const RunnerNotices& aNotices,
-                 const std::set<std::string>& aTried,
+                 const std::set<RunnerIncarnation>& aTried,
                  MonotonicTime aNow);
 
   // Sets how many gateways send requests to the same runners, with this one,
--- a/src/dispatch/runner_table.cpp
+++ b/src/dispatch/runner_table.cpp
@@ -3,6 +3,7 @@
 #include "siskindeal/log.h"
 
 #include <set>
+#include <utility>
 
 namespace siskindeal {
 
@@ -13,6 +14,9 @@
 // Runners that expired from the list during an outage of the store are listed
 // again within 2 s of its recovery.
 constexpr milliseconds kRelistTime{ 2300 };
+// A runner writes its entry again long before that, so an older one that lasts
+// longer is from a clock that was set back.
+constexpr milliseconds kOlderEntryTime{ 10000 };
 
 } // namespace
 
@@ -51,12 +55,21 @@
 void
 RunnerTable::Put(const RunnerRecord& aRunner)
 {
-  auto& state = m_runners[aRunner.m_id];
-  const bool reborn = state.m_record.m_created != aRunner.m_created &&
-                      !state.m_record.m_id.empty();
-  const bool moved = !state.m_record.m_id.empty() &&
-                     !(state.m_record.m_address == aRunner.m_address);
-  if (state.m_record.m_id.empty() || reborn || moved ||
+  RunnerState& state = m_runners[aRunner.m_id];
+  const bool isNew = state.m_record.m_id.empty();
+  if (!isNew && aRunner.m_born != 0 && aRunner.m_born < state.m_record.m_born) {
+    Log(LogLevel::Info,
+        "older runner entry ignored",
+        { { "runner", aRunner.m_id },
+          { "born", aRunner.m_born },
+          { "known_born", state.m_record.m_born } });
+    state.m_olderRecord = aRunner;
+    return;
+  }
+  const bool reborn =
+    !isNew && !(state.m_record.Incarnation() == aRunner.Incarnation());
+  const bool moved = !isNew && !(state.m_record.m_address == aRunner.m_address);
+  if (isNew || reborn || moved ||
       state.m_record.m_draining != aRunner.m_draining) {
     Log(LogLevel::Info,
         "runner added or changed",
@@ -64,10 +77,39 @@
           { "service", aRunner.m_service },
           { "address", aRunner.m_address.ToString() },
           { "draining", aRunner.m_draining },
+          { "born", aRunner.m_born },
           { "reborn", reborn } });
   }
+  if (reborn) {
+    state = {};
+  }
   state.m_record = aRunner;
   state.m_missingSince.reset();
+  state.m_olderRecord.reset();
+  state.m_olderSince.reset();
+}
+
+bool
+RunnerTable::RecordStart(RunnerState& aState, std::uint64_t aBorn)
+{
+  const std::uint64_t known = aState.m_record.m_born;
+  if (aBorn == 0 || known == 0) {
+    return true;
+  }
+  if (aBorn > known) {
+    Log(LogLevel::Info,
+        "runner restarted",
+        { { "runner", aState.m_record.m_id },
+          { "born", aBorn },
+          { "known_born", known } });
+    RunnerState restarted;
+    restarted.m_record = aState.m_record;
+    restarted.m_record.m_born = aBorn;
+    restarted.m_record.m_versions.clear();
+    restarted.m_missingSince = aState.m_missingSince;
+    aState = std::move(restarted);
+  }
+  return aBorn >= known;
 }
 
 void
@@ -91,6 +133,7 @@
 void
 RunnerTable::Sweep(MonotonicTime aNow)
 {
+  AcceptOlderRecords(aNow);
   if (MayHaveExpired(aNow)) {
     return;
   }
@@ -99,6 +142,23 @@
   });
 }
 
+void
+RunnerTable::AcceptOlderRecords(MonotonicTime aNow)
+{
+  for (auto& [id, state] : m_runners) {
+    if (!state.m_olderRecord) {
+      continue;
+    }
+    if (!state.m_olderSince) {
+      state.m_olderSince = aNow;
+    } else if (aNow - *state.m_olderSince >= kOlderEntryTime) {
+      const RunnerRecord older = *state.m_olderRecord;
+      state = {};
+      Put(older);
+    }
+  }
+}
+
 RunnerState*
 RunnerTable::Find(const std::string& aId)
 {
@@ -126,14 +186,19 @@
 }
 
 RunnerState*
-RunnerTable::FindByAddress(const Address& aAddress)
+RunnerTable::FindByAddress(const Address& aAddress, std::uint64_t aBorn)
 {
+  RunnerState* found = nullptr;
   for (auto& [id, state] : m_runners) {
-    if (state.m_record.m_address == aAddress) {
+    if (!(state.m_record.m_address == aAddress)) {
+      continue;
+    }
+    if (aBorn != 0 && state.m_record.m_born == aBorn) {
       return &state;
     }
+    found = found == nullptr ? &state : found;
   }
-  return nullptr;
+  return found;
 }
 
 std::vector<RunnerState*>
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -22,6 +22,12 @@
   std::uint32_t m_promptTokens = 0; // of those without a first event
 
   bool operator==(const RunnerLoad&) const = default;
+  RunnerLoad& operator+=(const RunnerLoad& aOther)
+  {
+    m_requests += aOther.m_requests;
+    m_promptTokens += aOther.m_promptTokens;
+    return *this;
+  }
 };
 
 struct RunnerState
@@ -41,6 +47,9 @@
   MonotonicTime m_loadingUntil{};
   // Set while the runner is missing from the list but may have only expired.
   std::optional<MonotonicTime> m_missingSince;
+  // An entry of an earlier start that came after that of the present one.
+  std::optional<RunnerRecord> m_olderRecord;
+  std::optional<MonotonicTime> m_olderSince; // set by Sweep
 
   // Returns the last known version of a model's weights, or 0 for none.
   std::uint64_t VersionOf(const std::string& aModel) const
@@ -70,21 +79,28 @@
 public:
   // Applies a complete list; runners that are not in it become missing.
   void Replace(const std::vector<RunnerRecord>& aRunners, MonotonicTime aNow);
-  // Adds or updates one runner.
+  // Adds or updates one runner. Nothing is kept of an earlier start of it, and
+  // an entry of an earlier start changes nothing at first.
   void Put(const RunnerRecord& aRunner);
+  // Applies what a runner says of its start to others than the store; the
+  // record's address and state hold until the store has a newer one. Returns
+  // false for a start before the one that is known.
+  static bool RecordStart(RunnerState& aState, std::uint64_t aBorn);
   // Marks a runner missing; drops it unless it may have only expired.
   void Remove(const std::string& aId, MonotonicTime aNow);
   // Records that reading the list failed. Runners may expire from it during an
   // outage and are listed again after it, so missing ones are kept until then.
   void RecordListFailure(MonotonicTime aNow);
-  // Drops missing runners once they can no longer be listed again.
+  // Drops missing runners once they can no longer be listed again, and takes
+  // over entries of earlier starts that have lasted.
   void Sweep(MonotonicTime aNow);
 
   // Returns null if there is no such runner.
   RunnerState* Find(const std::string& aId);
   // Returns null unless this start of the runner is the one known.
   RunnerState* Find(const RunnerIncarnation& aRunner);
-  RunnerState* FindByAddress(const Address& aAddress);
+  // Prefers a runner that started at aBorn, unless that is 0.
+  RunnerState* FindByAddress(const Address& aAddress, std::uint64_t aBorn);
 
   // Returns the start that another process names. A process that doesn't state
   // the time of the start names the record's creation.
@@ -98,6 +114,7 @@
 
 private:
   bool MayHaveExpired(MonotonicTime aNow) const;
+  void AcceptOlderRecords(MonotonicTime aNow);
 
   std::map<std::string, RunnerState> m_runners; // by id
   std::optional<MonotonicTime> m_lastListFailure;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -289,7 +289,7 @@
   m_latest->m_heldVersion = aRunner.VersionOf(m_shape.m_model);
   m_latest->m_requiredVersion = aPlacement.m_requiredVersion;
   m_latest->m_sentAt = m_latest->m_lastProgress = now;
-  m_triedRunners.insert(m_latest->m_runner.m_id);
+  m_triedRunners.insert(m_latest->m_runner);
   m_gateway.Limits().RecordSend(m_latest->m_runner, now);
   LogIfSuspect();
   if (!IsPromptProven()) {
@@ -409,7 +409,7 @@
   std::erase_if(m_openAttempts, [&](const RunnerAttemptPtr& aOpen) {
     return aOpen.get() == &aAttempt;
   });
-  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
+  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner);
   if (runner == nullptr) {
     return;
   }
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -62,7 +62,7 @@
 {
   m_gateway.RecordNotice(
     m_id, aAttempt.m_runner, aAttempt.m_head, aAttempt.m_sentAt);
-  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
+  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner);
   if (runner == nullptr) {
     return;
   }
@@ -130,7 +130,7 @@
     AbandonAttempt(aAttempt, "stream event missing");
     return;
   }
-  if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id)) {
+  if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner)) {
     ReleasePromptTokens(aAttempt, *runner);
   }
   if (m_phase == Phase::Waiting) {
@@ -263,7 +263,7 @@
 void
 CallerExchange::RecordDuration(const RunnerAttempt& aAttempt)
 {
-  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
+  RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner);
   if (runner == nullptr) {
     return;
   }
@@ -344,7 +344,7 @@
   const int status = aAttempt.m_head.m_status;
   m_lastReason =
     "runner rejected the request with status " + std::to_string(status);
-  if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id)) {
+  if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner)) {
     constexpr milliseconds kRefusalAvoidance{ 150 };
     runner->m_avoidUntil =
       std::max(runner->m_avoidUntil, LoopNow() + kRefusalAvoidance);
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -120,7 +120,7 @@
     return;
   }
   for (const RunnerAttemptPtr& attempt : m_openAttempts) {
-    RunnerState* runner = m_gateway.Runners().Find(attempt->m_runner.m_id);
+    RunnerState* runner = m_gateway.Runners().Find(attempt->m_runner);
     if (runner != nullptr && !std::exchange(attempt->m_isHedged, true)) {
       runner->AvoidAfterFailure(aNow);
     }
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -154,7 +154,7 @@
   // To the first byte; by the last placement or refusal.
   std::chrono::milliseconds m_predicted{ 0 };
 
-  std::set<std::string> m_triedRunners;
+  std::set<RunnerIncarnation> m_triedRunners;
   std::uint32_t m_executions = 0; // ended attempts that may have executed
   std::uint32_t m_sends = 0;      // all attempts
   bool m_mayHaveRun = false;
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -15,12 +15,13 @@
 constexpr milliseconds kLoadingNoticeLifetime{ 700 };
 
 void
-AppendLoad(const std::string& aRunner,
+AppendLoad(const RunnerIncarnation& aRunner,
            const RunnerLoad& aLoad,
            google::protobuf::RepeatedPtrField<v1::RunnerLoadReport>& aTo)
 {
   v1::RunnerLoadReport& load = *aTo.Add();
-  load.set_runner(aRunner);
+  load.set_runner(aRunner.m_id);
+  load.set_born(aRunner.m_born);
   load.set_requests(aLoad.m_requests);
   load.set_prompt_tokens(aLoad.m_promptTokens);
 }
@@ -97,7 +98,9 @@
   MergeLimits(report.limits());
   MergeLeaving(report.leaving());
   for (const v1::RunnerReport& runnerReport : report.runners()) {
-    if (RunnerState* runner = m_runners.Find(runnerReport.runner())) {
+    RunnerState* runner = m_runners.Find(runnerReport.runner());
+    if (runner != nullptr &&
+        RunnerTable::RecordStart(*runner, runnerReport.born())) {
       ApplyRunnerReport(*runner, runnerReport);
     }
   }
@@ -133,11 +136,13 @@
 {
   RunnerState* runner = nullptr;
   try {
-    runner = m_runners.FindByAddress(ParseAddress(aNotice.runner()));
+    runner =
+      m_runners.FindByAddress(ParseAddress(aNotice.runner()), aNotice.born());
   } catch (const std::invalid_argument&) {
     return;
   }
-  if (runner == nullptr || runner->m_record.m_service != aNotice.service()) {
+  if (runner == nullptr || runner->m_record.m_service != aNotice.service() ||
+      !RunnerTable::RecordStart(*runner, aNotice.born())) {
     return;
   }
   v1::RunnerReport report;
@@ -145,6 +150,7 @@
   report.set_loading(aNotice.turn() == v1::TURN_LOADING);
   report.set_model(aNotice.model());
   report.set_loaded(aNotice.loaded());
+  report.set_born(aNotice.born());
   ApplyRunnerReport(*runner, report);
   m_runnerReports[runner->m_record.m_id] = { report, LoopNow() };
 }
@@ -168,8 +174,9 @@
   v1::Datagram datagram = Beacon();
   for (const auto& [id, state] : m_runners.All()) {
     if (!(state.m_ownLoad == RunnerLoad{})) {
-      AppendLoad(
-        id, state.m_ownLoad, *datagram.mutable_gateway()->mutable_loads());
+      AppendLoad(state.m_record.Incarnation(),
+                 state.m_ownLoad,
+                 *datagram.mutable_gateway()->mutable_loads());
     }
   }
   return datagram;
@@ -339,16 +346,15 @@
 void
 Gateway::AppendRegionLoads(v1::RegionReport& aReport)
 {
-  std::map<std::string, RunnerLoad> loads = m_peers.RegionLoads(LoopNow());
+  RunnerLoads loads = m_peers.RegionLoads(LoopNow());
   for (const auto& [id, state] : m_runners.All()) {
     if (state.m_ownLoad == RunnerLoad{}) {
       continue;
     }
-    loads[id].m_requests += state.m_ownLoad.m_requests;
-    loads[id].m_promptTokens += state.m_ownLoad.m_promptTokens;
+    loads[LoadKey(id, state.m_record.m_born)] += state.m_ownLoad;
   }
-  for (const auto& [id, load] : loads) {
-    AppendLoad(id, load, *aReport.mutable_loads());
+  for (const auto& [runner, load] : loads) {
+    AppendLoad(runner, load, *aReport.mutable_loads());
   }
 }
 
@@ -378,10 +384,17 @@
 void
 Gateway::ApplyPeerLoads()
 {
-  const auto loads = m_peers.Loads(LoopNow());
+  const RunnerLoads loads = m_peers.Loads(LoopNow());
   for (auto& [id, state] : m_runners.All()) {
-    const auto found = loads.find(id);
-    state.m_peerLoad = found == loads.end() ? RunnerLoad{} : found->second;
+    state.m_peerLoad = {};
+    // Senders that don't state a runner's start may mean this one.
+    for (const std::uint64_t born :
+         std::set<std::uint64_t>{ 0, state.m_record.m_born }) {
+      const auto found = loads.find(LoadKey(id, born));
+      if (found != loads.end()) {
+        state.m_peerLoad += found->second;
+      }
+    }
   }
 }
 
--- a/src/gateway/gateway_endpoints.cpp
+++ b/src/gateway/gateway_endpoints.cpp
@@ -97,6 +97,7 @@
     const auto limit = m_limits.LimitOf(incarnation);
     runners.push_back(
       { { "id", id },
+        { "born", state.m_record.m_born },
         { "service", state.m_record.m_service },
         { "address", state.m_record.m_address.ToString() },
         { "draining", state.m_record.m_draining },
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -19,14 +19,11 @@
 // failure of one loses nothing until the next in order takes over.
 constexpr std::size_t kRegionDelegates = 2;
 
-using Loads = std::map<std::string, RunnerLoad>;
-
 void
-AddLoads(Loads& aSum, const Loads& aLoads)
+AddLoads(RunnerLoads& aSum, const RunnerLoads& aLoads)
 {
   for (const auto& [runner, load] : aLoads) {
-    aSum[runner].m_requests += load.m_requests;
-    aSum[runner].m_promptTokens += load.m_promptTokens;
+    aSum[runner] += load;
   }
 }
 
@@ -94,7 +91,9 @@
   }
   peer.m_loads.clear();
   for (const auto& load : aBeacon.loads()) {
-    peer.m_loads[load.runner()] = { load.requests(), load.prompt_tokens() };
+    peer.m_loads[LoadKey(load.runner(), load.born())] = {
+      load.requests(), load.prompt_tokens()
+    };
   }
   return true;
 }
@@ -119,7 +118,9 @@
   region.m_lastSeen = aNow;
   region.m_loads.clear();
   for (const auto& load : aReport.loads()) {
-    region.m_loads[load.runner()] = { load.requests(), load.prompt_tokens() };
+    region.m_loads[LoadKey(load.runner(), load.born())] = {
+      load.requests(), load.prompt_tokens()
+    };
   }
   return true;
 }
@@ -292,10 +293,10 @@
   return holders;
 }
 
-std::map<std::string, RunnerLoad>
+RunnerLoads
 GatewayPeers::RegionLoads(MonotonicTime aNow) const
 {
-  std::map<std::string, RunnerLoad> loads;
+  RunnerLoads loads;
   for (const auto& [vm, peer] : m_peers) {
     if (peer.m_region == m_ownRegion && IsAlive(peer, aNow)) {
       AddLoads(loads, peer.m_loads);
@@ -304,10 +305,10 @@
   return loads;
 }
 
-std::map<std::string, RunnerLoad>
+RunnerLoads
 GatewayPeers::Loads(MonotonicTime aNow) const
 {
-  std::map<std::string, RunnerLoad> loads = RegionLoads(aNow);
+  RunnerLoads loads = RegionLoads(aNow);
   for (const auto& [name, region] : m_regions) {
     if (aNow - region.m_lastSeen < kRemoteTimeout) {
       AddLoads(loads, region.m_loads);
--- a/src/gateway/peers_p.h
+++ b/src/gateway/peers_p.h
@@ -16,6 +16,16 @@
 
 namespace siskindeal {
 
+// Load by runner. Creations don't count, since not all gateways have read the
+// same.
+using RunnerLoads = std::map<RunnerIncarnation, RunnerLoad>;
+
+inline RunnerIncarnation
+LoadKey(const std::string& aId, std::uint64_t aBorn)
+{
+  return { aId, 0, aBorn };
+}
+
 class GatewayPeers
 {
 public:
@@ -60,9 +70,9 @@
   // Beacons of the region's other live gateways, without loads.
   std::vector<v1::GatewayBeacon> RegionBeacons(MonotonicTime aNow) const;
   // Load that the region's other gateways cause on each runner.
-  std::map<std::string, RunnerLoad> RegionLoads(MonotonicTime aNow) const;
+  RunnerLoads RegionLoads(MonotonicTime aNow) const;
   // Load that all other gateways cause on each runner.
-  std::map<std::string, RunnerLoad> Loads(MonotonicTime aNow) const;
+  RunnerLoads Loads(MonotonicTime aNow) const;
 
   // How many of the gateways that serve callers precede this one in the order
   // that all gateways agree on for aKey. Each key has an order of its own.
@@ -82,14 +92,14 @@
     std::uint64_t m_incarnation = 0;
     bool m_serving = false;
     MonotonicTime m_lastSeen{};
-    std::map<std::string, RunnerLoad> m_loads;
+    RunnerLoads m_loads;
     std::optional<v1::ConfigState> m_config;
   };
 
   struct Region
   {
     MonotonicTime m_lastSeen{};
-    std::map<std::string, RunnerLoad> m_loads; // by runner
+    RunnerLoads m_loads;
   };
 
   bool IsAlive(const Peer& aPeer, MonotonicTime aNow) const;
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -219,6 +219,7 @@
   notice.set_place(m_settings.m_node.m_place);
   notice.set_model(m_model);
   notice.set_loaded(LoadedVersion());
+  notice.set_born(m_report.m_born);
   if (m_plan) {
     notice.set_fetching(m_pieces.m_version);
     notice.set_held(EncodeHeld(m_plan->HeldPieces()));
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -158,8 +158,13 @@
   EXPECT_EQ(RunnerOf(placer.Place(
               Shape(), Engine(), table, limits, RunnerNotices(), {}, kStart)),
             "bb");
-  const Decision decision = placer.Place(
-    Shape(), Engine(), table, limits, RunnerNotices(), { "bb" }, kStart);
+  const Decision decision = placer.Place(Shape(),
+                                         Engine(),
+                                         table,
+                                         limits,
+                                         RunnerNotices(),
+                                         { Runner("bb").Incarnation() },
+                                         kStart);
   const auto* refusal = std::get_if<PlacementRefusal>(&decision);
   ASSERT_NE(refusal, nullptr);
   EXPECT_EQ(refusal->m_reason, "the runners' limits are used up");
@@ -283,7 +288,7 @@
                                   table,
                                   RunnerLimits(),
                                   RunnerNotices(),
-                                  { "bb" },
+                                  { Runner("bb").Incarnation() },
                                   kStart)),
             "a");
 }
@@ -345,7 +350,7 @@
     m_table.Replace({ first, second }, kStart);
   }
 
-  Decision Place(const std::set<std::string>& aTried = {})
+  Decision Place(const std::set<RunnerIncarnation>& aTried = {})
   {
     return m_placer.Place(
       m_shape, {}, m_table, RunnerLimits(), m_notices, aTried, kStart);
@@ -387,10 +392,18 @@
 {
   m_notices.RecordLeaving(m_second, kStart);
   m_notices.RecordWait(m_first, RunnerNotices::Seconds(20), kStart);
-  EXPECT_GE(std::get<PlacementRefusal>(Place({ "i-1" })).m_retryAfter,
+  EXPECT_GE(std::get<PlacementRefusal>(Place({ m_first })).m_retryAfter,
             std::chrono::seconds(20));
 }
 
+TEST_F(NoticePlacement, RunnerThatRestartedSinceItWasTriedIsEligible)
+{
+  const RunnerIncarnation former{ "i-1", kCreated, 1764793000000 };
+  m_notices.RecordLeaving(m_second, kStart);
+  EXPECT_TRUE(std::holds_alternative<PlacementRefusal>(Place({ m_first })));
+  EXPECT_TRUE(std::holds_alternative<Placement>(Place({ former })));
+}
+
 TEST(SharedRetryBudget, GatewaysStartedTogetherStayWithinTheSharedSlack)
 {
   constexpr std::size_t kGateways = 9;
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -212,7 +212,7 @@
     << "registered, no beacon";
   EXPECT_TRUE(peers.OnBeacon(Beacon("a", 5, true), from, kStart));
   EXPECT_EQ(peers.ServingAddresses(kStart).size(), 1U);
-  EXPECT_EQ(peers.Loads(kStart).at("r").m_requests, 3U);
+  EXPECT_EQ(peers.Loads(kStart).at({ "r" }).m_requests, 3U);
   EXPECT_TRUE(peers.ServingAddresses(kStart + milliseconds(600)).empty())
     << "timed out";
   EXPECT_TRUE(peers.Loads(kStart + milliseconds(600)).empty());
@@ -307,9 +307,10 @@
     for (auto& other : m_gateways[aIndex]->RegionBeacons(m_now)) {
       *report.add_gateways() = other;
     }
-    for (const auto& [id, load] : m_gateways[aIndex]->RegionLoads(m_now)) {
+    for (const auto& [runner, load] : m_gateways[aIndex]->RegionLoads(m_now)) {
       auto& reported = *report.add_loads();
-      reported.set_runner(id);
+      reported.set_runner(runner.m_id);
+      reported.set_born(runner.m_born);
       reported.set_requests(load.m_requests + 3); // 3 of this gateway
     }
     for (const Address& address :
@@ -379,7 +380,7 @@
   // Two delegates of each region send to one gateway of each other region.
   EXPECT_EQ(sim.m_crossRegionReports - before, 3U * 2 * 2);
   // Each gateway knows the load of all others on the runner.
-  EXPECT_EQ(sim.m_gateways[0]->Loads(sim.m_now).at("r").m_requests,
+  EXPECT_EQ(sim.m_gateways[0]->Loads(sim.m_now).at({ "r" }).m_requests,
             3 * (3 * SimulatedRegions::kGatewaysPerRegion - 1));
 }
 
--- a/tests/gateway_regions_test.cpp
+++ b/tests/gateway_regions_test.cpp
@@ -38,6 +38,40 @@
     m_remote.Send(datagram, m_gateway->DatagramPort());
   }
 
+  // Sends notices about a runner of one start until the gateway believes them.
+  bool TellWeights(const Address& aRunner,
+                   std::uint64_t aBorn,
+                   const std::string& aModel,
+                   std::uint64_t aLoaded)
+  {
+    v1::Datagram datagram;
+    v1::StagerNotice& notice = *datagram.mutable_stager();
+    notice.set_vm("side-1");
+    notice.set_runner(aRunner.ToString());
+    notice.set_service("get");
+    notice.set_model(aModel);
+    notice.set_loaded(aLoaded);
+    notice.set_born(aBorn);
+    return Eventually([&] {
+      m_remote.Send(datagram, m_gateway->DatagramPort());
+      const nlohmann::json believed = Weights();
+      return believed.contains(aModel) && believed.at(aModel) == aLoaded;
+    });
+  }
+
+  // The weights that the gateway believes its first runner to hold, by model.
+  nlohmann::json Weights()
+  {
+    RawSocket socket(m_gateway->AdminPort());
+    socket.Send("GET /state HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const std::string answer = socket.ReadAll();
+    const auto body = answer.find("\r\n\r\n");
+    return nlohmann::json::parse(answer.substr(body + 4))
+      .at("runners")
+      .at(0)
+      .at("versions");
+  }
+
   // Returns whether the next datagram is a report of this region with the state
   // of both runners.
   bool ReceiveRegionReport(bool aLoading)
@@ -77,6 +111,32 @@
   }
 }
 
+TEST_F(GatewayRegionsTest, WeightsOfARunnersFormerStartAreNotBelieved)
+{
+  constexpr std::uint64_t kBorn = 1764793000000;
+  const Address runner =
+    m_site.AddRunner("i-1",
+                     "get",
+                     [](const auto& aConnection) { Answer(aConnection); },
+                     { { "born", kBorn } });
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+  ASSERT_TRUE(TellWeights(runner, kBorn, "m", 4));
+  // The restart is told before the store lists it.
+  ASSERT_TRUE(TellWeights(runner, kBorn + 1, "other", 5));
+  EXPECT_EQ(Weights(), (nlohmann::json{ { "other", 5 } }));
+  v1::Datagram late;
+  v1::StagerNotice& notice = *late.mutable_stager();
+  notice.set_runner(runner.ToString());
+  notice.set_service("get");
+  notice.set_model("m");
+  notice.set_loaded(4);
+  notice.set_born(kBorn);
+  m_remote.Send(late, m_gateway->DatagramPort());
+  ASSERT_TRUE(TellWeights(runner, kBorn + 1, "other", 6));
+  EXPECT_EQ(Weights(), (nlohmann::json{ { "other", 6 } }));
+}
+
 TEST_F(GatewayRegionsTest, ReportOfAnotherRegionIsAppliedAndRelayedOnce)
 {
   m_site.AddRunner(
--- a/tests/runner_restart_test.cpp
+++ b/tests/runner_restart_test.cpp
@@ -1,6 +1,7 @@
 // Tests what gateways and stagers take for a new start of a runner that keeps
 // its id, and what they then forget.
 
+#include "dispatch/runner_table_p.h"
 #include "gateway/suspicion_exchange_p.h"
 #include "platform/dialect.h"
 #include "site/site_objects_p.h"
@@ -106,6 +107,137 @@
   EXPECT_EQ(second.ListingOf(kCrasher)->m_crashes, 1U);
 }
 
+RunnerRecord
+Record(const json& aBorn, std::uint64_t aCreated = 7)
+{
+  return dialect::DecodeRunner(Entry(aBorn, aCreated));
+}
+
+// A table with a runner about which everything is known that can be.
+RunnerTable
+TableInUse()
+{
+  RunnerTable table;
+  RunnerRecord record = Record(kBorn);
+  record.m_versions = { { "m", 7 } };
+  table.Put(record);
+  RunnerState& state = *table.Find("i-1");
+  state.m_ownLoad = { 3, 900 };
+  state.m_peerLoad = { 2, 500 };
+  state.m_reportedRequests = 5;
+  state.m_smoothedDuration = std::chrono::milliseconds(80);
+  state.AvoidAfterFailure(kStart);
+  state.m_loadingUntil = kStart + std::chrono::seconds(1);
+  return table;
+}
+
+void
+ExpectNothingKnown(const RunnerState& aState)
+{
+  EXPECT_EQ(aState.VersionOf("m"), 0U);
+  EXPECT_EQ(aState.Requests(), 0U);
+  EXPECT_EQ(aState.m_ownLoad, RunnerLoad{});
+  EXPECT_EQ(aState.m_peerLoad, RunnerLoad{});
+  EXPECT_EQ(aState.m_reportedRequests, 0U);
+  EXPECT_EQ(aState.m_smoothedDuration.count(), 0);
+  EXPECT_EQ(aState.m_consecutiveFailures, 0U);
+  EXPECT_EQ(aState.m_avoidUntil, MonotonicTime{});
+  EXPECT_EQ(aState.m_loadingUntil, MonotonicTime{});
+}
+
+TEST(RunnerRestart, RestartedRunnerBeginsWithoutItsFormerState)
+{
+  RunnerTable table = TableInUse();
+  table.Put(Record(kBorn + 1));
+  ExpectNothingKnown(*table.Find("i-1"));
+}
+
+TEST(RunnerRestart, RunnerThatIsListedAnewKeepsItsState)
+{
+  RunnerTable table = TableInUse();
+  table.Put(Record(kBorn, 9));
+  EXPECT_EQ(table.Find("i-1")->m_ownLoad, (RunnerLoad{ 3, 900 }));
+  EXPECT_EQ(table.Find("i-1")->m_consecutiveFailures, 1U);
+}
+
+TEST(RunnerRestart, OlderEntryDoesNotUndoANewerStart)
+{
+  RunnerTable table;
+  table.Put(Record(kBorn + 1));
+  table.Find("i-1")->m_ownLoad = { 1, 10 };
+  table.Put(Record(kBorn, 9));
+  EXPECT_EQ(table.Find("i-1")->m_record.Incarnation(), Start(kBorn + 1));
+  table.Replace({ Record(kBorn, 11) }, kStart);
+  ASSERT_NE(table.Find("i-1"), nullptr);
+  EXPECT_EQ(table.Find("i-1")->m_record.Incarnation(), Start(kBorn + 1));
+  EXPECT_EQ(table.Find("i-1")->m_ownLoad, (RunnerLoad{ 1, 10 }));
+}
+
+TEST(RunnerRestart, OlderEntryThatLastsIsTakenOver)
+{
+  RunnerTable table;
+  table.Put(Record(kBorn + 1));
+  table.Put(Record(kBorn));
+  table.Sweep(kStart);
+  EXPECT_EQ(table.Find("i-1")->m_record.Incarnation(), Start(kBorn + 1));
+  table.Sweep(kStart + std::chrono::seconds(60));
+  EXPECT_EQ(table.Find("i-1")->m_record.Incarnation(), Start(kBorn));
+}
+
+TEST(RunnerRestart, ReportOfARestartWhileTheStoreIsAwayIsBelieved)
+{
+  RunnerTable table = TableInUse();
+  RunnerState& state = *table.Find("i-1");
+  EXPECT_TRUE(RunnerTable::RecordStart(state, kBorn + 1));
+  ExpectNothingKnown(state);
+  EXPECT_EQ(state.m_record.Incarnation(), Start(kBorn + 1));
+  EXPECT_FALSE(RunnerTable::RecordStart(state, kBorn));
+  table.Put(Record(kBorn, 9)); // of before the outage
+  EXPECT_EQ(state.m_record.Incarnation(), Start(kBorn + 1));
+  state.m_ownLoad = { 1, 10 };
+  table.Put(Record(kBorn + 1, 9));
+  EXPECT_EQ(state.m_ownLoad, (RunnerLoad{ 1, 10 }));
+}
+
+TEST(RunnerRestart, ReportWithoutItsStartChangesNoIncarnation)
+{
+  RunnerTable table = TableInUse();
+  RunnerState& state = *table.Find("i-1");
+  EXPECT_TRUE(RunnerTable::RecordStart(state, 0));
+  EXPECT_EQ(state.m_ownLoad, (RunnerLoad{ 3, 900 }));
+  table.Put(Record(kMissing));
+  EXPECT_TRUE(RunnerTable::RecordStart(state, kBorn));
+  EXPECT_EQ(state.m_record.Incarnation(), Start(kMissing));
+}
+
+TEST(RunnerRestart, ResponseToTheFormerStartFindsNoRunner)
+{
+  RunnerTable table = TableInUse();
+  table.Put(Record(kBorn + 1));
+  EXPECT_EQ(table.Find(Start(kBorn)), nullptr);
+  EXPECT_NE(table.Find(Start(kBorn + 1)), nullptr);
+}
+
+TEST(RunnerRestart, OlderGatewayNamesAStartByItsCreation)
+{
+  RunnerTable table;
+  table.Put(Record(kBorn, 7));
+  EXPECT_EQ(table.Resolve({ "i-1", 7 }), Start(kBorn));
+  EXPECT_NE(table.Resolve({ "i-1", 6 }), Start(kBorn));
+  EXPECT_NE(table.Resolve({ "i-1", 7, kBorn - 1 }), Start(kBorn));
+}
+
+TEST(RunnerRestart, RunnerOfASharedAddressIsFoundByItsStart)
+{
+  RunnerTable table = TableInUse();
+  RunnerRecord second = Record(kBorn + 1);
+  second.m_id = "i-2";
+  table.Put(second);
+  EXPECT_EQ(table.FindByAddress(second.m_address, kBorn + 1)->m_record.m_id,
+            "i-2");
+  EXPECT_EQ(table.FindByAddress(second.m_address, 0)->m_record.m_id, "i-1");
+}
+
 } // namespace
 
 } // namespace siskindeal
