--- a/tests/runner_restart_test.cpp
+++ b/tests/runner_restart_test.cpp
@@ -77,6 +77,16 @@
   }
 }
 
+TEST(RunnerRestart, ReportNamesItsStartOrIsRejected)
+{
+  EXPECT_EQ(dialect::DecodeReport(R"({"born":1764793000000})").m_born, kBorn);
+  EXPECT_EQ(dialect::DecodeReport("{}").m_born, 0U);
+  for (const char* body :
+       { R"({"born":"1"})", R"({"born":-1})", R"({"born":null})" }) {
+    EXPECT_THROW(dialect::DecodeReport(body), std::invalid_argument) << body;
+  }
+}
+
 TEST(RunnerRestart, BornInTheFutureIsUsable)
 {
   const std::uint64_t ahead = kBorn + 100ULL * 365 * 24 * 3600 * 1000;
