Gateways read the store anew when its era changes

Cause: revisions were compared across histories of the store, whose era, named in each answer, nothing read.

A position is now (era, revision), ordered by era first. An answer of an older era than the one known changes nothing; one of a later era makes the feed list anew, and the other feeds of the gateway with it. Relays between gateways carry the era: a list of runners or an age from an older era changes nothing, while a newer version of the configuration is still taken, whichever era it is from. The store's answers make a configuration recent only while the store holds that version or a newer one. The list of runners in the new era replaces the old as after an outage, and the gateway registers again within a random second.

The stand-in takes copies of the store, goes away and comes back in a new era.

Changes to existing tests: ConfigServerTest::Update passes a position in place of a bare revision; nothing else is changed in them.

--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -164,6 +164,22 @@
   std::vector<std::string> m_digests; // SHA-256, hexadecimal
 };
 
+// A position in the history of the platform's store. A store that comes back
+// from a copy begins a new era and gives the revisions of lost changes out
+// again. Any position of a later era is later than all of the former ones.
+struct StorePosition
+{
+  std::uint64_t m_era = 0; // 0: the store doesn't name its era
+  std::uint64_t m_revision = 0;
+
+  bool operator==(const StorePosition&) const = default;
+  bool operator<(const StorePosition& aOther) const
+  {
+    return std::tie(m_era, m_revision) <
+           std::tie(aOther.m_era, aOther.m_revision);
+  }
+};
+
 // An object of the platform's store; m_spec is its JSON text.
 struct SiteObject
 {
--- a/src/gateway/config_server.cpp
+++ b/src/gateway/config_server.cpp
@@ -62,14 +62,17 @@
 {
   v1::ConfigReply reply;
   reply.set_version(m_snapshot.m_version);
-  reply.set_revision(m_snapshot.m_revision);
+  reply.set_revision(m_snapshot.m_position.m_revision);
+  reply.set_era(m_snapshot.m_position.m_era);
+  reply.set_stored_version(m_snapshot.m_storedVersion);
   reply.set_known_until_ms(
     (m_snapshot.m_knownUntil - aQuestion.m_arrivedAt).count());
   if (m_snapshot.m_version > aQuestion.m_version) {
     reply.set_spec(*m_snapshot.m_spec);
   }
   AppendNamedAges(m_named, BootTime(), *reply.mutable_named());
-  if (aQuestion.m_runners && m_runners.Mark().m_lineage != 0) {
+  if (aQuestion.m_runners && m_runners.Mark().m_lineage != 0 &&
+      m_runners.Mark().m_era >= aQuestion.m_runners->m_era) {
     *reply.mutable_runners() =
       EncodeRunnerList(m_runners, *aQuestion.m_runners);
     reply.mutable_runners()->set_known_until_ms(
--- a/src/gateway/config_server_p.h
+++ b/src/gateway/config_server_p.h
@@ -20,11 +20,12 @@
 struct ConfigSnapshot
 {
   std::uint64_t m_version = 0;
-  std::uint64_t m_revision = 0; // of the store, up to which all is known
+  StorePosition m_position;                    // up to which all is known
   std::chrono::milliseconds m_knownUntil{ 0 }; // boot time, likewise
   std::shared_ptr<const std::string> m_spec;   // compressed with gzip
   // Likewise, of the list of runners.
   std::chrono::milliseconds m_runnersKnownUntil{ 0 };
+  std::uint64_t m_storedVersion = 0; // that the store holds at m_position
 
   // Up to when everything that is passed on is known.
   std::chrono::milliseconds KnownUntil() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -160,16 +160,20 @@
   const auto applyGateway = [this](const SiteObject& aObject) {
     OnGateway(aObject);
   };
-  const auto publish = [this] { PublishConfig(); };
+  const auto publish = [this] {
+    RecordConfigKnown(*m_configFeed->KnownUntil());
+    PublishConfig();
+  };
+  const auto onEra = [this](std::uint64_t aEra) { OnStoreEra(aEra); };
   const auto publishRunners = [this] {
     CheckForRunnerOutage(*m_runnerFeed->KnownUntil());
-    m_runnerList.Advance(m_runnerFeed->Revision());
+    m_runnerList.Advance(m_runnerFeed->Position().m_revision);
     PublishConfig();
   };
   m_configFeed =
     StartFeed(dialect::kConfigKind,
               kConfigFeedTiming,
-              { forEach(applyConfig), applyConfig, [] {}, publish },
+              { forEach(applyConfig), applyConfig, [] {}, publish, onEra },
               m_readsStore);
   m_configFollower = std::make_shared<ConfigFollower>(
     m_loop,
@@ -186,14 +190,17 @@
               { [this](const auto& aObjects) { OnRunners(aObjects); },
                 [this](const SiteObject& aObject) { OnRunner(aObject); },
                 [] {},
-                publishRunners },
+                publishRunners,
+                onEra },
               m_readsStore);
   m_versionFeed = StartFeed(
     dialect::kVersionKind,
     kVersionFeedTiming,
     { forEach([this](const SiteObject& aObject) { OnVersion(aObject); }),
       [this](const SiteObject& aObject) { OnVersion(aObject); },
-      [] {} },
+      [] {},
+      [] {},
+      onEra },
     m_readsStore);
   m_gatewayFeed =
     StartFeed(kGatewayKind,
@@ -283,7 +290,7 @@
 bool
 Gateway::ConfigIsFresh() const
 {
-  return m_configFeed->KnownUntil().has_value() &&
+  return m_configKnownUntil.has_value() &&
          ConfigAge() <= m_settings.m_gateway.m_revokeWithin - kRevokeMargin;
 }
 
@@ -299,8 +306,8 @@
 milliseconds
 Gateway::ConfigAge() const
 {
-  const auto known = m_configFeed->KnownUntil();
-  return known ? BootTime() - *known : milliseconds(-1);
+  return m_configKnownUntil ? BootTime() - *m_configKnownUntil
+                            : milliseconds(-1);
 }
 
 PartDecision
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -16,53 +16,115 @@
 // A gateway refuses requests rather than judge them by a configuration that
 // others have replaced, this long before the bound on configurations.
 constexpr milliseconds kConfigMargin{ 1000 };
+// After a change of the store's era all gateways register again.
+constexpr milliseconds kMaxRegisterDelay{ 1000 };
 
 } // namespace
 
-bool
-Gateway::ApplyConfig(const SiteObject& aObject, std::string_view aSource)
+std::optional<SiteConfig>
+Gateway::ReadConfig(const SiteObject& aObject, std::string_view aSource)
 {
   if (aObject.m_name != dialect::kConfigName || aObject.m_deleted) {
-    return false;
+    return std::nullopt;
   }
   try {
-    SiteConfig config = dialect::DecodeConfig(aObject);
-    if (m_routes && config.m_version <= m_routes->Config().m_version) {
-      return false;
-    }
-    Log(LogLevel::Info,
-        "configuration applied",
-        { { "version", config.m_version },
-          { "routes", config.m_routes.size() },
-          { "teams", config.m_teams.size() },
-          { "source", aSource },
-          { "bytes", aObject.m_spec.size() },
-          { "known_lag_ms", m_configLag.Duration(LoopNow()).count() } });
-    for (HttpListener* listener : { m_callerListener.get(),
-                                    m_readyListener.get(),
-                                    m_directoryListener.get() }) {
-      listener->m_limits = config.m_limits;
-    }
-    m_routes = std::make_shared<const RouteIndex>(std::move(config));
+    return dialect::DecodeConfig(aObject);
   } catch (const std::invalid_argument& error) {
     Log(
       LogLevel::Error,
       "configuration rejected",
       { { "source", aSource }, { "reason", std::string_view(error.what()) } });
+    return std::nullopt;
+  }
+}
+
+bool
+Gateway::ApplyConfig(SiteConfig aConfig,
+                     std::size_t aBytes,
+                     std::string_view aSource)
+{
+  if (m_routes && aConfig.m_version <= m_routes->Config().m_version) {
     return false;
   }
+  Log(LogLevel::Info,
+      "configuration applied",
+      { { "version", aConfig.m_version },
+        { "routes", aConfig.m_routes.size() },
+        { "teams", aConfig.m_teams.size() },
+        { "source", aSource },
+        { "bytes", aBytes },
+        { "known_lag_ms", m_configLag.Duration(LoopNow()).count() } });
+  for (HttpListener* listener : { m_callerListener.get(),
+                                  m_readyListener.get(),
+                                  m_directoryListener.get() }) {
+    listener->m_limits = aConfig.m_limits;
+  }
+  m_routes = std::make_shared<const RouteIndex>(std::move(aConfig));
   return true;
 }
 
 void
 Gateway::OnStoredConfig(const SiteObject& aObject)
 {
-  if (ApplyConfig(aObject, "store")) {
+  std::optional<SiteConfig> config = ReadConfig(aObject, "store");
+  if (!config) {
+    return;
+  }
+  RecordStoredConfig({ m_configFeed->Era(), config->m_version });
+  if (ApplyConfig(std::move(*config), aObject.m_spec.size(), "store")) {
     m_configSpec =
       std::make_shared<const std::string>(Compress(aObject.m_spec));
   }
 }
 
+void
+Gateway::RecordStoredConfig(const StoredConfig& aStored)
+{
+  m_storedConfig = std::max(m_storedConfig, aStored);
+}
+
+void
+Gateway::RecordConfigKnown(milliseconds aKnownUntil)
+{
+  // A store that has lost this version may have lost later ones too.
+  const bool isLost =
+    m_routes && m_storedConfig.m_version < m_routes->Config().m_version;
+  if (isLost != m_configIsLost) {
+    m_configIsLost = isLost;
+    Log(LogLevel::Warning,
+        isLost ? "configuration lost by the store"
+               : "configuration in the store again",
+        { { "version", m_routes ? m_routes->Config().m_version : 0 },
+          { "stored", m_storedConfig.m_version },
+          { "era", m_storedConfig.m_era },
+          { "age_ms", ConfigAge().count() } });
+  }
+  if (!isLost) {
+    m_configKnownUntil =
+      std::max(m_configKnownUntil.value_or(aKnownUntil), aKnownUntil);
+  }
+}
+
+void
+Gateway::OnStoreEra(std::uint64_t aEra)
+{
+  if (aEra <= m_storeEra) {
+    return;
+  }
+  const bool isFirst = m_storeEra == 0;
+  m_storeEra = aEra;
+  RecordStoredConfig({ aEra, 0 });
+  if (isFirst) {
+    return;
+  }
+  // Runners write their entries again.
+  m_runners.RecordListFailure(LoopNow());
+  for (const auto& feed : { m_configFeed, m_runnerFeed, m_versionFeed }) {
+    feed->ObserveEra(aEra);
+  }
+  RegisterAfter(milliseconds(m_random.Below(kMaxRegisterDelay.count())));
+}
+
 void
 Gateway::OnConfigReply(const v1::ConfigReply& aReply,
                        milliseconds aKnownUntil,
@@ -79,7 +141,9 @@
         { { "source", aPeer }, { "reason", std::string_view(error.what()) } });
       return;
     }
-    if (ApplyConfig(object, aPeer)) {
+    auto config = ReadConfig(object, aPeer);
+    if (config &&
+        ApplyConfig(std::move(*config), object.m_spec.size(), aPeer)) {
       m_configSpec = std::make_shared<const std::string>(aReply.spec());
     }
   }
@@ -92,9 +156,24 @@
                       aPeer);
   }
   if (m_routes && m_routes->Config().m_version >= aReply.version()) {
-    m_configFeed->RecordKnown(aReply.revision(), aKnownUntil);
-    PublishConfig();
+    OnConfigKnownByPeer(aReply, aKnownUntil);
+  }
+}
+
+void
+Gateway::OnConfigKnownByPeer(const v1::ConfigReply& aReply,
+                             milliseconds aKnownUntil)
+{
+  if (aReply.era() < m_configFeed->Era()) {
+    return;
   }
+  OnStoreEra(aReply.era());
+  m_configFeed->RecordKnown({ aReply.era(), aReply.revision() }, aKnownUntil);
+  RecordStoredConfig({ aReply.era(),
+                       aReply.has_stored_version() ? aReply.stored_version()
+                                                   : aReply.version() });
+  RecordConfigKnown(aKnownUntil);
+  PublishConfig();
 }
 
 ConfigKnowledge
@@ -103,7 +182,7 @@
   ConfigKnowledge own;
   own.m_uptime =
     std::chrono::duration_cast<milliseconds>(LoopNow() - m_startedAt);
-  if (m_routes && m_configFeed->KnownUntil()) {
+  if (m_routes && m_configKnownUntil) {
     own.m_version = m_routes->Config().m_version;
     if (const auto runnersKnown = m_runnerFeed->KnownUntil()) {
       own.m_age = std::max(ConfigAge(), BootTime() - *runnersKnown);
@@ -128,12 +207,16 @@
 Gateway::PublishConfig()
 {
   const auto runnersKnown = m_runnerFeed->KnownUntil();
-  if (m_routes && m_configFeed->KnownUntil() && runnersKnown) {
+  if (m_routes && m_configKnownUntil && runnersKnown) {
+    const StorePosition& position = m_configFeed->Position();
     m_configServer.Update({ m_routes->Config().m_version,
-                            m_configFeed->Revision(),
-                            *m_configFeed->KnownUntil(),
+                            position,
+                            *m_configKnownUntil,
                             m_configSpec,
-                            *runnersKnown });
+                            *runnersKnown,
+                            m_storedConfig.m_era == position.m_era
+                              ? m_storedConfig.m_version
+                              : 0 });
   }
 }
 
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -96,10 +96,37 @@
     std::vector<v1::RunnerLeavingReport> m_leaving;
   };
 
-  // aSource: the store or the gateway that the object comes from. Returns
-  // whether it is newer than the present configuration and valid.
-  bool ApplyConfig(const SiteObject& aObject, std::string_view aSource);
+  // A configuration that the store held, in the order of eras and versions.
+  struct StoredConfig
+  {
+    std::uint64_t m_era = 0;
+    std::uint64_t m_version = 0;
+
+    bool operator<(const StoredConfig& aOther) const
+    {
+      return std::tie(m_era, m_version) <
+             std::tie(aOther.m_era, aOther.m_version);
+    }
+  };
+
+  // Returns none if the object isn't a valid configuration. aSource: the store
+  // or the gateway that it comes from.
+  static std::optional<SiteConfig> ReadConfig(const SiteObject& aObject,
+                                              std::string_view aSource);
+  // Returns whether it is newer than the present configuration. aBytes: its
+  // encoded size.
+  bool ApplyConfig(SiteConfig aConfig,
+                   std::size_t aBytes,
+                   std::string_view aSource);
   void OnStoredConfig(const SiteObject& aObject);
+  void RecordStoredConfig(const StoredConfig& aStored);
+  // Records that all changes up to aKnownUntil (boot time) are known, unless
+  // the store has lost the present configuration.
+  void RecordConfigKnown(std::chrono::milliseconds aKnownUntil);
+  void OnConfigKnownByPeer(const v1::ConfigReply& aReply,
+                           std::chrono::milliseconds aKnownUntil);
+  // Has everything read and written again that a store may have lost.
+  void OnStoreEra(std::uint64_t aEra);
   void OnConfigReply(const v1::ConfigReply& aReply,
                      std::chrono::milliseconds aKnownUntil,
                      const std::string& aPeer);
@@ -143,6 +170,7 @@
   void OnStagerNotice(const v1::StagerNotice& aNotice);
   void ApplyRunnerReport(RunnerState& aRunner, const v1::RunnerReport& aReport);
   void Register();
+  void RegisterAfter(std::chrono::milliseconds aDelay);
   v1::Datagram Beacon() const;
   v1::Datagram BeaconWithLoads() const;
   void SendToRegionPeers(const v1::Datagram& aDatagram);
@@ -194,7 +222,12 @@
   Random m_random;
   std::shared_ptr<const RouteIndex> m_routes; // null before the first config
   std::shared_ptr<const std::string> m_configSpec; // compressed; likewise
-  RunnerList m_runnerList;                         // as in the store
+  StoredConfig m_storedConfig;
+  bool m_configIsLost = false; // the store holds an older one
+  // Boot time up to which changes of the configuration are known.
+  std::optional<std::chrono::milliseconds> m_configKnownUntil;
+  std::uint64_t m_storeEra = 0; // 0: not named yet
+  RunnerList m_runnerList;      // as in the store
   // Boot time up to which CheckForRunnerOutage was told that they are known.
   std::optional<std::chrono::milliseconds> m_runnersKnownUntil;
   NamedVersions m_named;
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -28,7 +28,7 @@
 Gateway::OnRunner(const SiteObject& aObject)
 {
   CheckForRunnerOutage(*m_runnerFeed->KnownUntil());
-  const std::uint64_t revision = m_runnerFeed->Revision();
+  const std::uint64_t revision = m_runnerFeed->Position().m_revision;
   if (aObject.m_deleted) {
     m_runnerList.Remove(aObject.m_name, revision);
     m_runners.Remove(aObject.m_name, LoopNow());
@@ -46,8 +46,9 @@
   CheckForRunnerOutage(*m_runnerFeed->KnownUntil());
   m_haveRunnerList = true;
   const std::vector<RunnerRecord> runners = ReadRunners(aObjects);
-  m_runnerList.Replace(runners,
-                       { StableHash(NewId()), m_runnerFeed->Revision() });
+  const StorePosition& position = m_runnerFeed->Position();
+  m_runnerList.Replace(
+    runners, { StableHash(NewId()), position.m_revision, position.m_era });
   m_runners.Replace(runners, LoopNow());
 }
 
@@ -66,12 +67,16 @@
                            milliseconds aKnownUntil,
                            const std::string& aPeer)
 {
-  const RunnerListMark mark{ aReply.lineage(), aReply.revision() };
+  const RunnerListMark mark{ aReply.lineage(),
+                             aReply.revision(),
+                             aReply.era() };
   const RunnerListMark own = m_runnerList.Mark();
   const auto known = m_runnerFeed->KnownUntil();
   const bool continues = mark.m_lineage == own.m_lineage;
-  if ((continues && mark.m_revision < own.m_revision) ||
-      (!continues && known && aKnownUntil < *known)) {
+  const bool isSameEra = mark.m_era == own.m_era;
+  if (mark.m_era < m_runnerFeed->Era() ||
+      (continues && mark.Position() < own.Position()) ||
+      (!continues && isSameEra && known && aKnownUntil < *known)) {
     return; // what this gateway has is newer
   }
   if (!continues && !aReply.whole()) {
@@ -82,6 +87,7 @@
   }
   try {
     const RunnerListDelta delta = DecodeRunnerList(aReply);
+    OnStoreEra(mark.m_era);
     CheckForRunnerOutage(aKnownUntil);
     ApplyRunnerDelta(delta, mark);
   } catch (const std::invalid_argument& error) {
@@ -96,9 +102,9 @@
         { { "source", aPeer },
           { "runners", aReply.runners_size() },
           { "revision", mark.m_revision } });
-    m_runnerFeed->Continue(mark.m_revision, aKnownUntil);
+    m_runnerFeed->Continue(mark.Position(), aKnownUntil);
   } else {
-    m_runnerFeed->RecordKnown(mark.m_revision, aKnownUntil);
+    m_runnerFeed->RecordKnown(mark.Position(), aKnownUntil);
   }
 }
 
@@ -286,6 +292,17 @@
   }
 }
 
+void
+Gateway::RegisterAfter(milliseconds aDelay)
+{
+  m_registerTimer.expires_after(aDelay);
+  m_registerTimer.async_wait([this](const NetError& aError) {
+    if (!aError && !m_drainingSince) {
+      Register();
+    }
+  });
+}
+
 void
 Gateway::Register()
 {
@@ -295,15 +312,12 @@
   };
   const std::string body = dialect::EncodeObject(vm, spec.dump());
   const auto scheduleRetry = [this] {
-    m_registerTimer.expires_after(kRegisterRetryDelay);
-    m_registerTimer.async_wait([this](const NetError& aError) {
-      if (!aError && !m_drainingSince) {
-        Register();
-      }
-    });
+    RegisterAfter(kRegisterRetryDelay / 2 +
+                  milliseconds(m_random.Below(kRegisterRetryDelay.count())));
   };
   const auto onRegistered = [this] {
-    m_registeredAt = BootTime();
+    // The gateways of before are known when it registers again.
+    m_registeredAt = m_registeredAt.value_or(BootTime());
     UpdateGatewayFeed();
   };
   const auto onReplaced = [scheduleRetry,
--- a/src/site/config_relay.cpp
+++ b/src/site/config_relay.cpp
@@ -44,7 +44,8 @@
                        "&wait_ms=" + std::to_string(m_wait.count());
   if (m_runners) {
     target += "&lineage=" + std::to_string(m_runners->m_lineage) +
-              "&revision=" + std::to_string(m_runners->m_revision);
+              "&revision=" + std::to_string(m_runners->m_revision) +
+              "&era=" + std::to_string(m_runners->m_era);
   }
   return target;
 }
@@ -59,7 +60,9 @@
   const auto lineage = QueryNumber(aTarget, "lineage");
   const auto revision = QueryNumber(aTarget, "revision");
   if (lineage && revision) {
-    question.m_runners = RunnerListMark{ *lineage, *revision };
+    question.m_runners = RunnerListMark{
+      *lineage, *revision, QueryNumber(aTarget, "era").value_or(0)
+    };
   }
   return question;
 }
@@ -80,6 +83,7 @@
   v1::RunnerListReply reply;
   reply.set_lineage(aList.Mark().m_lineage);
   reply.set_revision(aList.Mark().m_revision);
+  reply.set_era(aList.Mark().m_era);
   reply.set_whole(delta.m_whole);
   for (const RunnerRecord& runner : delta.m_runners) {
     v1::RunnerEntry& entry = *reply.add_runners();
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -94,19 +94,84 @@
 }
 
 void
-ObjectFeed::RecordKnown(std::uint64_t aRevision, milliseconds aKnownUntil)
+ObjectFeed::RecordKnown(const StorePosition& aPosition,
+                        milliseconds aKnownUntil)
 {
+  if (aPosition.m_era < m_era) {
+    return;
+  }
+  if (aPosition.m_era > m_era) {
+    ++m_basis;
+    BeginEra(aPosition.m_era);
+  }
   m_haveList = true;
-  m_revision = std::max(m_revision, aRevision);
+  m_position = std::max(m_position, aPosition);
   m_knownUntil = std::max(m_knownUntil.value_or(aKnownUntil), aKnownUntil);
 }
 
 void
-ObjectFeed::Continue(std::uint64_t aRevision, milliseconds aKnownUntil)
+ObjectFeed::Continue(const StorePosition& aPosition, milliseconds aKnownUntil)
 {
+  if (aPosition.m_era < m_era) {
+    return;
+  }
   ++m_basis;
-  m_revision = aRevision;
-  RecordKnown(aRevision, aKnownUntil);
+  m_position = aPosition;
+  RecordKnown(aPosition, aKnownUntil);
+}
+
+void
+ObjectFeed::ObserveEra(std::uint64_t aEra)
+{
+  if (aEra <= m_era || (!m_haveList && !m_respondedAt)) {
+    return; // a first response tells the era itself
+  }
+  ++m_basis; // a watch in flight belongs to the former era
+  BeginEra(aEra);
+  m_calling = false;
+  ScheduleNext(milliseconds(0));
+}
+
+bool
+ObjectFeed::AcceptEra(const BufferedResponse& aAnswer)
+{
+  const std::uint64_t era = dialect::DecodeEra(
+    [&](std::string_view aName) { return aAnswer.m_fields.Find(aName); });
+  if (m_stopped || aAnswer.m_status == 0 || era == 0 || era == m_era) {
+    return true;
+  }
+  if (era < m_era) {
+    OnFailure("response of era " + std::to_string(era) + ", not " +
+                std::to_string(m_era),
+              aAnswer.m_body.size());
+    return false;
+  }
+  const bool isFirstPage = !m_haveList && m_listed.empty();
+  BeginEra(era);
+  if (isFirstPage || aAnswer.m_status != kOk) {
+    return true;
+  }
+  List({});
+  return false;
+}
+
+void
+ObjectFeed::BeginEra(std::uint64_t aEra)
+{
+  if (m_haveList || m_era != 0) {
+    Log(LogLevel::Warning,
+        "store era changed",
+        { { "kind", m_kind },
+          { "era", aEra },
+          { "former", m_era },
+          { "revision", m_position.m_revision } });
+  }
+  m_era = aEra;
+  m_haveList = false;
+  m_listed.clear();
+  m_reason = "new era";
+  RecordInterruption();
+  m_events.m_onEra(aEra);
 }
 
 void
@@ -162,14 +227,20 @@
     aTarget,
     {},
     aTimeout,
-    [self = shared_from_this(), sentAt = BootTime(), basis = m_basis, aHandler](
-      const BufferedResponse& aAnswer) {
+    [self = shared_from_this(),
+     sentAt = BootTime(),
+     basis = m_basis,
+     call = m_calls,
+     aHandler](const BufferedResponse& aAnswer) {
+      if (call != self->m_calls) {
+        return; // given up for a later call
+      }
       self->m_calling = false;
       self->LogSlowResponse(aAnswer, sentAt);
-      if (basis == self->m_basis) {
-        (self.get()->*aHandler)(aAnswer, sentAt);
-      } else { // its revisions aren't comparable any more
+      if (basis != self->m_basis) { // its revisions aren't comparable any more
         self->ScheduleNext(self->m_timing.m_pause);
+      } else if (self->AcceptEra(aAnswer)) {
+        (self.get()->*aHandler)(aAnswer, sentAt);
       }
     });
 }
@@ -213,7 +284,7 @@
   // The watch starts at the first page's revision, so it delivers changes made
   // while later pages are fetched.
   if (m_listed.empty()) {
-    m_revision = page.m_revision;
+    m_position = { m_era, page.m_revision };
   }
   for (SiteObject& object : page.m_objects) {
     m_listed.push_back(std::move(object));
@@ -252,7 +323,7 @@
 ObjectFeed::Watch()
 {
   const milliseconds wait = WatchWait();
-  Fetch(dialect::WatchPath(m_kind, m_revision, wait),
+  Fetch(dialect::WatchPath(m_kind, m_position.m_revision, wait),
         wait + kResponseTimeout,
         &ObjectFeed::OnWatch);
 }
@@ -287,7 +358,7 @@
   m_failures = 0;
   RecordResponse();
   m_lastHadChanges = !changes.m_objects.empty();
-  m_revision = std::max(m_revision, changes.m_revision);
+  m_position = std::max(m_position, { m_era, changes.m_revision });
   // A watch that times out without changes proves that there were none while it
   // waited. Any other response proves it only up to when the watch was sent.
   const bool timedOut =
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -26,8 +26,10 @@
   std::function<void(const std::vector<SiteObject>&)> m_onList;
   std::function<void(const SiteObject&)> m_onChange;
   std::function<void()> m_onFailure; // a call failed or its response is invalid
-  // A response was applied, so KnownUntil or Revision has advanced.
+  // A response was applied, so KnownUntil or Position has advanced.
   std::function<void()> m_onKnown = [] {};
+  // The store has begun this era, whose list follows.
+  std::function<void(std::uint64_t)> m_onEra = [](std::uint64_t) {};
 };
 
 class ObjectFeed : public std::enable_shared_from_this<ObjectFeed>
@@ -45,14 +47,18 @@
   // An inactive feed calls the store no more once a call in flight has ended. A
   // feed may be made inactive before its start.
   void SetActive(bool aActive);
-  // Records that another process knew all changes up to aRevision at
-  // aKnownUntil (boot time), and that they have been applied here.
-  void RecordKnown(std::uint64_t aRevision,
+  // Records that another process knew all changes up to aPosition at
+  // aKnownUntil (boot time), and that they have been applied here. Positions of
+  // an era that has ended are ignored.
+  void RecordKnown(const StorePosition& aPosition,
                    std::chrono::milliseconds aKnownUntil);
+  // Lists anew if another response of the store was of a later era.
+  void ObserveEra(std::uint64_t aEra);
 
   // Records, too, that the data now goes back to another process's list, whose
   // revisions say nothing about the former ones.
-  void Continue(std::uint64_t aRevision, std::chrono::milliseconds aKnownUntil);
+  void Continue(const StorePosition& aPosition,
+                std::chrono::milliseconds aKnownUntil);
 
   // Returns the boot time up to which all changes are known; none before the
   // first list.
@@ -67,8 +73,10 @@
   {
     return m_unseenFor;
   }
-  // All changes up to this revision of the store are known.
-  std::uint64_t Revision() const { return m_revision; }
+  // All changes up to this position of the store are known.
+  const StorePosition& Position() const { return m_position; }
+  // The latest era that is known of, whose list may still be on its way.
+  std::uint64_t Era() const { return m_era; }
   std::uint64_t Calls() const { return m_calls; }
 
 private:
@@ -80,6 +88,10 @@
              std::chrono::milliseconds aTimeout,
              void (ObjectFeed::*aHandler)(const BufferedResponse&,
                                           std::chrono::milliseconds));
+  // Whether a response is of the present era. If it is of a later one, that era
+  // begins.
+  bool AcceptEra(const BufferedResponse& aAnswer);
+  void BeginEra(std::uint64_t aEra);
   // How long the next watch, or the one in flight, waits for changes.
   std::chrono::milliseconds WatchWait() const;
   void Watch();
@@ -104,7 +116,8 @@
   Timer m_timer;
   Random m_random;
   std::vector<SiteObject> m_listed; // from the pages read so far
-  std::uint64_t m_revision = 0;
+  StorePosition m_position;
+  std::uint64_t m_era = 0;
   std::uint64_t m_basis = 0; // changes when revisions are of another list
   std::optional<std::chrono::milliseconds> m_knownUntil;
   // Boot time until which changes would have been noticed, while they may not
--- a/src/site/runner_list.cpp
+++ b/src/site/runner_list.cpp
@@ -75,7 +75,7 @@
 bool
 RunnerList::HasNewsFor(const RunnerListMark& aMark) const
 {
-  return m_mark.m_lineage != 0 &&
+  return m_mark.m_lineage != 0 && m_mark.m_era >= aMark.m_era &&
          (!IsInHistory(aMark) || m_changedAt > aMark.m_revision);
 }
 
--- a/src/site/runner_list_p.h
+++ b/src/site/runner_list_p.h
@@ -21,7 +21,9 @@
 {
   std::uint64_t m_lineage = 0; // 0: nothing is known
   std::uint64_t m_revision = 0;
+  std::uint64_t m_era = 0; // of the store; one lineage is of one era
 
+  StorePosition Position() const { return { m_era, m_revision }; }
   bool operator==(const RunnerListMark&) const = default;
 };
 
--- a/tests/config_relay_test.cpp
+++ b/tests/config_relay_test.cpp
@@ -73,7 +73,7 @@
     std::promise<void> done;
     boost::asio::post(m_loop, [&] {
       m_server.Update({ aVersion,
-                        aVersion + 100,
+                        { 0, aVersion + 100 },
                         aKnownUntil,
                         std::make_shared<const std::string>("spec"),
                         aKnownUntil });
@@ -251,6 +251,21 @@
   EXPECT_EQ(heard.Newest("m"), 3U);
 }
 
+TEST_F(ConfigServerTest, ListOfAnOlderEraIsNotPassedOn)
+{
+  m_runners.Replace({ RunnerNamed("a") }, { 5, 10, 2 });
+  Update(kVersion, BootTime());
+  const auto ask = [&](std::uint64_t aEra) {
+    return ReplyOf(Ask(kVersion,
+                       milliseconds(0),
+                       milliseconds(20),
+                       RunnerListMark{ 6, 3, aEra }));
+  };
+  EXPECT_EQ(ask(1).runners().era(), 2U);
+  EXPECT_TRUE(ask(2).has_runners());
+  EXPECT_FALSE(ask(3).has_runners());
+}
+
 TEST(ConfigRelay, MalformedRunnerListIsRejected)
 {
   v1::RunnerListReply reply;
--- a/tests/gateway_config_test.cpp
+++ b/tests/gateway_config_test.cpp
@@ -226,6 +226,35 @@
   EXPECT_TRUE(Eventually([&] { return AllKnowRunners(1); }));
 }
 
+TEST_F(GatewayConfigTest, NewEraOfTheStoreReachesAllGateways)
+{
+  ASSERT_TRUE(Eventually([&] {
+    return m_site.Has("gateways", "edge-" + std::to_string(kGateways - 1));
+  }));
+  const auto copy = m_site.TakeCopy();
+  ListRunner();
+  ListRunner();
+  for (const char* kind : { "config", "servers" }) {
+    ASSERT_TRUE(m_site.AwaitCaughtUp(kind));
+  }
+  m_site.ComeBack(copy,
+                  { { "config", "main", ConfigJson(++m_version) },
+                    { "servers",
+                      "i-3",
+                      { { "service", "chat" },
+                        { "address", "127.0.0.1:3" },
+                        { "zone", "here" },
+                        { "slots", 8 },
+                        { "state", "ready" } } } });
+  EXPECT_TRUE(Eventually([&] { return AllHave(m_version); }));
+  EXPECT_TRUE(Eventually([&] { return AllKnowRunners(1); }));
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    EXPECT_TRUE(Eventually(
+      [&] { return m_site.Has("gateways", "edge-" + std::to_string(i)); }))
+      << i;
+  }
+}
+
 class GatewayConfigLagTest : public GatewayTest
 {
 protected:
--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -20,11 +20,16 @@
 constexpr milliseconds kWait{ 8000 };
 
 std::string
-JsonResponse(const std::string& aBody)
+JsonResponse(const std::string& aBody, const std::string& aFields = {})
 {
-  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-         "Content-Length: " +
-         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + aFields +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string
+EraField(int aEra)
+{
+  return "Store-Era: " + std::to_string(aEra) + "\r\n";
 }
 
 // The "wait_ms" of a watch in a request's head.
@@ -134,6 +139,79 @@
   }
 }
 
+TEST(ObjectFeed, ResponseOfAnOlderEraChangesNothingAndOfANewerOneLists)
+{
+  const std::string changes =
+    R"({"events":[{"deleted":false,"object":{"metadata":{"name":"lost",)"
+    R"("rev":6},"spec":{}}}],"at":9})";
+  Loop loop{ 1 };
+  std::vector<std::string> asked;
+  const RawServer store([&](RawSocket& aSocket, int) {
+    const std::vector<std::string> responses{
+      JsonResponse(R"({"items":[],"has_more":false,"at":5})", EraField(2)),
+      JsonResponse(changes, EraField(1)),
+      JsonResponse(changes, EraField(3)),
+      JsonResponse(R"({"items":[],"has_more":false,"at":4})", EraField(3)),
+      JsonResponse(R"({"events":[],"at":4})", EraField(3)),
+    };
+    for (const std::string& response : responses) {
+      const std::string head = aSocket.ReadUntil("\r\n\r\n");
+      asked.push_back(head.substr(0, head.find("&wait_ms")));
+      aSocket.Send(response);
+    }
+    aSocket.ReadUntil("\r\n\r\n");
+  });
+  std::vector<std::uint64_t> eras;
+  int applied = 0;
+  int known = 0;
+  const auto feed = std::make_shared<ObjectFeed>(
+    loop,
+    std::make_shared<ConnectionPool>(loop),
+    Address{ "127.0.0.1", store.Port() },
+    "servers",
+    FeedTiming{ kWait, milliseconds(1) },
+    FeedCallbacks{ [](const auto&) {},
+                   [&](const auto&) { ++applied; },
+                   [] {},
+                   [&] {
+                     if (++known == 3) {
+                       loop.stop();
+                     }
+                   },
+                   [&](std::uint64_t aEra) { eras.push_back(aEra); } });
+  feed->Start();
+  loop.run();
+  feed->Stop();
+  EXPECT_EQ(applied, 0);
+  EXPECT_EQ(eras, (std::vector<std::uint64_t>{ 2, 3 }));
+  EXPECT_EQ(feed->Position(), (StorePosition{ 3, 4 }));
+  ASSERT_EQ(asked.size(), 5U);
+  EXPECT_NE(asked[1].find("watch=5"), std::string::npos) << asked[1];
+  EXPECT_NE(asked[2].find("watch=5"), std::string::npos) << asked[2];
+  EXPECT_EQ(asked[3].find("watch="), std::string::npos) << asked[3];
+  EXPECT_NE(asked[4].find("watch=4"), std::string::npos) << asked[4];
+}
+
+TEST(ObjectFeed, WhatAPeerKnowsOfAnOlderEraChangesNothing)
+{
+  Loop loop{ 1 };
+  const auto feed = std::make_shared<ObjectFeed>(
+    loop,
+    std::make_shared<ConnectionPool>(loop),
+    Address{ "127.0.0.1", 1 },
+    "servers",
+    FeedTiming{},
+    FeedCallbacks{ [](const auto&) {}, [](const auto&) {}, [] {} });
+  feed->SetActive(false);
+  feed->RecordKnown({ 2, 10 }, milliseconds(1000));
+  feed->RecordKnown({ 1, 50 }, milliseconds(2000));
+  feed->Continue({ 1, 60 }, milliseconds(2000));
+  EXPECT_EQ(feed->Position(), (StorePosition{ 2, 10 }));
+  EXPECT_EQ(feed->KnownUntil(), milliseconds(1000));
+  feed->RecordKnown({ 3, 5 }, milliseconds(1500));
+  EXPECT_EQ(feed->Position(), (StorePosition{ 3, 5 }));
+}
+
 // The transfer takes longer than any timeout of a call that receives nothing.
 TEST(ObjectFeed, SlowTransferThatProgressesIsNotStartedAgain)
 {
--- a/tests/runner_list_test.cpp
+++ b/tests/runner_list_test.cpp
@@ -199,6 +199,15 @@
   EXPECT_FALSE(list.Remove("i-2", 13));
 }
 
+TEST(RunnerList, ListOfAnOlderEraIsNoNewsForACopyOfANewerOne)
+{
+  RunnerList list;
+  list.Replace({ Runner(1, 7) }, { 1, 10, 2 });
+  EXPECT_TRUE(list.HasNewsFor({ 5, 99, 1 }));
+  EXPECT_FALSE(list.HasNewsFor({ 5, 9, 3 }));
+  EXPECT_EQ(EncodeRunnerList(list, {}).era(), 2U);
+}
+
 TEST(RunnerList, CopyThatLacksDroppedChangesGetsTheWholeList)
 {
   constexpr std::uint64_t kChanges = 5000;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -128,6 +128,74 @@
   return false;
 }
 
+bool
+SiteStandIn::AwaitCaughtUp(const std::string& aKind)
+{
+  constexpr std::chrono::seconds kTimeout{ 20 };
+  std::uint64_t written = 0;
+  RunOnLoop([&] { written = m_revision; });
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  bool watched = false;
+  while (!watched && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kWatchInterval);
+    RunOnLoop([&] { watched = m_watchedSince[aKind] >= written; });
+  }
+  return watched;
+}
+
+bool
+SiteStandIn::Has(const std::string& aKind, const std::string& aName)
+{
+  bool found = false;
+  RunOnLoop([&] { found = m_objects[aKind].count(aName) > 0; });
+  return found;
+}
+
+SiteStandIn::Copy
+SiteStandIn::TakeCopy()
+{
+  Copy copy;
+  RunOnLoop([&] { copy = { m_objects, m_changes, m_revision }; });
+  return copy;
+}
+
+void
+SiteStandIn::GoAway()
+{
+  RunOnLoop([&] {
+    m_silent = true;
+    m_watches.clear();
+    m_store->CloseAll();
+  });
+}
+
+void
+SiteStandIn::ComeBack(const Copy& aCopy,
+                      const std::vector<ObjectWrite>& aRewritten)
+{
+  RunOnLoop([&] {
+    ++m_era;
+    m_objects = aCopy.m_objects;
+    m_changes = aCopy.m_changes;
+    m_revision = aCopy.m_revision;
+    m_watchedSince.clear();
+    for (const ObjectWrite& write : aRewritten) {
+      ApplyChange(write.m_kind, write.m_name, &write.m_spec);
+    }
+    m_silent = false;
+  });
+}
+
+void
+SiteStandIn::Respond(const std::shared_ptr<ServerConnection>& aConnection,
+                     int aStatus,
+                     const std::string& aBody) const
+{
+  HttpFields fields;
+  fields.Add("Store-Era", std::to_string(m_era));
+  aConnection->SendResponse(aStatus, {}, fields, aBody);
+}
+
 std::size_t
 SiteStandIn::ListCount(const std::string& aKind)
 {
@@ -247,7 +315,7 @@
   // "", "siskindeal", "objects", kind, name
   const std::vector<std::string> parts = absl::StrSplit(path, '/');
   if (parts.size() < 4 || parts[2] != "objects") {
-    aConnection->SendResponse(404, {}, {}, "");
+    Respond(aConnection, 404, "");
     return;
   }
   if (parts[3] == m_silentKind) {
@@ -263,6 +331,10 @@
     List(aConnection, parts[3]);
     return;
   }
+  if (ParseNumber(since) > m_revision) {
+    Respond(aConnection, 410, "{}");
+    return;
+  }
   const milliseconds wait(ParseNumber(QueryParam(request.m_target, "wait_ms")));
   m_watchedSince[parts[3]] =
     std::max(m_watchedSince[parts[3]], ParseNumber(since));
@@ -283,10 +355,9 @@
       ObjectJson(name, object.m_revision, object.m_created, object.m_spec));
   }
   m_copiesSent[aKind] += items.size();
-  aConnection->SendResponse(
+  Respond(
+    aConnection,
     200,
-    {},
-    {},
     json{ { "items", items }, { "has_more", false }, { "at", m_revision } }
       .dump());
 }
@@ -302,11 +373,11 @@
     aName = body.at("metadata").at("name").get<std::string>();
   }
   if (creates && m_objects[aKind].count(aName) > 0) {
-    aConnection->SendResponse(409, {}, {}, "{}");
+    Respond(aConnection, 409, "{}");
     return;
   }
   ApplyChange(aKind, aName, &body.at("spec"));
-  aConnection->SendResponse(200, {}, {}, "{}");
+  Respond(aConnection, 200, "{}");
 }
 
 bool
@@ -322,8 +393,9 @@
     return false;
   }
   m_copiesSent[aWatch.m_kind] += events.size();
-  aWatch.m_connection->SendResponse(
-    200, {}, {}, json{ { "events", events }, { "at", m_revision } }.dump());
+  Respond(aWatch.m_connection,
+          200,
+          json{ { "events", events }, { "at", m_revision } }.dump());
   return true;
 }
 
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -22,6 +22,19 @@
 class SiteStandIn
 {
 public:
+  struct Object
+  {
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_created = 0;
+    nlohmann::json m_spec;
+  };
+  struct Change
+  {
+    std::string m_kind;
+    nlohmann::json m_event;
+    std::uint64_t m_revision = 0;
+  };
+
   // Responds to one request as a runner; runs on the loop's thread.
   using Play = std::function<void(const std::shared_ptr<ServerConnection>&)>;
 
@@ -41,6 +54,10 @@
   // later: its client has then received and processed all its changes. Returns
   // false on timeout.
   bool AwaitWatched(const std::string& aKind);
+  // Waits until a watch of the kind starts at the store's present revision, of
+  // whatever kind it was. Returns false on timeout.
+  bool AwaitCaughtUp(const std::string& aKind);
+  bool Has(const std::string& aKind, const std::string& aName);
   // Returns how often a kind was listed.
   std::size_t ListCount(const std::string& aKind);
   // Returns how many copies of a kind's objects were sent.
@@ -64,6 +81,25 @@
                     Play aPlay,
                     const nlohmann::json& aExtraFields = {});
 
+  // A state of the store that it can come back from.
+  struct Copy
+  {
+    std::map<std::string, std::map<std::string, Object>> m_objects; // by kind
+    std::deque<Change> m_changes;
+    std::uint64_t m_revision = 0;
+  };
+  struct ObjectWrite
+  {
+    std::string m_kind;
+    std::string m_name;
+    nlohmann::json m_spec;
+  };
+  Copy TakeCopy();
+  // Closes all connections; from now on the store doesn't respond.
+  void GoAway();
+  // Begins a new era with a copy and aRewritten, before anyone reads it.
+  void ComeBack(const Copy& aCopy, const std::vector<ObjectWrite>& aRewritten);
+
   // Simulates a runner crash: closes its connections and its listener.
   void CrashRunner(const Address& aAddress);
 
@@ -73,18 +109,6 @@
   Loop m_loop;
 
 private:
-  struct Object
-  {
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_created = 0;
-    nlohmann::json m_spec;
-  };
-  struct Change
-  {
-    std::string m_kind;
-    nlohmann::json m_event;
-    std::uint64_t m_revision = 0;
-  };
   struct Watch
   {
     std::shared_ptr<ServerConnection> m_connection;
@@ -104,6 +128,9 @@
                    const nlohmann::json* aSpec);
   // Keeps a request for m_silentKind without a response.
   void LeaveUnanswered(const std::shared_ptr<ServerConnection>& aConnection);
+  void Respond(const std::shared_ptr<ServerConnection>& aConnection,
+               int aStatus,
+               const std::string& aBody) const;
   void ServeWatches();
   bool ServeWatch(const Watch& aWatch, bool aTimedOut);
 
@@ -113,6 +140,7 @@
   std::map<std::string, std::uint64_t> m_watchedSince; // by kind, maximum
   std::map<std::string, std::size_t> m_listCounts;     // by kind
   std::uint64_t m_revision = 100;
+  std::uint64_t m_era = 1;
   std::map<std::string, std::size_t> m_copiesSent; // by kind
   bool m_silent = false;
   std::string m_silentKind;
