--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -113,9 +113,7 @@
 bool
 CallerExchange::NeedsHedge(MonotonicTime aNow) const
 {
-  // Without event ids, a second run can't be told from a repetition.
-  const bool cannotResume = m_phase == Phase::Streaming && !m_lastEventId;
-  if (m_openAttempts.empty() || !m_route->IsRetryable() || cannotResume ||
+  if (m_openAttempts.empty() || !m_route->IsRetryable() || !MayResume() ||
       m_sends >= kMaxSends ||
       m_executions + m_openAttempts.size() >= m_route->m_maxAttempts) {
     return false;
@@ -139,7 +137,7 @@
     return;
   }
   for (const RunnerAttemptPtr& attempt : m_openAttempts) {
-    RunnerState* runner = m_gateway.Runners().Find(attempt->m_runner.m_id);
+    RunnerState* runner = m_gateway.Runners().Find(attempt->m_runner);
     if (runner != nullptr && !std::exchange(attempt->m_isHedged, true)) {
       runner->AvoidAfterFailure(aNow);
     }
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -92,6 +92,9 @@
                        const std::string& aReason,
                        RunnerHealth aHealth = RunnerHealth::Failed);
   bool MayRetry(CallFailure aFailure);
+  // Whether another runner can go on where the stream has got to, if it has
+  // begun: without event ids, a second run can't be told from a repetition.
+  bool MayResume() const;
 
   // Ends attempts that haven't begun to be answered at runners whose weights
   // are about to be past the bound, since they would begin on those.
@@ -160,12 +163,13 @@
   // To the first byte; by the last placement or refusal.
   std::chrono::milliseconds m_predicted{ 0 };
 
-  std::set<std::string> m_triedRunners;
+  std::set<RunnerIncarnation> m_triedRunners;
   std::uint32_t m_executions = 0; // ended attempts that may have executed
   std::uint32_t m_sends = 0;      // all attempts
   bool m_mayHaveRun = false;
 
   std::optional<std::uint64_t> m_lastEventId; // forwarded to the caller
+  bool m_hasUnnumberedEvents = false;         // forwarded to the caller
   std::uint32_t m_eventCount = 0;
   // From the request's arrival to its first event.
   std::chrono::duration<double, std::milli> m_firstEventLatency{ 0 };
--- a/src/site/config_relay.cpp
+++ b/src/site/config_relay.cpp
@@ -3,6 +3,7 @@
 #include "net/gzip_p.h"
 #include "net/query_p.h"
 #include "platform/dialect.h"
+#include "siskindeal/wire_values.h"
 
 #include <absl/strings/numbers.h>
 
@@ -28,9 +29,7 @@
 milliseconds
 QueryMillis(std::string_view aTarget, std::string_view aName)
 {
-  constexpr std::uint64_t kMaxMillis = 1ULL << 40;
-  return milliseconds(
-    std::min(QueryNumber(aTarget, aName).value_or(0), kMaxMillis));
+  return MillisFromWire(QueryNumber(aTarget, aName).value_or(0));
 }
 
 } // namespace
@@ -44,7 +43,8 @@
                        "&wait_ms=" + std::to_string(m_wait.count());
   if (m_runners) {
     target += "&lineage=" + std::to_string(m_runners->m_lineage) +
-              "&revision=" + std::to_string(m_runners->m_revision);
+              "&revision=" + std::to_string(m_runners->m_revision) +
+              "&era=" + std::to_string(m_runners->m_era);
   }
   return target;
 }
@@ -59,7 +59,9 @@
   const auto lineage = QueryNumber(aTarget, "lineage");
   const auto revision = QueryNumber(aTarget, "revision");
   if (lineage && revision) {
-    question.m_runners = RunnerListMark{ *lineage, *revision };
+    question.m_runners = RunnerListMark{
+      *lineage, *revision, QueryNumber(aTarget, "era").value_or(0)
+    };
   }
   return question;
 }
@@ -80,11 +82,13 @@
   v1::RunnerListReply reply;
   reply.set_lineage(aList.Mark().m_lineage);
   reply.set_revision(aList.Mark().m_revision);
+  reply.set_era(aList.Mark().m_era);
   reply.set_whole(delta.m_whole);
   for (const RunnerRecord& runner : delta.m_runners) {
     v1::RunnerEntry& entry = *reply.add_runners();
     entry.set_id(runner.m_id);
     entry.set_created(runner.m_created);
+    entry.set_born(runner.m_born);
     entry.set_service(runner.m_service);
     entry.set_address(runner.m_address.ToString());
     entry.set_place(runner.m_place);
@@ -109,6 +113,7 @@
     RunnerRecord& runner = delta.m_runners.emplace_back();
     runner.m_id = entry.id();
     runner.m_created = entry.created();
+    runner.m_born = entry.born();
     runner.m_service = entry.service();
     runner.m_address = ParseAddress(entry.address());
     runner.m_place = entry.place();
--- a/tests/config_relay_test.cpp
+++ b/tests/config_relay_test.cpp
@@ -73,7 +73,7 @@
     std::promise<void> done;
     boost::asio::post(m_loop, [&] {
       m_server.Update({ aVersion,
-                        aVersion + 100,
+                        { 0, aVersion + 100 },
                         aKnownUntil,
                         std::make_shared<const std::string>("spec"),
                         aKnownUntil });
@@ -171,6 +171,7 @@
   RunnerRecord runner;
   runner.m_id = aId;
   runner.m_created = 3;
+  runner.m_born = 1764793000000;
   runner.m_service = "chat";
   runner.m_address = { "10.0.0.1", 80 };
   runner.m_place = "here";
@@ -251,6 +252,21 @@
   EXPECT_EQ(heard.Newest("m"), 3U);
 }
 
+TEST_F(ConfigServerTest, ListOfAnOlderEraIsNotPassedOn)
+{
+  m_runners.Replace({ RunnerNamed("a") }, { 5, 10, 2 });
+  Update(kVersion, BootTime());
+  const auto ask = [&](std::uint64_t aEra) {
+    return ReplyOf(Ask(kVersion,
+                       milliseconds(0),
+                       milliseconds(20),
+                       RunnerListMark{ 6, 3, aEra }));
+  };
+  EXPECT_EQ(ask(1).runners().era(), 2U);
+  EXPECT_TRUE(ask(2).has_runners());
+  EXPECT_FALSE(ask(3).has_runners());
+}
+
 TEST(ConfigRelay, MalformedRunnerListIsRejected)
 {
   v1::RunnerListReply reply;
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -25,10 +25,14 @@
 
   // Returns false if the connection fails before all bytes are sent.
   bool Send(std::string_view aBytes);
+  // Waits until the peer's kernel has received all bytes that were sent.
+  void AwaitAcknowledged();
   // Reads until aDelimiter is received, the peer closes or the read times out.
   std::string ReadUntil(std::string_view aDelimiter);
   // Reads until the peer closes.
   std::string ReadAll();
+  // Whether the last read ended with a reset of the connection by the peer.
+  bool WasReset() const { return m_wasReset; }
   void Close();
   // Closes the connection with a TCP reset.
   void Reset();
@@ -44,6 +48,7 @@
   }
 
   int m_socket = -1;
+  bool m_wasReset = false;
 };
 
 // Accepts connections on 127.0.0.1 and handles one at a time. The handler gets
