--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -116,7 +116,7 @@
 {
   std::string body = aBody.dump();
   for (const auto& [key, text] : m_texts) {
-    body = absl::StrReplaceAll(body, { { "\"" + key + "\"", text } });
+    body = absl::StrReplaceAll(body, { { json(key).dump(), text } });
   }
   return body;
 }
