Names are encoded in paths to the platform

An object of another writer whose name holds a space, '&' or a line break, last on a page, spoiled the call for the next page: the list was never complete, and the gateway asked for it again for ever.

--- a/tests/store_entries_test.cpp
+++ b/tests/store_entries_test.cpp
@@ -138,6 +138,21 @@
   }
 }
 
+// A list goes on after the last name of a page, whatever that is.
+TEST(StoreEntries, NamesInPathsAreEncoded)
+{
+  const std::string name = "b c&x=1\r\nX-Added: 1/%";
+  const std::string encoded = "b%20c%26x%3D1%0D%0AX-Added%3A%201%2F%25";
+  EXPECT_EQ(dialect::ListPath("servers", name, dialect::Freshness::Current),
+            "/siskindeal/objects/servers?after_rev=" + encoded);
+  EXPECT_EQ(dialect::ObjectPath("gateways", name),
+            "/siskindeal/objects/gateways/" + encoded);
+  EXPECT_EQ(dialect::PieceListPath(name, 2),
+            "/siskindeal/manifest/" + encoded + "?version=2");
+  EXPECT_EQ(dialect::ObjectPath("gateways", "edge-a.b_1"),
+            "/siskindeal/objects/gateways/edge-a.b_1");
+}
+
 // Pages that only hold entries without a usable name can't be continued.
 TEST(StoreEntries, ListWithAPageOfUnusableEntriesEnds)
 {
