Runners whose id can't stand in a header are not used

A runner's id is the name of its entry in the store, which other programs may write, and is sent in a header of each request to it.

--- a/tests/store_entries_test.cpp
+++ b/tests/store_entries_test.cpp
@@ -138,6 +138,28 @@
   }
 }
 
+// The id is sent to the runner in a header, where a line break begins another
+// header or another request.
+TEST(StoreEntries, RunnerWhoseIdCannotStandInAHeaderIsNotUsed)
+{
+  const std::string ids[] = {
+    R"(b\r\nX-Added: 1)",
+    R"(b\n\nPOST / HTTP/1.1)",
+    R"(b\u0000)",
+    "b c",
+    R"(b\u007f)",
+    R"(b\u00e9)",
+    "",
+    std::string(1000, 'b'),
+  };
+  for (const std::string& id : ids) {
+    SCOPED_TRACE(id.substr(0, 80));
+    const SiteObjects page = dialect::DecodeList(Page(
+      Entry("a", kSound) + "," + Entry(id, kSound) + "," + Entry("c", kSound)));
+    EXPECT_EQ(IdsOf(page.m_objects), "a c ");
+  }
+}
+
 // A list goes on after the last name of a page, whatever that is.
 TEST(StoreEntries, NamesInPathsAreEncoded)
 {
