A response's head that is cut off is no response for agents

Reported by another operator: clients got a 200 with an empty body, framed as whole, when a runner stopped within its answer's head. libcurl takes a head that ends after a line for a whole one, so the client of agents and entries (src/http) reported such a response as answered if its first lines declared no body (a length of 0, 204, 304): an agent passed on a success that no runner had completed.

The client counts a response only once the empty line after its final head has come; the outcome is then "sent, no reply", which promises nothing.

--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -145,6 +145,7 @@
   constexpr int kFirstFinalStatus = 200;
   if (aLine.substr(0, 5) == "HTTP/") {
     m_reply.m_headers.clear();
+    m_haveHead = false;
     long status = 0;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
     m_reply.m_status = static_cast<int>(status);
@@ -152,7 +153,8 @@
   }
   const auto line = Trim(aLine);
   if (line.empty()) {
-    if (m_reply.m_status >= kFirstFinalStatus && m_request.m_onHeaders) {
+    m_haveHead = m_reply.m_status >= kFirstFinalStatus;
+    if (m_haveHead && m_request.m_onHeaders) {
       m_request.m_onHeaders(m_reply.m_status, m_reply.m_headers);
     }
     return;
@@ -191,10 +193,14 @@
 }
 
 // Whether the response declares its end. A response that ends with its
-// connection may have been truncated.
+// connection may have been truncated, and libcurl takes a head that is cut off
+// after a line for a whole one.
 bool
 ClientCall::IsSelfDelimiting() const
 {
+  if (!m_haveHead) {
+    return false;
+  }
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
   const auto& headers = m_reply.m_headers;
@@ -239,7 +245,9 @@
   if (aCode != CURLE_OK) {
     m_reply.m_error = curl_easy_strerror(aCode);
   } else if (m_reply.m_outcome != HttpOutcome::Answered) {
-    m_reply.m_error = "response has neither a length nor chunked encoding";
+    m_reply.m_error =
+      m_haveHead ? "response has neither a length nor chunked encoding"
+                 : "connection closed before the end of the response's head";
   }
   InvokeCallback();
 }
--- a/src/http/client_call_p.h
+++ b/src/http/client_call_p.h
@@ -49,6 +49,7 @@
   CURL* m_easy = nullptr;
   curl_slist* m_headers = nullptr;
   bool m_cancelledByCallback = false;
+  bool m_haveHead = false; // of the final response
 };
 
 } // namespace siskindeal
