A crash seen as silence counts once the runner has restarted

A request that takes its runner's VM down with it resets no connection and refuses no probe: attempts end at their deadline, and the crash was never counted.

What was in flight at a runner that had been silent for 0.45 s is kept for 10 s, bounded; a later `born` of the runner, from the store, a peer or its stager, shows that it crashed then. The crash is named by the start that ended, so gateways count it once, and one that was also seen as a reset isn't counted twice. An entry without `born` that is listed anew shows nothing. RunnerTable::RecordStart isn't static any more; its test calls it on the table.

--- a/src/dispatch/runner_table.cpp
+++ b/src/dispatch/runner_table.cpp
@@ -81,6 +81,10 @@
           { "reborn", reborn } });
   }
   if (reborn) {
+    // Without the times of both starts, it may only be listed anew.
+    if (state.m_record.m_born != 0 && aRunner.m_born != 0) {
+      m_replacedStarts.push_back(state.m_record.Incarnation());
+    }
     state = {};
   }
   state.m_record = aRunner;
@@ -102,6 +106,7 @@
         { { "runner", aState.m_record.m_id },
           { "born", aBorn },
           { "known_born", known } });
+    m_replacedStarts.push_back(aState.m_record.Incarnation());
     RunnerState restarted;
     restarted.m_record = aState.m_record;
     restarted.m_record.m_born = aBorn;
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace siskindeal {
@@ -85,7 +86,13 @@
   // Applies what a runner says of its start to others than the store; the
   // record's address and state hold until the store has a newer one. Returns
   // false for a start before the one that is known.
-  static bool RecordStart(RunnerState& aState, std::uint64_t aBorn);
+  bool RecordStart(RunnerState& aState, std::uint64_t aBorn);
+  // Returns the starts that a later one of the same runner has replaced since
+  // the last call.
+  std::vector<RunnerIncarnation> TakeReplacedStarts()
+  {
+    return std::exchange(m_replacedStarts, {});
+  }
   // Marks a runner missing; drops it unless it may have only expired.
   void Remove(const std::string& aId, MonotonicTime aNow);
   // Drops a runner whose entry is there but names no runner to use. It has not
@@ -121,6 +128,7 @@
 
   std::map<std::string, RunnerState> m_runners; // by id
   std::optional<MonotonicTime> m_lastListFailure;
+  std::vector<RunnerIncarnation> m_replacedStarts;
 };
 
 } // namespace siskindeal
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -430,6 +430,7 @@
   const std::vector<RunnerAttemptPtr> attempts = m_openAttempts;
   for (const RunnerAttemptPtr& attempt : attempts) {
     if (attempt.get() != aExcept) {
+      RecordIfSilent(*attempt);
       attempt->m_connection->Abort();
       EndAttempt(*attempt, RunnerHealth::Unknown);
       m_mayHaveRun = true;
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -110,6 +110,25 @@
          aNow - aAttempt.m_lastProgress > SilenceLimit(aAttempt);
 }
 
+void
+CallerExchange::RecordSilence(const RunnerIncarnation& aRunner)
+{
+  for (const RunnerAttemptPtr& attempt : m_openAttempts) {
+    if (attempt->m_runner == aRunner) {
+      RecordIfSilent(*attempt);
+    }
+  }
+}
+
+void
+CallerExchange::RecordIfSilent(const RunnerAttempt& aAttempt)
+{
+  constexpr milliseconds kSilence{ 450 };
+  if (LoopNow() - aAttempt.m_lastProgress >= kSilence) {
+    m_gateway.Crashes().OnSilence(aAttempt.m_runner, SuspectTraits());
+  }
+}
+
 bool
 CallerExchange::NeedsHedge(MonotonicTime aNow) const
 {
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -30,6 +30,9 @@
   void Start();
   // Checks the deadline and whether the runner is silent; called periodically.
   void Tick(MonotonicTime aNow);
+  // Reports the request as in flight at a runner that has fallen silent, if it
+  // has one.
+  void RecordSilence(const RunnerIncarnation& aRunner);
   // Ends the request as at its deadline.
   void Expire(std::string_view aReason);
 
@@ -116,6 +119,7 @@
   // Ends an attempt, whose connection is closed or released: removes its load
   // from its runner.
   void EndAttempt(RunnerAttempt& aAttempt, RunnerHealth aHealth);
+  void RecordIfSilent(const RunnerAttempt& aAttempt);
   // Cancels all open attempts but one, if given.
   void CancelAttempts(const RunnerAttempt* aExcept = nullptr);
   // Makes an attempt the one whose response the caller gets.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds kProbeInterval{ 1000 }; // between probes of one runner
 constexpr milliseconds kProbeTimeout{ 300 };   // a timeout isn't a crash
 constexpr std::size_t kMaxProbes = 256;        // one per runner
+constexpr std::size_t kMaxSilentRequests = 4096;
 
 const char*
 ProbeResultName(const NetError& aResult)
@@ -115,8 +116,14 @@
                      const NetError& aResult)
 {
   aProbe->m_pending = false;
-  std::erase_if(aProbe->m_lostConnections, [&](const LostConnection& aLost) {
-    return LoopNow() - aLost.m_at > m_crashWindow;
+  std::erase_if(aProbe->m_lostConnections, [&](LostConnection& aLost) {
+    if (LoopNow() - aLost.m_at <= m_crashWindow) {
+      return false;
+    }
+    if (!aLost.m_response) {
+      OnSilence(aRunner, std::move(aLost.m_request));
+    }
+    return true;
   });
   CountMetric("siskindeal_gateway_crash_probes_total",
               { { "result", ProbeResultName(aResult) } });
@@ -145,4 +152,35 @@
   m_suspicions.RecordCrash(aRunner, inFlight, LoopNow());
 }
 
+void
+CrashWatch::OnSilence(const RunnerIncarnation& aRunner, RequestTraits aRequest)
+{
+  const MonotonicTime now = LoopNow();
+  while (!m_silent.empty() && (m_silent.size() >= kMaxSilentRequests ||
+                               now - m_silent.front().m_at > kRestartWindow)) {
+    m_silent.pop_front();
+  }
+  m_silent.push_back({ aRunner, std::move(aRequest), now });
+}
+
+void
+CrashWatch::OnRestart(const RunnerIncarnation& aFormer)
+{
+  std::vector<RequestTraits> inFlight;
+  std::erase_if(m_silent, [&](SilentRequest& aSilent) {
+    if (!(aSilent.m_runner == aFormer)) {
+      return false;
+    }
+    if (LoopNow() - aSilent.m_at <= kRestartWindow) {
+      inFlight.push_back(std::move(aSilent.m_request));
+    }
+    return true;
+  });
+  if (inFlight.empty()) {
+    return;
+  }
+  CountMetric("siskindeal_gateway_silent_crashes_total", {});
+  m_suspicions.RecordCrash(aFormer, inFlight, LoopNow());
+}
+
 } // namespace siskindeal
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -5,6 +5,7 @@
 #include "net/loop_p.h"
 #include "siskindeal/clock.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,8 @@
 {
 public:
   static constexpr std::chrono::milliseconds kCrashWindow{ 2000 };
+  // A runner that crashed is listed with its new start within this time.
+  static constexpr std::chrono::milliseconds kRestartWindow{ 10000 };
 
   // Connections lost longer than aCrashWindow before a probe aren't linked to
   // the crash that it finds.
@@ -47,7 +50,21 @@
                         RequestTraits aRequest,
                         const ClosedResponse& aResponse);
 
+  // An attempt got no answer from a runner that had fallen silent, which is all
+  // that a crash shows if the runner's VM goes down with it. Counts if the
+  // runner proves to have restarted.
+  void OnSilence(const RunnerIncarnation& aRunner, RequestTraits aRequest);
+  // A later start of the runner is known. What was in flight in its silence was
+  // so at a crash.
+  void OnRestart(const RunnerIncarnation& aFormer);
+
 private:
+  struct SilentRequest
+  {
+    RunnerIncarnation m_runner;
+    RequestTraits m_request;
+    MonotonicTime m_at{};
+  };
   struct LostConnection
   {
     RequestTraits m_request;
@@ -86,6 +103,7 @@
   SuspicionExchange& m_suspicions;
   std::chrono::milliseconds m_crashWindow;
   std::map<RunnerIncarnation, std::shared_ptr<RunnerProbe>> m_probes;
+  std::deque<SilentRequest> m_silent; // by time
 };
 
 } // namespace siskindeal
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -240,6 +240,7 @@
   }
   m_versionFeed->RecordAlive();
   m_runnerOutage.RecordAlive(BootTime());
+  RecordRestarts();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
     exchange->Tick(now);
@@ -322,6 +323,17 @@
   return m_suspicions.DecideParts(aParts, mayTry, now);
 }
 
+void
+Gateway::RecordRestarts()
+{
+  for (const RunnerIncarnation& former : m_runners.TakeReplacedStarts()) {
+    for (const auto& exchange : m_exchanges) {
+      exchange->RecordSilence(former);
+    }
+    m_crashes.OnRestart(former);
+  }
+}
+
 void
 Gateway::Add(const std::shared_ptr<CallerExchange>& aExchange)
 {
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -101,7 +101,7 @@
   for (const v1::RunnerReport& runnerReport : report.runners()) {
     RunnerState* runner = m_runners.Find(runnerReport.runner());
     if (runner != nullptr &&
-        RunnerTable::RecordStart(*runner, runnerReport.born())) {
+        m_runners.RecordStart(*runner, runnerReport.born())) {
       ApplyRunnerReport(*runner, runnerReport);
     }
   }
@@ -143,7 +143,7 @@
     return;
   }
   if (runner == nullptr || runner->m_record.m_service != aNotice.service() ||
-      !RunnerTable::RecordStart(*runner, aNotice.born())) {
+      !m_runners.RecordStart(*runner, aNotice.born())) {
     return;
   }
   v1::RunnerReport report;
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -194,6 +194,8 @@
     const google::protobuf::RepeatedPtrField<v1::RunnerLeavingReport>&
       aLeaving);
   void UpdateNotices();
+  // Counts the crashes that replaced starts of runners show.
+  void RecordRestarts();
   bool IsListed(const RunnerIncarnation& aRunner);
   void AppendRegionLoads(v1::RegionReport& aReport);
   void AppendConfigState(v1::GatewayBeacon& aBeacon) const;
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -154,6 +154,35 @@
   EXPECT_EQ(m_crashes, 2);
 }
 
+// A runner whose VM goes down with it resets no connection and refuses no
+// probe; its next start shows that it crashed.
+TEST_F(CrashingRunnersTest, CrashSeenAsSilenceCountsOnceTheRunnerHasRestarted)
+{
+  std::string poison = Request("GET", "/get/poison");
+  const std::string deadline = "Deadline-Ms: 3000";
+  poison.replace(poison.find(deadline), deadline.size(), "Deadline-Ms: 600");
+  std::vector<std::shared_ptr<ServerConnection>> silent;
+  bool started = false;
+  for (std::uint64_t start = 0; start < 5; ++start) {
+    const Address address =
+      m_site.AddRunner("i-1",
+                       "get",
+                       [&](const auto& aConnection) {
+                         ++m_crashes;
+                         silent.push_back(aConnection);
+                       },
+                       { { "born", 1764793000000 + start } });
+    if (!std::exchange(started, true)) {
+      StartAndAwaitReady();
+    }
+    ASSERT_TRUE(Eventually(
+      [&] { return State().find(address.ToString()) != std::string::npos; }));
+    (void)SendRequest(poison);
+  }
+  EXPECT_EQ(m_crashes, 2);
+  m_site.RunOnLoop([&] { silent.clear(); });
+}
+
 // The parts of a prompt, as callers list them.
 std::string
 PromptField(const std::string& aSharedParts, int aRequest)
--- a/tests/runner_restart_test.cpp
+++ b/tests/runner_restart_test.cpp
@@ -198,10 +198,10 @@
 {
   RunnerTable table = TableInUse();
   RunnerState& state = *table.Find("i-1");
-  EXPECT_TRUE(RunnerTable::RecordStart(state, kBorn + 1));
+  EXPECT_TRUE(table.RecordStart(state, kBorn + 1));
   ExpectNothingKnown(state);
   EXPECT_EQ(state.m_record.Incarnation(), Start(kBorn + 1));
-  EXPECT_FALSE(RunnerTable::RecordStart(state, kBorn));
+  EXPECT_FALSE(table.RecordStart(state, kBorn));
   table.Put(Record(kBorn, 9)); // of before the outage
   EXPECT_EQ(state.m_record.Incarnation(), Start(kBorn + 1));
   state.m_ownLoad = { 1, 10 };
@@ -213,10 +213,10 @@
 {
   RunnerTable table = TableInUse();
   RunnerState& state = *table.Find("i-1");
-  EXPECT_TRUE(RunnerTable::RecordStart(state, 0));
+  EXPECT_TRUE(table.RecordStart(state, 0));
   EXPECT_EQ(state.m_ownLoad, (RunnerLoad{ 3, 900 }));
   table.Put(Record(kMissing));
-  EXPECT_TRUE(RunnerTable::RecordStart(state, kBorn));
+  EXPECT_TRUE(table.RecordStart(state, kBorn));
   EXPECT_EQ(state.m_record.Incarnation(), Start(kMissing));
 }
 
