A stopping gateway refuses at once what it can't complete

So it was here: whatever arrived until 0.3 s before the end was sent to a runner, on connections that weren't idle or in bodies that arrived slowly. Streams were broken off, other requests got 504, which promises nothing, where 503 would have let another gateway serve them.

A stopping gateway begins a request only if its deadline, or the longest of the route's last 64 answered requests, lies before the end; else it answers 503 with a short Retry-After. Retries that have not run anywhere are judged likewise. Early in a stop nearly all are still taken, as callers may have cached the address.

Also, a gateway whose directory answers live for longer than a third of the grace period ended nothing before the process was killed; now the end of the grace period goes first.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 
 constexpr int kUnauthorized = 401;
+// Retry-After where another gateway can serve the request at once.
+constexpr milliseconds kElsewhereRetryAfter{ 10 };
 constexpr int kNotFound = 404;
 constexpr milliseconds kDefaultTimeout{ 30000 }; // if the caller states none
 // A runner's deadline is this much earlier than the request's, so that what it
@@ -242,6 +244,18 @@
     }
   }
   const MonotonicTime now = LoopNow();
+  // Others can still serve what has not begun here.
+  const bool hasBegun =
+    m_mayHaveRun || !m_openAttempts.empty() || m_phase == Phase::Streaming;
+  if (!hasBegun &&
+      !m_gateway.CompletesBeforeStop(m_route->m_name, TimeLeft(now))) {
+    CountMetric("siskindeal_gateway_late_requests_refused_total");
+    return PlacementRefusal{
+      "gateway is shutting down before the request would complete",
+      kElsewhereRetryAfter,
+      milliseconds(0)
+    };
+  }
   m_shape.m_timeLeft = TimeLeft(now);
   m_gateway.SetVersions(m_shape);
   if (m_sends > 0 || m_phase == Phase::Streaming) {
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -290,7 +290,7 @@
   Choose(aAttempt);
   m_caller->SendPart(std::exchange(aAttempt.m_heldEvents, {}));
   m_caller->SendEnd();
-  Finish("answered");
+  Finish(kAnswered);
 }
 
 void
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -15,6 +15,8 @@
 
 inline constexpr int kServiceUnavailable = 503;
 inline constexpr std::uint32_t kMaxSends = 5; // of one request
+// Outcome of a request whose caller got a runner's whole response.
+inline constexpr std::string_view kAnswered = "answered";
 // Retry-After while the configuration or a runner is unavailable.
 inline constexpr std::chrono::milliseconds kShortRetryAfter{ 300 };
 
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -16,6 +16,7 @@
 
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
+
 } // namespace
 
 HttpFields
@@ -38,7 +39,7 @@
                          aAttempt.m_head.m_reason,
                          EndToEndFields(aAttempt.m_head.m_fields),
                          aAttempt.m_body);
-  Finish("answered");
+  Finish(kAnswered);
 }
 
 void
@@ -131,6 +132,10 @@
   const RunnerAttemptPtr& reported = m_forwarded ? m_forwarded : m_latest;
   const RunnerLoad load = reported ? reported->m_loadBefore : RunnerLoad{};
   const std::string route = m_route == nullptr ? "" : m_route->m_name;
+  if (aOutcome == kAnswered) {
+    m_gateway.Durations().Record(
+      route, std::chrono::duration_cast<milliseconds>(elapsed));
+  }
   CountMetric("siskindeal_gateway_requests_total",
               { { "outcome", std::string(aOutcome) } });
   ObserveSeconds("siskindeal_gateway_request_seconds", elapsed.count());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -425,12 +425,13 @@
     since < m_settings.m_gateway.m_answerLifetime * kDrainAddressLifetimes;
   const std::chrono::duration<double> grace(
     m_settings.m_gateway.m_graceSeconds);
-  if (addressMayBeCached) {
+  const bool isOver = UntilShutdown() < milliseconds(0);
+  if (addressMayBeCached && !isOver) {
     return;
   }
   m_callerListener->Stop();
   m_callerListener->CloseIdle();
-  if (since > grace - kShutdownReserve) {
+  if (isOver) {
     EndUnfinished();
   }
   const bool idle = m_exchanges.empty() && m_callerListener->Connections() == 0;
@@ -440,6 +441,24 @@
   }
 }
 
+milliseconds
+Gateway::UntilShutdown() const
+{
+  const std::chrono::duration<double> grace(
+    m_settings.m_gateway.m_graceSeconds);
+  return std::chrono::duration_cast<milliseconds>(*m_drainingSince + grace -
+                                                  kShutdownReserve - LoopNow());
+}
+
+bool
+Gateway::CompletesBeforeStop(const std::string& aRoute,
+                             milliseconds aUntilDeadline) const
+{
+  return !m_drainingSince || CompletesBeforeExit(UntilShutdown(),
+                                                 aUntilDeadline,
+                                                 m_durations.Longest(aRoute));
+}
+
 void
 Gateway::EndUnfinished()
 {
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -61,6 +61,11 @@
     listener->m_limits = aConfig.m_limits;
   }
   m_routes = std::make_shared<const RouteIndex>(std::move(aConfig));
+  std::set<std::string> routes;
+  for (const Route& route : m_routes->Config().m_routes) {
+    routes.insert(route.m_name);
+  }
+  m_durations.Retain(routes);
   return true;
 }
 
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -6,6 +6,7 @@
 #include "dispatch/named_versions_p.h"
 #include "dispatch/placement_p.h"
 #include "dispatch/retry_budget_p.h"
+#include "dispatch/route_durations_p.h"
 #include "gateway/config_follower_p.h"
 #include "gateway/config_lag_p.h"
 #include "gateway/config_server_p.h"
@@ -69,6 +70,11 @@
   PartDecision DecideParts(const std::vector<PromptPart>& aParts) const;
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
   Random& Rng() { return m_random; }
+  RouteDurations& Durations() { return m_durations; }
+  // Whether a request of the route that begins now is answered before a planned
+  // stop ends it. True unless the gateway is stopping.
+  bool CompletesBeforeStop(const std::string& aRoute,
+                           std::chrono::milliseconds aUntilDeadline) const;
   // Whether the configuration is recent enough to authenticate callers with.
   bool ConfigIsFresh() const;
   std::chrono::milliseconds ConfigAge() const;
@@ -213,6 +219,8 @@
   void Reload();
   void StartDrain();
   void MaybeStop();
+  // The time left until unfinished requests are ended.
+  std::chrono::milliseconds UntilShutdown() const;
   // Answers all requests that are in flight or in arrival.
   void EndUnfinished();
   std::shared_ptr<ObjectFeed> StartFeed(std::string_view aKind,
@@ -251,6 +259,7 @@
   RunnerNotices m_notices;
   Placer m_placer;
   SharedRetryBudget m_retries;
+  RouteDurations m_durations;
   SuspicionExchange m_suspicions;
   CrashWatch m_crashes{ m_loop, m_suspicions };
   // The last report of a stager in this region.
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -88,7 +88,7 @@
     settings.m_node.m_http = { "127.0.0.1", 0 };
     settings.m_gateway.m_ready = { "127.0.0.1", 0 };
     settings.m_gateway.m_directory = { "127.0.0.1", 0 };
-    settings.m_gateway.m_answerLifetime = std::chrono::milliseconds(50);
+    settings.m_gateway.m_answerLifetime = m_answerLifetime;
     settings.m_gateway.m_graceSeconds = m_graceSeconds;
     settings.m_gateway.m_versionWithin = m_versionWithin;
     settings.m_gateway.m_retrySlack = m_retrySlack;
@@ -190,6 +190,7 @@
 
   std::string m_settingsFile; // empty: no file
   std::chrono::milliseconds m_versionWithin{ 8000 };
+  std::chrono::milliseconds m_answerLifetime{ 50 }; // of the directory
   double m_retrySlack = GatewayRoleSettings{}.m_retrySlack;
   double m_graceSeconds = 5;
   SiteStandIn m_site;
