A quarantined request is tried again by one gateway

Class: a belief whose refutation it prevents.

The gateway that ranks first for a quarantined request sends it once, 10 s after the quarantine. If it completes, the suspicion is cleared and gossip tells the others; if its runner crashes, the quarantine holds until an operator's release. A trial without either doubles the time to the next one.

--- a/include/siskindeal/quarantine.h
+++ b/include/siskindeal/quarantine.h
@@ -85,6 +85,12 @@
   std::vector<wire::Suspicion> RecordCompletion(std::uint64_t aFingerprint,
                                                 bool aIsolated,
                                                 MonotonicTime aNow);
+  // Quarantines a request that crashed an upstream when it was tried, as if it
+  // had been the only one in flight.
+  void Confirm(std::uint64_t aFingerprint);
+  // Whether the quarantine doesn't only follow from crashes that the request
+  // may have shared with others.
+  bool IsConfirmed(std::uint64_t aFingerprint) const;
   // Merges a suspicion of another process. Returns whether it changed the
   // table.
   bool Merge(const wire::Suspicion& aSuspicion);
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -227,7 +227,7 @@
 CallerExchange::Decide()
 {
   constexpr milliseconds kQuarantineRetryAfter{ 30000 };
-  if (m_gateway.Suspicions().IsQuarantined(m_traits.m_fingerprint)) {
+  if (m_gateway.IsQuarantined(m_traits.m_fingerprint)) {
     return PlacementRefusal{
       "request is quarantined: it crashed the runners that executed it",
       kQuarantineRetryAfter,
@@ -306,6 +306,9 @@
   m_triedRunners.insert(m_latest->m_runner);
   m_gateway.Limits().RecordSend(m_latest->m_runner, now);
   LogIfSuspect();
+  if (m_gateway.Suspicions().IsQuarantined(m_traits.m_fingerprint)) {
+    m_gateway.Suspicions().RecordRequestTrial(m_traits.m_fingerprint, now);
+  }
   if (!IsPromptProven()) {
     m_gateway.Suspicions().RecordTrial(m_traits.m_parts, now);
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -312,6 +312,20 @@
                             : milliseconds(-1);
 }
 
+bool
+Gateway::IsQuarantined(std::uint64_t aFingerprint) const
+{
+  if (!m_suspicions.IsQuarantined(aFingerprint)) {
+    return false;
+  }
+  const MonotonicTime now = LoopNow();
+  // One gateway tries it, so that it crashes one runner at most.
+  const bool mayTry = IsAdvertised() &&
+                      m_peers.RankFor(aFingerprint, now) == 0 &&
+                      m_suspicions.IsTrialDue(aFingerprint, now);
+  return !mayTry;
+}
+
 PartDecision
 Gateway::DecideParts(const std::vector<PromptPart>& aParts) const
 {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -66,6 +66,8 @@
   SharedRetryBudget& Retries() { return m_retries; }
   CrashWatch& Crashes() { return m_crashes; }
   SuspicionExchange& Suspicions() { return m_suspicions; }
+  // Whether a request has crashed its runners and isn't to be tried again here.
+  bool IsQuarantined(std::uint64_t aFingerprint) const;
   // Whether a request may be sent in view of the parts of its prompt.
   PartDecision DecideParts(const std::vector<PromptPart>& aParts) const;
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -69,6 +69,7 @@
   m_parts.RecordCrash({ StableHash(crash), aNow }, parts);
   std::string suspects;
   for (const RequestTraits& request : aInFlight) {
+    ConfirmIfTried(request.m_fingerprint, aNow);
     if (const auto listing = m_requests.ListingOf(request.m_fingerprint)) {
       suspects += Describe(*listing) + ' ';
     }
@@ -125,6 +126,50 @@
   return m_requests.StateOf(aFingerprint) == SuspicionState::Quarantined;
 }
 
+bool
+SuspicionExchange::IsTrialDue(std::uint64_t aFingerprint,
+                              MonotonicTime aNow) const
+{
+  const auto found = m_requestTrials.find(aFingerprint);
+  return found != m_requestTrials.end() && aNow >= found->second.m_due &&
+         !m_requests.IsConfirmed(aFingerprint);
+}
+
+void
+SuspicionExchange::RecordRequestTrial(std::uint64_t aFingerprint,
+                                      MonotonicTime aNow)
+{
+  const auto found = m_requestTrials.find(aFingerprint);
+  if (found == m_requestTrials.end()) {
+    return;
+  }
+  RequestTrials& trials = found->second;
+  ++trials.m_count;
+  trials.m_sentAt = aNow;
+  trials.m_due =
+    aNow + kTrialDelay * (1U << std::min(trials.m_count, kMaxTrialDoublings));
+  CountMetric("siskindeal_gateway_request_trials_total", {});
+  Log(LogLevel::Warning,
+      "quarantined request tried",
+      { { "fingerprint", FormatFingerprint(aFingerprint) },
+        { "trial", trials.m_count } });
+}
+
+void
+SuspicionExchange::ConfirmIfTried(std::uint64_t aFingerprint,
+                                  MonotonicTime aNow)
+{
+  const auto found = m_requestTrials.find(aFingerprint);
+  if (found == m_requestTrials.end() || !found->second.m_sentAt ||
+      aNow - *found->second.m_sentAt > kTrialDuration) {
+    return;
+  }
+  m_requests.Confirm(aFingerprint);
+  Log(LogLevel::Warning,
+      "quarantine confirmed by a trial",
+      { { "fingerprint", FormatFingerprint(aFingerprint) } });
+}
+
 std::vector<wire::Suspicion>
 SuspicionExchange::SuspicionsToAdvertise(MonotonicTime aNow)
 {
@@ -133,7 +178,7 @@
     m_requestTurns.RecordChange(changed.fingerprint(), aNow);
   }
   m_requestsNumber = m_requests.Number();
-  UpdateQuarantined();
+  UpdateQuarantined(aNow);
   const auto crashes = [this](std::uint64_t aFingerprint) -> std::size_t {
     const auto listing = m_requests.ListingOf(aFingerprint);
     return listing ? listing->m_crashes : 0;
@@ -181,7 +226,7 @@
 }
 
 void
-SuspicionExchange::UpdateQuarantined()
+SuspicionExchange::UpdateQuarantined(MonotonicTime aNow)
 {
   std::set<std::uint64_t> quarantined;
   std::string added;
@@ -190,6 +235,7 @@
       quarantined.insert(listing.m_fingerprint);
       if (!m_quarantined.contains(listing.m_fingerprint)) {
         added += Describe(listing) + ' ';
+        m_requestTrials[listing.m_fingerprint].m_due = aNow + kTrialDelay;
       }
     }
   }
@@ -198,6 +244,9 @@
         "requests quarantined",
         { { "requests", quarantined.size() }, { "added", added } });
     m_quarantined = std::move(quarantined);
+    std::erase_if(m_requestTrials, [&](const auto& aEntry) {
+      return !m_quarantined.contains(aEntry.first);
+    });
   }
 }
 
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -9,6 +9,7 @@
 #include "siskindeal/quarantine.h"
 #include "siskindeal/site.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -41,6 +42,12 @@
 
   // Whether a request has crashed its runners and must not be sent again.
   bool IsQuarantined(std::uint64_t aFingerprint) const;
+  // Whether a quarantined request may be sent once more. It may only have been
+  // in flight when its runners crashed for another reason; one that crashes a
+  // runner when it is tried stays quarantined. To be asked by one gateway.
+  bool IsTrialDue(std::uint64_t aFingerprint, MonotonicTime aNow) const;
+  // Records that a quarantined request is sent.
+  void RecordRequestTrial(std::uint64_t aFingerprint, MonotonicTime aNow);
 
   // Whether a request may be sent in view of its prompt.
   PartDecision DecideParts(const std::vector<PromptPart>& aParts,
@@ -76,13 +83,30 @@
   static constexpr std::size_t kMaxRequestsAdvertised = 8;
   static constexpr std::size_t kMaxPartsAdvertised = 16;
 
+  // The time from a quarantine, in which its runners come back, or from a trial
+  // without a result. Doubles with each trial.
+  static constexpr std::chrono::milliseconds kTrialDelay{ 10000 };
+  static constexpr std::uint32_t kMaxTrialDoublings = 10;
+  // A runner that crashes within this time after a trial was sent crashed of
+  // it.
+  static constexpr std::chrono::milliseconds kTrialDuration{ 10000 };
+
+  struct RequestTrials
+  {
+    MonotonicTime m_due{};
+    std::uint32_t m_count = 0;
+    std::optional<MonotonicTime> m_sentAt; // of the last one
+  };
+
   // Update what is quarantined or suspected, and log its changes.
-  void UpdateQuarantined();
+  void UpdateQuarantined(MonotonicTime aNow);
+  void ConfirmIfTried(std::uint64_t aFingerprint, MonotonicTime aNow);
   void UpdateSuspectedParts();
 
   SuspicionTable m_requests{ CrashView::Partial };
   std::set<std::uint64_t> m_quarantined; // when last advertised
-  std::uint64_t m_requestsNumber = 0;    // the table's, when last advertised
+  std::map<std::uint64_t, RequestTrials> m_requestTrials; // of these
+  std::uint64_t m_requestsNumber = 0; // the table's, when last advertised
   AdvertisingTurns m_requestTurns{ kAdvertisePeriod, kMaxRequestsAdvertised };
 
   PromptPartTable m_parts;
--- a/src/quarantine/suspicion_table.cpp
+++ b/src/quarantine/suspicion_table.cpp
@@ -174,6 +174,25 @@
   return ChangedSince(before);
 }
 
+void
+SuspicionTable::Confirm(std::uint64_t aFingerprint)
+{
+  const auto found = m_states.find(aFingerprint);
+  if (found == m_states.end() || found->second.m_quarantined) {
+    return;
+  }
+  found->second.m_quarantined = true;
+  MarkChanged(found->second);
+  RecomputeDerivedState();
+}
+
+bool
+SuspicionTable::IsConfirmed(std::uint64_t aFingerprint) const
+{
+  const auto found = m_states.find(aFingerprint);
+  return found != m_states.end() && found->second.m_quarantined;
+}
+
 bool
 SuspicionTable::Merge(const wire::Suspicion& aSuspicion)
 {
--- a/tests/suspicion_exchange_test.cpp
+++ b/tests/suspicion_exchange_test.cpp
@@ -184,6 +184,79 @@
   }
 }
 
+// All runners of a service crash at one moment, and a popular request was in
+// flight at several: it was refused until all gateways had restarted.
+TEST(SuspicionExchange, SoundRequestInFlightAtManyCrashesIsServedAgain)
+{
+  std::vector<SuspicionExchange> gateways(4);
+  MonotonicTime now = kStart;
+  for (const char* runner : { "i-1", "i-2", "i-3" }) {
+    for (SuspicionExchange& gateway : gateways) {
+      gateway.RecordCrash({ runner }, { { kBystander } }, now);
+    }
+  }
+  ExchangeAll(gateways, now);
+  for (const SuspicionExchange& gateway : gateways) {
+    ASSERT_TRUE(gateway.IsQuarantined(kBystander));
+    EXPECT_FALSE(gateway.IsTrialDue(kBystander, now)); // runners are down
+  }
+  now += std::chrono::seconds(11);
+  ASSERT_TRUE(gateways[2].IsTrialDue(kBystander, now));
+  gateways[2].RecordRequestTrial(kBystander, now);
+  EXPECT_FALSE(gateways[2].IsTrialDue(kBystander, now)); // one at a time
+  gateways[2].RecordCompletion({ kBystander }, kOk, now, now);
+  ExchangeAll(gateways, now);
+  for (const SuspicionExchange& gateway : gateways) {
+    EXPECT_FALSE(gateway.IsQuarantined(kBystander));
+  }
+}
+
+TEST(SuspicionExchange, RequestThatCrashesARunnerWhenItIsTriedStaysRefused)
+{
+  std::vector<SuspicionExchange> gateways(4);
+  MonotonicTime now = kStart;
+  gateways[0].RecordCrash({ "i-1" }, { { kCrasher } }, now);
+  gateways[1].RecordCrash({ "i-2" }, { { kCrasher } }, now);
+  ExchangeAll(gateways, now);
+  now += std::chrono::seconds(11);
+  ASSERT_TRUE(gateways[2].IsTrialDue(kCrasher, now));
+  gateways[2].RecordRequestTrial(kCrasher, now);
+  now += milliseconds(100);
+  gateways[2].RecordCrash({ "i-3" }, { { kCrasher }, { kBystander } }, now);
+  ExchangeAll(gateways, now);
+  for (int hour = 0; hour < 24; ++hour) {
+    now += std::chrono::hours(1);
+    ExchangeAll(gateways, now);
+    for (const SuspicionExchange& gateway : gateways) {
+      EXPECT_TRUE(gateway.IsQuarantined(kCrasher));
+      EXPECT_FALSE(gateway.IsTrialDue(kCrasher, now));
+      EXPECT_FALSE(gateway.IsQuarantined(kBystander));
+    }
+  }
+}
+
+// A runner whose VM goes down may show no crash.
+TEST(SuspicionExchange, TrialsWithoutAResultBecomeRare)
+{
+  SuspicionExchange gateway;
+  MonotonicTime now = kStart;
+  gateway.RecordCrash({ "i-1" }, { { kCrasher } }, now);
+  gateway.RecordCrash({ "i-2" }, { { kCrasher } }, now);
+  (void)gateway.SuspicionsToAdvertise(now);
+  int trials = 0;
+  while (now < kStart + std::chrono::minutes(60)) {
+    now += milliseconds(500);
+    (void)gateway.SuspicionsToAdvertise(now);
+    if (gateway.IsTrialDue(kCrasher, now)) {
+      gateway.RecordRequestTrial(kCrasher, now);
+      ++trials;
+      EXPECT_FALSE(gateway.IsTrialDue(kCrasher, now));
+    }
+    EXPECT_LE(trials, now < kStart + std::chrono::seconds(75) ? 3 : 9);
+  }
+  EXPECT_GE(trials, 3);
+}
+
 } // namespace
 
 } // namespace siskindeal
