The agents' HTTP client reuses no connection with unread bytes

The client keeps its sockets in a table; before a request is sent, the one chosen is asked whether anything has arrived on it, or whether its peer has closed it. Such a connection is closed and the request, of which nothing was sent, goes out on a new one.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -161,7 +161,7 @@
       easy = m_spare.back();
       m_spare.pop_back();
     }
-    aCall->Prepare(easy);
+    aCall->Prepare(easy, m_sockets);
     m_active.insert(aCall);
     curl_multi_add_handle(m_multi, easy);
   }
@@ -178,8 +178,14 @@
       ClientCall* completed = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &completed);
       const auto call = Detach(completed);
-      call->Finish(code);
+      const bool restarts = call->TakeRestart();
+      if (!restarts) {
+        call->Finish(code);
+      }
       Recycle(call->Easy());
+      if (restarts) {
+        StartCall(call);
+      }
     }
   }
 
@@ -220,6 +226,7 @@
 
   const std::shared_ptr<CommandQueue> m_commands =
     std::make_shared<CommandQueue>();
+  ClientSockets m_sockets;
   CURLM* m_multi = nullptr;
   absl::flat_hash_set<std::shared_ptr<ClientCall>> m_active;
   std::vector<CURL*> m_spare;
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -48,10 +48,12 @@
 }
 
 void
-ClientCall::Prepare(CURL* aEasy)
+ClientCall::Prepare(CURL* aEasy, ClientSockets& aSockets)
 {
   m_easy = aEasy;
+  m_sockets = &aSockets;
   curl_easy_reset(aEasy);
+  aSockets.Attach(aEasy);
   curl_easy_setopt(aEasy, CURLOPT_URL, m_request.m_url.c_str());
   curl_easy_setopt(aEasy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(aEasy, CURLOPT_PROXY, "");
@@ -70,6 +72,9 @@
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(aEasy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(aEasy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
+  curl_easy_setopt(aEasy, CURLOPT_PREREQDATA, this);
+  curl_slist_free_all(std::exchange(m_headers, nullptr));
   for (const auto& [name, value] : m_request.m_headers) {
     auto line = name;
     line += value.empty() ? ";" : ": " + value;
@@ -96,10 +101,6 @@
     curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
     return;
   }
-  if (!IsSafe()) {
-    curl_easy_setopt(m_easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
-    curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
-  }
   if (!IsSafe() || !m_request.m_body.empty()) {
     curl_easy_setopt(m_easy, CURLOPT_POST, 1L);
     curl_easy_setopt(m_easy,
@@ -111,12 +112,33 @@
 }
 
 // libcurl resends a request if a reused connection fails before the response.
-// Aborts unsafe requests that were already sent, which must not be sent twice.
+// Aborts unsafe requests that were already sent, which must not be sent twice,
+// and those on a connection whose unread bytes would be taken for the response.
 int
-ClientCall::OnBeforeRequest(void* aSelf, char*, char*, int, int)
+ClientCall::OnBeforeRequest(void* aSelf,
+                            char* aPeerHost,
+                            char*,
+                            int aPeerPort,
+                            int aLocalPort)
+{
+  auto& self = *static_cast<ClientCall*>(aSelf);
+  if (self.WasSent()) {
+    return self.IsSafe() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  }
+  self.m_connectionUnusable =
+    self.m_sockets->HasUnreadInput({ aPeerHost, aPeerPort, aLocalPort });
+  return self.m_connectionUnusable ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+bool
+ClientCall::TakeRestart()
 {
-  return static_cast<ClientCall*>(aSelf)->WasSent() ? CURL_PREREQFUNC_ABORT
-                                                    : CURL_PREREQFUNC_OK;
+  if (!m_connectionUnusable || m_request.m_newConnection) {
+    return false;
+  }
+  m_connectionUnusable = false;
+  m_request.m_newConnection = true;
+  return true;
 }
 
 std::size_t
--- a/src/http/client_call_p.h
+++ b/src/http/client_call_p.h
@@ -2,6 +2,7 @@
 // One outgoing request on libcurl. Except for the constructor, it is used on
 // the client's thread only.
 
+#include "http/client_sockets_p.h"
 #include "siskindeal/http.h"
 
 #include <curl/curl.h>
@@ -19,10 +20,13 @@
   ClientCall(const ClientCall&) = delete;
   ClientCall& operator=(const ClientCall&) = delete;
 
-  // Configures aEasy for this request.
-  void Prepare(CURL* aEasy);
+  // Configures aEasy for this request. aSockets outlives the transfer.
+  void Prepare(CURL* aEasy, ClientSockets& aSockets);
   CURL* Easy() const { return m_easy; }
 
+  // Whether the transfer ended because the connection chosen for it wasn't to
+  // be reused. It is then started again on a new one.
+  bool TakeRestart();
   // Runs the callback for a transfer that ended with aCode.
   void Finish(CURLcode aCode);
   // Runs the callback of a cancelled call, whether or not it was started.
@@ -47,6 +51,8 @@
   HttpClient::Done m_done;
   HttpReply m_reply;
   CURL* m_easy = nullptr;
+  ClientSockets* m_sockets = nullptr;
+  bool m_connectionUnusable = false;
   curl_slist* m_headers = nullptr;
   bool m_cancelledByCallback = false;
   bool m_haveHead = false; // of the final response
