An empty list of teams admits no key

PROTOCOL: "If the configuration contains `tenants`, a request carries a key [...]. A request with an unknown key receives a 401 response." An empty list is contained.

The configuration keeps whether the list was given. RemovalOfTheLastTeamOpensNoRoute is new; a configuration without the list stays open.

--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -100,6 +100,7 @@
   std::vector<Route> m_routes;
   std::map<std::string, ServiceRecord> m_services;
   std::vector<SiteTeam> m_teams;
+  bool m_requiresKeys = false; // a list of teams is given, even an empty one
   ClientLimits m_limits;
 };
 
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -123,7 +123,7 @@
 bool
 CallerExchange::Authenticate(const RouteIndex& aRoutes)
 {
-  if (aRoutes.Config().m_teams.empty() || m_route->m_anonymous) {
+  if (!aRoutes.Config().m_requiresKeys || m_route->m_anonymous) {
     return true;
   }
   if (!m_gateway.ConfigIsFresh()) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -135,6 +135,28 @@
             std::string::npos);
 }
 
+// A configuration without a list of teams opens its routes; an empty list names
+// no team that may use them.
+TEST_F(GatewayTest, RemovalOfTheLastTeamOpensNoRoute)
+{
+  m_site.AddRunner(
+    "i-1", "get", [](const auto& aConnection) { Answer(aConnection); });
+  StartAndAwaitReady();
+  const auto statusIs = [&](const char* aStatus) {
+    return SendRequest(Request("GET", "/get/a")).find(aStatus) !=
+           std::string::npos;
+  };
+  ASSERT_TRUE(Eventually([&] { return statusIs(" 200 "); }));
+  json config = ConfigJson(2);
+  config["tenants"] = json::array();
+  m_site.Put("config", "main", config);
+  EXPECT_TRUE(Eventually([&] { return statusIs(" 401 "); }));
+  config = ConfigJson(3);
+  config.erase("tenants");
+  m_site.Put("config", "main", config);
+  EXPECT_TRUE(Eventually([&] { return statusIs(" 200 "); }));
+}
+
 TEST_F(GatewayTest, KeysAreRejectedWhenConfigurationIsStale)
 {
   m_site.AddRunner(
