A stager gives up a version that the origin has withdrawn

The origin serves the two newest versions. A stager that went on with an older one, to finish it before a newer one, asked the origin for its pieces for as long as versions were named: its runner got no weights, and requests that need them were refused.

A response 410 of the origin ends the preference for the target; the newest version is fetched at once. The stand-in's origin withdraws versions as the platform's does. StagerTest.VersionThatTheOriginWithdrewIsGivenUp failed before: runner at version 1 after 15 versions.

--- a/src/stager/stager_fetch.cpp
+++ b/src/stager/stager_fetch.cpp
@@ -114,6 +114,19 @@
                });
 }
 
+void
+Stager::RecordIfWithdrawn(const BufferedResponse& aAnswer)
+{
+  constexpr int kGone = 410;
+  if (aAnswer.m_status != kGone || m_withdrawn == m_target) {
+    return;
+  }
+  m_withdrawn = m_target;
+  Log(LogLevel::Warning,
+      "weights withdrawn by the origin",
+      { { "model", m_model }, { "version", m_target } });
+}
+
 void
 Stager::OnPieceList(const BufferedResponse& aAnswer)
 {
@@ -321,6 +334,9 @@
           { "status", aAnswer.m_status },
           { "reason", aAnswer.m_failure } });
     m_plan->Finish(aFetch, false, LoopNow());
+    if (aFetch.m_from.empty()) {
+      RecordIfWithdrawn(aAnswer);
+    }
     if (aAnswer.m_status == 200 && ++m_corruptPieces >= kMaxCorruptPieces) {
       m_listSuspect = true;
       BeginVersion();
--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -95,7 +95,7 @@
 {
   const std::uint64_t loading = m_load ? m_load->m_pieces.m_version : 0;
   return { m_target,
-           m_fetchStage != FetchStage::Resting &&
+           m_target != m_withdrawn && m_fetchStage != FetchStage::Resting &&
              m_fetchStage != FetchStage::Listing,
            HeldFraction(),
            std::max(LoadedVersion(), loading) };
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -132,6 +132,9 @@
                         const Address& aFrom,
                         const std::string& aTarget);
   void OnPieceList(const BufferedResponse& aAnswer);
+  // Records that the origin doesn't serve the target any more, if that is what
+  // its response says. The target is then given up for a newer version.
+  void RecordIfWithdrawn(const BufferedResponse& aAnswer);
   void CheckPiece(std::size_t aPiece);
   void OnPieceChecked(std::size_t aPiece, const BufferedResponse& aAnswer);
   void OnCheckDone();
@@ -202,8 +205,9 @@
   FetchStage m_fetchStage = FetchStage::Resting;
   std::uint64_t m_epoch = 0; // responses of an earlier epoch are dropped
   PieceList m_pieces;
-  std::string m_listText;     // m_pieces as received, served to peers
-  bool m_listSuspect = false; // too many pieces did not match
+  std::string m_listText;        // m_pieces as received, served to peers
+  std::uint64_t m_withdrawn = 0; // the last version that was withdrawn
+  bool m_listSuspect = false;    // too many pieces did not match
   std::unique_ptr<FetchPlan> m_plan;
   std::uint32_t m_corruptPieces = 0;
   MonotonicTime m_fetchStageAt{};
--- a/tests/stager_test.cpp
+++ b/tests/stager_test.cpp
@@ -268,6 +268,24 @@
   EXPECT_TRUE(m_engines.AllLoadsIntact());
 }
 
+// The origin serves the two newest versions. A stager that went on with an
+// older one would get no weights for as long as versions are named.
+TEST_F(StagerTest, VersionThatTheOriginWithdrewIsGivenUp)
+{
+  constexpr std::uint64_t kLastVersion = 16;
+  constexpr std::chrono::milliseconds kGap{ 1600 };
+  m_engines.m_withheldVersion = 2;
+  AddStager(1);
+  ASSERT_TRUE(Eventually([&] { return m_engines.ListsSent() > 0; }));
+  ASSERT_TRUE(m_site.AwaitWatched("versions"));
+  std::uint64_t version = 2;
+  while (m_engines.ServedVersion(0) <= 2 && version <= kLastVersion) {
+    m_engines.PublishVersion(version++);
+    std::this_thread::sleep_for(kGap);
+  }
+  EXPECT_GT(m_engines.ServedVersion(0), 2U);
+}
+
 // While a runner drains, its staging area is complete and the pieces of the
 // next version stay buffered.
 TEST_F(StagerTest, NextVersionDoesNotOverwriteStagedOne)
--- a/tests/support/engine_site.cpp
+++ b/tests/support/engine_site.cpp
@@ -70,6 +70,7 @@
     }
     m_origin->Stop();
     m_origin->CloseAll();
+    m_unanswered.clear();
   });
   m_site.RunOnLoop([] {}); // waits for pending listener handlers
 }
@@ -131,6 +132,11 @@
   const std::string target = aConnection->Request().m_target;
   const std::uint64_t requested = QueryNumber(target, "version");
   const std::uint64_t version = requested == 0 ? m_newest : requested;
+  constexpr std::uint64_t kVersionsServed = 2;
+  if (version + kVersionsServed <= m_newest) {
+    aConnection->SendResponse(410, {}, {}, "");
+    return;
+  }
   if (target.find("/manifest/") != std::string::npos) {
     ++m_listsSent;
     json digests = json::array();
@@ -147,6 +153,10 @@
                                 .dump());
     return;
   }
+  if (version == m_withheldVersion) {
+    m_unanswered.push_back(aConnection);
+    return;
+  }
   ++m_piecesSent;
   const auto piece = static_cast<std::size_t>(QueryNumber(target, "num"));
   std::string bytes = PieceBytes(version, piece);
--- a/tests/support/engine_site.h
+++ b/tests/support/engine_site.h
@@ -55,6 +55,8 @@
   std::uint32_t m_reportedRunning = 0; // requests, reported by each runner
   std::size_t m_maxOriginConnections = 1000; // further ones are reset
   std::set<std::size_t> m_corruptFromOrigin; // pieces, on first send
+  // The origin leaves requests for its pieces unanswered.
+  std::uint64_t m_withheldVersion = 0;
   // Pieces corrupted once at runner 0, when it has all of them.
   std::set<std::size_t> m_corruptWhenStaged;
 
@@ -95,6 +97,7 @@
   bool m_loadsIntact = true;
   std::vector<std::unique_ptr<Runner>> m_runners;
   std::unique_ptr<HttpListener> m_origin;
+  std::vector<std::shared_ptr<ServerConnection>> m_unanswered;
 };
 
 } // namespace siskindeal
