Versions of weights named in a row don't replace each other without end

The 1.5 s count from the first version that the runner has not got, so a run of replacements ends. FetchTarget.VersionsNamedInARowDoNotKeepEachOtherFromBeingFetched, known red before, passes for all gaps from 1.0 to 4.0 s, as do the three tests beside it.

--- a/src/stager/fetch_target.cpp
+++ b/src/stager/fetch_target.cpp
@@ -8,10 +8,12 @@
 
 using std::chrono::milliseconds;
 
-// If a version was named kMinNamedGap before the next one, the fleet has most
-// of its pieces. The next one's fetch is still in time if it starts
-// kMaxNewerDelay late, or later if kMostlyHeldFraction of the pieces are here.
+// A version may replace those named up to this long before it that the runner
+// has not got. Counted from the first of them, so that versions in a row don't
+// replace each other without end.
 constexpr milliseconds kMinNamedGap{ 1500 };
+// A newer version's fetch is still in time if it starts kMaxNewerDelay late, or
+// later if kMostlyHeldFraction of the target's pieces are here.
 constexpr milliseconds kMaxNewerDelay{ 2200 };
 constexpr double kMostlyHeldFraction = 0.75;
 constexpr milliseconds kMaxNewerDelayMostlyHeld{ 3500 };
@@ -26,15 +28,16 @@
                         milliseconds aNow)
 {
   const auto newestAt = aNamed.NamedAt(aModel, aNewest);
-  const auto targetAt = aNamed.NamedAt(aModel, aProgress.m_target);
-  if (!newestAt || !targetAt || !aProgress.m_hasPieceList ||
+  const auto firstMissing = aNamed.NextAfter(aModel, aProgress.m_coming);
+  if (!newestAt || !firstMissing || !aProgress.m_hasPieceList ||
       aProgress.m_target <= aProgress.m_coming) {
     return false;
   }
   const milliseconds maxDelay = aProgress.m_heldFraction >= kMostlyHeldFraction
                                   ? kMaxNewerDelayMostlyHeld
                                   : kMaxNewerDelay;
-  return *newestAt - *targetAt >= kMinNamedGap && aNow - *newestAt < maxDelay;
+  return *newestAt - firstMissing->m_namedAt >= kMinNamedGap &&
+         aNow - *newestAt < maxDelay;
 }
 
 } // namespace siskindeal
