--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -15,10 +15,10 @@
 using std::chrono::milliseconds;
 
 constexpr int kUnauthorized = 401;
-// Retry-After where another gateway can serve the request at once.
-constexpr milliseconds kElsewhereRetryAfter{ 10 };
 constexpr int kNotFound = 404;
 constexpr milliseconds kDefaultTimeout{ 30000 }; // if the caller states none
+// Retry-After where another gateway can serve the request at once.
+constexpr milliseconds kElsewhereRetryAfter{ 10 };
 // A runner's deadline is this much earlier than the request's, so that what it
 // responds then still arrives: it may state that the request did not run, and
 // that the runner wants no more.
--- a/src/http/client_sockets_p.h
+++ b/src/http/client_sockets_p.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace siskindeal {
 
@@ -26,7 +27,11 @@
     int m_peerPort = 0;
     int m_localPort = 0;
 
-    auto operator<=>(const Ends&) const = default;
+    bool operator<(const Ends& aOther) const
+    {
+      return std::tie(m_peerHost, m_peerPort, m_localPort) <
+             std::tie(aOther.m_peerHost, aOther.m_peerPort, aOther.m_localPort);
+    }
   };
 
   // Whether the connection has been closed by the peer, or has received bytes
--- a/tests/response_head_cut_test.cpp
+++ b/tests/response_head_cut_test.cpp
@@ -30,8 +30,8 @@
   "HTTP/1.1 200 OK\r\nX-Signature: s\r\nConnection: close\r\n\r\n",
   "HTTP/1.1 204 No Content\r\nX-Signature: s\r\n\r\n",
   "HTTP/1.1 304 Not Modified\r\nX-Signature: s\r\n\r\n",
-  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+  std::string("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n") +
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 };
 
 struct Cut
