--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -61,6 +61,7 @@
   const std::string answer = SendAcrossTheStop();
   EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+  EXPECT_NE(answer.find("shutting down before"), std::string::npos) << answer;
   EXPECT_EQ(m_begun, 1);
   m_site.RunOnLoop([&] { unanswered.clear(); });
 }
