Signals that arrive during the start are handled once the process can

A SIGHUP in the first tens of milliseconds ended a gateway or stager by the signal's default action, and a SIGTERM ended every role with status 143 and without a log line: handlers were installed, or the signals blocked, after the settings had been read.

SIGHUP, SIGTERM and SIGINT are now blocked in .preinit_array, after the loader and before the first constructor of any library. A SIGTERM that is pending before a role serves ends it with status 0 and the line "stop". Commands that are no roles unblock them at once.

What remains is the dynamic loader, before which no code of the program runs.

--- a/src/agent/role.cpp
+++ b/src/agent/role.cpp
@@ -1,6 +1,6 @@
 #include "siskindeal/role.h"
 #include "agent_p.h"
-#include "node/process_p.h"
+#include "node/signals_p.h"
 #include "siskindeal/log.h"
 
 namespace siskindeal {
@@ -21,7 +21,7 @@
     const auto settings = ReadAgentSettings(aSettingsFile);
     ConfigureLog(
       "agent", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
-    BlockStopSignals();
+    ThrowIfStopped();
     AgentNode agent(settings);
     WaitForStopSignal();
     agent.Drain();
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,5 +1,7 @@
 #include "cli/command_p.h"
 
+#include "node/signals_p.h"
+#include "siskindeal/log.h"
 #include "siskindeal/role.h"
 #include "siskindeal/settings.h"
 
@@ -42,8 +44,15 @@
     if (aArguments.count("config") == 0) {
       throw CommandError(ExitStatus::Usage, "expected --config FILE");
     }
-    const int status = m_role->Run(aArguments["config"].as<std::string>());
-    return status == 0 ? ExitStatus::Done : ExitStatus::Failed;
+    try {
+      const int status = m_role->Run(aArguments["config"].as<std::string>());
+      return status == 0 ? ExitStatus::Done : ExitStatus::Failed;
+    } catch (const StoppedAtStart& stop) {
+      Log(LogLevel::Info,
+          "stop",
+          { { "reason", std::string_view(stop.what()) } });
+      return ExitStatus::Done;
+    }
   }
 
 private:
@@ -162,6 +171,9 @@
                        "unexpected argument \"" + parsed.unmatched().front() +
                          "\"");
   }
+  if (!RoleRegistry::Instance().Has(aName)) {
+    UnblockSignals(); // only roles have handlers for them
+  }
   return command->Run(parsed, aConsole);
 }
 
--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -1,5 +1,6 @@
 #include "siskindeal/role.h"
 #include "gateway/gateway_p.h"
+#include "node/signals_p.h"
 #include "siskindeal/log.h"
 
 namespace siskindeal {
@@ -22,7 +23,9 @@
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
                  LogStream::StandardOutput);
+    ThrowIfStopped();
     Gateway gateway(settings, aSettingsFile);
+    UnblockSignals(); // its handlers are installed
     gateway.Run();
     return 0;
   }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 #include "cli/command_p.h"
+#include "node/signals_p.h"
 
 #include <absl/synchronization/mutex.h>
 #include <malloc.h>
@@ -7,6 +8,15 @@
 #include <csignal>
 #include <iostream>
 
+namespace {
+
+// The constructors of the libraries alone take milliseconds, so the signals are
+// blocked before any of them runs.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kBlockSignals)() = siskindeal::BlockSignals;
+
+} // namespace
+
 int
 main(int aArgc, char** aArgv)
 {
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -3,13 +3,10 @@
 #include "node/answer_p.h"
 
 #include "siskindeal/error.h"
-#include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 #include "siskindeal/operators.h"
 
-#include <csignal>
 #include <malloc.h>
-#include <pthread.h>
 
 namespace siskindeal {
 
@@ -18,42 +15,8 @@
 constexpr std::chrono::seconds kTrimPeriod{ 20 };
 constexpr std::size_t kRetainedFreeBytes = 256 << 10;
 
-sigset_t
-HandledSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP); // ignored; by default it ends the process
-  return signals;
-}
-
 } // namespace
 
-void
-BlockStopSignals()
-{
-  const auto signals = HandledSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
-
-void
-WaitForStopSignal()
-{
-  const auto signals = HandledSignals();
-  while (true) {
-    int signal = 0;
-    const bool received = sigwait(&signals, &signal) == 0;
-    if (received && signal != SIGHUP) {
-      return;
-    }
-    if (received) {
-      Log(LogLevel::Info, "hangup_ignored"); // settings are not reloaded
-    }
-  }
-}
-
 Address
 AdvertisedAddress(const NodeSettings& aNode, std::uint16_t aPort)
 {
--- a/src/node/process_p.h
+++ b/src/node/process_p.h
@@ -1,6 +1,6 @@
 #pragma once
-// Functions shared by the processes of every role: stop signals, memory
-// trimming and the process's HTTP pages.
+// Functions shared by the processes of every role: memory trimming
+// and the process's HTTP pages.
 
 #include "siskindeal/http.h"
 #include "siskindeal/settings.h"
@@ -13,15 +13,6 @@
 
 namespace siskindeal {
 
-// Blocks SIGTERM, SIGINT and SIGHUP. Must be called before any thread is
-// started.
-void
-BlockStopSignals();
-
-// Waits for SIGTERM or SIGINT. SIGHUP is logged and has no effect.
-void
-WaitForStopSignal();
-
 // The address at which other processes reach this one, which listens on aPort.
 Address
 AdvertisedAddress(const NodeSettings& aNode, std::uint16_t aPort);
--- a/src/stager/role.cpp
+++ b/src/stager/role.cpp
@@ -1,4 +1,5 @@
 #include "siskindeal/role.h"
+#include "node/signals_p.h"
 #include "siskindeal/log.h"
 #include "stager/stager_p.h"
 
@@ -22,7 +23,9 @@
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
                  LogStream::StandardOutput);
+    ThrowIfStopped();
     Stager stager(settings);
+    UnblockSignals(); // its handlers are installed
     stager.Run();
     return 0;
   }
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -126,11 +126,12 @@
     if (aError) {
       return;
     }
-    if (aSignal != SIGHUP) { // settings are not reloaded
+    AwaitSignal();
+    if (aSignal == SIGHUP) {
+      Log(LogLevel::Info, "hangup_ignored"); // settings are not reloaded
+    } else {
       m_loop.stop();
-      return;
     }
-    AwaitSignal();
   });
 }
 
