Agent and entry: end calls before what their callbacks use

Cause found by reading the order of destruction: the HTTP client and the RPC client are declared right after the worker pool, and so are destroyed after nearly everything else. Their threads went on while the membership sync, the run service, the claims and the weights were destroyed; a reply to the load poll that came then, or the cancellation of the poll by the client's own destructor, ran on freed members (AgentNode::OnLoadReply). A call that the RPC client started on a connected channel while it closed was cancelled, but not awaited.

Evidence: RoleShutdownDeathTest.AgentWithPollInProgressEndsCleanly ends an agent whose upstream has not answered a poll.

The clients have a Stop that cancels what is in progress, waits for the last callback and refuses further calls; both roles call it while all members exist.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -166,13 +166,18 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Starts a request; aDone runs exactly once, on the client's thread, and must
-  // not block.
+  // not block. Owners of what the callbacks use call Stop before destroying it.
   std::shared_ptr<HttpCall> Start(HttpClientRequest aRequest, Done aDone);
 
   // Blocks until the response arrives. Must not be called from a handler or
   // from aDone.
   HttpReply Fetch(HttpClientRequest aRequest);
 
+  // Cancels the requests in progress and returns once the last callback has
+  // returned. A request started later is dropped without a callback. Must not
+  // be called from a callback.
+  void Stop();
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/include/siskindeal/rpc.h
+++ b/include/siskindeal/rpc.h
@@ -183,6 +183,11 @@
   // Closes channels that have not been used for aIdle.
   void DropIdle(std::chrono::milliseconds aIdle);
 
+  // Cancels the calls in progress and returns once the last callback has
+  // returned. A call started later fails as not sent. Must not be called from a
+  // callback.
+  void Stop();
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -142,6 +142,9 @@
   }
   m_pool.Stop();
   m_httpServer.reset();
+  // Callbacks of calls in progress use the members that are destroyed next.
+  m_http.Stop();
+  m_client.Stop();
 }
 
 bool
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -136,6 +136,9 @@
   m_quarantine->Stop();
   m_pool.Stop();
   m_httpServer.reset();
+  // Callbacks of calls in progress use the members that are destroyed next.
+  m_http.Stop();
+  m_client.Stop();
 }
 
 void
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -34,15 +34,18 @@
 struct CommandQueue
 {
   OrderedMutex m_mutex{ LockLevel::Transport };
-  CURLM* m_multi ABSL_GUARDED_BY(m_mutex) = nullptr; // null once stopped
+  CURLM* m_multi ABSL_GUARDED_BY(m_mutex) = nullptr; // null once stopping
+  bool m_ended ABSL_GUARDED_BY(m_mutex) = false;     // the thread has
   Calls m_added ABSL_GUARDED_BY(m_mutex);
   Calls m_cancelled ABSL_GUARDED_BY(m_mutex);
 
   void Add(std::shared_ptr<ClientCall> aCall)
   {
     const OrderedLock lock(m_mutex);
-    m_added.push_back(std::move(aCall));
-    Wake();
+    if (!m_ended) {
+      m_added.push_back(std::move(aCall));
+      Wake();
+    }
   }
 
   void Cancel(const std::shared_ptr<ClientCall>& aCall)
@@ -100,12 +103,7 @@
 
   ~Impl()
   {
-    {
-      const OrderedLock lock(m_commands->m_mutex);
-      m_commands->Wake();
-      m_commands->m_multi = nullptr;
-    }
-    m_thread.join();
+    Stop();
     for (auto* const easy : m_spare) {
       curl_easy_cleanup(easy);
     }
@@ -115,6 +113,18 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
+  void Stop()
+  {
+    {
+      const OrderedLock lock(m_commands->m_mutex);
+      m_commands->Wake();
+      m_commands->m_multi = nullptr;
+    }
+    if (m_thread.joinable()) {
+      m_thread.join();
+    }
+  }
+
   const std::shared_ptr<CommandQueue>& Commands() const { return m_commands; }
 
 private:
@@ -196,14 +206,23 @@
     Recycle(call->Easy());
   }
 
+  // Cancels the calls that callbacks start meanwhile, too.
   void CancelAll()
   {
     do {
+      ProcessCommands();
       while (!m_active.empty()) {
         CancelCall(m_active.begin()->get());
       }
-      ProcessCommands();
-    } while (!m_active.empty());
+    } while (!TryEnd());
+  }
+
+  // Refuses further calls, unless some were added since they were processed.
+  bool TryEnd()
+  {
+    const OrderedLock lock(m_commands->m_mutex);
+    m_commands->m_ended = m_commands->m_added.empty();
+    return m_commands->m_ended;
   }
 
   std::shared_ptr<ClientCall> Detach(ClientCall* aCall)
@@ -249,6 +268,12 @@
   return std::make_shared<CallHandle>(m_impl->Commands(), call);
 }
 
+void
+HttpClient::Stop()
+{
+  m_impl->Stop();
+}
+
 HttpReply
 HttpClient::Fetch(HttpClientRequest aRequest)
 {
--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -163,15 +163,19 @@
   {
   }
 
-  ~Impl()
+  ~Impl() { Stop(); }
+
+  void Stop()
   {
     {
       const absl::MutexLock lock(&m_mutex);
       m_closing = true;
     }
     m_calls->CancelAll();
-    m_stateQueue.Shutdown();
-    m_stateThread.join();
+    if (m_stateThread.joinable()) {
+      m_stateQueue.Shutdown();
+      m_stateThread.join();
+    }
   }
 
   const std::shared_ptr<CallTable>& Calls() const { return m_calls; }
@@ -203,6 +207,10 @@
                  std::chrono::system_clock::time_point aDeadline,
                  ReadyCallback aReady)
   {
+    if (IsClosing()) {
+      aReady(false);
+      return;
+    }
     const auto state = aPeer->m_channel->GetState(true);
     if (state == GRPC_CHANNEL_READY) {
       aReady(true);
@@ -268,6 +276,12 @@
   }
 
 private:
+  bool IsClosing()
+  {
+    const absl::MutexLock lock(&m_mutex);
+    return m_closing;
+  }
+
   // Closes channels last used before aOldest that no call is using.
   void DropChannelsUnusedSince(std::chrono::steady_clock::time_point aOldest)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
@@ -459,6 +473,12 @@
   return call;
 }
 
+void
+NodeClient::Stop()
+{
+  m_impl->Stop();
+}
+
 void
 NodeClient::DropIdle(std::chrono::milliseconds aIdle)
 {
