Reset the connection of a call that is aborted

One of the places where they wait is the gateway's own send buffer: Abort closed the socket in the orderly way, after which the kernel goes on delivering what the buffer holds, for as long as the path to the runner is slow.

Evidence: HttpConnection.UnsentBytesOfAnAbortedCallAreNotDelivered failed before this change (the peer read the rest and an orderly end) and passes with it; 10 repeats passed.

A reset discards the buffer. Only a call in progress ends so: idle connections of the pool are still closed in the orderly way (HttpConnection.IdleConnectionIsClosedWithoutAReset, passes before and after). http_connection, gateway, gateway_silence, upstream_silence, http, buffered_call and docs tests pass. What has left the machine can't be called back; whether this was the users' case isn't shown.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -381,11 +381,28 @@
 void
 HttpConnection::Abort()
 {
+  if (m_inCall && m_connected && !m_closed) {
+    DropUnsent();
+  }
   m_events = nullptr;
   m_inCall = false;
   Close();
 }
 
+// Makes the close a reset. After an orderly one, the kernel would go on
+// delivering what the send buffer holds.
+void
+HttpConnection::DropUnsent()
+{
+  NetError error;
+  m_socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+  if (error) {
+    Log(LogLevel::Warning,
+        "linger option not set",
+        { { "reason", error.message() } });
+  }
+}
+
 void
 HttpConnection::PauseReading(bool aPaused)
 {
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -80,7 +80,8 @@
              std::chrono::milliseconds aConnectTimeout,
              CallEventHandler aEvents);
 
-  // Closes the connection; no further events are reported.
+  // Closes the connection; no further events are reported. A call in progress
+  // ends with a reset, and what it has not sent yet is dropped.
   void Abort();
 
   // Stops or resumes reading, for flow control.
@@ -109,6 +110,7 @@
   void OnEnd();
   void Fail(std::string aReason);
   void Emit(const CallEvent& aEvent);
+  void DropUnsent();
   void Close();
 
   Loop& m_loop;
--- a/tests/http_connection_test.cpp
+++ b/tests/http_connection_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <future>
 #include <thread>
 
 namespace siskindeal {
@@ -51,6 +53,66 @@
   connection->Abort();
 }
 
+// What the send buffer holds would reach the peer after the caller has left.
+TEST(HttpConnection, UnsentBytesOfAnAbortedCallAreNotDelivered)
+{
+  Loop loop;
+  std::promise<void> headRead;
+  std::promise<void> aborted;
+  std::atomic<bool> wasReset = false;
+  {
+    const RawServer server([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      headRead.set_value();
+      aborted.get_future().wait();
+      aSocket.ReadAll();
+      wasReset = aSocket.WasReset();
+    });
+    OutgoingCall call;
+    call.m_body = std::string(64 << 20, 'x'); // more than both buffers hold
+    call.m_head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                  std::to_string(call.m_body.size()) + "\r\n\r\n";
+    const auto pool = std::make_shared<ConnectionPool>(loop);
+    const auto connection = pool->Acquire({ "127.0.0.1", server.Port() });
+    connection->Begin(std::move(call), milliseconds(400), [](const auto&) {});
+    auto read = headRead.get_future();
+    while (read.wait_for(milliseconds(0)) != std::future_status::ready) {
+      loop.run_for(milliseconds(5));
+    }
+    connection->Abort();
+    aborted.set_value();
+  }
+  EXPECT_TRUE(wasReset);
+}
+
+TEST(HttpConnection, IdleConnectionIsClosedWithoutAReset)
+{
+  Loop loop;
+  std::atomic<bool> wasReset = true;
+  {
+    const RawServer server([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      aSocket.ReadAll();
+      wasReset = aSocket.WasReset();
+    });
+    OutgoingCall call;
+    call.m_head = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    const auto pool = std::make_shared<ConnectionPool>(loop);
+    const Address address{ "127.0.0.1", server.Port() };
+    const auto connection = pool->Acquire(address);
+    connection->Begin(call, milliseconds(400), [&](const CallEvent& aEvent) {
+      if (std::holds_alternative<ResponseEnd>(aEvent)) {
+        loop.stop();
+      }
+    });
+    loop.run_for(std::chrono::seconds(10));
+    ASSERT_TRUE(connection->Reusable());
+    connection->Abort();
+  }
+  EXPECT_FALSE(wasReset);
+}
+
 constexpr std::size_t kEndlessBytes = 48 << 20; // what a test sends at most
 
 // Sends a part again and again; returns how many bytes the peer took before it
