Measure how long datagrams between regions are queued

Lines request and attempt failed name the runner's region, the measured delay and by how much the first byte was late; link delay changed logs the belief; the bytes exchanged with other regions are counted by kind. The configuration and lists aren't counted yet. Nothing decides on the delay yet.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/placement_p.h"
+#include "siskindeal/site.h"
 
 #include <algorithm>
 #include <cmath>
@@ -364,6 +365,8 @@
   return Placement{
     runner.m_record.m_id,
     std::chrono::duration_cast<milliseconds>(candidate.m_predicted),
+    RegionOf(m_regions, runner.m_record.m_place),
+    milliseconds(0),
     { runner.Requests(),
       runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens },
     RequiredVersion(aShape, candidate.m_predicted)
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -40,8 +40,12 @@
 
 struct Placement
 {
-  std::string m_runner; // id
-  std::chrono::milliseconds m_predicted{ 0 };
+  std::string m_runner;                       // id
+  std::chrono::milliseconds m_predicted{ 0 }; // to the first byte
+  std::string m_region;                       // of the runner
+  // For which the request and its response are queued between regions; part of
+  // the predicted time.
+  std::chrono::milliseconds m_linkDelay{ 0 };
   RunnerLoad m_load; // of the runner, excluding this request
   // The oldest weights that the request may begin on; unset: any.
   std::optional<std::uint64_t> m_requiredVersion;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -298,6 +298,8 @@
   m_openAttempts.push_back(m_latest);
   m_latest->m_runner = aRunner.m_record.Incarnation();
   m_latest->m_address = aRunner.m_record.m_address;
+  m_latest->m_region = aPlacement.m_region;
+  m_latest->m_linkDelay = aPlacement.m_linkDelay;
   m_latest->m_predicted = aPlacement.m_predicted;
   m_latest->m_loadBefore = aPlacement.m_load;
   m_latest->m_heldVersion = aRunner.VersionOf(m_shape.m_model);
@@ -320,6 +322,8 @@
   call.m_body = m_request.m_body;
   call.m_echoName = dialect::kAttemptId;
   call.m_echo = m_id;
+  m_gateway.CountRegionBytes(
+    m_latest->m_region, "request", call.m_head.size() + call.m_body.size());
   m_latest->m_connection = m_gateway.Pool()->Acquire(m_latest->m_address);
   m_latest->m_connection->Begin(
     std::move(call),
@@ -426,6 +430,8 @@
   std::erase_if(m_openAttempts, [&](const RunnerAttemptPtr& aOpen) {
     return aOpen.get() == &aAttempt;
   });
+  m_gateway.CountRegionBytes(
+    aAttempt.m_region, "response", aAttempt.m_receivedBytes);
   RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner);
   if (runner == nullptr) {
     return;
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -63,6 +63,7 @@
 {
   aAttempt.m_head = aHead;
   aAttempt.m_lastProgress = LoopNow();
+  aAttempt.m_firstByteAt = aAttempt.m_lastProgress;
   ApplyResponseHead(aAttempt);
   aAttempt.m_isEventStream =
     m_route->m_retryClass == RetryClass::Streaming && IsEventStream(aHead);
@@ -102,6 +103,7 @@
 void
 CallerExchange::On(RunnerAttempt& aAttempt, const ResponseBodyPart& aBody)
 {
+  aAttempt.m_receivedBytes += aBody.m_bytes.size();
   if (!aAttempt.m_isEventStream) {
     aAttempt.m_lastProgress = LoopNow();
     aAttempt.m_body += aBody.m_bytes;
@@ -453,6 +455,8 @@
       { "reason", aReason },
       { "may_have_run", aFailure == CallFailure::MayHaveRun },
       { "events", m_eventCount },
+      { "region", aAttempt.m_region },
+      { "link_delay_ms", aAttempt.m_linkDelay.count() },
       { "open_attempts", m_openAttempts.size() } });
   if (!m_openAttempts.empty()) {
     return; // another runner may still respond
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -17,6 +17,18 @@
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
+// Time from sending to the first byte, beyond what was predicted; 0: none came.
+milliseconds
+FirstByteBeyond(const RunnerAttemptPtr& aAttempt)
+{
+  if (!aAttempt || !aAttempt->m_firstByteAt) {
+    return milliseconds(0);
+  }
+  return std::chrono::duration_cast<milliseconds>(*aAttempt->m_firstByteAt -
+                                                  aAttempt->m_sentAt) -
+         aAttempt->m_predicted;
+}
+
 } // namespace
 
 HttpFields
@@ -147,6 +159,9 @@
       { "reason", m_lastReason },
       { "route", route },
       { "runner", reported ? reported->m_runner.m_id : "" },
+      { "region", reported ? reported->m_region : "" },
+      { "link_delay_ms", reported ? reported->m_linkDelay.count() : 0 },
+      { "first_beyond_ms", FirstByteBeyond(reported).count() },
       { "sends", m_sends },
       { "events", m_eventCount },
       { "predicted_ms", m_predicted.count() },
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -11,6 +11,7 @@
 #include "gateway/config_lag_p.h"
 #include "gateway/config_server_p.h"
 #include "gateway/crash_watch_p.h"
+#include "gateway/link_delays_p.h"
 #include "gateway/peers_p.h"
 #include "gateway/route_index_p.h"
 #include "net/datagrams_p.h"
@@ -90,6 +91,10 @@
   std::optional<std::uint64_t> OverdueVersion(const std::string& aModel) const;
   void Add(const std::shared_ptr<CallerExchange>& aExchange);
   void Remove(const std::shared_ptr<CallerExchange>& aExchange);
+  // Counts bytes exchanged with a runner, if it is in another region.
+  void CountRegionBytes(const std::string& aRegion,
+                        const char* aKind,
+                        std::size_t aBytes) const;
   // Logs one line about a request, subject to a rate limit.
   void LogRequest(LogLevel aLevel,
                   std::string_view aEvent,
@@ -179,6 +184,10 @@
   void OnDatagram(const v1::Datagram& aDatagram, const Address& aFrom);
   void OnBeacon(const v1::GatewayBeacon& aBeacon, const Address& aFrom);
   void OnRegionReport(const v1::Datagram& aDatagram);
+  // Records what a report shows of the links to and from its region.
+  void RecordLinkDelays(const v1::RegionReport& aReport);
+  // Logs delays between regions that have changed much.
+  void LogLinkDelays();
   void OnStagerNotice(const v1::StagerNotice& aNotice);
   void ApplyRunnerReport(RunnerState& aRunner, const v1::RunnerReport& aReport);
   void Register();
@@ -272,7 +281,9 @@
   };
 
   GatewayPeers m_peers;
-  std::map<std::string, ReceivedRunnerReport> m_runnerReports; // by id
+  LinkDelays m_linkDelays;
+  std::map<std::string, std::chrono::milliseconds> m_loggedDelays; // by region
+  std::map<std::string, ReceivedRunnerReport> m_runnerReports;     // by id
   std::string m_region;
   std::string m_lastLoadBeacon; // serialized; unchanged loads aren't sent
   std::uint64_t m_incarnation;
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -25,7 +25,10 @@
   std::uint64_t m_heldVersion = 0;
   // The oldest weights that the request may begin on; unset: any.
   std::optional<std::uint64_t> m_requiredVersion;
+  std::string m_region;                       // of the runner
+  std::chrono::milliseconds m_linkDelay{ 0 }; // there and back, as measured
   MonotonicTime m_sentAt{};
+  std::optional<MonotonicTime> m_firstByteAt;
   MonotonicTime m_lastProgress{};
   bool m_promptCounted = false; // in the runner's load
   bool m_isEventStream = false;
@@ -33,6 +36,7 @@
   ResponseHead m_head;
   std::string m_body;
   EventSplitter m_splitter;
+  std::size_t m_receivedBytes = 0; // of the body
   std::size_t m_repeatedBytes = 0; // since the last event that was new
   std::string m_heldEvents; // without an id, while another attempt may go on
   bool m_isHedged = false;  // the request was sent to another runner too
