A handler that throws fails what it handled, not the process

What callers saw: nothing stood between a handler and the command line's catch, so that one exception ended the process and cut off every request in flight (FAULT and LOST at once); on a thread of an HTTP server or of the RPC client it called std::terminate.

Exceptions are contained where handlers are called: a request (500, or an aborted response if one was begun), a step of an exchange (the attempt fails and may be retried by the route's rules; otherwise the caller gets 503 if nothing was sent, else 502), a datagram, a connection, an accept, an entry or response of the store (listed anew), a reply of a peer, callbacks in libcurl, a run of a periodic task. A failed step of Gateway::Tick doesn't keep the gateway from stopping. RunLoop is the last line for all loops. Each failure is counted; a line a second and kind says why. The process goes on even if handlers fail without end: its end would cut off what works, and the next process would get the same input; it isn't silent, since the line and the counter have an alarm.

No input is known that throws past the gateway's own catches: this is containment, not the trace of the users' cases.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -75,10 +75,16 @@
 
 void
 CallerExchange::Start()
+{
+  Guard([this] { Begin(); });
+}
+
+void
+CallerExchange::Begin()
 {
   m_request = m_caller->Request();
   m_caller->m_onDisconnect = [self = shared_from_this()] {
-    self->OnCallerDisconnected();
+    self->Guard([&self] { self->OnCallerDisconnected(); });
   };
   m_gateway.Add(shared_from_this());
   if (const std::string* id = m_request.m_fields.Find(dialect::kAttemptId)) {
@@ -325,7 +331,7 @@
     std::move(call),
     kConnectTimeout,
     [self = shared_from_this(), attempt = m_latest](const CallEvent& aEvent) {
-      std::visit([&](const auto& aWhat) { self->On(*attempt, aWhat); }, aEvent);
+      self->OnCallEvent(*attempt, aEvent);
     });
 }
 
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -1,6 +1,7 @@
 // Handles runners' responses, failed attempts and retries.
 
 #include "gateway/caller_exchange_p.h"
+#include "kernel/contain_p.h"
 
 #include <absl/strings/numbers.h>
 
@@ -58,6 +59,22 @@
 
 } // namespace
 
+void
+CallerExchange::OnCallEvent(RunnerAttempt& aAttempt, const CallEvent& aEvent)
+{
+  const auto handle = [&](const auto& aWhat) { On(aAttempt, aWhat); };
+  if (Contain("call event", [&] { std::visit(handle, aEvent); })) {
+    return;
+  }
+  Guard([&] {
+    if (IsOpen(aAttempt)) {
+      AbandonAttempt(aAttempt, "internal error");
+    } else if (m_openAttempts.empty() && m_phase != Phase::Done) {
+      EndAfterFailure();
+    }
+  });
+}
+
 void
 CallerExchange::On(RunnerAttempt& aAttempt, const ResponseHead& aHead)
 {
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -12,6 +12,12 @@
 
 void
 CallerExchange::Tick(MonotonicTime aNow)
+{
+  Guard([&] { CheckProgress(aNow); });
+}
+
+void
+CallerExchange::CheckProgress(MonotonicTime aNow)
 {
   if (m_phase == Phase::Done) {
     return;
@@ -82,9 +88,11 @@
 void
 CallerExchange::Expire(std::string_view aReason)
 {
-  if (m_phase != Phase::Done) {
-    OnDeadline(aReason);
-  }
+  Guard([&] {
+    if (m_phase != Phase::Done) {
+      OnDeadline(aReason);
+    }
+  });
 }
 
 milliseconds
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway_p.h"
 #include "gateway/runner_attempt_p.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <vector>
@@ -47,6 +48,15 @@
     Done,
   };
 
+  // Runs one step of the request. If it throws, the request ends, and its
+  // caller gets a response that is true whatever was sent.
+  void Guard(const std::function<void()>& aStep);
+  void EndAfterFailure();
+  // If it throws, the attempt fails.
+  void OnCallEvent(RunnerAttempt& aAttempt, const CallEvent& aEvent);
+  void Begin();
+  void CheckProgress(MonotonicTime aNow);
+
   bool Admit();
   bool Authenticate(const RouteIndex& aRoutes);
   void ReadHeaders();
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -1,6 +1,7 @@
 // Sends the final response to the caller and enforces the timeouts.
 
 #include "gateway/caller_exchange_p.h"
+#include "kernel/contain_p.h"
 #include "siskindeal/invariant.h"
 #include "siskindeal/metrics.h"
 
@@ -109,6 +110,38 @@
   Finish("timed out");
 }
 
+void
+CallerExchange::Guard(const std::function<void()>& aStep)
+{
+  const auto self = shared_from_this();
+  if (!Contain("exchange", aStep) && m_phase != Phase::Done) {
+    EndAfterFailure();
+  }
+}
+
+void
+CallerExchange::EndAfterFailure()
+{
+  m_mayHaveRun = m_mayHaveRun || m_sends > 0;
+  const bool ended = Contain("exchange", [&] {
+    CancelAttempts();
+    if (!m_caller->AwaitsResponse()) {
+      Finish("failed");
+      return;
+    }
+    if (m_caller->HasBegunResponse()) {
+      m_phase = Phase::Streaming;
+    }
+    Fail("internal error");
+  });
+  if (!ended) {
+    m_phase = Phase::Done;
+    m_openAttempts.clear();
+    m_gateway.Remove(shared_from_this());
+    m_caller->Disconnect(ConnectionEnd::ResponseAborted);
+  }
+}
+
 void
 CallerExchange::OnCallerDisconnected()
 {
--- a/src/gateway/config_follower.cpp
+++ b/src/gateway/config_follower.cpp
@@ -1,5 +1,6 @@
 #include "gateway/config_follower_p.h"
 
+#include "kernel/contain_p.h"
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/wire_values.h"
@@ -86,7 +87,8 @@
   // The request arrived after it was sent, so this is never too late.
   const milliseconds knownUntil =
     std::min(aSentAt + OffsetFromWire(reply.known_until_ms()), BootTime());
-  m_onReply(reply, knownUntil, aPeer.m_vm);
+  Contain("configuration of peer",
+          [&] { m_onReply(reply, knownUntil, aPeer.m_vm); });
   ScheduleNext(kPause);
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_p.h"
 
 #include "gateway/caller_exchange_p.h"
+#include "kernel/contain_p.h"
 #include "siskindeal/digest.h"
 #include "siskindeal/metrics.h"
 
@@ -149,7 +150,7 @@
   const auto forEach = [](const auto& aChange) {
     return [aChange](const std::vector<SiteObject>& aObjects) {
       for (const SiteObject& object : aObjects) {
-        aChange(object);
+        Contain("store entry", [&] { aChange(object); });
       }
     };
   };
@@ -217,20 +218,31 @@
   }
   Register();
   RunEvery(m_ticker, kTickInterval, [this] { Tick(); });
-  m_loop.run();
+  RunLoop(m_loop);
   Log(LogLevel::Info,
       "stop",
-      { { "config_calls", m_configFeed->Calls() },
+      { { "reason", m_drainingSince ? "asked to leave" : "no work left" },
+        { "exchanges", m_exchanges.size() },
+        { "connections", m_callerListener->Connections() },
+        { "config_calls", m_configFeed->Calls() },
         { "runner_calls", m_runnerFeed->Calls() },
         { "version_calls", m_versionFeed->Calls() },
         { "gateway_calls", m_gatewayFeed->Calls() } });
 }
 
+// A step that fails must not keep the gateway from stopping.
 void
 Gateway::Tick()
 {
-  const MonotonicTime now = LoopNow();
-  const milliseconds delay = m_tickDelay.Record(now);
+  Contain("tick", [this] { RunPeriodicTasks(LoopNow()); });
+  ++m_ticks;
+  MaybeStop();
+}
+
+void
+Gateway::RunPeriodicTasks(MonotonicTime aNow)
+{
+  const milliseconds delay = m_tickDelay.Record(aNow);
   if (delay > kMaxTickDelay) {
     CountMetric("siskindeal_gateway_delayed_ticks_total");
     LogRequest(
@@ -243,7 +255,7 @@
   RecordRestarts();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
-    exchange->Tick(now);
+    exchange->Tick(aNow);
   }
   m_logTokens = std::min(
     kLogBurst,
@@ -256,7 +268,7 @@
     UpdateConfigSources();
     m_configServer.Tick();
     LogDueVersions();
-    m_placer.SetPeers(m_peers.ServingInRegion(now) + 1,
+    m_placer.SetPeers(m_peers.ServingInRegion(aNow) + 1,
                       kTickInterval * TicksPerLoadReport());
     const bool includeVersions = m_ticks % kTicksPerSecond < kTicksPerHeartbeat;
     Advertise(includeVersions);
@@ -267,7 +279,7 @@
     SendToStagers();
     UpdateGatewayFeed();
     UpdateGatewayCount();
-    m_runners.Sweep(now);
+    m_runners.Sweep(aNow);
     std::erase_if(m_runnerReports, [&](const auto& aEntry) {
       return m_runners.Find(aEntry.first) == nullptr;
     });
@@ -278,8 +290,6 @@
       m_logDropped = 0;
     }
   }
-  ++m_ticks;
-  MaybeStop();
 }
 
 bool
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -210,6 +210,7 @@
   void SendToStagers();
   void ApplyPeerLoads();
   void Tick();
+  void RunPeriodicTasks(MonotonicTime aNow);
   void HandleReady(const std::shared_ptr<ServerConnection>& aConnection);
   void HandleDirectory(const std::shared_ptr<ServerConnection>& aConnection);
   void HandleAdmin(const std::shared_ptr<ServerConnection>& aConnection);
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -1,5 +1,6 @@
 #include "http/client_call_p.h"
 
+#include "kernel/contain_p.h"
 #include "siskindeal/log.h"
 
 #include <absl/strings/ascii.h>
@@ -147,8 +148,12 @@
                      std::size_t aCount,
                      void* aSelf)
 {
-  static_cast<ClientCall*>(aSelf)->AddHeaderLine({ aBytes, aSize * aCount });
-  return aSize * aCount;
+  // An exception must not pass through libcurl; any other size ends the call.
+  const auto size = aSize * aCount;
+  const bool taken = Contain("response head", [&] {
+    static_cast<ClientCall*>(aSelf)->AddHeaderLine({ aBytes, size });
+  });
+  return taken ? size : 0;
 }
 
 std::size_t
@@ -158,7 +163,11 @@
                    void* aSelf)
 {
   const auto size = aSize * aCount;
-  return static_cast<ClientCall*>(aSelf)->AddBody({ aBytes, size }) ? size : 0;
+  bool taken = false;
+  Contain("response body", [&] {
+    taken = static_cast<ClientCall*>(aSelf)->AddBody({ aBytes, size });
+  });
+  return taken ? size : 0;
 }
 
 void
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -79,7 +79,7 @@
     listener.m_limits.m_idleTimeout = aLimits.m_idleTimeout;
     listener.m_maxConnections = aLimits.m_connections + kMaxExcessConnections;
     listener.m_makeLocalReply = MakeLocalReply;
-    m_thread = std::thread([this] { m_state->m_loop.run(); });
+    m_thread = std::thread([this] { RunLoop(m_state->m_loop); });
   }
 
   ~Impl()
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -2,6 +2,8 @@
 
 #include "net/http_connection_p.h"
 
+#include "kernel/contain_p.h"
+
 #include <algorithm>
 
 namespace siskindeal {
@@ -105,7 +107,11 @@
       std::move(aCall),
       std::min(aTimeout, kConnectTimeout),
       [self = shared_from_this()](const CallEvent& aEvent) {
-        std::visit([&](const auto& aWhat) { self->On(aWhat); }, aEvent);
+        const auto handle = [&](const auto& aWhat) { self->On(aWhat); };
+        if (!Contain("response", [&] { std::visit(handle, aEvent); })) {
+          self->m_connection->Abort();
+          self->Finish("internal error");
+        }
       });
   }
 
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -1,5 +1,7 @@
 #include "net/datagrams_p.h"
 
+#include "kernel/contain_p.h"
+
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
@@ -91,11 +93,13 @@
       if (aError == boost::asio::error::operation_aborted) {
         return;
       }
-      v1::Datagram datagram;
-      if (!aError &&
-          datagram.ParseFromArray(m_in.data(), static_cast<int>(aBytes))) {
-        m_receiver(datagram, { m_from.address().to_string(), m_from.port() });
-      }
+      Contain("datagram", [&] {
+        v1::Datagram datagram;
+        if (!aError &&
+            datagram.ParseFromArray(m_in.data(), static_cast<int>(aBytes))) {
+          m_receiver(datagram, { m_from.address().to_string(), m_from.port() });
+        }
+      });
       Receive();
     });
 }
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -1,7 +1,9 @@
 // The listener of the HTTP server: accepts, counts and closes connections.
 
+#include "kernel/contain_p.h"
 #include "net/http_server_p.h"
 #include "siskindeal/log.h"
+#include "siskindeal/metrics.h"
 
 namespace siskindeal {
 
@@ -40,6 +42,7 @@
       return;
     }
     if (aError) {
+      RecordAcceptFailure(aError);
       m_acceptTimer.expires_after(kAcceptRetryDelay);
       m_acceptTimer.async_wait([this](const NetError& aCancelled) {
         if (!aCancelled) {
@@ -48,16 +51,43 @@
       });
       return;
     }
-    if (m_connections.size() < m_maxConnections) {
-      std::make_shared<ServerConnection>(m_loop, std::move(aSocket), *this)
-        ->Start();
-    } else {
-      RecordEnd(ConnectionEnd::TooManyConnections, "connection");
-    }
+    Contain("accept", [&] { Serve(std::move(aSocket)); });
     Accept();
   });
 }
 
+void
+HttpListener::Serve(Tcp::socket aSocket)
+{
+  if (m_connections.size() >= m_maxConnections) {
+    RecordEnd(ConnectionEnd::TooManyConnections, "connection");
+    return;
+  }
+  const auto connection =
+    std::make_shared<ServerConnection>(m_loop, std::move(aSocket), *this);
+  if (!Contain("accept", [&] { connection->Start(); })) {
+    connection->Disconnect();
+  }
+}
+
+void
+HttpListener::RecordAcceptFailure(const NetError& aError)
+{
+  constexpr std::chrono::seconds kLogInterval{ 1 };
+  CountMetric("siskindeal_http_accept_failures_total");
+  ++m_acceptFailures;
+  if (LoopNow() - m_acceptFailureLoggedAt < kLogInterval) {
+    return;
+  }
+  Log(LogLevel::Error,
+      "accept failed",
+      { { "port", m_port },
+        { "reason", aError.message() },
+        { "connections", m_connections.size() },
+        { "failures", std::exchange(m_acceptFailures, 0) } });
+  m_acceptFailureLoggedAt = LoopNow();
+}
+
 void
 HttpListener::LogRefusal(int aStatus, std::string_view aReason)
 {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server_p.h"
 
+#include "kernel/contain_p.h"
 #include "net/message_parser_p.h"
 
 #include <boost/asio/buffer.hpp>
@@ -94,7 +95,9 @@
             m_in,
             m_reading,
             [self = shared_from_this()](const NetError& aError) {
-              self->OnRead(aError);
+              if (!Contain("connection", [&] { self->OnRead(aError); })) {
+                self->Disconnect(ConnectionEnd::ResponseAborted);
+              }
             });
 }
 
@@ -181,6 +184,7 @@
                 LoopNow() };
   m_parser.reset();
   m_inRequest = true;
+  m_hasBegunResponse = false;
   m_isHead = m_request.m_method == "HEAD";
   if (m_request.m_fields.Find("host") == nullptr) {
     m_inRequest = false;
@@ -190,7 +194,9 @@
     Disconnect(ConnectionEnd::CallerClosed);
     return;
   }
-  m_listener.m_handler(self);
+  if (!Contain("request", [&] { m_listener.m_handler(self); })) {
+    FailRequest();
+  }
 }
 
 bool
@@ -208,6 +214,7 @@
 {
   m_listener.LogRefusal(aStatus, aReason);
   m_inRequest = true;
+  m_hasBegunResponse = false;
   m_keepAlive = false;
   m_parser.reset();
   const LocalReply answer = m_listener.m_makeLocalReply
@@ -239,6 +246,7 @@
     NotifySent();
     return;
   }
+  m_hasBegunResponse = true;
   // Requests that were pipelined before the announcement are served.
   if (m_listener.m_announceClose && !HasInput()) {
     m_keepAlive = false;
--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -185,6 +185,21 @@
   }
 }
 
+void
+ServerConnection::FailRequest()
+{
+  constexpr int kInternalServerError = 500;
+  if (!AwaitsResponse()) {
+    return;
+  }
+  if (m_hasBegunResponse) {
+    AbortResponse();
+    return;
+  }
+  m_keepAlive = false;
+  SendResponse(kInternalServerError, {}, {}, "internal error");
+}
+
 void
 ServerConnection::ResetOnClose(bool aReset)
 {
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -85,6 +85,14 @@
   // complete.
   void AbortResponse();
 
+  // Whether a request is waiting for its response, or for the rest of it.
+  bool AwaitsResponse() const { return m_inRequest && !m_closed; }
+  // Whether the response to the present request was begun.
+  bool HasBegunResponse() const { return m_hasBegunResponse; }
+  // Ends a request whose handler failed: responds with 500, which doesn't say
+  // whether it was run, or aborts the response that was begun.
+  void FailRequest();
+
   // Bytes that were queued and not yet written to the socket.
   std::size_t Unsent() const { return m_out.size() + m_outWriting.size(); }
 
@@ -149,6 +157,7 @@
   bool m_reading = false;
   bool m_inRequest = false;
   bool m_keepAlive = true;
+  bool m_hasBegunResponse = false;
   bool m_isHead = false; // the response has no body
   bool m_chunked = false;
   bool m_takesChunks = true;         // the client does
@@ -198,6 +207,10 @@
 private:
   friend class ServerConnection;
   void Accept();
+  // Takes over a connection that was accepted.
+  void Serve(Tcp::socket aSocket);
+  // Logs at most once a second, since the system may fail each attempt.
+  void RecordAcceptFailure(const NetError& aError);
   // Visits the current connections; aAction may close any of them.
   void ForEach(const std::function<void(ServerConnection&)>& aAction);
   // Logs at most once a second, since clients control how many requests fail.
@@ -219,6 +232,8 @@
   Handler m_handler;
   std::set<ServerConnection*> m_connections;
   bool m_announceClose = false;
+  std::uint64_t m_acceptFailures = 0; // since the last log line
+  MonotonicClockPoint m_acceptFailureLoggedAt{};
   std::uint64_t m_refusals = 0; // since the last log line
   MonotonicClockPoint m_refusalLoggedAt{};
   std::map<ConnectionEnd, EndRecord> m_endRecords;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,7 @@
 #include "net/loop_p.h"
 
+#include "kernel/contain_p.h"
+
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -75,22 +77,24 @@
     return;
   }
   aWaiting = true;
-  aSocket.async_wait(Tcp::socket::wait_read,
-                     [&aSocket, &aIn, &aWaiting, done = std::move(aDone)](
-                       const NetError& aError) {
-                       aWaiting = false;
-                       NetError error = aError;
-                       if (!error) {
-                         thread_local std::array<char, kReadBufferBytes>
-                           sBytes; // one loop per thread
-                         const std::size_t received = aSocket.read_some(
-                           boost::asio::buffer(sBytes), error);
-                         aIn.append(sBytes.data(), received);
-                       }
-                       const bool wouldBlock =
-                         error == boost::asio::error::would_block;
-                       done(wouldBlock ? NetError{} : error);
-                     });
+  aSocket.async_wait(
+    Tcp::socket::wait_read,
+    [&aSocket, &aIn, &aWaiting, done = std::move(aDone)](
+      const NetError& aError) {
+      aWaiting = false;
+      NetError error = aError;
+      if (!error) {
+        thread_local std::array<char, kReadBufferBytes>
+          sBytes; // one loop per thread
+        const std::size_t received =
+          aSocket.read_some(boost::asio::buffer(sBytes), error);
+        if (!Contain("read", [&] { aIn.append(sBytes.data(), received); })) {
+          error = boost::asio::error::no_memory;
+        }
+      }
+      const bool wouldBlock = error == boost::asio::error::would_block;
+      done(wouldBlock ? NetError{} : error);
+    });
 }
 
 void
@@ -104,7 +108,14 @@
       RunEvery(aTimer, aInterval, aTask);
     }
   });
-  aTask();
+  Contain("periodic task", aTask);
+}
+
+void
+RunLoop(Loop& aLoop)
+{
+  while (!Contain("event loop", [&] { aLoop.run(); })) {
+  }
 }
 
 std::chrono::milliseconds
--- a/src/net/loop_p.h
+++ b/src/net/loop_p.h
@@ -52,7 +52,13 @@
           bool& aWaiting,
           std::function<void(const NetError&)> aDone);
 
-// Runs aTask now and then every aInterval, until the timer is cancelled.
+// Runs handlers until the loop is stopped or has no work. A handler that throws
+// is recorded, and the loop goes on with the next one.
+void
+RunLoop(Loop& aLoop);
+
+// Runs aTask now and then every aInterval, until the timer is cancelled. A run
+// that throws is recorded.
 void
 RunEvery(Timer& aTimer,
          std::chrono::milliseconds aInterval,
--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -1,4 +1,5 @@
 #include "call_table_p.h"
+#include "kernel/contain_p.h"
 #include "signature_p.h"
 #include "siskindeal/metrics.h"
 #include "siskindeal/rpc.h"
@@ -346,11 +347,13 @@
     bool changed = false;
     while (m_stateQueue.Next(&tag, &changed)) {
       const std::unique_ptr<PendingReady> wait(static_cast<PendingReady*>(tag));
-      if (!changed || wait->m_failed) {
-        wait->m_ready(false);
-        continue;
-      }
-      WhenReady(wait->m_peer, wait->m_deadline, std::move(wait->m_ready));
+      Contain("channel", [&] {
+        if (!changed || wait->m_failed) {
+          wait->m_ready(false);
+          return;
+        }
+        WhenReady(wait->m_peer, wait->m_deadline, std::move(wait->m_ready));
+      });
     }
   }
 
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -1,5 +1,6 @@
 #include "site/object_feed_p.h"
 
+#include "kernel/contain_p.h"
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
@@ -264,15 +265,32 @@
         return; // given up for a later call
       }
       self->m_calling = false;
-      self->LogSlowResponse(aAnswer, sentAt);
-      if (basis != self->m_basis) { // its revisions aren't comparable any more
-        self->ScheduleNext(self->m_timing.m_pause);
-      } else if (self->AcceptEra(aAnswer)) {
-        (self.get()->*aHandler)(aAnswer, sentAt);
+      const bool handled = Contain("store response", [&] {
+        self->LogSlowResponse(aAnswer, sentAt);
+        if (basis !=
+            self->m_basis) { // its revisions aren't comparable any more
+          self->ScheduleNext(self->m_timing.m_pause);
+        } else if (self->AcceptEra(aAnswer)) {
+          (self.get()->*aHandler)(aAnswer, sentAt);
+        }
+      });
+      if (!handled) {
+        self->ListAfterFailure();
       }
     });
 }
 
+// What was applied of a response that couldn't be handled isn't known.
+void
+ObjectFeed::ListAfterFailure()
+{
+  m_haveList = false;
+  m_listed = {};
+  m_reason = "failure";
+  RecordInterruption();
+  ScheduleNext(kMaxBackoff);
+}
+
 void
 ObjectFeed::LogSlowResponse(const BufferedResponse& aAnswer,
                             milliseconds aSentAt) const
@@ -405,7 +423,8 @@
   m_reason = changes.m_objects.empty() ? "watch ended" : "change";
   for (std::size_t i = 0; i < changes.m_objects.size(); ++i) {
     if (!IsReplaced(changes.m_objects, i)) {
-      m_events.m_onChange(changes.m_objects[i]);
+      Contain("store entry",
+              [&] { m_events.m_onChange(changes.m_objects[i]); });
     }
   }
   m_events.m_onKnown();
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -101,6 +101,7 @@
   void Watch();
   void OnWatch(const BufferedResponse& aAnswer,
                std::chrono::milliseconds aSentAt);
+  void ListAfterFailure();
   void ScheduleNext(std::chrono::milliseconds aDelay);
   // aReceived: the bytes of the response's body that arrived.
   void OnFailure(const std::string& aReason, std::size_t aReceived);
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -1,5 +1,6 @@
 #include "stager/stager_p.h"
 
+#include "kernel/contain_p.h"
 #include "siskindeal/digest.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
@@ -101,7 +102,7 @@
     kVersionFeedTiming,
     FeedCallbacks{ [onVersion](const std::vector<SiteObject>& aObjects) {
                     for (const SiteObject& object : aObjects) {
-                      onVersion(object);
+                      Contain("store entry", [&] { onVersion(object); });
                     }
                   },
                    onVersion,
@@ -109,8 +110,11 @@
   m_versionFeed->SetActive(false);
   m_versionFeed->Start();
   RunEvery(m_ticker, kTickInterval, [this] { Tick(); });
-  m_loop.run();
-  Log(LogLevel::Info, "stop");
+  RunLoop(m_loop);
+  Log(LogLevel::Info,
+      "stop",
+      { { "reason", "asked to leave" },
+        { "connections", m_httpListener->Connections() } });
 }
 
 void
