A process that ends leaves a last line with its reason

What operators saw: a process that ended by a signal, an uncaught exception or an error left nothing on its log; an error of the start was plain text on standard error without role and machine.

ConfigureLog now installs handlers for SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT and for std::terminate. They write one prepared line, "process ended", with async-signal-safe calls, on an alternate stack so that an overflow of the first thread's stack is told too, and leave the signal its default effect. RunToEnd logs an exception that ends a role.

--- a/src/agent/role.cpp
+++ b/src/agent/role.cpp
@@ -1,5 +1,6 @@
 #include "siskindeal/role.h"
 #include "agent_p.h"
+#include "kernel/end_of_process_p.h"
 #include "node/process_p.h"
 #include "siskindeal/log.h"
 
@@ -22,9 +23,12 @@
     ConfigureLog(
       "agent", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
     BlockStopSignals();
-    AgentNode agent(settings);
-    WaitForStopSignal();
-    agent.Drain();
+    RunToEnd([&] {
+      AgentNode agent(settings);
+      WaitForStopSignal();
+      agent.Drain();
+    });
+    Log(LogLevel::Info, "stop");
     return 0;
   }
 };
--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -1,5 +1,6 @@
 #include "siskindeal/role.h"
 #include "gateway/gateway_p.h"
+#include "kernel/end_of_process_p.h"
 #include "siskindeal/log.h"
 
 namespace siskindeal {
@@ -22,8 +23,10 @@
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
                  LogStream::StandardOutput);
-    Gateway gateway(settings, aSettingsFile);
-    gateway.Run();
+    RunToEnd([&] {
+      Gateway gateway(settings, aSettingsFile);
+      gateway.Run();
+    });
     return 0;
   }
 };
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -1,5 +1,7 @@
 #include "siskindeal/log.h"
 
+#include "kernel/end_of_process_p.h"
+
 #include <boost/log/attributes/scoped_attribute.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
@@ -8,6 +10,7 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <atomic>
 #include <chrono>
@@ -86,6 +89,8 @@
   gRole = aRole;
   gVm = aVm;
   gMinLevel.store(aMinLevel);
+  const bool isOutput = aStream == LogStream::StandardOutput;
+  InstallEndOfProcessLog(isOutput ? STDOUT_FILENO : STDERR_FILENO, aRole, aVm);
 }
 
 LogLevel
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -46,6 +46,9 @@
     int signal = 0;
     const bool received = sigwait(&signals, &signal) == 0;
     if (received && signal != SIGHUP) {
+      Log(LogLevel::Info,
+          "stop_requested",
+          { { "signal", signal == SIGTERM ? "SIGTERM" : "SIGINT" } });
       return;
     }
     if (received) {
--- a/src/stager/role.cpp
+++ b/src/stager/role.cpp
@@ -1,4 +1,5 @@
 #include "siskindeal/role.h"
+#include "kernel/end_of_process_p.h"
 #include "siskindeal/log.h"
 #include "stager/stager_p.h"
 
@@ -22,8 +23,10 @@
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
                  LogStream::StandardOutput);
-    Stager stager(settings);
-    stager.Run();
+    RunToEnd([&] {
+      Stager stager(settings);
+      stager.Run();
+    });
     return 0;
   }
 };
