Exchange: an open attempt always has its connection

A step that failed between recording an attempt and taking its connection left an open attempt without one; ending the request after the failure would have used it. The connection is taken first, so that a request whose send fails before is refused as not run.

Trial on a scratch copy (a runner's address made unusable in the test's gateway; not committed, as it writes to the running gateway's table): the caller gets 503 with the reason "internal error", one line "handler failed", and the next request is served.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -298,9 +298,12 @@
 {
   const MonotonicTime now = LoopNow();
   constexpr milliseconds kConnectTimeout{ 400 };
+  // Before anything is recorded: an open attempt always has its connection.
+  const auto connection = m_gateway.Pool()->Acquire(aRunner.m_record.m_address);
   ++m_sends;
   m_predicted = aPlacement.m_predicted;
   m_latest = std::make_shared<RunnerAttempt>();
+  m_latest->m_connection = connection;
   m_openAttempts.push_back(m_latest);
   m_latest->m_runner = aRunner.m_record.Incarnation();
   m_latest->m_address = aRunner.m_record.m_address;
@@ -326,7 +329,6 @@
   call.m_body = m_request.m_body;
   call.m_echoName = dialect::kAttemptId;
   call.m_echo = m_id;
-  m_latest->m_connection = m_gateway.Pool()->Acquire(m_latest->m_address);
   m_latest->m_connection->Begin(
     std::move(call),
     kConnectTimeout,
