--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -75,10 +75,16 @@
 
 void
 CallerExchange::Start()
+{
+  Guard([this] { Begin(); });
+}
+
+void
+CallerExchange::Begin()
 {
   m_request = m_caller->Request();
   m_caller->m_onDisconnect = [self = shared_from_this()] {
-    self->OnCallerDisconnected();
+    self->Guard([&self] { self->OnCallerDisconnected(); });
   };
   m_gateway.Add(shared_from_this());
   if (const std::string* id = m_request.m_fields.Find(dialect::kAttemptId)) {
@@ -292,9 +298,12 @@
 {
   const MonotonicTime now = LoopNow();
   constexpr milliseconds kConnectTimeout{ 400 };
+  // Before anything is recorded: an open attempt always has its connection.
+  const auto connection = m_gateway.Pool()->Acquire(aRunner.m_record.m_address);
   ++m_sends;
   m_predicted = aPlacement.m_predicted;
   m_latest = std::make_shared<RunnerAttempt>();
+  m_latest->m_connection = connection;
   m_openAttempts.push_back(m_latest);
   m_latest->m_runner = aRunner.m_record.Incarnation();
   m_latest->m_address = aRunner.m_record.m_address;
@@ -324,12 +333,11 @@
   call.m_echo = m_id;
   m_gateway.CountRegionBytes(
     m_latest->m_region, "request", call.m_head.size() + call.m_body.size());
-  m_latest->m_connection = m_gateway.Pool()->Acquire(m_latest->m_address);
   m_latest->m_connection->Begin(
     std::move(call),
     kConnectTimeout,
     [self = shared_from_this(), attempt = m_latest](const CallEvent& aEvent) {
-      std::visit([&](const auto& aWhat) { self->On(*attempt, aWhat); }, aEvent);
+      self->OnCallEvent(*attempt, aEvent);
     });
 }
 
--- a/src/node/signals_p.h
+++ b/src/node/signals_p.h
@@ -4,20 +4,10 @@
 // their default action would end a process that is still starting. A signal
 // that arrives while they are blocked is handled later.
 
-#include <exception>
+#include "kernel/end_of_process_p.h"
 
 namespace siskindeal {
 
-// Thrown by a role to which SIGTERM or SIGINT was sent before it served.
-class StoppedAtStart final : public std::exception
-{
-public:
-  const char* what() const noexcept override
-  {
-    return "stop signal during the start";
-  }
-};
-
 // Blocks the signals for this thread and those that it starts later. May be
 // called before static constructors have run.
 void
