A process that starts waits for addresses that its predecessor still has

A gateway that was started while the former one was still stopping ended at once with status 1 and "bind: Address already in use", which named no address; the same held for each address of a stager, an entry and an agent. A restart that overlaps by milliseconds left the machine without a process.

A role now binds all its addresses, without listening, before it constructs its listeners; if one is in use it logs which, tries again every 20 ms until the former process must be gone, and gives way to SIGTERM meanwhile. It listens at none before all can be bound, so no caller connects to a process that waits. At the end of the wait, the reason names the address. Datagram sockets are bound first, so that of two processes that start at the same time one waits for the other; a loser of the remaining race tries again. A stager binds in its constructor, as a gateway does.

Not covered: two entries or agents that start at the same moment, since gRPC doesn't say why it couldn't bind; one of them ends as before.

--- a/src/agent/role.cpp
+++ b/src/agent/role.cpp
@@ -1,5 +1,6 @@
 #include "siskindeal/role.h"
 #include "agent_p.h"
+#include "node/listen_p.h"
 #include "node/signals_p.h"
 #include "siskindeal/log.h"
 
@@ -21,10 +22,13 @@
     const auto settings = ReadAgentSettings(aSettingsFile);
     ConfigureLog(
       "agent", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
-    ThrowIfStopped();
-    AgentNode agent(settings);
+    std::unique_ptr<AgentNode> agent;
+    ListenWhenFree({ { "[node] rpc", settings.m_node.m_rpc },
+                     { "[node] http", settings.m_node.m_http } },
+                   settings.m_drain.m_longest + kStopReserve,
+                   [&] { agent = std::make_unique<AgentNode>(settings); });
     WaitForStopSignal();
-    agent.Drain();
+    agent->Drain();
     return 0;
   }
 };
--- a/src/entry/role.cpp
+++ b/src/entry/role.cpp
@@ -1,5 +1,6 @@
 #include "siskindeal/role.h"
 #include "entry_p.h"
+#include "node/listen_p.h"
 #include "node/signals_p.h"
 #include "siskindeal/log.h"
 
@@ -21,10 +22,13 @@
     const auto settings = ReadEntrySettings(aSettingsFile);
     ConfigureLog(
       "entry", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
-    ThrowIfStopped();
-    EntryNode entry(settings);
+    std::unique_ptr<EntryNode> entry;
+    ListenWhenFree({ { "[node] rpc", settings.m_node.m_rpc },
+                     { "[node] http", settings.m_node.m_http } },
+                   settings.m_drain.m_longest + kStopReserve,
+                   [&] { entry = std::make_unique<EntryNode>(settings); });
     WaitForStopSignal();
-    entry.Drain();
+    entry->Drain();
     return 0;
   }
 };
--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -1,5 +1,6 @@
 #include "siskindeal/role.h"
 #include "gateway/gateway_p.h"
+#include "node/listen_p.h"
 #include "node/signals_p.h"
 #include "siskindeal/log.h"
 
@@ -7,6 +8,27 @@
 
 namespace {
 
+// Datagrams come first: of two processes that start at the same time, only one
+// can bind that address.
+std::vector<ListenAddress>
+ListenAddresses(const GatewaySettings& aSettings)
+{
+  return { { "[node] rpc", aSettings.m_node.m_rpc, /* datagrams */ true },
+           { "[node] rpc", aSettings.m_node.m_rpc },
+           { "[node] http", aSettings.m_node.m_http },
+           { "[gateway] ready", aSettings.m_gateway.m_ready },
+           { "[gateway] directory", aSettings.m_gateway.m_directory } };
+}
+
+// The time within which a process that is stopping has ended.
+std::chrono::milliseconds
+LongestStop(const GatewaySettings& aSettings)
+{
+  return kStopReserve +
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::duration<double>(aSettings.m_gateway.m_graceSeconds));
+}
+
 class GatewayRole final : public Role
 {
 public:
@@ -23,10 +45,12 @@
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
                  LogStream::StandardOutput);
-    ThrowIfStopped();
-    Gateway gateway(settings, aSettingsFile);
+    std::unique_ptr<Gateway> gateway;
+    ListenWhenFree(ListenAddresses(settings), LongestStop(settings), [&] {
+      gateway = std::make_unique<Gateway>(settings, aSettingsFile);
+    });
     UnblockSignals(); // its handlers are installed
-    gateway.Run();
+    gateway->Run();
     return 0;
   }
 };
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -62,11 +62,18 @@
 DatagramSocket::DatagramSocket(Loop& aLoop,
                                const Address& aAddress,
                                Receiver aReceiver)
-  : m_socket(aLoop, UdpEndpoint(aAddress))
+  : m_socket(aLoop)
   , m_in{}
   , m_receiver(std::move(aReceiver))
 {
-  m_socket.non_blocking(true);
+  const Udp::endpoint endpoint = UdpEndpoint(aAddress);
+  try {
+    m_socket.open(endpoint.protocol());
+    m_socket.bind(endpoint);
+    m_socket.non_blocking(true);
+  } catch (const boost::system::system_error& error) {
+    ThrowListenError(error, aAddress);
+  }
   Receive();
 }
 
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -23,12 +23,16 @@
 {
   constexpr int kBacklog = 1024;
   const Tcp::endpoint endpoint = EndpointOf(aAddress);
-  m_acceptor.open(endpoint.protocol());
-  SetCloseOnExec(m_acceptor.native_handle());
-  m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
-  m_acceptor.bind(endpoint);
-  m_acceptor.listen(kBacklog);
-  m_port = m_acceptor.local_endpoint().port();
+  try {
+    m_acceptor.open(endpoint.protocol());
+    SetCloseOnExec(m_acceptor.native_handle());
+    m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen(kBacklog);
+    m_port = m_acceptor.local_endpoint().port();
+  } catch (const boost::system::system_error& error) {
+    ThrowListenError(error, aAddress);
+  }
   Accept();
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <ctime>
 #include <stdexcept>
+#include <system_error>
 
 namespace siskindeal {
 
@@ -44,6 +45,15 @@
   ::fcntl(aSocket, F_SETFD, FD_CLOEXEC);
 }
 
+void
+ThrowListenError(const boost::system::system_error& aError,
+                 const Address& aAddress)
+{
+  throw std::system_error(aError.code().value(),
+                          std::system_category(),
+                          "cannot listen on " + aAddress.ToString());
+}
+
 void
 PrepareSocket(Tcp::socket& aSocket, std::chrono::milliseconds aSilenceTimeout)
 {
--- a/src/net/loop_p.h
+++ b/src/net/loop_p.h
@@ -37,6 +37,11 @@
 void
 SetCloseOnExec(int aSocket);
 
+// Throws std::system_error with the code of aError and the address.
+[[noreturn]] void
+ThrowListenError(const boost::system::system_error& aError,
+                 const Address& aAddress);
+
 // Prepares a connected socket for AsyncRead and makes the kernel close it when
 // sent data or keep-alive probes are unacknowledged for aSilenceTimeout.
 void
--- a/src/stager/role.cpp
+++ b/src/stager/role.cpp
@@ -1,4 +1,5 @@
 #include "siskindeal/role.h"
+#include "node/listen_p.h"
 #include "node/signals_p.h"
 #include "siskindeal/log.h"
 #include "stager/stager_p.h"
@@ -7,6 +8,18 @@
 
 namespace {
 
+// A stager ends at once, but its machine may be slow to end it.
+constexpr std::chrono::milliseconds kLongestStop{ 10000 };
+
+// Datagrams come first: of two processes that start at the same time, only one
+// can bind that address.
+std::vector<ListenAddress>
+ListenAddresses(const NodeSettings& aNode)
+{
+  return { { "[node] rpc", aNode.m_rpc, /* datagrams */ true },
+           { "[node] rpc", aNode.m_rpc } };
+}
+
 class StagerRole final : public Role
 {
 public:
@@ -23,10 +36,12 @@
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
                  LogStream::StandardOutput);
-    ThrowIfStopped();
-    Stager stager(settings);
+    std::unique_ptr<Stager> stager;
+    ListenWhenFree(ListenAddresses(settings.m_node), kLongestStop, [&] {
+      stager = std::make_unique<Stager>(settings);
+    });
     UnblockSignals(); // its handlers are installed
-    stager.Run();
+    stager->Run();
     return 0;
   }
 };
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -69,6 +69,16 @@
   , m_ticker(m_loop)
   , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
+  m_httpListener = std::make_unique<HttpListener>(
+    m_loop, m_settings.m_node.m_rpc, [this](const auto& aConnection) {
+      ServeRequest(aConnection);
+    });
+  m_datagrams = std::make_unique<DatagramSocket>(
+    m_loop,
+    m_settings.m_node.m_rpc,
+    [this](const v1::Datagram& aDatagram, const Address& aFrom) {
+      OnDatagram(aDatagram, aFrom);
+    });
 }
 
 Stager::~Stager() = default;
@@ -80,16 +90,6 @@
       "start",
       { { "runner", m_settings.m_stager.m_runner.ToString() } });
   AwaitSignal();
-  m_httpListener = std::make_unique<HttpListener>(
-    m_loop, m_settings.m_node.m_rpc, [this](const auto& aConnection) {
-      ServeRequest(aConnection);
-    });
-  m_datagrams = std::make_unique<DatagramSocket>(
-    m_loop,
-    m_settings.m_node.m_rpc,
-    [this](const v1::Datagram& aDatagram, const Address& aFrom) {
-      OnDatagram(aDatagram, aFrom);
-    });
   const auto onVersion = [this](const SiteObject& aObject) {
     OnVersion(aObject);
   };
