Place requests by the measured delay of links between regions

Placement charged 80 ms for another region, whatever the link did at that moment, so requests went on filling a queue longer than their deadlines.

Placement now adds the measured delay, there and back, to the predicted first byte, and charges it instead of the 80 ms where it is larger. A request that would be past its caller's deadline isn't sent there; as the target counts too, sends over a link cease long before its queue is as long as a deadline. Without a runner left the request is refused at once, as for any predicted latency. Delays of 0 change nothing.

Before: Placement.RequestThatWouldArriveAfterItsDeadlineIsNotSentThere, Placement.BusyRunnerOfItsRegionIsPreferredToAFullLink and GatewayRegionsTest.RequestIsNotSentThroughALinkThatOutlastsItsDeadline failed with the same calls and no use of the delay. After: they pass, with all of dispatch_test (22) and gateway_regions_test (4).

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -130,13 +130,14 @@
 
 // By how much the request would miss its caller's deadline or its target, or
 // would take capacity from requests that can be in time; unset if it may be
-// sent.
+// sent. aLinkDelay: of the link to the runner, there and back.
 std::optional<milliseconds>
 ExcessTime(const RequestShape& aShape,
            const ServiceRecord& aService,
-           const Occupancy& aOccupancy)
+           const Occupancy& aOccupancy,
+           Ms aLinkDelay)
 {
-  const Ms predicted = PredictAt(aShape, aService, aOccupancy);
+  const Ms predicted = PredictAt(aShape, aService, aOccupancy) + aLinkDelay;
   if (predicted > aShape.m_timeLeft) {
     return std::chrono::ceil<milliseconds>(predicted - aShape.m_timeLeft);
   }
@@ -163,11 +164,13 @@
 double
 PlacesFor(const RequestShape& aShape,
           const ServiceRecord& aService,
-          Occupancy aOccupancy)
+          Occupancy aOccupancy,
+          Ms aLinkDelay)
 {
   constexpr double kMaxPlaces = 16;
   double places = 0;
-  while (places < kMaxPlaces && !ExcessTime(aShape, aService, aOccupancy)) {
+  while (places < kMaxPlaces &&
+         !ExcessTime(aShape, aService, aOccupancy, aLinkDelay)) {
     ++places;
     ++aOccupancy.m_requests;
     aOccupancy.m_promptTokens +=
@@ -216,6 +219,13 @@
   return sameRegion ? kCrossPlacePenaltyMs : kCrossRegionPenaltyMs;
 }
 
+milliseconds
+Placer::LinkDelay(const std::string& aPlace) const
+{
+  const auto found = m_linkDelays.find(RegionOf(m_regions, aPlace));
+  return found == m_linkDelays.end() ? milliseconds(0) : found->second;
+}
+
 void
 Placer::RecordArrival(const std::string& aService, MonotonicTime aNow)
 {
@@ -284,9 +294,11 @@
   for (const RunnerState* runner : aRunners.Usable(aShape.m_service)) {
     const RunnerIncarnation incarnation = runner->m_record.Incarnation();
     const Occupancy occupancy = OccupancyOf(aService, *runner);
+    const std::string& place = runner->m_record.m_place;
+    const milliseconds linkDelay = LinkDelay(place);
     const Ms predicted = PredictAt(aShape, aService, occupancy);
     if (aNotices.IsLeaving(incarnation) ||
-        !HoldsVersion(aShape, *runner, predicted)) {
+        !HoldsVersion(aShape, *runner, predicted + linkDelay)) {
       continue;
     }
     // Before the runners that were tried, since a caller that returns may be
@@ -305,9 +317,10 @@
     candidates.push_back(
       { runner,
         runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow,
-        ExcessTime(aShape, aService, occupancy),
-        predicted,
-        predicted.count() + DistanceMs(runner->m_record.m_place) +
+        ExcessTime(aShape, aService, occupancy, linkDelay),
+        linkDelay,
+        predicted + linkDelay,
+        predicted.count() + std::max(DistanceMs(place), Ms(linkDelay).count()) +
           kTieBreakMs * m_random.Unit() });
   }
   if (candidates.empty() && !(limited.empty() && waiting.empty())) {
@@ -334,7 +347,8 @@
   if (best.m_excess) {
     return PlacementRefusal{ "predicted latency exceeds the limit",
                              RetryAfter(*best.m_excess, aShape.m_timeLeft),
-                             bestPredicted };
+                             bestPredicted,
+                             best.m_linkDelay };
   }
   // This request and those that other gateways have sent but not reported yet
   // fill the best places; it gets a random one of these.
@@ -346,15 +360,18 @@
         candidate.m_avoided != best.m_avoided) {
       break;
     }
-    places.push_back(
-      PlacesFor(aShape, aService, OccupancyOf(aService, *candidate.m_runner)));
+    places.push_back(PlacesFor(aShape,
+                               aService,
+                               OccupancyOf(aService, *candidate.m_runner),
+                               candidate.m_linkDelay));
     offered += places.back();
   }
   double drawn = m_random.Unit() * std::max(offered, wanted);
   if (drawn >= offered && !aShape.m_alreadyStarted) {
     return PlacementRefusal{ "other gateways' requests take the free places",
                              RetryAfter(milliseconds(0), aShape.m_timeLeft),
-                             bestPredicted };
+                             bestPredicted,
+                             best.m_linkDelay };
   }
   std::size_t chosen = 0;
   while (chosen + 1 < places.size() && drawn >= places[chosen]) {
@@ -366,7 +383,7 @@
     runner.m_record.m_id,
     std::chrono::duration_cast<milliseconds>(candidate.m_predicted),
     RegionOf(m_regions, runner.m_record.m_place),
-    milliseconds(0),
+    candidate.m_linkDelay,
     { runner.Requests(),
       runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens },
     RequiredVersion(aShape, candidate.m_predicted)
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -56,6 +56,7 @@
   std::string m_reason;
   std::chrono::milliseconds m_retryAfter{ 0 };
   std::chrono::milliseconds m_predicted{ 0 }; // at the best runner; 0: none
+  std::chrono::milliseconds m_linkDelay{ 0 }; // of the link to it
 };
 
 using Decision = std::variant<Placement, PlacementRefusal>;
@@ -93,13 +94,22 @@
     m_reportInterval = aReportInterval;
   }
 
+  // Sets for how long a request to a region and its response are queued on the
+  // way, as measured; 0 for regions that aren't listed.
+  void SetLinkDelays(std::map<std::string, std::chrono::milliseconds> aDelays)
+  {
+    m_linkDelays = std::move(aDelays);
+  }
+
 private:
   double DistanceMs(const std::string& aPlace) const;
+  std::chrono::milliseconds LinkDelay(const std::string& aPlace) const;
   struct Candidate
   {
     const RunnerState* m_runner = nullptr;
     bool m_avoided = false;
     std::optional<std::chrono::milliseconds> m_excess; // unset: may be sent
+    std::chrono::milliseconds m_linkDelay{ 0 };
     std::chrono::duration<double, std::milli> m_predicted{ 0 };
     double m_cost = 0;
 
@@ -140,7 +150,8 @@
   std::map<std::string, std::string> m_regions; // by place
   std::size_t m_gateways = 1;
   std::chrono::milliseconds m_reportInterval{ 0 };
-  std::map<std::string, Arrivals> m_arrivals; // by service
+  std::map<std::string, std::chrono::milliseconds> m_linkDelays; // by region
+  std::map<std::string, Arrivals> m_arrivals;                    // by service
   Random m_random;
 };
 
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -280,6 +280,7 @@
   }
   const auto& refusal = std::get<PlacementRefusal>(decision);
   m_predicted = refusal.m_predicted;
+  m_linkDelay = refusal.m_linkDelay;
   if (m_mayHaveRun) {
     GiveUp(m_lastReason);
   } else {
@@ -294,6 +295,7 @@
   constexpr milliseconds kConnectTimeout{ 400 };
   ++m_sends;
   m_predicted = aPlacement.m_predicted;
+  m_linkDelay = aPlacement.m_linkDelay;
   m_latest = std::make_shared<RunnerAttempt>();
   m_openAttempts.push_back(m_latest);
   m_latest->m_runner = aRunner.m_record.Incarnation();
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -303,8 +303,11 @@
     return;
   }
   constexpr double kSampleWeight = 0.1;
-  const std::chrono::duration<double, std::milli> elapsed =
+  std::chrono::duration<double, std::milli> elapsed =
     LoopNow() - aAttempt.m_sentAt;
+  if (elapsed > aAttempt.m_linkDelay) {
+    elapsed -= aAttempt.m_linkDelay; // placement adds the present one
+  }
   runner->m_smoothedDuration =
     runner->m_smoothedDuration.count() == 0
       ? elapsed
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -168,6 +168,7 @@
   MonotonicTime m_firstEventAt{}; // of any attempt
   // To the first byte; by the last placement or refusal.
   std::chrono::milliseconds m_predicted{ 0 };
+  std::chrono::milliseconds m_linkDelay{ 0 }; // part of it
 
   std::set<RunnerIncarnation> m_triedRunners;
   std::uint32_t m_executions = 0; // ended attempts that may have executed
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -160,7 +160,7 @@
       { "route", route },
       { "runner", reported ? reported->m_runner.m_id : "" },
       { "region", reported ? reported->m_region : "" },
-      { "link_delay_ms", reported ? reported->m_linkDelay.count() : 0 },
+      { "link_delay_ms", m_linkDelay.count() },
       { "first_beyond_ms", FirstByteBeyond(reported).count() },
       { "sends", m_sends },
       { "events", m_eventCount },
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -260,6 +260,7 @@
                       kTickInterval * TicksPerLoadReport());
     const bool includeVersions = m_ticks % kTicksPerSecond < kTicksPerHeartbeat;
     Advertise(includeVersions);
+    UpdateLinkDelays();
     LogLinkDelays();
   } else {
     SendLoadChanges();
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -141,6 +141,13 @@
         aReport.region(), MillisFromWire(delay.queued_ms()), now);
     }
   }
+  UpdateLinkDelays();
+}
+
+void
+Gateway::UpdateLinkDelays()
+{
+  m_placer.SetLinkDelays(m_linkDelays.RoundTrips(BootTime()));
 }
 
 void
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -186,6 +186,8 @@
   void OnRegionReport(const v1::Datagram& aDatagram);
   // Records what a report shows of the links to and from its region.
   void RecordLinkDelays(const v1::RegionReport& aReport);
+  // Passes the delays on to placement.
+  void UpdateLinkDelays();
   // Logs delays between regions that have changed much.
   void LogLinkDelays();
   void OnStagerNotice(const v1::StagerNotice& aNotice);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -132,6 +132,40 @@
     "far");
 }
 
+TEST(Placement, RequestThatWouldArriveAfterItsDeadlineIsNotSentThere)
+{
+  RunnerTable table;
+  table.Replace({ Runner("far", "mbj-a") }, kStart);
+  Placer placer = NewPlacer();
+  placer.SetLinkDelays({ { "montego", milliseconds(1300) } });
+  RequestShape shape = Shape();
+  shape.m_target = milliseconds(2000);
+  shape.m_timeLeft = milliseconds(1000);
+  const Decision decision = placer.Place(
+    shape, Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart);
+  const auto* refusal = std::get_if<PlacementRefusal>(&decision);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_GE(refusal->m_predicted, milliseconds(1300));
+  EXPECT_LE(refusal->m_retryAfter, milliseconds(300));
+}
+
+TEST(Placement, BusyRunnerOfItsRegionIsPreferredToAFullLink)
+{
+  RunnerTable table;
+  table.Replace({ Runner("near", "kin-a"), Runner("far", "mbj-a") }, kStart);
+  table.Find("near")->m_ownLoad = { 8, 4000 };
+  Placer placer = NewPlacer();
+  const auto choose = [&] {
+    return RunnerOf(placer.Place(
+      Shape(), Engine(), table, RunnerLimits(), RunnerNotices(), {}, kStart));
+  };
+  EXPECT_EQ(choose(), "far");
+  placer.SetLinkDelays({ { "montego", milliseconds(250) } });
+  EXPECT_EQ(choose(), "near");
+  placer.SetLinkDelays({ { "montego", milliseconds(0) } });
+  EXPECT_EQ(choose(), "far");
+}
+
 // The nearer runner costs less, but would be late.
 TEST(Placement, RequestGoesToAnotherRegionRatherThanBeingRefused)
 {
--- a/tests/gateway_regions_test.cpp
+++ b/tests/gateway_regions_test.cpp
@@ -89,9 +89,90 @@
            report.runners(1).loading() == aLoading;
   }
 
+  // Sends a report of region "far" that was queued for aQueued on its way and
+  // states how long datagrams from this region are queued.
+  void SendReport(std::chrono::milliseconds aQueued,
+                  std::chrono::milliseconds aOutbound)
+  {
+    v1::Datagram datagram;
+    v1::RegionReport& report = *datagram.mutable_region();
+    report.set_region("far");
+    v1::GatewayBeacon& beacon = *report.add_gateways();
+    beacon.set_vm("far-1");
+    beacon.set_incarnation(1);
+    beacon.set_region("far");
+    beacon.set_callers("127.0.0.1:9");
+    beacon.set_datagrams(m_remote.LocalAddress().ToString());
+    report.set_sent_at_ms(
+      static_cast<std::uint64_t>((BootTime() - aQueued).count()));
+    v1::LinkDelay& delay = *report.add_link_delays();
+    delay.set_from("here");
+    delay.set_queued_ms(static_cast<std::uint32_t>(aOutbound.count()));
+    m_remote.Send(datagram, m_gateway->DatagramPort());
+  }
+
+  // The delay of datagrams from region "far" that the gateway reports to it.
+  std::optional<std::uint32_t> TryReceiveDelay()
+  {
+    std::optional<std::uint32_t> delay;
+    while (const auto datagram = m_remote.TryReceive()) {
+      for (const v1::LinkDelay& one : datagram->region().link_delays()) {
+        delay = one.from() == "far" ? one.queued_ms() : delay;
+      }
+    }
+    return delay;
+  }
+
+  bool IsServed()
+  {
+    return SendRequest(Request("GET", "/get/a")).find(" 200 ") !=
+           std::string::npos;
+  }
+
   RemoteProcess m_remote;
 };
 
+TEST_F(GatewayRegionsTest, RequestIsNotSentThroughALinkThatOutlastsItsDeadline)
+{
+  std::atomic<int> arrivals = 0;
+  m_site.AddRunner("i-1",
+                   "get",
+                   [&](const auto& aConnection) {
+                     ++arrivals;
+                     Answer(aConnection);
+                   },
+                   { { "zone", "far" } });
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+  constexpr std::chrono::milliseconds kNone{ 0 };
+  constexpr std::chrono::milliseconds kQueue{ 4500 }; // past each deadline
+  SendReport(kNone, kNone);
+  ASSERT_TRUE(IsServed());
+  // Measured here.
+  EXPECT_TRUE(Eventually([&] {
+    SendReport(kQueue, kNone);
+    return TryReceiveDelay().value_or(0) >= 4000;
+  }));
+  SendReport(kQueue, kNone);
+  const int before = arrivals;
+  EXPECT_FALSE(IsServed());
+  EXPECT_EQ(arrivals, before);
+  // The queue has drained.
+  EXPECT_TRUE(Eventually([&] {
+    SendReport(kNone, kNone);
+    return IsServed();
+  }));
+  // Measured by the other region.
+  EXPECT_TRUE(Eventually([&] {
+    SendReport(kNone, kQueue);
+    return !IsServed();
+  }));
+  EXPECT_TRUE(Eventually([&] {
+    SendReport(kNone, kNone);
+    return IsServed();
+  }));
+}
+
 TEST_F(GatewayRegionsTest, RunnersAreReportedToAnotherRegion)
 {
   std::vector<Address> runners;
