--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -286,6 +286,7 @@
   }
   const auto& refusal = std::get<PlacementRefusal>(decision);
   m_predicted = refusal.m_predicted;
+  m_linkDelay = refusal.m_linkDelay;
   if (m_mayHaveRun) {
     GiveUp(m_lastReason);
   } else {
@@ -302,6 +303,7 @@
   const auto connection = m_gateway.Pool()->Acquire(aRunner.m_record.m_address);
   ++m_sends;
   m_predicted = aPlacement.m_predicted;
+  m_linkDelay = aPlacement.m_linkDelay;
   m_latest = std::make_shared<RunnerAttempt>();
   m_latest->m_connection = connection;
   m_openAttempts.push_back(m_latest);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -272,6 +272,7 @@
                       kTickInterval * TicksPerLoadReport());
     const bool includeVersions = m_ticks % kTicksPerSecond < kTicksPerHeartbeat;
     Advertise(includeVersions);
+    UpdateLinkDelays();
     LogLinkDelays();
   } else {
     SendLoadChanges();
