A refusal after a HEAD request is sent with its body

Callers saw a 400, 408 or, at the end of a planned stop, 503 whose Content-Length wasn't followed by any body before the close, if the former request of the connection was a HEAD: an incomplete response.

Cause: m_isHead was set when a request was complete and held until the next one was; refusals of a request in arrival came in between and dropped their body.

Evidence: UnansweredRequestsTest.RefusalAfterAHeadRequestIsComplete fails on (Content-Length: 10, no body) and passes now. The end of a response resets the flag, so that it can't outlive its request.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -303,6 +303,7 @@
   m_onDisconnect = nullptr;
   m_onDrained = nullptr;
   m_inRequest = false;
+  m_isHead = false;
   m_request = {};
   if (!m_keepAlive) {
     m_closing = true;
--- a/tests/unanswered_requests_test.cpp
+++ b/tests/unanswered_requests_test.cpp
@@ -88,6 +88,23 @@
   std::vector<std::shared_ptr<ServerConnection>> m_running;
 };
 
+TEST_F(UnansweredRequestsTest, RefusalAfterAHeadRequestIsComplete)
+{
+  m_site.AddRunner("i-1", "get", [&](const auto& aConnection) {
+    Answer(aConnection, 200, "");
+  });
+  StartAndAwaitReady();
+  RawSocket socket(m_gateway->CallersPort());
+  socket.Send("HEAD /get/a HTTP/1.1\r\nHost: x.example\r\n"
+              "X-Siskindeal-Attempt-Id: id-1\r\n"
+              "Authorization: Bearer key-1\r\n\r\n");
+  ASSERT_NE(socket.ReadUntil(kEndOfHead).find(" 200 "), std::string::npos);
+  socket.Send("GET  HTTP/1.1\r\n\r\n");
+  const std::string answer = socket.ReadAll();
+  EXPECT_NE(answer.find(" 400 "), std::string::npos) << answer;
+  EXPECT_TRUE(IsWhole(answer)) << answer;
+}
+
 TEST_F(UnansweredRequestsTest, RequestsAreAnsweredBesideWhatChanges)
 {
   struct Case
