A stopping gateway begins no stream late that it may have to cut off

Callers saw a stream that began well and was cut off at the end of the grace period (no last chunk, connection closed), taken after the gateway's address had lapsed at all callers: on an open connection whose request arrived slowly.

Cause: until its end, a stopping gateway judged a request by the longest of its route's last 64. One that takes longer than those is cut off.

Evidence: UnansweredRequestsTest.StreamTakenLateInAStopIsNotCutOff fails on (200, one event, no end) and passes now: 503, not run, with Retry-After.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -435,12 +435,10 @@
     return;
   }
   const auto since = LoopNow() - *m_drainingSince;
-  const bool addressMayBeCached =
-    since < m_settings.m_gateway.m_answerLifetime * kDrainAddressLifetimes;
   const std::chrono::duration<double> grace(
     m_settings.m_gateway.m_graceSeconds);
   const bool isOver = UntilShutdown() < milliseconds(0);
-  if (addressMayBeCached && !isOver) {
+  if (AddressMayBeCached() && !isOver) {
     return;
   }
   m_callerListener->Stop();
@@ -464,13 +462,25 @@
                                                   kShutdownReserve - LoopNow());
 }
 
+bool
+Gateway::AddressMayBeCached() const
+{
+  return LoopNow() - *m_drainingSince <
+         m_settings.m_gateway.m_answerLifetime * kDrainAddressLifetimes;
+}
+
 bool
 Gateway::CompletesBeforeStop(const std::string& aRoute,
                              milliseconds aUntilDeadline) const
 {
-  return !m_drainingSince || CompletesBeforeExit(UntilShutdown(),
-                                                 aUntilDeadline,
-                                                 m_durations.Longest(aRoute));
+  if (!m_drainingSince) {
+    return true;
+  }
+  // A request may take longer than all that were seen. Once callers have other
+  // addresses, a refusal costs them less than that risk.
+  const auto longest =
+    AddressMayBeCached() ? m_durations.Longest(aRoute) : std::nullopt;
+  return CompletesBeforeExit(UntilShutdown(), aUntilDeadline, longest);
 }
 
 void
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -223,6 +223,8 @@
   void MaybeStop();
   // The time left until unfinished requests are ended.
   std::chrono::milliseconds UntilShutdown() const;
+  // Whether callers may still have this gateway's address from a directory.
+  bool AddressMayBeCached() const;
   // Answers all requests that are in flight or in arrival.
   void EndUnfinished();
   std::shared_ptr<ObjectFeed> StartFeed(std::string_view aKind,
--- a/tests/unanswered_requests_test.cpp
+++ b/tests/unanswered_requests_test.cpp
@@ -105,6 +105,34 @@
   EXPECT_TRUE(IsWhole(answer)) << answer;
 }
 
+TEST_F(UnansweredRequestsTest, StreamTakenLateInAStopIsNotCutOff)
+{
+  m_graceSeconds = 1.5;
+  m_site.AddRunner("i-1", "chat", [&](const auto& aConnection) {
+    aConnection->SendHead(200, {}, StreamFields(), std::nullopt);
+    aConnection->SendPart("id: 1\ndata: a\n\n");
+    if (m_begun++ > 0) {
+      m_running.push_back(aConnection); // a stream that goes on
+      return;
+    }
+    aConnection->SendEnd();
+  });
+  StartAndAwaitReady();
+  ASSERT_NE(SendRequest(Request("POST", "/chat/a")).find("\r\n0\r\n\r\n"),
+            std::string::npos);
+  const std::string request = Request("POST", "/chat/a", {}, "four tees");
+  RawSocket socket(m_gateway->CallersPort());
+  socket.Send(request.substr(0, request.size() - 4));
+  EXPECT_TRUE(IsReady() && IsReady()); // it has been accepted meanwhile
+  m_gateway->RequestShutdown();
+  ASSERT_TRUE(Eventually([&] { return !AcceptsConnections(); }));
+  socket.Send(request.substr(request.size() - 4));
+  const std::string answer = socket.ReadAll();
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_TRUE(IsWhole(answer)) << answer;
+  EXPECT_EQ(m_begun, 1);
+}
+
 TEST_F(UnansweredRequestsTest, RequestsAreAnsweredBesideWhatChanges)
 {
   struct Case
