A reload during a planned stop doesn't cut the stop short

Callers saw 504, and streams were cut off, once the settings that a SIGHUP brought during a stop had a shorter grace_seconds than those at SIGTERM.

Cause: the end of a stop was computed anew in each tick from the present settings.

Evidence: UnansweredRequestsTest.ReloadDuringAStopDoesNotCutItShort fails without this change (504) and passes with it. The platform counts from SIGTERM; so does the gateway now, by the settings of that moment. A period that grows doesn't lengthen a stop any more either: it may end earlier than it need, not later.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -417,6 +417,10 @@
     return;
   }
   m_drainingSince = LoopNow();
+  // Counted from the signal by the settings of that moment, whatever a reload
+  // says later.
+  m_gracePeriod =
+    std::chrono::duration<double>(m_settings.m_gateway.m_graceSeconds);
   Log(LogLevel::Info, "leaving", { { "exchanges", m_exchanges.size() } });
   m_callerListener->AnnounceClose();
   Advertise(true);
@@ -434,9 +438,6 @@
   if (!m_drainingSince) {
     return;
   }
-  const auto since = LoopNow() - *m_drainingSince;
-  const std::chrono::duration<double> grace(
-    m_settings.m_gateway.m_graceSeconds);
   const bool isOver = UntilShutdown() < milliseconds(0);
   if (AddressMayBeCached() && !isOver) {
     return;
@@ -447,7 +448,8 @@
     EndUnfinished();
   }
   const bool idle = m_exchanges.empty() && m_callerListener->Connections() == 0;
-  if (idle || since > grace - kExitReserve) {
+  const auto since = LoopNow() - *m_drainingSince;
+  if (idle || since > m_gracePeriod - kExitReserve) {
     m_callerListener->RecordShutdown();
     m_loop.stop();
   }
@@ -456,10 +458,8 @@
 milliseconds
 Gateway::UntilShutdown() const
 {
-  const std::chrono::duration<double> grace(
-    m_settings.m_gateway.m_graceSeconds);
-  return std::chrono::duration_cast<milliseconds>(*m_drainingSince + grace -
-                                                  kShutdownReserve - LoopNow());
+  return std::chrono::duration_cast<milliseconds>(
+    *m_drainingSince + m_gracePeriod - kShutdownReserve - LoopNow());
 }
 
 bool
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -280,6 +280,7 @@
   std::uint64_t m_incarnation;
   std::set<std::shared_ptr<CallerExchange>> m_exchanges;
   std::optional<MonotonicTime> m_drainingSince;
+  std::chrono::duration<double> m_gracePeriod{ 0 }; // from then to the exit
   double m_logTokens = 0;
   std::uint64_t m_logDropped = 0;
 
