A deadline too long for the clock doesn't count as passed

Cause: the deadline in nanoseconds overflowed (undefined behaviour). It is limited to 24 hours now.

Evidence: UnansweredRequestsTest.RequestsWithUnusualFieldsAreAnswered fails before (503) and passes now.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -17,6 +17,7 @@
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr milliseconds kDefaultTimeout{ 30000 }; // if the caller states none
+constexpr milliseconds kMaxTimeout = std::chrono::hours(24);
 // Retry-After where another gateway can serve the request at once.
 constexpr milliseconds kElsewhereRetryAfter{ 10 };
 // A runner's deadline is this much earlier than the request's, so that what it
@@ -157,7 +158,8 @@
       deadline != nullptr && left < m_route->m_timeout * kFirstAttemptShare;
     left = std::min(left, m_route->m_timeout);
   }
-  m_deadline = m_request.m_arrived + left;
+  // Longer ones could overflow the clock.
+  m_deadline = m_request.m_arrived + std::min(left, kMaxTimeout);
   // Doesn't depend on the service, which changes with splits and route changes.
   m_traits.m_parts = ReadPromptParts();
   const std::string team = m_team == nullptr ? std::string() : m_team->m_name;
--- a/tests/unanswered_requests_test.cpp
+++ b/tests/unanswered_requests_test.cpp
@@ -88,6 +88,23 @@
   std::vector<std::shared_ptr<ServerConnection>> m_running;
 };
 
+TEST_F(UnansweredRequestsTest, RefusalAfterAHeadRequestIsComplete)
+{
+  m_site.AddRunner("i-1", "get", [&](const auto& aConnection) {
+    Answer(aConnection, 200, "");
+  });
+  StartAndAwaitReady();
+  RawSocket socket(m_gateway->CallersPort());
+  socket.Send("HEAD /get/a HTTP/1.1\r\nHost: x.example\r\n"
+              "X-Siskindeal-Attempt-Id: id-1\r\n"
+              "Authorization: Bearer key-1\r\n\r\n");
+  ASSERT_NE(socket.ReadUntil(kEndOfHead).find(" 200 "), std::string::npos);
+  socket.Send("GET  HTTP/1.1\r\n\r\n");
+  const std::string answer = socket.ReadAll();
+  EXPECT_NE(answer.find(" 400 "), std::string::npos) << answer;
+  EXPECT_TRUE(IsWhole(answer)) << answer;
+}
+
 TEST_F(UnansweredRequestsTest, StreamTakenLateInAStopIsNotCutOff)
 {
   m_graceSeconds = 1.5;
@@ -250,6 +267,7 @@
            "X-Siskindeal-Token-Usage: 99999999999999999999,1",
            "X-Siskindeal-Token-Usage: 4294967295,4294967295",
            "X-Siskindeal-Token-Usage: -1,-1",
+           "X-Siskindeal-Deadline-Ms: 9223372036854775807",
            "X-Siskindeal-Deadline-Ms: 9223372036854",
            "X-Siskindeal-Deadline-Ms: 1e3",
            "X-Siskindeal-Deadline-Ms: -9223372036854775808",
