An answer that arrived while the gateway was paused is delivered

Callers got 504, or a stream cut off, although their answer lay whole in the gateway's socket when the process went on after a pause (SIGSTOP, a busy loop), if it had more than one read (32 KB).

Cause: after a pause each socket is read once before the tick finds all deadlines passed.

Evidence: UnansweredRequestsTest.AnswerThatArrivedInAPauseIsDelivered, a pause of the loop's thread across the deadline: fails without this change for 400,000 bytes (504; 800 bytes pass) and passes with it, three runs of three. A response that has begun and has unread bytes is read for at most 100 ms past the first tick that finds its deadline passed; what hasn't begun is ended as before. gateway_silence, gateway_runs, gateway, gateway_splice, gateway_crash, gateway_stop and gateway_stop_soak tests pass.

--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -17,7 +17,9 @@
     return;
   }
   if (aNow >= m_deadline) {
-    OnDeadline("deadline exceeded");
+    if (!IsResponseArriving(aNow)) {
+      OnDeadline("deadline exceeded");
+    }
     return;
   }
   WithdrawOutdated();
@@ -26,6 +28,22 @@
   }
 }
 
+bool
+CallerExchange::IsResponseArriving(MonotonicTime aNow)
+{
+  constexpr milliseconds kMaxReadTime{ 100 };
+  const MonotonicTime since = m_expiredSince.value_or(aNow);
+  m_expiredSince = since;
+  return aNow - since < kMaxReadTime &&
+         std::any_of(m_openAttempts.begin(),
+                     m_openAttempts.end(),
+                     [](const RunnerAttemptPtr& aAttempt) {
+                       return aAttempt->m_head.m_status != 0 &&
+                              !aAttempt->m_isPaused &&
+                              aAttempt->m_connection->HasUnreadInput();
+                     });
+}
+
 void
 CallerExchange::WithdrawOutdated()
 {
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -101,6 +101,9 @@
   // begun: without event ids, a second run can't be told from a repetition.
   bool MayResume() const;
 
+  // Whether bytes of a response wait to be read past the deadline, as after a
+  // pause of the process. True for a short time only.
+  bool IsResponseArriving(MonotonicTime aNow);
   // Ends attempts that haven't begun to be answered at runners whose weights
   // are about to be past the bound, since they would begin on those.
   void WithdrawOutdated();
@@ -156,7 +159,8 @@
   std::string m_service;
   RequestShape m_shape;
   RequestTraits m_traits;
-  MonotonicTime m_deadline{}; // the caller's or the route's
+  MonotonicTime m_deadline{};                  // the caller's or the route's
+  std::optional<MonotonicTime> m_expiredSince; // noticed by Tick
   Phase m_phase = Phase::Waiting;
 
   // More than one if the first runners are silent.
--- a/tests/unanswered_requests_test.cpp
+++ b/tests/unanswered_requests_test.cpp
@@ -3,6 +3,8 @@
 
 #include "support/gateway_fixture.h"
 
+#include <pthread.h>
+
 #include <cstdio>
 #include <functional>
 #include <vector>
@@ -15,6 +17,12 @@
 
 const std::string kEndOfHead = "\r\n\r\n";
 
+void
+Pause(int)
+{
+  std::this_thread::sleep_for(milliseconds(2500));
+}
+
 // Whether a response holds as many bytes of body as its head says.
 bool
 IsWhole(const std::string& aAnswer)
@@ -300,6 +308,35 @@
   EXPECT_TRUE(IsReady());
 }
 
+TEST_F(UnansweredRequestsTest, AnswerThatArrivedInAPauseIsDelivered)
+{
+  std::signal(SIGUSR1, Pause);
+  for (const std::size_t size : { 800UL, 400000UL }) {
+    SCOPED_TRACE(size);
+    const int before = m_begun;
+    AddWaitingRunner("post");
+    if (!m_gateway) {
+      StartAndAwaitReady();
+    }
+    ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+    RawSocket socket(m_gateway->CallersPort());
+    std::string request = Request("POST", "/post/a");
+    request.replace(request.find("3000"), 4, "2000");
+    socket.Send(request);
+    ASSERT_TRUE(Eventually([&] { return m_begun == before + 1; }));
+    ASSERT_EQ(pthread_kill(m_thread.native_handle(), SIGUSR1), 0);
+    m_site.RunOnLoop([&] {
+      Answer(m_running.back(), 200, std::string(size, 'x'));
+      m_running.clear();
+    });
+    const std::string answer = socket.ReadAll();
+    EXPECT_NE(answer.find(" 200 "), std::string::npos) << answer.substr(0, 300);
+    EXPECT_TRUE(IsWhole(answer));
+    m_site.Remove("servers", "i-1");
+    ASSERT_TRUE(Eventually([&] { return RunnerCount() == 0; }));
+  }
+}
+
 } // namespace
 
 } // namespace siskindeal
