--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -23,7 +23,9 @@
     return;
   }
   if (aNow >= m_deadline) {
-    OnDeadline("deadline exceeded");
+    if (!IsResponseArriving(aNow)) {
+      OnDeadline("deadline exceeded");
+    }
     return;
   }
   WithdrawOutdated();
@@ -32,6 +34,22 @@
   }
 }
 
+bool
+CallerExchange::IsResponseArriving(MonotonicTime aNow)
+{
+  constexpr milliseconds kMaxReadTime{ 100 };
+  const MonotonicTime since = m_expiredSince.value_or(aNow);
+  m_expiredSince = since;
+  return aNow - since < kMaxReadTime &&
+         std::any_of(m_openAttempts.begin(),
+                     m_openAttempts.end(),
+                     [](const RunnerAttemptPtr& aAttempt) {
+                       return aAttempt->m_head.m_status != 0 &&
+                              !aAttempt->m_isPaused &&
+                              aAttempt->m_connection->HasUnreadInput();
+                     });
+}
+
 void
 CallerExchange::WithdrawOutdated()
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -429,6 +429,10 @@
     return;
   }
   m_drainingSince = LoopNow();
+  // Counted from the signal by the settings of that moment, whatever a reload
+  // says later.
+  m_gracePeriod =
+    std::chrono::duration<double>(m_settings.m_gateway.m_graceSeconds);
   Log(LogLevel::Info, "leaving", { { "exchanges", m_exchanges.size() } });
   m_callerListener->AnnounceClose();
   Advertise(true);
@@ -446,13 +450,8 @@
   if (!m_drainingSince) {
     return;
   }
-  const auto since = LoopNow() - *m_drainingSince;
-  const bool addressMayBeCached =
-    since < m_settings.m_gateway.m_answerLifetime * kDrainAddressLifetimes;
-  const std::chrono::duration<double> grace(
-    m_settings.m_gateway.m_graceSeconds);
   const bool isOver = UntilShutdown() < milliseconds(0);
-  if (addressMayBeCached && !isOver) {
+  if (AddressMayBeCached() && !isOver) {
     return;
   }
   m_callerListener->Stop();
@@ -461,7 +460,8 @@
     EndUnfinished();
   }
   const bool idle = m_exchanges.empty() && m_callerListener->Connections() == 0;
-  if (idle || since > grace - kExitReserve) {
+  const auto since = LoopNow() - *m_drainingSince;
+  if (idle || since > m_gracePeriod - kExitReserve) {
     m_callerListener->RecordShutdown();
     m_loop.stop();
   }
@@ -470,19 +470,29 @@
 milliseconds
 Gateway::UntilShutdown() const
 {
-  const std::chrono::duration<double> grace(
-    m_settings.m_gateway.m_graceSeconds);
-  return std::chrono::duration_cast<milliseconds>(*m_drainingSince + grace -
-                                                  kShutdownReserve - LoopNow());
+  return std::chrono::duration_cast<milliseconds>(
+    *m_drainingSince + m_gracePeriod - kShutdownReserve - LoopNow());
+}
+
+bool
+Gateway::AddressMayBeCached() const
+{
+  return LoopNow() - *m_drainingSince <
+         m_settings.m_gateway.m_answerLifetime * kDrainAddressLifetimes;
 }
 
 bool
 Gateway::CompletesBeforeStop(const std::string& aRoute,
                              milliseconds aUntilDeadline) const
 {
-  return !m_drainingSince || CompletesBeforeExit(UntilShutdown(),
-                                                 aUntilDeadline,
-                                                 m_durations.Longest(aRoute));
+  if (!m_drainingSince) {
+    return true;
+  }
+  // A request may take longer than all that were seen. Once callers have other
+  // addresses, a refusal costs them less than that risk.
+  const auto longest =
+    AddressMayBeCached() ? m_durations.Longest(aRoute) : std::nullopt;
+  return CompletesBeforeExit(UntilShutdown(), aUntilDeadline, longest);
 }
 
 void
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -235,6 +235,8 @@
   void MaybeStop();
   // The time left until unfinished requests are ended.
   std::chrono::milliseconds UntilShutdown() const;
+  // Whether callers may still have this gateway's address from a directory.
+  bool AddressMayBeCached() const;
   // Answers all requests that are in flight or in arrival.
   void EndUnfinished();
   std::shared_ptr<ObjectFeed> StartFeed(std::string_view aKind,
@@ -292,6 +294,7 @@
   std::uint64_t m_incarnation;
   std::set<std::shared_ptr<CallerExchange>> m_exchanges;
   std::optional<MonotonicTime> m_drainingSince;
+  std::chrono::duration<double> m_gracePeriod{ 0 }; // from then to the exit
   double m_logTokens = 0;
   std::uint64_t m_logDropped = 0;
 
