Tests: randomised soak of the processes of deploy/

Starts gateways and stagers from the templates of deploy/ as processes of their own, each on a host of loopback, and disturbs them by signals, restarts, rewritten settings, configurations, runners, weights and the store's absence in series and overlapping, while callers send requests on kept connections. Checks from outside that no process ends unasked, that each ends with status 0 and a last line after SIGTERM, that each request sent whole is answered or refused as RULES.md demands, that none that may run once runs twice, that what is refused never runs, and that all gateways serve afterwards and all runners have the newest weights.

--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -62,13 +63,22 @@
 } // namespace
 
 RawSocket::RawSocket(std::uint16_t aPort)
+  : RawSocket("127.0.0.1", aPort)
+{
+}
+
+RawSocket::RawSocket(const std::string& aHost, std::uint16_t aPort)
   : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-  const auto address = Loopback(aPort);
-  ThrowUnless(connect(m_socket,
-                      reinterpret_cast<const sockaddr*>(&address),
-                      sizeof(address)) == 0,
-              "connect");
+  auto address = Loopback(aPort);
+  inet_pton(AF_INET, aHost.c_str(), &address.sin_addr);
+  if (connect(m_socket,
+              reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
+    const int error = errno;
+    Close();
+    throw std::system_error(error, std::generic_category(), "connect");
+  }
 }
 
 RawSocket
@@ -112,19 +122,34 @@
 }
 
 std::string
-RawSocket::ReadUntil(std::string_view aDelimiter)
+RawSocket::ReadSome()
 {
   setsockopt(
     m_socket, SOL_SOCKET, SO_RCVTIMEO, &kReadTimeout, sizeof(kReadTimeout));
-  std::string text;
   std::array<char, 4096> bytes{};
+  const auto size = recv(m_socket, bytes.data(), bytes.size(), 0);
+  m_wasReset = size < 0 && errno == ECONNRESET;
+  return size <= 0 ? std::string()
+                   : std::string(bytes.data(), static_cast<std::size_t>(size));
+}
+
+bool
+RawSocket::HasInput(std::chrono::milliseconds aTimeout)
+{
+  pollfd poll{ m_socket, POLLIN, 0 };
+  return ::poll(&poll, 1, static_cast<int>(aTimeout.count())) > 0;
+}
+
+std::string
+RawSocket::ReadUntil(std::string_view aDelimiter)
+{
+  std::string text;
   while (aDelimiter.empty() || text.find(aDelimiter) == std::string::npos) {
-    const auto size = recv(m_socket, bytes.data(), bytes.size(), 0);
-    if (size <= 0) {
-      m_wasReset = size < 0 && errno == ECONNRESET;
+    const std::string more = ReadSome();
+    if (more.empty()) {
       break;
     }
-    text.append(bytes.data(), static_cast<std::size_t>(size));
+    text += more;
   }
   return text;
 }
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -1,6 +1,7 @@
 #pragma once
 // Plain sockets for tests that need malformed or partial HTTP messages.
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -9,12 +10,14 @@
 
 namespace siskindeal {
 
-// A connection to 127.0.0.1. Reads time out after ten seconds.
+// A connection to an address of loopback. Reads time out after ten seconds.
 class RawSocket
 {
 public:
-  // Connects; throws std::system_error.
+  // Connects to a port of 127.0.0.1; throws std::system_error.
   explicit RawSocket(std::uint16_t aPort);
+  // Connects; throws std::system_error.
+  RawSocket(const std::string& aHost, std::uint16_t aPort);
   // Takes ownership of an open socket.
   static RawSocket Adopt(int aSocket);
   ~RawSocket();
@@ -31,6 +34,10 @@
   std::string ReadUntil(std::string_view aDelimiter);
   // Reads until the peer closes.
   std::string ReadAll();
+  // Reads what arrives next; empty if the peer closes or the read times out.
+  std::string ReadSome();
+  // Returns whether bytes or the peer's close arrive within aTimeout.
+  bool HasInput(std::chrono::milliseconds aTimeout);
   // Whether the last read ended with a reset of the connection by the peer.
   bool WasReset() const { return m_wasReset; }
   void Close();
--- /dev/null
+++ b/tests/support/soak_traffic.h
@@ -0,0 +1,114 @@
+#pragma once
+// Callers on kept connections, and runners that record what they ran, for soaks
+// of deployed gateways.
+
+#include "support/deployed_site.h"
+#include "support/site.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace siskindeal {
+
+class RawSocket;
+class Random;
+
+// A request's run by a runner.
+struct SoakRun
+{
+  std::string m_runner;
+  SteadyTime m_begunAt;
+  std::optional<SteadyTime> m_endedAt; // unset: broken off
+};
+
+// A kind of request. Routes are named as their services, but for the last.
+struct SoakKind
+{
+  const char* m_route;
+  const char* m_kind;
+  bool m_isResumable;
+  bool m_runsOnce;
+  bool m_isStream;
+  bool m_isSteady; // every configuration has its route
+};
+
+// The routes of a soak.
+const std::vector<SoakKind>&
+SoakKinds();
+
+// What a caller saw of one request.
+struct SoakOutcome
+{
+  std::string m_id;
+  const SoakKind* m_kind = nullptr;
+  std::size_t m_gateway = 0;
+  bool m_hasSteadyKey = true; // every configuration has its key
+  SteadyTime m_from;          // before its first byte
+  SteadyTime m_sentAt;        // after its last byte
+  SteadyTime m_endedAt;
+  bool m_isSent = false;   // whole
+  bool m_isWhole = false;  // its answer
+  bool m_wasReset = false; // its connection
+  bool m_keepsOpen = false;
+  std::uint64_t m_events = 0; // of its stream
+  int m_status = 0;           // 0: no head of an answer
+  std::string m_head;
+  std::string m_body;
+};
+
+class SoakTraffic
+{
+public:
+  static constexpr std::chrono::milliseconds kDeadline{ 4000 };
+
+  SoakTraffic(SiteStandIn& aSite, const DeployedSite& aDeployed);
+  ~SoakTraffic();
+  SoakTraffic(const SoakTraffic&) = delete;
+  SoakTraffic& operator=(const SoakTraffic&) = delete;
+
+  Address AddRunner(const std::string& aId, const std::string& aService);
+  void StartCallers(std::size_t aCount, std::size_t aGateways, Random& aRandom);
+  // Waits for the requests in flight.
+  void StopCallers();
+  // Sends one request to a gateway. Throws std::system_error if it doesn't
+  // accept a connection.
+  SoakOutcome SendProbe(std::size_t aGateway);
+
+  // For use after StopCallers.
+  const std::vector<SoakOutcome>& Outcomes() const { return m_outcomes; }
+  std::vector<SoakRun> RunsOf(const std::string& aId);
+  std::size_t Answered() const { return m_answered; }
+  // Whether an answer is the runner's answer to that request, whole.
+  static bool IsOwnAnswer(const SoakOutcome& aOutcome);
+
+private:
+  struct Work;
+
+  void Run(const std::string& aRunner,
+           const std::shared_ptr<ServerConnection>& aConnection);
+  void Finish(const Work& aWork);
+  void Step(const std::shared_ptr<Work>& aWork);
+  void Call(std::size_t aCaller, std::size_t aGateways, std::uint64_t aSeed);
+  SoakOutcome Send(RawSocket& aSocket,
+                   Random& aRandom,
+                   std::size_t aGateway,
+                   std::string aId);
+
+  SiteStandIn& m_site;
+  const DeployedSite& m_deployed;
+  std::atomic<bool> m_stopping = false;
+  std::atomic<std::size_t> m_answered = 0;
+  std::atomic<std::size_t> m_probes = 0;
+  std::vector<std::thread> m_callers;
+  std::mutex m_mutex;
+  std::map<std::string, std::vector<SoakRun>> m_runs; // by request
+  std::vector<SoakOutcome> m_outcomes;
+};
+
+} // namespace siskindeal
