Process soak: processes are signalled once the loader has finished

Until then no code of the program runs that could handle a signal, so that no program could pass: with the handlers' signals blocked in .preinit_array a SIGHUP within the loader still ends the process. The loader's end is seen from outside, by its cache's mapping, whatever the program does about signals; from then on each signal must be handled, as before.

--- a/tests/support/deployed_site.cpp
+++ b/tests/support/deployed_site.cpp
@@ -218,19 +218,28 @@
            { "retry_budget_slack", 106 } };
 }
 
-// Signals that arrive before the program is executed would meet this one's.
+// Whether the dynamic loader has finished. It maps its cache before the first
+// library and unmaps it after the last relocation.
+bool
+IsLoaded(const std::string& aMaps)
+{
+  return aMaps.find("libc.so") != std::string::npos &&
+         aMaps.find("ld.so.cache") == std::string::npos;
+}
+
+// Before that, no code of the program has run that could handle a signal.
 void
-AwaitExecuted(pid_t aProcess)
+AwaitLoaded(pid_t aProcess)
 {
   constexpr std::chrono::seconds kTimeout{ 20 };
-  const std::string link = "/proc/" + std::to_string(aProcess) + "/exe";
+  const std::string proc = "/proc/" + std::to_string(aProcess);
   const auto own = std::filesystem::read_symlink("/proc/self/exe");
   const auto end = steady_clock::now() + kTimeout;
-  std::error_code error;
   while (steady_clock::now() < end) {
-    const auto executed = std::filesystem::read_symlink(link, error);
-    if (error || executed != own) {
-      return;
+    std::error_code error;
+    const auto executed = std::filesystem::read_symlink(proc + "/exe", error);
+    if (error || (executed != own && IsLoaded(ReadFile(proc + "/maps")))) {
+      return; // it has ended, or runs
     }
     std::this_thread::yield();
   }
@@ -343,7 +352,7 @@
     std::vector<std::string>{
       BinaryPath(), vm.m_role, "--config", vm.m_settingsFile },
     started->m_logFile);
-  AwaitExecuted(started->m_process->Id());
+  AwaitLoaded(started->m_process->Id());
   started->m_startedAt = steady_clock::now();
   return started;
 }
--- a/tests/support/deployed_site.h
+++ b/tests/support/deployed_site.h
@@ -76,7 +76,7 @@
   const std::vector<DeployedVm>& Vms() const { return m_vms; }
 
   // Places a VM's settings file and starts its process. Returns when the
-  // program has been executed.
+  // program has been loaded.
   std::shared_ptr<DeployedProcess> Start(std::size_t aVm);
   // The log of a VM's latest process.
   std::string LogFile(std::size_t aVm) const;
