Process soak: signals go on until a stopped process has ended

SIGHUP or SIGTERM is sent again every few milliseconds to one in four of the processes that were stopped.

--- a/tests/support/deployed_site.h
+++ b/tests/support/deployed_site.h
@@ -36,6 +36,7 @@
   std::optional<SteadyTime> m_hungUpAt;    // the latest SIGHUP
   std::optional<SteadyTime> m_resumedAt;   // by SIGCONT
   std::optional<SteadyTime> m_rewrittenAt; // its settings file
+  std::optional<int> m_signalToEnd; // sent again and again until it has ended
   bool m_isPaused = false;
 
   // Whether it has logged its start.
--- a/tests/support/soak_fleet.cpp
+++ b/tests/support/soak_fleet.cpp
@@ -56,6 +56,10 @@
   return AgeText("started", aProcess.m_startedAt) +
          AgeText("SIGTERM", aProcess.m_stoppedAt) +
          AgeText("SIGHUP", aProcess.m_hungUpAt) +
+         (aProcess.m_signalToEnd
+            ? ", signal " + std::to_string(*aProcess.m_signalToEnd) +
+                " to its end"
+            : "") +
          AgeText("settings rewritten", aProcess.m_rewrittenAt) +
          ", last line: " + aProcess.LastLogLine();
 }
@@ -152,6 +156,9 @@
   aMember.m_stops.push_back(*process->m_stoppedAt);
   aMember.m_startsAtEnd = aStartsAtEnd;
   process->m_process->Signal(SIGTERM);
+  if (m_random.Below(4) == 0) {
+    process->m_signalToEnd = m_random.Below(2) == 0 ? SIGHUP : SIGTERM;
+  }
   m_leaving.emplace_back(&aMember, process);
 }
 
@@ -288,6 +295,9 @@
 {
   const auto now = steady_clock::now();
   if (!aProcess.m_process->EndsWithin(milliseconds(0))) {
+    if (aProcess.m_signalToEnd) {
+      aProcess.m_process->Signal(*aProcess.m_signalToEnd);
+    }
     const auto since =
       std::max(aProcess.m_stoppedAt.value_or(*aProcess.m_killedAt),
                aProcess.m_resumedAt.value_or(SteadyTime()));
