Settings that can't be read end no process that runs, and are read again

A SIGHUP beside a settings file that was a directory or gave a read error ended the gateway with status 1 ("basic_filebuf::underflow error"), and its requests with it: the stream's exception passed a handler for SettingsError alone. The same exception left the signals without a handler. At a start, a file that was absent, empty or half written ended the process at once, although a supervisor may be writing it at that moment.

Reading the file reports each failure as SettingsError with the path and the system's reason.

--- a/include/siskindeal/log.h
+++ b/include/siskindeal/log.h
@@ -65,7 +65,7 @@
 };
 
 // Sets the fields of every line, the minimum level and the output stream. Must
-// be called before the first line is logged.
+// not be called while another thread may log.
 void
 ConfigureLog(std::string_view aRole,
              std::string_view aVm,
--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -37,6 +37,8 @@
   Address m_http;      // entries: callers; agents: metrics, health and state
   std::string m_logLevel = "info";
   std::vector<Address> m_entries; // contacted at startup; may include itself
+
+  bool operator==(const NodeSettings&) const = default;
 };
 
 // [auth]: keys shared by siskindeal processes and operators. Calls are signed
@@ -54,6 +56,8 @@
   std::chrono::milliseconds m_timeout{ 2000 };
   double m_readsPerSecond = 20;  // limit for this process
   double m_writesPerSecond = 40; // limit for this process
+
+  bool operator==(const PlatformSettings&) const = default;
 };
 
 // [http]: limits on callers' requests and connections.
@@ -194,6 +198,8 @@
   double m_retryRatio = 0.2; // retries per request, over all gateways
   double m_retryWindowSeconds = 10;
   double m_retrySlack = 100; // retries per window in addition to the ratio
+
+  bool operator==(const GatewayRoleSettings&) const = default;
 };
 
 struct GatewaySettings
@@ -201,6 +207,8 @@
   NodeSettings m_node;
   PlatformSettings m_platform;
   GatewayRoleSettings m_gateway;
+
+  bool operator==(const GatewaySettings&) const = default;
 };
 
 // [stager]: settings of a stager beyond [node] and [platform].
--- a/src/entry/role.cpp
+++ b/src/entry/role.cpp
@@ -2,6 +2,7 @@
 #include "entry_p.h"
 #include "node/listen_p.h"
 #include "node/signals_p.h"
+#include "node/start_settings_p.h"
 #include "siskindeal/log.h"
 
 namespace siskindeal {
@@ -19,7 +20,8 @@
 
   int Run(const std::string& aSettingsFile) override
   {
-    const auto settings = ReadEntrySettings(aSettingsFile);
+    const auto settings = ReadSettingsAtStart(
+      "entry", LogStream::StandardError, aSettingsFile, ReadEntrySettings);
     ConfigureLog(
       "entry", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
     std::unique_ptr<EntryNode> entry;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -67,15 +67,6 @@
       .count());
 }
 
-RetryAllowance
-AllowanceOf(const GatewayRoleSettings& aSettings)
-{
-  return { aSettings.m_retryRatio,
-           milliseconds(
-             static_cast<std::int64_t>(aSettings.m_retryWindowSeconds * 1000)),
-           aSettings.m_retrySlack };
-}
-
 } // namespace
 
 Gateway::Gateway(const GatewaySettings& aSettings, std::string aSettingsFile)
@@ -97,6 +88,7 @@
   , m_tickDelay(kTickInterval)
   , m_ticker(m_loop)
   , m_registerTimer(m_loop)
+  , m_reloadTimer(m_loop)
   , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
   m_callerListener = std::make_unique<HttpListener>(
@@ -373,43 +365,6 @@
   Log(aLevel, aEvent, aFields);
 }
 
-void
-Gateway::AwaitSignal()
-{
-  m_signals.async_wait([this](const NetError& aError, int aSignal) {
-    if (aError) {
-      return;
-    }
-    if (aSignal == SIGHUP) {
-      Reload();
-    } else {
-      StartDrain();
-    }
-    AwaitSignal();
-  });
-}
-
-// Applies the reloadable settings: the times and the retry allowance of
-// [gateway]. Invalid settings are ignored.
-void
-Gateway::Reload()
-{
-  if (m_settingsFile.empty()) {
-    return;
-  }
-  try {
-    const GatewaySettings settings = ReadGatewaySettings(m_settingsFile);
-    m_settings.m_gateway = settings.m_gateway;
-    m_named.RaiseMaxAge(settings.m_gateway.m_versionWithin);
-    m_retries.SetAllowance(AllowanceOf(settings.m_gateway));
-    Log(LogLevel::Info, "settings reloaded");
-  } catch (const SettingsError& error) {
-    Log(LogLevel::Error,
-        "settings rejected",
-        { { "reason", std::string_view(error.what()) } });
-  }
-}
-
 void
 Gateway::StartDrain()
 {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -30,6 +30,9 @@
 inline constexpr std::string_view kGatewayKind =
   "gateways"; // kind of the store objects that register gateways
 
+RetryAllowance
+AllowanceOf(const GatewayRoleSettings& aSettings);
+
 class Gateway
 {
 public:
@@ -218,7 +221,13 @@
   // Whether the directory should list this gateway's address.
   bool IsAdvertised() const;
   void AwaitSignal();
-  void Reload();
+  // Reads the settings now and a few times later, since the file may still be
+  // written when SIGHUP arrives. Never throws.
+  void ReadSettings();
+  void RecordRejection(const std::string& aReason);
+  // Applies the reloadable settings: the times and the retry allowance of
+  // [gateway].
+  void ApplySettings(const GatewaySettings& aLatest);
   void StartDrain();
   void MaybeStop();
   // The time left until unfinished requests are ended.
@@ -271,6 +280,14 @@
     MonotonicTime m_receivedAt{};
   };
 
+  struct SettingsReload
+  {
+    int m_readsLeft = 0;
+    std::string m_rejection; // the latest that was logged
+    std::optional<GatewaySettings> m_read;
+  };
+
+  SettingsReload m_reload; // for the latest SIGHUP
   GatewayPeers m_peers;
   std::map<std::string, ReceivedRunnerReport> m_runnerReports; // by id
   std::string m_region;
@@ -285,6 +302,7 @@
   TickDelay m_tickDelay;
   Timer m_ticker;
   Timer m_registerTimer;
+  Timer m_reloadTimer;
   boost::asio::signal_set m_signals;
   std::unique_ptr<HttpListener> m_callerListener;
   std::unique_ptr<HttpListener> m_readyListener;
--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway_p.h"
 #include "node/listen_p.h"
 #include "node/signals_p.h"
+#include "node/start_settings_p.h"
 #include "siskindeal/log.h"
 
 namespace siskindeal {
@@ -40,7 +41,8 @@
 
   int Run(const std::string& aSettingsFile) override
   {
-    const auto settings = ReadGatewaySettings(aSettingsFile);
+    const auto settings = ReadSettingsAtStart(
+      "gateway", LogStream::StandardOutput, aSettingsFile, ReadGatewaySettings);
     ConfigureLog("gateway",
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -4,10 +4,13 @@
 #include "siskindeal/overloaded.h"
 
 #include <algorithm>
-#include <fstream>
+#include <cerrno>
+#include <cstdio>
 #include <functional>
+#include <memory>
 #include <set>
 #include <sstream>
+#include <system_error>
 
 namespace siskindeal {
 
@@ -250,16 +253,25 @@
   return static_cast<int>(aNode.source().begin.line);
 }
 
+SettingsError
+UnreadableFile(const std::string& aFile)
+{
+  return SettingsError(
+    aFile + ": cannot be read: " + std::generic_category().message(errno));
+}
+
 std::string
 ReadFile(const std::string& aFile)
 {
-  std::ifstream stream(aFile, std::ios::binary);
-  std::string text;
-  if (stream) {
-    text.assign(std::istreambuf_iterator<char>(stream), {});
+  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(
+    std::fopen(aFile.c_str(), "rbe"), std::fclose);
+  if (!file) {
+    throw UnreadableFile(aFile);
   }
-  if (!stream || stream.bad()) {
-    throw SettingsError(aFile + ": cannot be read");
+  std::string text(kMaxFileBytes + 1, '\0');
+  text.resize(std::fread(text.data(), 1, text.size(), file.get()));
+  if (std::ferror(file.get()) != 0) {
+    throw UnreadableFile(aFile);
   }
   if (text.size() > kMaxFileBytes) {
     throw SettingsError(aFile + ": expected at most 1 MiB");
--- a/src/stager/role.cpp
+++ b/src/stager/role.cpp
@@ -1,6 +1,7 @@
 #include "siskindeal/role.h"
 #include "node/listen_p.h"
 #include "node/signals_p.h"
+#include "node/start_settings_p.h"
 #include "siskindeal/log.h"
 #include "stager/stager_p.h"
 
@@ -31,7 +32,8 @@
 
   int Run(const std::string& aSettingsFile) override
   {
-    const auto settings = ReadStagerSettings(aSettingsFile);
+    const auto settings = ReadSettingsAtStart(
+      "stager", LogStream::StandardOutput, aSettingsFile, ReadStagerSettings);
     ConfigureLog("stager",
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
