--- a/src/agent/role.cpp
+++ b/src/agent/role.cpp
@@ -3,6 +3,7 @@
 #include "kernel/end_of_process_p.h"
 #include "node/listen_p.h"
 #include "node/signals_p.h"
+#include "node/start_settings_p.h"
 #include "siskindeal/log.h"
 
 namespace siskindeal {
@@ -20,7 +21,8 @@
 
   int Run(const std::string& aSettingsFile) override
   {
-    const auto settings = ReadAgentSettings(aSettingsFile);
+    const auto settings = ReadSettingsAtStart(
+      "agent", LogStream::StandardError, aSettingsFile, ReadAgentSettings);
     ConfigureLog(
       "agent", settings.m_node.m_vm, ParseLogLevel(settings.m_node.m_logLevel));
     RunToEnd([&] {
--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -3,6 +3,7 @@
 #include "kernel/end_of_process_p.h"
 #include "node/listen_p.h"
 #include "node/signals_p.h"
+#include "node/start_settings_p.h"
 #include "siskindeal/log.h"
 
 namespace siskindeal {
@@ -41,7 +42,8 @@
 
   int Run(const std::string& aSettingsFile) override
   {
-    const auto settings = ReadGatewaySettings(aSettingsFile);
+    const auto settings = ReadSettingsAtStart(
+      "gateway", LogStream::StandardOutput, aSettingsFile, ReadGatewaySettings);
     ConfigureLog("gateway",
                  settings.m_node.m_vm,
                  ParseLogLevel(settings.m_node.m_logLevel),
