A stopped gateway or stager isn't ended by a later signal

A SIGHUP or SIGTERM in the last moments of a gateway or stager that had been stopped ended it by the signal's default action: status 129 or 143 in place of 0, after its line "stop". To who supervises it, a planned stop looked like a crash.

The destructor of the signal set restores the default actions, and the process lives on for about half a millisecond to a millisecond (strace: rt_sigaction SIG_DFL, exit_group 1.1 ms later).

The signals are blocked again when the event loop has ended, before the handlers go, as they are at the start; those that are pending then vanish with the process. Entries and agents have them blocked throughout.

--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -51,6 +51,7 @@
     });
     UnblockSignals(); // its handlers are installed
     gateway->Run();
+    BlockSignals(); // its handlers go before the process ends
     return 0;
   }
 };
--- a/src/stager/role.cpp
+++ b/src/stager/role.cpp
@@ -42,6 +42,7 @@
     });
     UnblockSignals(); // its handlers are installed
     stager->Run();
+    BlockSignals(); // its handlers go before the process ends
     return 0;
   }
 };
