--- a/src/gateway/role.cpp
+++ b/src/gateway/role.cpp
@@ -55,6 +55,7 @@
       });
       UnblockSignals(); // its handlers are installed
       gateway->Run();
+      BlockSignals(); // its handlers go before the process ends
     });
     return 0;
   }
