A measurement that has just begun doesn't hide a queue between regions

RestartedSenderDoesNotHideAQueue covered a sender only.

Each value now travels with the time for which it has been measured, and the same rule decides at every step: while a longer measurement is heard, a shorter one may raise the delay, not lower it. What another gateway measured isn't relayed as one's own. The least is kept for 2 to 4 minutes instead of 30 to 60 s, since a link that queued for a minute counted as idle. Reports of an earlier release state no time: what was known is forgotten instead of growing with silence.

The delays move to gateway_links.cpp.

--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -113,77 +113,11 @@
   v1::Datagram relayed = aDatagram;
   relayed.mutable_region()->set_passed_on(true);
   if (report.sent_at_ms() > 0) {
-    relayed.mutable_region()->set_queued_ms(static_cast<std::uint32_t>(
-      m_linkDelays.Inbound(report.region(), BootTime()).count()));
+    AppendMeasurement(*relayed.mutable_region());
   }
   SendToRegionPeers(relayed);
 }
 
-void
-Gateway::RecordLinkDelays(const v1::RegionReport& aReport)
-{
-  const milliseconds now = BootTime();
-  if (aReport.passed_on()) {
-    if (aReport.has_queued_ms()) {
-      m_linkDelays.RecordRelayed(
-        aReport.region(), MillisFromWire(aReport.queued_ms()), now);
-    }
-  } else if (aReport.sent_at_ms() > 0 && aReport.gateways_size() > 0) {
-    const v1::GatewayBeacon& sender = aReport.gateways(0);
-    m_linkDelays.RecordReport(aReport.region(),
-                              { sender.vm(), sender.incarnation() },
-                              MillisFromWire(aReport.sent_at_ms()),
-                              now);
-  }
-  for (const v1::LinkDelay& delay : aReport.link_delays()) {
-    if (delay.from() == m_region) {
-      m_linkDelays.RecordOutbound(
-        aReport.region(), MillisFromWire(delay.queued_ms()), now);
-    }
-  }
-  UpdateLinkDelays();
-}
-
-void
-Gateway::UpdateLinkDelays()
-{
-  m_placer.SetLinkDelays(m_linkDelays.RoundTrips(BootTime()));
-}
-
-void
-Gateway::LogLinkDelays()
-{
-  constexpr milliseconds kMinLogged{ 100 };
-  constexpr int kMuch = 2;
-  const milliseconds now = BootTime();
-  for (const auto& [region, delay] : m_linkDelays.RoundTrips(now)) {
-    milliseconds& logged = m_loggedDelays[region];
-    const milliseconds shown = std::max(delay, kMinLogged);
-    const milliseconds former = std::max(logged, kMinLogged);
-    if (shown < former * kMuch && former < shown * kMuch) {
-      continue;
-    }
-    logged = delay;
-    LogRequest(LogLevel::Info,
-               "link delay changed",
-               { { "region", region },
-                 { "to_ms", m_linkDelays.Outbound(region, now).count() },
-                 { "from_ms", m_linkDelays.Inbound(region, now).count() } });
-  }
-}
-
-void
-Gateway::CountRegionBytes(const std::string& aRegion,
-                          const char* aKind,
-                          std::size_t aBytes) const
-{
-  if (aRegion != m_region && aBytes > 0) {
-    CountMetric("siskindeal_gateway_region_bytes_total",
-                { { "kind", aKind } },
-                static_cast<double>(aBytes));
-  }
-}
-
 void
 Gateway::SendToRegionPeers(const v1::Datagram& aDatagram)
 {
@@ -410,13 +344,8 @@
     AppendNamedAges(m_named, BootTime(), *report.mutable_named());
   }
   Append(aCommon, report);
-  const milliseconds bootTime = BootTime();
-  for (const auto& [from, queued] : m_linkDelays.AllInbound(bootTime)) {
-    v1::LinkDelay& delay = *report.add_link_delays();
-    delay.set_from(from);
-    delay.set_queued_ms(static_cast<std::uint32_t>(queued.count()));
-  }
-  report.set_sent_at_ms(static_cast<std::uint64_t>(bootTime.count()));
+  AppendLinkDelays(report);
+  report.set_sent_at_ms(static_cast<std::uint64_t>(BootTime().count()));
   for (const Address& address : targets) {
     m_datagrams->Send(datagram, address);
   }
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -193,6 +193,10 @@
   void UpdateLinkDelays();
   // Logs delays between regions that have changed much.
   void LogLinkDelays();
+  // Adds for how long a report that is relayed was queued.
+  void AppendMeasurement(v1::RegionReport& aRelayed) const;
+  // Adds for how long the reports of other regions are queued.
+  void AppendLinkDelays(v1::RegionReport& aReport) const;
   void OnStagerNotice(const v1::StagerNotice& aNotice);
   void ApplyRunnerReport(RunnerState& aRunner, const v1::RunnerReport& aReport);
   void Register();
--- a/src/gateway/link_delays.cpp
+++ b/src/gateway/link_delays.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 // Clocks drift apart by a few milliseconds in two periods.
-constexpr milliseconds kBaselinePeriod{ 30000 };
+constexpr milliseconds kBaselinePeriod{ 120000 };
 // Of the loops of both processes; not a queue.
 constexpr milliseconds kSchedulingDelay{ 20 };
 // More than three intervals between two reports of one sender to one receiver.
@@ -47,6 +47,25 @@
                                     : std::min(queued, kMaxDelay);
 }
 
+// All reports that a short measurement has seen may have been queued, so while
+// one that began earlier is heard, it doesn't lower the delay.
+void
+LinkDelays::Take(Delay& aDelay,
+                 const LinkMeasurement& aLatest,
+                 milliseconds aNow)
+{
+  const milliseconds since = aNow - aLatest.m_measuredFor;
+  const bool isOutranked =
+    aNow - aDelay.m_rankedAt < kReferenceLifetime && aDelay.m_since < since;
+  const milliseconds former = isOutranked ? aDelay.m_queued : milliseconds(0);
+  aDelay.m_queued = std::min(kMaxDelay, std::max(aLatest.m_queued, former));
+  aDelay.m_at = aNow;
+  if (!isOutranked) {
+    aDelay.m_since = since;
+    aDelay.m_rankedAt = aNow;
+  }
+}
+
 void
 LinkDelays::RecordReport(const std::string& aRegion,
                          const Sender& aSender,
@@ -55,23 +74,9 @@
 {
   Region& region = m_regions[aRegion];
   Baseline& baseline = region.m_baselines[aSender.m_vm];
-  milliseconds queued =
+  const milliseconds queued =
     Measure(baseline, aSender.m_incarnation, aNow - aSentAt, aNow);
-  // All reports of a recent sender may have been queued, so while one with a
-  // longer history is heard, only that one lowers the delay.
-  const bool isHeard = !region.m_reference.empty() &&
-                       aNow - region.m_referenceAt < kReferenceLifetime;
-  const auto reference = region.m_baselines.find(region.m_reference);
-  const bool isReference =
-    !isHeard || baseline.m_firstAt <= reference->second.m_firstAt;
-  if (isReference) {
-    region.m_reference = aSender.m_vm;
-    region.m_referenceAt = aNow;
-  } else if (aNow - region.m_inboundAt < kKnowledgeLifetime) {
-    queued = std::max(queued, region.m_inbound);
-  }
-  region.m_inbound = queued;
-  region.m_inboundAt = aNow;
+  Take(region.m_measured, { queued, aNow - baseline.m_firstAt }, aNow);
   std::erase_if(region.m_baselines, [&](const auto& aEntry) {
     return aNow - aEntry.second.m_lastAt > 2 * kBaselinePeriod;
   });
@@ -79,45 +84,66 @@
 
 void
 LinkDelays::RecordRelayed(const std::string& aRegion,
-                          milliseconds aQueued,
+                          const LinkMeasurement& aMeasured,
                           milliseconds aNow)
 {
-  Region& region = m_regions[aRegion];
-  const bool measuresItself = !region.m_reference.empty() &&
-                              aNow - region.m_referenceAt < kReferenceLifetime;
-  if (!measuresItself) {
-    region.m_inbound = std::min(aQueued, kMaxDelay);
-    region.m_inboundAt = aNow;
-  }
+  Take(m_regions[aRegion].m_relayed, aMeasured, aNow);
 }
 
 void
 LinkDelays::RecordOutbound(const std::string& aRegion,
-                           milliseconds aQueued,
+                           const LinkMeasurement& aMeasured,
                            milliseconds aNow)
 {
-  Region& region = m_regions[aRegion];
-  region.m_outbound = std::min(aQueued, kMaxDelay);
-  region.m_outboundAt = aNow;
+  Take(m_regions[aRegion].m_outbound, aMeasured, aNow);
+}
+
+void
+LinkDelays::Forget(const std::string& aRegion)
+{
+  m_regions.erase(aRegion);
 }
 
 milliseconds
-LinkDelays::Inbound(const Region& aRegion, milliseconds aNow)
+LinkDelays::WithSilence(const Delay& aDelay, milliseconds aNow)
 {
-  const milliseconds silence = aNow - aRegion.m_inboundAt;
+  const milliseconds silence = aNow - aDelay.m_at;
   if (silence > kKnowledgeLifetime) {
     return milliseconds(0);
   }
   return std::min(kMaxDelay,
-                  aRegion.m_inbound +
+                  aDelay.m_queued +
                     std::max(milliseconds(0), silence - kUsualSilence));
 }
 
+// Of what is measured here and by another gateway of the region, the longer
+// measurement counts, and the recent one if the other has ceased.
+const LinkDelays::Delay&
+LinkDelays::InboundDelay(const Region& aRegion, milliseconds aNow)
+{
+  const Delay& measured = aRegion.m_measured;
+  const Delay& relayed = aRegion.m_relayed;
+  const auto isHeard = [&](const Delay& aDelay) {
+    return aNow - aDelay.m_rankedAt < kReferenceLifetime;
+  };
+  if (isHeard(measured) && isHeard(relayed)) {
+    return relayed.m_since < measured.m_since ? relayed : measured;
+  }
+  return relayed.m_at > measured.m_at ? relayed : measured;
+}
+
+milliseconds
+LinkDelays::Inbound(const Region& aRegion, milliseconds aNow)
+{
+  return WithSilence(InboundDelay(aRegion, aNow), aNow);
+}
+
 milliseconds
 LinkDelays::Outbound(const Region& aRegion, milliseconds aNow)
 {
-  return aNow - aRegion.m_outboundAt > kKnowledgeLifetime ? milliseconds(0)
-                                                          : aRegion.m_outbound;
+  const Delay& delay = aRegion.m_outbound;
+  return aNow - delay.m_at > kKnowledgeLifetime ? milliseconds(0)
+                                                : delay.m_queued;
 }
 
 milliseconds
@@ -136,14 +162,18 @@
                                   : Outbound(found->second, aNow);
 }
 
-std::map<std::string, milliseconds>
-LinkDelays::AllInbound(milliseconds aNow) const
+std::map<std::string, LinkMeasurement>
+LinkDelays::Measurements(milliseconds aNow) const
 {
-  std::map<std::string, milliseconds> delays;
+  std::map<std::string, LinkMeasurement> measurements;
   for (const auto& [name, region] : m_regions) {
-    delays[name] = Inbound(region, aNow);
+    const Delay& measured = region.m_measured;
+    if (aNow - measured.m_at <= kKnowledgeLifetime) {
+      measurements[name] = { WithSilence(measured, aNow),
+                             aNow - measured.m_since };
+    }
   }
-  return delays;
+  return measurements;
 }
 
 std::map<std::string, milliseconds>
--- a/src/gateway/link_delays_p.h
+++ b/src/gateway/link_delays_p.h
@@ -13,6 +13,13 @@
 
 namespace siskindeal {
 
+// A gateway's measurement of a link in one direction.
+struct LinkMeasurement
+{
+  std::chrono::milliseconds m_queued{ 0 };
+  std::chrono::milliseconds m_measuredFor{ 0 }; // by the same sender's reports
+};
+
 class LinkDelays
 {
 public:
@@ -31,22 +38,25 @@
                     const Sender& aSender,
                     Milliseconds aSentAt,
                     Milliseconds aNow);
-  // Records what a gateway of this region measured.
+  // Records what another gateway of this region measured of reports from a
+  // region.
   void RecordRelayed(const std::string& aRegion,
-                     Milliseconds aQueued,
+                     const LinkMeasurement& aMeasured,
                      Milliseconds aNow);
-  // Records what a region measured of datagrams from this one.
+  // Records what a gateway of another region measured of reports from this one.
   void RecordOutbound(const std::string& aRegion,
-                      Milliseconds aQueued,
+                      const LinkMeasurement& aMeasured,
                       Milliseconds aNow);
+  // Drops what is known of a region, whose reports state no time any more.
+  void Forget(const std::string& aRegion);
 
   // Time in the queue from and to a region; 0 if nothing recent is known. While
   // no report arrives, the time from a region grows, since reports may be
   // queued.
   Milliseconds Inbound(const std::string& aRegion, Milliseconds aNow) const;
   Milliseconds Outbound(const std::string& aRegion, Milliseconds aNow) const;
-  // The time from each region that reported.
-  std::map<std::string, Milliseconds> AllInbound(Milliseconds aNow) const;
+  // What this gateway itself measured lately, by region.
+  std::map<std::string, LinkMeasurement> Measurements(Milliseconds aNow) const;
   // The time to and from each region that reported.
   std::map<std::string, Milliseconds> RoundTrips(Milliseconds aNow) const;
 
@@ -63,24 +73,36 @@
     Milliseconds m_formerLeast{ 0 };
   };
 
+  static constexpr Milliseconds kNever = std::chrono::hours(-24);
+
+  struct Delay
+  {
+    Milliseconds m_queued{ 0 };
+    Milliseconds m_at{ kNever };
+    // Of the longest measurement that is heard.
+    Milliseconds m_since{ 0 };
+    Milliseconds m_rankedAt{ kNever };
+  };
+
   struct Region
   {
     std::map<std::string, Baseline> m_baselines; // by VM of the sender
-    std::string m_reference; // VM of the sender; empty: none
-    Milliseconds m_referenceAt{ 0 };
-    Milliseconds m_inbound{ 0 };
-    Milliseconds m_inboundAt{ kNever };
-    Milliseconds m_outbound{ 0 };
-    Milliseconds m_outboundAt{ kNever };
+    Delay m_measured;                            // inbound, by this gateway
+    Delay m_relayed;                             // inbound, by another one
+    Delay m_outbound;
   };
 
-  static constexpr Milliseconds kNever = std::chrono::hours(-24);
-
   // Returns for how long the report was queued.
   static Milliseconds Measure(Baseline& aBaseline,
                               std::uint64_t aIncarnation,
                               Milliseconds aDifference,
                               Milliseconds aNow);
+  static void Take(Delay& aDelay,
+                   const LinkMeasurement& aLatest,
+                   Milliseconds aNow);
+  static const Delay& InboundDelay(const Region& aRegion, Milliseconds aNow);
+  // Grows while no report arrives; 0 if nothing recent is known.
+  static Milliseconds WithSilence(const Delay& aDelay, Milliseconds aNow);
   static Milliseconds Inbound(const Region& aRegion, Milliseconds aNow);
   static Milliseconds Outbound(const Region& aRegion, Milliseconds aNow);
 
--- a/tests/link_delays_test.cpp
+++ b/tests/link_delays_test.cpp
@@ -113,18 +113,58 @@
 TEST_F(LinkDelaysTest, StandingDifferenceIsForgottenAfterTwoPeriods)
 {
   Run(milliseconds(3000));
-  for (int i = 0; i < 250; ++i, m_now += kInterval) {
+  const milliseconds start = m_now;
+  for (; m_now < start + milliseconds(110000); m_now += kInterval) {
     Report(kQueue);
   }
+  EXPECT_EQ(Inbound(), kQueue);
+  for (; m_now < start + milliseconds(245000); m_now += kInterval) {
+    Report(kQueue);
+  }
+  EXPECT_EQ(Inbound(), milliseconds(0));
+}
+
+// Its first reports may all have been queued.
+TEST_F(LinkDelaysTest, RestartedReceiverDoesNotHideAQueue)
+{
+  Report(kQueue);
+  for (int i = 0; i < 10; ++i, m_now += kInterval) {
+    m_delays.RecordRelayed("far", { kQueue, milliseconds(9000) }, m_now);
+    Report(kQueue);
+    EXPECT_EQ(Inbound(), kQueue) << i;
+  }
+}
+
+TEST_F(LinkDelaysTest, RestartedReceiverElsewhereDoesNotHideAQueue)
+{
+  for (int i = 0; i < 10; ++i, m_now += kInterval) {
+    m_delays.RecordOutbound("far", { kQueue, milliseconds(9000) }, m_now);
+    m_delays.RecordOutbound("far", { milliseconds(0), kInterval * i }, m_now);
+    EXPECT_EQ(m_delays.Outbound("far", m_now), kQueue) << i;
+  }
+}
+
+TEST_F(LinkDelaysTest, WhatAnotherGatewayMeasuredIsNotRelayedAsOwn)
+{
+  m_delays.RecordRelayed("far", { kQueue, milliseconds(9000) }, m_now);
+  EXPECT_TRUE(m_delays.Measurements(m_now).empty());
+}
+
+TEST_F(LinkDelaysTest, ReportsWithoutATimeLeaveNoDelay)
+{
+  Run(milliseconds(3000));
+  Report(kQueue);
+  m_delays.Forget("far");
+  m_now += milliseconds(2000);
   EXPECT_EQ(Inbound(), milliseconds(0));
 }
 
 TEST_F(LinkDelaysTest, RelayedMeasurementGivesWayToTheOwn)
 {
-  m_delays.RecordRelayed("far", kQueue, m_now);
+  m_delays.RecordRelayed("far", { kQueue, milliseconds(0) }, m_now);
   EXPECT_EQ(Inbound(), kQueue);
   Run(milliseconds(3000));
-  m_delays.RecordRelayed("far", kQueue, m_now);
+  m_delays.RecordRelayed("far", { kQueue, milliseconds(0) }, m_now);
   EXPECT_EQ(Inbound(), milliseconds(0));
 }
 
@@ -132,7 +172,8 @@
 {
   Run(milliseconds(3000));
   Report(kQueue);
-  m_delays.RecordOutbound("far", milliseconds(400), m_now);
+  m_delays.RecordOutbound(
+    "far", { milliseconds(400), milliseconds(3000) }, m_now);
   EXPECT_EQ(m_delays.RoundTrips(m_now).at("far"), kQueue + milliseconds(400));
   m_now += milliseconds(5001);
   EXPECT_EQ(m_delays.Outbound("far", m_now), milliseconds(0));
--- a/tests/link_placement_run_test.cpp
+++ b/tests/link_placement_run_test.cpp
@@ -170,7 +170,10 @@
     m_there.Send(m_now, [this, sentAt = m_now] {
       m_farDelays.RecordReport("kingston", { "near-1", 1 }, sentAt, m_now);
     });
-    const milliseconds told = m_farDelays.Inbound("kingston", m_now);
+    const auto measured = m_farDelays.Measurements(m_now);
+    const auto found = measured.find("kingston");
+    const LinkMeasurement told =
+      found == measured.end() ? LinkMeasurement{} : found->second;
     m_back.Send(m_now, [this, sentAt = m_now, told] {
       m_delays.RecordReport("montego", { "far-1", 1 }, sentAt, m_now);
       m_delays.RecordOutbound("montego", told, m_now);
@@ -217,16 +220,15 @@
 
 TEST(LinkPlacementRun, NoRequestIsSentToArriveAfterItsDeadline)
 {
-  int late = 0;
+  constexpr int kAllowedLate = 3; // "a few" of GONE
   int lateBlind = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     SCOPED_TRACE(seed);
-    late += World(seed, /* aUsesDelays */ true).Play(milliseconds(20000));
+    EXPECT_LE(World(seed, /* aUsesDelays */ true).Play(milliseconds(20000)),
+              kAllowedLate);
     lateBlind += World(seed, /* aUsesDelays */ false).Play(milliseconds(20000));
   }
-  RecordProperty("late", late);
-  RecordProperty("late_without_delays", lateBlind);
-  EXPECT_LT(late, lateBlind);
+  EXPECT_GT(lateBlind, 40 * kAllowedLate) << "the run doesn't test anything";
 }
 
 TEST(LinkPlacementRun, LinkWithoutAQueueIsUsedAsBefore)
