An entry answers the requests that outlast its drain

Callers of the entry role got a closed connection without an answer for a request that hadn't ended when drain.longest had passed after SIGTERM.

Cause: EntryNode::Drain only stopped waiting; the destructor closed the connections.

Evidence: Processes.RequestThatOutlastsTheDrainOfItsEntryGetsAResponse fails without this change (no status) and passes with it (504, may have run), three runs of three. The HTTP server ends what is in flight: an error where no response has begun, an abort within a stream, 503 (draining, not run) for what is in arrival; the process then waits up to 0.5 s until these are written. http, http_refusal, forward and process tests pass.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -93,6 +93,11 @@
   // Stops accepting connections. Responses in progress continue.
   void StopListening();
 
+  // Responds to the requests that have no response yet, with the verdict that
+  // they may have run, aborts responses in progress and refuses requests in
+  // arrival as not run.
+  void EndUnfinished(std::string_view aReason);
+
   // Number of requests passed to the handler whose response has not been sent.
   std::size_t InFlight() const;
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::size_t kWorkerThreads = 4;
 constexpr std::chrono::milliseconds kDrainPollInterval{ 20 };
+// For callers to take the responses that are sent at the end of a drain.
+constexpr std::chrono::milliseconds kLastResponseTimeout{ 500 };
 constexpr std::chrono::milliseconds kUnavailableRetryAfter{ 1000 };
 constexpr std::chrono::milliseconds kLeaseReleaseTimeout{ 2000 };
 constexpr std::chrono::milliseconds kTickInterval{ 20 };
@@ -206,6 +208,17 @@
   }
   m_httpServer->StopListening();
   Log(LogLevel::Info, "drained", { { "cut_off", m_httpServer->InFlight() } });
+  EndUnfinished();
+}
+
+void
+EntryNode::EndUnfinished()
+{
+  m_httpServer->EndUnfinished("this entry is stopping");
+  const auto end = m_clock.Now() + kLastResponseTimeout;
+  while (m_httpServer->InFlight() > 0 && m_clock.Now() < end) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
 }
 
 wire::NodeRecord
--- a/src/entry/entry_p.h
+++ b/src/entry/entry_p.h
@@ -30,7 +30,8 @@
 
   // Stops advertising this entry, serves callers until their GET /v1/entry
   // response has expired, rejects later requests, and returns once the
-  // in-flight requests have ended or the drain timeout has passed.
+  // in-flight requests have ended. Those that outlast the drain timeout get an
+  // error response.
   void Drain();
 
   wire::GreetReply OnGreet(const wire::GreetRequest& aRequest) override;
@@ -43,6 +44,8 @@
   void MakePlanner();
   void MakeQuarantineKeeper();
   void StopPlanning();
+  // Responds to all requests that have no response yet.
+  void EndUnfinished();
   OperatorView MakeOperatorView();
   std::string EntriesJson();
   std::string NotReadyReason() const;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -18,6 +18,7 @@
 
 // Connections over the limit that are accepted only to respond with 503.
 constexpr std::size_t kMaxExcessConnections = 64;
+constexpr int kServiceUnavailable = 503;
 
 // Builds the response to a request that is malformed or exceeds a limit.
 LocalReply
@@ -25,6 +26,12 @@
 {
   constexpr int kContentTooLarge = 413;
   constexpr int kHeaderFieldsTooLarge = 431;
+  if (aStatus == kServiceUnavailable) {
+    const Error draining(
+      Reason::Draining, Verdict::NotRun, std::string(aReason));
+    ErrorResponse response = MakeErrorResponse(draining, NewId());
+    return { std::move(response.m_fields), std::move(response.m_body) };
+  }
   const bool tooLarge =
     aStatus == kContentTooLarge || aStatus == kHeaderFieldsTooLarge;
   const Error error(tooLarge ? Reason::TooLarge : Reason::BadRequest,
@@ -113,6 +120,18 @@
     stopped.get_future().wait();
   }
 
+  void EndUnfinished(std::string_view aReason)
+  {
+    m_state->Post([state = m_state.get(), reason = std::string(aReason)] {
+      state->m_listener->RefuseIncomplete(kServiceUnavailable, reason);
+      const Error error(Reason::Timeout, Verdict::MayHaveRun, reason);
+      const std::set<HttpSession*> sessions = state->m_sessions;
+      for (HttpSession* session : sessions) {
+        session->End(error);
+      }
+    });
+  }
+
   std::uint16_t Port() const { return m_state->m_listener->Port(); }
   std::size_t InFlight() const { return m_state->m_inFlight.load(); }
 
@@ -133,6 +152,12 @@
 
 HttpServer::~HttpServer() = default;
 
+void
+HttpServer::EndUnfinished(std::string_view aReason)
+{
+  m_impl->EndUnfinished(aReason);
+}
+
 std::uint16_t
 HttpServer::Port() const
 {
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -145,6 +145,7 @@
 HttpSession::Dispatch(HttpRequest aRequest)
 {
   ++m_state->m_inFlight;
+  m_state->m_sessions.insert(this);
   m_connection->m_onDisconnect = [self = shared_from_this()] {
     self->OnDisconnected();
   };
@@ -179,6 +180,7 @@
 void
 HttpSession::OnSent()
 {
+  m_state->m_sessions.erase(this);
   --m_state->m_inFlight;
   m_connection.reset();
   const OrderedLock lock(m_mutex);
@@ -274,6 +276,13 @@
   }
 }
 
+void
+HttpSession::End(const Error& aError)
+{
+  RespondError(aError, NewId());
+  Abort();
+}
+
 void
 HttpSession::OnDisconnect(std::function<void()> aTask)
 {
--- a/src/http/session_p.h
+++ b/src/http/session_p.h
@@ -11,11 +11,14 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace siskindeal {
 
+class HttpSession;
+
 // State that a server's sessions share. Outlives the server while responders
 // exist.
 struct HttpServerState : std::enable_shared_from_this<HttpServerState>
@@ -27,6 +30,7 @@
   HttpServerLimits m_limits;
   HttpHandler m_handler;
   std::unique_ptr<HttpListener> m_listener;
+  std::set<HttpSession*> m_sessions; // in flight; loop thread only
   std::atomic<std::size_t> m_inFlight{ 0 };
   OrderedMutex m_mutex{ LockLevel::Worker };
   bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
@@ -49,6 +53,8 @@
   bool Write(std::string_view aBytes);
   void EndStream();
   void Abort();
+  // Ends the response: an error if it hasn't begun, else its abort.
+  void End(const Error& aError);
   void OnDisconnect(std::function<void()> aTask);
   // The last responder handle was released.
   void OnDropped();
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -168,6 +168,31 @@
   }
 }
 
+TEST_F(Processes, RequestThatOutlastsTheDrainOfItsEntryGetsAResponse)
+{
+  FleetOptions options;
+  options.m_entryDrain = "1s";
+  Fleet fleet(2, 0, 1, options);
+  auto& service = fleet.Service(0);
+  service.GetFaults().Set("freeze");
+  std::promise<HttpReply> ended;
+  m_client.Start(
+    MakeBookingRequest(fleet.Url("entry-1", kBookingsPath), "booking-1"),
+    [&](const HttpReply& aReply) { ended.set_value(aReply); });
+  auto reply = ended.get_future();
+  while (service.Frozen() == 0) {
+    ASSERT_EQ(reply.wait_for(kPollInterval), std::future_status::timeout);
+  }
+  auto& process = *fleet.GetVm("entry-1").m_process;
+  process.Signal(SIGTERM);
+  const HttpReply last = reply.get();
+  EXPECT_EQ(last.m_status, 504) << last.m_body;
+  EXPECT_EQ(VerdictOf(last), "may have run");
+  ASSERT_TRUE(process.EndsWithin(kTimeout)) << fleet.Logs();
+  EXPECT_EQ(process.Wait(), 0);
+  service.Unfreeze();
+}
+
 // The VMs learn that they are leaving only from the platform's list; they get
 // no signal.
 TEST_F(Processes, DrainWhenThePlatformListsThemAsLeaving)
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -174,6 +174,9 @@
            << "[lease]\nduration = \"2s\"\n";
     }
     file << "[rollout]\nstore_url = \"" << m_store->Url() << "\"\n";
+    if (!m_options.m_entryDrain.empty()) {
+      file << "[drain]\nlongest = \"" << m_options.m_entryDrain << "\"\n";
+    }
     return;
   }
   const bool model = aVm.m_service == "caddie-llm";
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -36,6 +36,7 @@
   // Otherwise the processes run with the default settings.
   bool m_shortIntervals = true;
   std::chrono::milliseconds m_vmLag{ 500 };
+  std::string m_entryDrain; // longest drain of entries; empty: the default
   standin::EngineOptions m_engine;
   standin::ServiceOptions m_service;
 };
