--- a/tests/unanswered_requests_test.cpp
+++ b/tests/unanswered_requests_test.cpp
@@ -146,7 +146,7 @@
   m_settingsFile =
     testing::TempDir() + "unanswered_" + std::to_string(getpid()) + ".toml";
   m_graceSeconds = 20;
-  m_answerLifetime = milliseconds(5000);
+  m_answerLifetime = milliseconds(500);
   AddWaitingRunner("post");
   StartAndAwaitReady();
   RawSocket socket(m_gateway->CallersPort());
@@ -156,7 +156,7 @@
   ASSERT_TRUE(Eventually([&] { return !IsReady(); }));
   WriteSettings("grace_seconds = 0.35\nanswer_lifetime = \"10ms\"\n");
   ASSERT_EQ(kill(getpid(), SIGHUP), 0);
-  // It is applied once callers' addresses count as lapsed.
+  // The listener closes once callers' addresses have lapsed.
   ASSERT_TRUE(Eventually([&] { return !AcceptsConnections(); }));
   std::this_thread::sleep_for(milliseconds(500)); // longer than the new period
   AnswerAll();
