Process soak: a preempted loader isn't taken for a program that runs

The process is now signalled once it has had 1 ms of processor time since; constructors take longer than that, so signals still arrive before main.

--- a/tests/support/deployed_site.cpp
+++ b/tests/support/deployed_site.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <stdexcept>
@@ -227,19 +228,37 @@
          aMaps.find("ld.so.cache") == std::string::npos;
 }
 
-// Before that, no code of the program has run that could handle a signal.
+// The time that a process has had on a processor.
+std::chrono::nanoseconds
+ProcessorTime(const std::string& aProc)
+{
+  return std::chrono::nanoseconds(
+    std::strtoull(ReadFile(aProc + "/schedstat").c_str(), nullptr, 10));
+}
+
+// Before that, no code of the program has run that could handle a signal. The
+// loader's last step, after it has unmapped its cache, is short but may be
+// preempted, so it is given processor time, not time.
 void
 AwaitLoaded(pid_t aProcess)
 {
   constexpr std::chrono::seconds kTimeout{ 20 };
+  constexpr std::chrono::milliseconds kLastStep{ 1 };
   const std::string proc = "/proc/" + std::to_string(aProcess);
   const auto own = std::filesystem::read_symlink("/proc/self/exe");
   const auto end = steady_clock::now() + kTimeout;
+  std::optional<std::chrono::nanoseconds> loadedAt;
   while (steady_clock::now() < end) {
     std::error_code error;
     const auto executed = std::filesystem::read_symlink(proc + "/exe", error);
-    if (error || (executed != own && IsLoaded(ReadFile(proc + "/maps")))) {
-      return; // it has ended, or runs
+    if (error) {
+      return; // it has ended
+    }
+    if (!loadedAt && executed != own && IsLoaded(ReadFile(proc + "/maps"))) {
+      loadedAt = ProcessorTime(proc);
+    }
+    if (loadedAt && ProcessorTime(proc) - *loadedAt >= kLastStep) {
+      return;
     }
     std::this_thread::yield();
   }
