A connection whose request couldn't be written isn't reused after its response

If the loop runs the write's handler first, the connection no longer counted as writing when the response ended, so it went back to the pool. The next call would have found it closed; callers lost nothing but a connection. The request counts as unwritten now.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -145,7 +145,9 @@
     m_socket,
     buffers,
     [self = shared_from_this()](const NetError& aError, std::size_t) {
-      self->m_writing = false;
+      // After an error the request stays unwritten, so that the connection
+      // isn't reused if its response ends first.
+      self->m_writing = static_cast<bool>(aError);
       // A response may arrive before the body is written, so a write error
       // fails the call only while no read is pending.
       if (aError && self->m_inCall && !self->m_closed && !self->m_reading) {
