Log rejected attempts, errors that are retried, and retries that the budget denies

A request's runs couldn't be read from the log: an attempt that its runner rejected or answered with an error left no line, nor did a retry that the shared budget denied. Lines now carry the start of the runner, the number of the send, and how many executions count of how many allowed. No decision changes.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -38,8 +38,8 @@
   DropExpired(window, aNow);
 }
 
-bool
-SharedRetryBudget::Allows(const std::string& aService, MonotonicTime aNow)
+RetryUsage
+SharedRetryBudget::Usage(const std::string& aService, MonotonicTime aNow)
 {
   Window& window = m_windows[aService];
   DropExpired(window, aNow);
@@ -51,7 +51,16 @@
     kUsableShare *
     (m_allowance.m_ratio * static_cast<double>(window.m_requests.size()) +
      ownSlack);
-  return static_cast<double>(window.m_retries.size()) + 1 <= allowed;
+  return {
+    window.m_requests.size(), window.m_retries.size(), allowed, m_gatewayCount
+  };
+}
+
+bool
+SharedRetryBudget::Allows(const std::string& aService, MonotonicTime aNow)
+{
+  const RetryUsage usage = Usage(aService, aNow);
+  return static_cast<double>(usage.m_retries) + 1 <= usage.m_allowed;
 }
 
 bool
--- a/src/dispatch/retry_budget_p.h
+++ b/src/dispatch/retry_budget_p.h
@@ -18,11 +18,24 @@
   double m_slack = 10; // further retries, shared by all gateways
 };
 
+// What a gateway has used of the allowance for a service, in the window.
+struct RetryUsage
+{
+  std::size_t m_requests = 0;
+  std::size_t m_retries = 0;
+  double m_allowed = 0;       // retries
+  std::size_t m_gateways = 0; // that share the slack; 0: unknown
+};
+
 class SharedRetryBudget
 {
 public:
-  explicit SharedRetryBudget(const RetryAllowance& aAllowance)
+  // aStartedAt: when this gateway's process started. Retries of a former
+  // process in the window before aren't known.
+  explicit SharedRetryBudget(const RetryAllowance& aAllowance,
+                             MonotonicTime aStartedAt = {})
     : m_allowance(aAllowance)
+    , m_startedAt(aStartedAt)
   {
   }
 
@@ -34,6 +47,7 @@
   // Keeps the largest count seen.
   void SetGatewayCount(std::size_t aCount);
   void RecordRequest(const std::string& aService, MonotonicTime aNow);
+  RetryUsage Usage(const std::string& aService, MonotonicTime aNow);
   // Whether the budget allows one more retry now.
   bool Allows(const std::string& aService, MonotonicTime aNow);
   // Counts one more retry and returns true if the budget allows it.
@@ -49,6 +63,7 @@
   void DropExpired(Window& aWindow, MonotonicTime aNow) const;
 
   RetryAllowance m_allowance;
+  MonotonicTime m_startedAt;
   std::size_t m_gatewayCount = 0; // 0: unknown
   std::map<std::string, Window> m_windows;
 };
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -308,6 +308,7 @@
   m_linkDelay = aPlacement.m_linkDelay;
   m_latest = std::make_shared<RunnerAttempt>();
   m_latest->m_connection = connection;
+  m_latest->m_number = m_sends;
   m_openAttempts.push_back(m_latest);
   m_latest->m_runner = aRunner.m_record.Incarnation();
   m_latest->m_address = aRunner.m_record.m_address;
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/caller_exchange_p.h"
 #include "kernel/contain_p.h"
+#include "siskindeal/metrics.h"
 
 #include <absl/strings/numbers.h>
 
@@ -377,6 +378,7 @@
 {
   const int status = aAttempt.m_head.m_status;
   m_lastReason = "runner responded with status " + std::to_string(status);
+  LogAttempt("attempt failed", aAttempt, true);
   if (!PromisesNotExecuted(status)) {
     m_failedAttempt = aAttempt.shared_from_this();
   }
@@ -384,8 +386,7 @@
     return; // another runner may still respond
   }
   if (status / 100 == 5 && m_route->IsRetryable() &&
-      m_executions < m_route->m_maxAttempts &&
-      m_gateway.Retries().TakeRetry(m_service, LoopNow())) {
+      m_executions < m_route->m_maxAttempts && TakeRetry()) {
     Dispatch();
     return;
   }
@@ -399,6 +400,7 @@
   const int status = aAttempt.m_head.m_status;
   m_lastReason =
     "runner rejected the request with status " + std::to_string(status);
+  LogAttempt("attempt rejected", aAttempt, false);
   if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner)) {
     constexpr milliseconds kRefusalAvoidance{ 150 };
     runner->m_avoidUntil =
@@ -411,8 +413,7 @@
     Refuse(kBadRequest, "runner rejected the request", milliseconds(0));
     return;
   }
-  if (m_sends < kMaxSends &&
-      m_gateway.Retries().TakeRetry(m_service, LoopNow())) {
+  if (m_sends < kMaxSends && TakeRetry()) {
     Dispatch();
     return;
   }
@@ -436,6 +437,27 @@
          (m_lastEventId.has_value() && !m_hasUnnumberedEvents);
 }
 
+bool
+CallerExchange::TakeRetry()
+{
+  const MonotonicTime now = LoopNow();
+  if (m_gateway.Retries().TakeRetry(m_service, now)) {
+    return true;
+  }
+  const RetryUsage usage = m_gateway.Retries().Usage(m_service, now);
+  CountMetric("siskindeal_gateway_retries_denied_total");
+  m_gateway.LogRequest(LogLevel::Info,
+                       "retry denied",
+                       { { "id", m_id },
+                         { "service", m_service },
+                         { "sends", m_sends },
+                         { "window_requests", usage.m_requests },
+                         { "window_retries", usage.m_retries },
+                         { "allowed", usage.m_allowed },
+                         { "gateways", usage.m_gateways } });
+  return false;
+}
+
 bool
 CallerExchange::MayRetry(CallFailure aFailure)
 {
@@ -451,8 +473,30 @@
   const std::uint32_t maxAttempts = m_phase == Phase::Streaming
                                       ? m_route->m_maxAttempts + 1
                                       : m_route->m_maxAttempts;
-  return m_route->IsRetryable() && m_executions < maxAttempts &&
-         m_gateway.Retries().TakeRetry(m_service, LoopNow());
+  return m_route->IsRetryable() && m_executions < maxAttempts && TakeRetry();
+}
+
+void
+CallerExchange::LogAttempt(std::string_view aEvent,
+                           const RunnerAttempt& aAttempt,
+                           bool aMayHaveRun)
+{
+  m_gateway.LogRequest(LogLevel::Info,
+                       aEvent,
+                       { { "id", m_id },
+                         { "runner", aAttempt.m_runner.m_id },
+                         { "runner_start", aAttempt.m_runner.Start() },
+                         { "address", aAttempt.m_address.ToString() },
+                         { "reason", m_lastReason },
+                         { "status", aAttempt.m_head.m_status },
+                         { "may_have_run", aMayHaveRun },
+                         { "send", aAttempt.m_number },
+                         { "executions", m_executions },
+                         { "max_attempts", m_route->m_maxAttempts },
+                         { "events", m_eventCount },
+                         { "region", aAttempt.m_region },
+                         { "link_delay_ms", aAttempt.m_linkDelay.count() },
+                         { "open_attempts", m_openAttempts.size() } });
 }
 
 void
@@ -467,17 +511,7 @@
     m_mayHaveRun = true;
     ++m_executions;
   }
-  m_gateway.LogRequest(
-    LogLevel::Info,
-    "attempt failed",
-    { { "id", m_id },
-      { "runner", aAttempt.m_runner.m_id },
-      { "reason", aReason },
-      { "may_have_run", aFailure == CallFailure::MayHaveRun },
-      { "events", m_eventCount },
-      { "region", aAttempt.m_region },
-      { "link_delay_ms", aAttempt.m_linkDelay.count() },
-      { "open_attempts", m_openAttempts.size() } });
+  LogAttempt("attempt failed", aAttempt, aFailure == CallFailure::MayHaveRun);
   if (!m_openAttempts.empty()) {
     return; // another runner may still respond
   }
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -106,6 +106,12 @@
                        CallFailure aFailure,
                        const std::string& aReason,
                        RunnerHealth aHealth = RunnerHealth::Failed);
+  // Logs how an attempt ended that doesn't answer the request.
+  void LogAttempt(std::string_view aEvent,
+                  const RunnerAttempt& aAttempt,
+                  bool aMayHaveRun);
+  // Draws one further send from the budget that all gateways share.
+  bool TakeRetry();
   bool MayRetry(CallFailure aFailure);
   // Whether another runner can go on where the stream has got to, if it has
   // begun: without event ids, a second run can't be told from a repetition.
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -17,6 +17,7 @@
 struct RunnerAttempt : std::enable_shared_from_this<RunnerAttempt>
 {
   std::shared_ptr<HttpConnection> m_connection;
+  std::uint32_t m_number = 0; // among the request's sends, from 1
   RunnerIncarnation m_runner;
   Address m_address;
   std::chrono::milliseconds m_predicted{ 0 }; // to the first byte
