Messages of a process stay within a quarter of its memory

What callers saw: a runner that sends bytes without end, in bodies, events or comments, makes the gateway hold them for every request at once, until its VM's memory ends the process, and all requests with it. With comments, or informational heads, the loop was so busy that requests to sound runners got no answer.

Cause: each response had a bound, their sum had none; a comment of three bytes cost an event, a copy, a search of all that followed it and a chunk to the caller; each informational head cost a parser.

Change: connections, attempts and buffered calls of a loop draw on one budget, a quarter of the memory that the settings state (the VM's, if they don't). What exceeds it is ended, the largest first: a response is broken off and its runner avoided, a request in arrival is refused with 503, a response that its caller doesn't read is reset; a request that may run is left alone. Comments in a row are one event, at most 64 KiB of them follow each other; events are found in one pass; 64 informational responses are read at most.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -70,6 +71,8 @@
   std::size_t m_bodyBytes = 1 << 20;
   std::size_t m_headerBytes = 16 << 10;
   std::size_t m_connections = 1024;
+  // Of requests in arrival and responses not written yet, over all connections.
+  std::size_t m_messageBytes = std::numeric_limits<std::size_t>::max();
   std::chrono::seconds m_idleTimeout{ 60 };
 };
 
--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -37,6 +37,7 @@
   Address m_http;      // entries: callers; agents: metrics, health and state
   std::string m_logLevel = "info";
   std::vector<Address> m_entries; // contacted at startup; may include itself
+  double m_memoryMegabytes = 0;   // that the process may use; 0: the VM's
 
   bool operator==(const NodeSettings&) const = default;
 };
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,5 +1,6 @@
 #include "agent_p.h"
 
+#include "net/memory_budget_p.h"
 #include "node/answer_p.h"
 #include "node/process_p.h"
 #include "quarantine/quarantine_keeper_p.h"
@@ -117,6 +118,7 @@
   }
   HttpServerLimits limits;
   limits.m_connections = kMaxHttpConnections;
+  limits.m_messageBytes = MessageMemory(m_settings.m_node);
   m_httpServer = std::make_unique<HttpServer>(
     m_settings.m_node.m_http.m_host,
     m_settings.m_node.m_http.m_port,
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry_p.h"
 
+#include "net/memory_budget_p.h"
 #include "node/answer_p.h"
 #include "node/process_p.h"
 #include "siskindeal/digest.h"
@@ -28,12 +29,13 @@
 constexpr std::size_t kMaxAdvertisedEntries = 16;
 
 HttpServerLimits
-MakeServerLimits(const HttpSettings& aSettings)
+MakeServerLimits(const EntrySettings& aSettings)
 {
   HttpServerLimits limits;
-  limits.m_bodyBytes = aSettings.m_bodyBytes;
-  limits.m_headerBytes = aSettings.m_headerBytes;
-  limits.m_connections = aSettings.m_connections;
+  limits.m_bodyBytes = aSettings.m_http.m_bodyBytes;
+  limits.m_headerBytes = aSettings.m_http.m_headerBytes;
+  limits.m_connections = aSettings.m_http.m_connections;
+  limits.m_messageBytes = MessageMemory(aSettings.m_node);
   return limits;
 }
 
@@ -78,7 +80,7 @@
   m_httpServer = std::make_unique<HttpServer>(
     m_settings.m_node.m_http.m_host,
     m_settings.m_node.m_http.m_port,
-    MakeServerLimits(m_settings.m_http),
+    MakeServerLimits(m_settings),
     [this](const HttpRequest& aRequest,
            const std::shared_ptr<HttpResponder>& aResponder) {
       HandleHttp(aRequest, aResponder);
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -309,6 +309,14 @@
   m_latest = std::make_shared<RunnerAttempt>();
   m_latest->m_connection = connection;
   m_latest->m_number = m_sends;
+  m_latest->m_memory.emplace(
+    m_gateway.EventLoop(),
+    "runner response",
+    [weak = weak_from_this(), attempt = std::weak_ptr(m_latest)] {
+      const auto self = weak.lock();
+      const auto held = attempt.lock();
+      return self && held && self->BreakOff(*held);
+    });
   m_openAttempts.push_back(m_latest);
   m_latest->m_runner = aRunner.m_record.Incarnation();
   m_latest->m_address = aRunner.m_record.m_address;
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -22,6 +22,8 @@
 // doesn't exhaust the gateway's memory.
 constexpr std::size_t kMaxAnswerBytes = 4 << 20;
 constexpr std::size_t kMaxEventBytes = 1 << 20;
+// Between two events; comments keep a connection alive, or never end.
+constexpr std::size_t kMaxCommentBytes = 64 << 10;
 // Of events that a resumed stream repeats.
 constexpr std::size_t kMaxRepeatedBytes = 4 << 20;
 
@@ -125,6 +127,7 @@
   if (!aAttempt.m_isEventStream) {
     aAttempt.m_lastProgress = LoopNow();
     aAttempt.m_body += aBody.m_bytes;
+    aAttempt.CountMemory();
     if (aAttempt.m_body.size() > kMaxAnswerBytes) {
       AbandonAttempt(aAttempt, "response too large");
     }
@@ -136,8 +139,10 @@
       return;
     }
   }
+  aAttempt.CountMemory();
   if (aAttempt.m_splitter.PendingBytes() > kMaxEventBytes ||
-      aAttempt.m_repeatedBytes > kMaxRepeatedBytes) {
+      aAttempt.m_repeatedBytes > kMaxRepeatedBytes ||
+      aAttempt.m_commentBytes > kMaxCommentBytes) {
     AbandonAttempt(aAttempt, "stream without new events");
   }
 }
@@ -150,6 +155,21 @@
   OnAttemptFailed(aAttempt, CallFailure::MayHaveRun, aReason);
 }
 
+bool
+CallerExchange::BreakOff(RunnerAttempt& aAttempt)
+{
+  if (IsOpen(aAttempt)) {
+    Guard([&] { AbandonAttempt(aAttempt, std::string(kOutOfMessageMemory)); });
+    return true;
+  }
+  if (m_failedAttempt.get() != &aAttempt) {
+    return false;
+  }
+  aAttempt.DropResponse();
+  m_failedAttempt.reset();
+  return true;
+}
+
 void
 CallerExchange::OnEvent(RunnerAttempt& aAttempt, const StreamEvent& aEvent)
 {
@@ -157,6 +177,8 @@
     AbandonAttempt(aAttempt, "bytes in the stream are no event");
     return;
   }
+  aAttempt.m_commentBytes =
+    aEvent.m_hasFields ? 0 : aAttempt.m_commentBytes + aEvent.m_bytes.size();
   const bool isContinuation =
     m_phase == Phase::Streaming && m_forwarded.get() != &aAttempt;
   if (isContinuation && !aEvent.m_id) {
@@ -506,6 +528,7 @@
                                 RunnerHealth aHealth)
 {
   EndAttempt(aAttempt, aHealth);
+  aAttempt.DropResponse();
   m_lastReason = aReason;
   if (aFailure == CallFailure::MayHaveRun) {
     m_mayHaveRun = true;
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -94,6 +94,9 @@
   void OnStreamEnd(RunnerAttempt& aAttempt);
   // Closes an attempt's connection; the attempt failed.
   void AbandonAttempt(RunnerAttempt& aAttempt, const std::string& aReason);
+  // Drops what has arrived from a runner, to save memory. Returns false if the
+  // response is on its way to the caller.
+  bool BreakOff(RunnerAttempt& aAttempt);
   // Health of a runner, as judged from the end of an attempt.
   enum class RunnerHealth
   {
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -64,16 +64,27 @@
   return std::nullopt;
 }
 
-// End of the first complete event; npos if there is none.
-std::size_t
-EndOfEvent(std::string_view aBytes)
+// Whether an event ends with the line break at aAt: "\n\n" or "\r\n\r\n". Sets
+// aEnd to the position after it.
+bool
+EndsEvent(std::string_view aBytes, std::size_t aAt, std::size_t& aEnd)
 {
-  const auto lf = aBytes.find("\n\n");
-  const auto crlf = aBytes.find("\r\n\r\n");
-  if (lf == std::string_view::npos && crlf == std::string_view::npos) {
-    return std::string_view::npos;
+  if (aBytes.substr(aAt, 2) == "\n\n") {
+    aEnd = aAt + 2;
+    return true;
+  }
+  if (aAt > 0 && aBytes.substr(aAt - 1, 4) == "\r\n\r\n") {
+    aEnd = aAt + 3;
+    return true;
   }
-  return lf < crlf ? lf + 2 : crlf + 4;
+  return false;
+}
+
+// Whether an event consists of comments and empty lines.
+bool
+HasOnlyComments(const StreamEvent& aEvent)
+{
+  return aEvent.m_isWellFormed && !aEvent.m_hasFields;
 }
 
 } // namespace
@@ -81,21 +92,38 @@
 std::vector<StreamEvent>
 EventSplitter::Feed(std::string_view aBytes)
 {
+  // The last bytes may begin an event's end that was incomplete.
+  constexpr std::size_t kEndBytes = 3;
+  std::size_t next = m_pending.size() - std::min(m_pending.size(), kEndBytes);
   m_pending += aBytes;
+  const std::string_view bytes = m_pending;
   std::vector<StreamEvent> events;
-  std::string_view rest = m_pending;
-  for (;;) {
-    const auto end = EndOfEvent(rest);
-    if (end == std::string_view::npos) {
-      break;
+  std::size_t begin = 0;
+  while ((next = bytes.find('\n', next)) != std::string_view::npos) {
+    std::size_t end = 0;
+    if (!EndsEvent(bytes, next, end)) {
+      ++next;
+      continue;
     }
-    const std::string_view event = rest.substr(0, end);
-    events.push_back({ std::string(event), EventId(event) });
-    CheckLines(events.back());
-    rest.remove_prefix(end);
+    Add(bytes.substr(begin, end - begin), events);
+    begin = next = end;
   }
-  m_pending.erase(0, m_pending.size() - rest.size());
+  m_pending.erase(0, begin);
   return events;
 }
 
+void
+EventSplitter::Add(std::string_view aBytes, std::vector<StreamEvent>& aEvents)
+{
+  StreamEvent event{ std::string(aBytes), EventId(aBytes) };
+  CheckLines(event);
+  // Comments in a row are one event, since a peer may send them without end.
+  if (!aEvents.empty() && HasOnlyComments(event) &&
+      HasOnlyComments(aEvents.back())) {
+    aEvents.back().m_bytes += event.m_bytes;
+    return;
+  }
+  aEvents.push_back(std::move(event));
+}
+
 } // namespace siskindeal
--- a/src/gateway/event_splitter_p.h
+++ b/src/gateway/event_splitter_p.h
@@ -21,13 +21,16 @@
 class EventSplitter
 {
 public:
-  // Appends aBytes and returns the events that are now complete.
+  // Appends aBytes and returns the events that are now complete. Comments that
+  // follow each other are one event.
   std::vector<StreamEvent> Feed(std::string_view aBytes);
 
   // Number of bytes buffered for an incomplete event.
   std::size_t PendingBytes() const { return m_pending.size(); }
 
 private:
+  static void Add(std::string_view aBytes, std::vector<StreamEvent>& aEvents);
+
   std::string m_pending;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -92,6 +92,7 @@
   , m_reloadTimer(m_loop)
   , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
+  MemoryBudget::Of(m_loop).SetLimit(MessageMemory(m_settings.m_node));
   m_callerListener = std::make_unique<HttpListener>(
     m_loop, m_settings.m_node.m_http, [this](const auto& aConnection) {
       std::make_shared<CallerExchange>(*this, aConnection)->Start();
@@ -270,6 +271,8 @@
     SendLoadChanges();
   }
   if (m_ticks % kTicksPerSecond == 0) {
+    SetMetric("siskindeal_message_bytes",
+              static_cast<double>(MemoryBudget::Of(m_loop).Held()));
     SendToStagers();
     UpdateGatewayFeed();
     UpdateGatewayCount();
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -75,6 +75,7 @@
   // Whether a request may be sent in view of the parts of its prompt.
   PartDecision DecideParts(const std::vector<PromptPart>& aParts) const;
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
+  Loop& EventLoop() { return m_loop; }
   Random& Rng() { return m_random; }
   RouteDurations& Durations() { return m_durations; }
   // Whether a request of the route that begins now is answered before a planned
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -4,6 +4,7 @@
 #include "dispatch/placement_p.h"
 #include "gateway/event_splitter_p.h"
 #include "net/http_connection_p.h"
+#include "net/memory_budget_p.h"
 #include "siskindeal/clock.h"
 #include "siskindeal/site.h"
 
@@ -39,8 +40,24 @@
   EventSplitter m_splitter;
   std::size_t m_receivedBytes = 0; // of the body
   std::size_t m_repeatedBytes = 0; // since the last event that was new
+  std::size_t m_commentBytes = 0;  // since the last event
   std::string m_heldEvents; // without an id, while another attempt may go on
-  bool m_isHedged = false;  // the request was sent to another runner too
+  std::optional<MemoryBudget::Account> m_memory; // of the body and events
+  bool m_isHedged = false; // the request was sent to another runner too
+
+  void CountMemory()
+  {
+    m_memory->Set(m_body.capacity() + m_heldEvents.capacity() +
+                  m_splitter.PendingBytes());
+  }
+  // Drops what has arrived of a response that isn't used.
+  void DropResponse()
+  {
+    m_body = {};
+    m_heldEvents = {};
+    m_splitter = {};
+    CountMemory();
+  }
 };
 
 using RunnerAttemptPtr = std::shared_ptr<RunnerAttempt>;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -27,9 +27,11 @@
   constexpr int kContentTooLarge = 413;
   constexpr int kHeaderFieldsTooLarge = 431;
   if (aStatus == kServiceUnavailable) {
-    const Error draining(
-      Reason::Draining, Verdict::NotRun, std::string(aReason));
-    ErrorResponse response = MakeErrorResponse(draining, NewId());
+    const Error error(aReason == kOutOfMessageMemory ? Reason::Overloaded
+                                                     : Reason::Draining,
+                      Verdict::NotRun,
+                      std::string(aReason));
+    ErrorResponse response = MakeErrorResponse(error, NewId());
     return { std::move(response.m_fields), std::move(response.m_body) };
   }
   const bool tooLarge =
@@ -78,6 +80,7 @@
   {
     m_state->m_limits = aLimits;
     m_state->m_handler = std::move(aHandler);
+    MemoryBudget::Of(m_state->m_loop).SetLimit(aLimits.m_messageBytes);
     m_state->m_listener = Listen(aHost, aPort, m_state);
     HttpListener& listener = *m_state->m_listener;
     listener.m_limits.m_headerBytes = aLimits.m_headerBytes;
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -99,6 +99,17 @@
 
   void Begin(OutgoingCall aCall, milliseconds aTimeout)
   {
+    m_memory.emplace(m_timer.get_executor().context(),
+                     "buffered response",
+                     [weak = weak_from_this()] {
+                       const auto self = weak.lock();
+                       if (self && self->m_done) {
+                         self->m_connection->Abort();
+                         self->Finish(std::string(kOutOfMessageMemory));
+                         return true;
+                       }
+                       return false;
+                     });
     m_begin = std::chrono::steady_clock::now();
     m_end = m_begin + aTimeout + kMaxExtra;
     ArmTimer(aTimeout);
@@ -138,6 +149,7 @@
   void On(const ResponseBodyPart& aBody)
   {
     m_answer.m_body += aBody.m_bytes;
+    m_memory->Set(m_answer.m_body.capacity());
     if (m_answer.m_body.size() > kMaxBufferedBytes) {
       m_connection->Abort();
       Finish("response too large");
@@ -168,6 +180,7 @@
   void Finish(std::string aFailure)
   {
     m_timer.cancel();
+    m_memory->Set(0); // what the receiver keeps is its own
     if (!aFailure.empty()) {
       m_answer.m_status = 0;
       m_answer.m_failure = std::move(aFailure);
@@ -187,6 +200,7 @@
   std::function<void(BufferedResponse)> m_done;
   std::shared_ptr<HttpConnection> m_connection;
   BufferedResponse m_answer;
+  std::optional<MemoryBudget::Account> m_memory; // of the body
 };
 
 } // namespace
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -25,8 +25,10 @@
 
 constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
 constexpr std::uint64_t kMaxBodyBytes = 256ULL << 20;
-// Of informational responses and those to earlier calls.
+// Of informational responses and those to earlier calls. Each takes a parser of
+// its own, so that short ones without end would keep the loop busy.
 constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
+constexpr std::size_t kMaxDiscardedResponses = 64;
 // Share of the upstream's keep-alive timeout for which an idle connection is
 // reused, so that a call does not race with the upstream's close.
 constexpr double kIdleShare = 0.6;
@@ -80,6 +82,14 @@
   m_sentAny = false;
   m_paused = false;
   m_discardedBytes = 0;
+  m_discardedResponses = 0;
+  m_memory.emplace(m_loop, "response in arrival", [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self) {
+      self->Fail(std::string(kOutOfMessageMemory));
+    }
+    return self != nullptr;
+  });
   NewParser();
   if (!m_connected) {
     Connect(aConnectTimeout);
@@ -190,6 +200,7 @@
   if (m_closed || !m_inCall) {
     return;
   }
+  CountMemory();
   if (!aError) {
     Read();
     return;
@@ -242,18 +253,16 @@
         return;
       }
     }
-    if (!m_parser->m_body.empty()) {
-      m_chunk.swap(m_parser->m_body);
-      m_parser->m_body.clear();
-      if (!m_discardResponse) {
-        Emit(ResponseBodyPart{ m_chunk });
-      }
-    }
+    EmitBody();
     if (m_closed || !m_inCall) {
       return;
     }
     if (m_parser->is_done()) {
       if (m_discardResponse || m_parser->m_status / 100 == 1) {
+        if (++m_discardedResponses > kMaxDiscardedResponses) {
+          Fail("too many responses that answer no request");
+          return;
+        }
         NewParser();
         continue;
       }
@@ -269,6 +278,28 @@
   }
 }
 
+void
+HttpConnection::EmitBody()
+{
+  if (m_parser->m_body.empty()) {
+    return;
+  }
+  const std::string part = std::exchange(m_parser->m_body, {});
+  if (!m_discardResponse) {
+    Emit(ResponseBodyPart{ part });
+  }
+}
+
+void
+HttpConnection::CountMemory()
+{
+  if (m_in.empty()) {
+    m_in = {};
+  }
+  constexpr std::size_t kFieldCopies = 2; // the parser's and the receiver's
+  m_memory->Set(m_in.capacity() + m_parser->m_fields.Bytes() * kFieldCopies);
+}
+
 void
 HttpConnection::OnHead()
 {
@@ -341,6 +372,7 @@
   m_idleSince = std::chrono::steady_clock::now();
   m_parser.reset();
   m_in = {};
+  m_memory.reset();
   if (!keep) {
     Close();
   } else {
@@ -422,6 +454,7 @@
   }
   m_closed = true;
   m_reusable = false;
+  m_memory.reset();
   NetError ignored;
   m_timer.cancel(ignored);
   m_socket.close(ignored);
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -4,6 +4,7 @@
 
 #include "net/http_fields_p.h"
 #include "net/loop_p.h"
+#include "net/memory_budget_p.h"
 
 #include <functional>
 #include <map>
@@ -102,6 +103,10 @@
   void Read();
   void OnRead(const NetError& aError);
   void Parse();
+  // Passes on what the parser has of the body. Keeps no buffer for the next
+  // part.
+  void EmitBody();
+  void CountMemory();
   void NewParser();
   void OnHead();
   // Whether a response belongs to the present call.
@@ -121,7 +126,6 @@
   CallEventHandler m_events;
   std::unique_ptr<Parser> m_parser;
   std::string m_in;
-  std::string m_chunk;
   std::chrono::milliseconds m_idleLimit;
   MonotonicClockPoint m_idleSince;
   bool m_inCall = false;
@@ -134,8 +138,10 @@
   bool m_discardResponse = false; // informational, or of an earlier call
   bool m_hasDiscarded = false;    // a final response
   bool m_hasCarriedCall = false;  // before the present one
-  std::size_t m_discardedBytes = 0;
+  std::size_t m_discardedBytes = 0; // in this call, as the next
+  std::size_t m_discardedResponses = 0;
   bool m_closed = false;
+  std::optional<MemoryBudget::Account> m_memory; // of input, during a call
 };
 
 // Idle connections by remote address, kept for reuse.
--- a/src/net/http_fields_p.h
+++ b/src/net/http_fields_p.h
@@ -24,6 +24,16 @@
     return m_fields;
   }
 
+  // Total length of names and values.
+  std::size_t Bytes() const
+  {
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : m_fields) {
+      bytes += name.size() + value.size();
+    }
+    return bytes;
+  }
+
 private:
   std::vector<std::pair<std::string, std::string>> m_fields;
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -72,6 +72,11 @@
 {
   m_listener.m_connections.insert(this);
   PrepareSocket(m_socket, kPeerSilenceTimeout);
+  m_memory.emplace(
+    m_listener.m_loop, "caller connection", [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      return self && self->BreakOff();
+    });
   AwaitInput();
   Read();
 }
@@ -117,9 +122,41 @@
   } else if (!m_inRequest) {
     Parse();
   }
+  CountMemory();
   Read();
 }
 
+void
+ServerConnection::CountMemory()
+{
+  // Of the body: this connection's, and those that its handler keeps and sends.
+  constexpr std::size_t kBodyCopies = 3;
+  if (!m_memory) {
+    return;
+  }
+  if (m_in.empty()) {
+    m_in = {};
+  }
+  const std::size_t arriving = m_parser ? m_parser->m_body.capacity() : 0;
+  m_memory->Set(m_in.capacity() + m_out.capacity() + m_outWriting.capacity() +
+                arriving + m_request.m_body.size() * kBodyCopies);
+}
+
+bool
+ServerConnection::BreakOff()
+{
+  if (m_parser && !m_closing) {
+    RecordEnd(ConnectionEnd::OutOfMemory);
+    Refuse(503, kOutOfMessageMemory);
+    return true;
+  }
+  if (Unsent() == 0) {
+    return false; // a request that may run already
+  }
+  Disconnect(ConnectionEnd::OutOfMemory);
+  return true;
+}
+
 void
 ServerConnection::Parse()
 {
@@ -348,6 +385,7 @@
     return;
   }
   m_outWriting.swap(m_out);
+  CountMemory();
   boost::asio::async_write(
     m_socket,
     boost::asio::buffer(m_outWriting),
@@ -357,6 +395,7 @@
         self->Disconnect(WriteFailure(aError));
         return;
       }
+      self->CountMemory();
       self->Write();
       if (self->m_outWriting.empty() && self->m_onDrained) {
         const auto onDrained = self->m_onDrained;
--- a/src/net/http_server_close.cpp
+++ b/src/net/http_server_close.cpp
@@ -40,6 +40,8 @@
       return "shutdown";
     case ConnectionEnd::TooManyConnections:
       return "too many connections";
+    case ConnectionEnd::OutOfMemory:
+      return "out of message memory";
   }
   return "unknown";
 }
@@ -267,6 +269,7 @@
   }
   RecordEnd(aReason);
   m_closed = true;
+  m_memory.reset();
   m_onDrained = nullptr;
   m_listener.m_connections.erase(this);
   NotifySent();
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -5,6 +5,7 @@
 
 #include "net/http_fields_p.h"
 #include "net/loop_p.h"
+#include "net/memory_budget_p.h"
 #include "siskindeal/site.h"
 
 #include <functional>
@@ -44,6 +45,7 @@
   ResponseAborted,
   Shutdown,
   TooManyConnections,
+  OutOfMemory, // for messages
 };
 
 // Fields and body of a response that the listener generates itself.
@@ -131,6 +133,11 @@
   void FinishResponse();
   // Begins to wait for a request or for the rest of one.
   void AwaitInput();
+  // Counts what the connection holds of a request and its response.
+  void CountMemory();
+  // Refuses the request that is in arrival, or ends a response that the caller
+  // doesn't read. Returns false if the connection holds neither.
+  bool BreakOff();
   // The time allowed for that, by the present limits.
   std::chrono::milliseconds InputTimeout() const;
   void ArmTimer(std::chrono::milliseconds aTimeout);
@@ -154,6 +161,7 @@
   std::string m_in;
   std::string m_out;
   std::string m_outWriting;
+  std::optional<MemoryBudget::Account> m_memory; // of an open connection
   bool m_reading = false;
   bool m_inRequest = false;
   bool m_keepAlive = true;
--- a/src/settings/schema_rows.cpp
+++ b/src/settings/schema_rows.cpp
@@ -48,6 +48,13 @@
       "entries",
       &aNode.m_entries,
       "rpc addresses of entries to contact first; its own is allowed" },
+    { "node",
+      "memory_megabytes",
+      &aNode.m_memoryMegabytes,
+      "memory that the process may use, a quarter of it for messages; 0: what "
+      "the VM has",
+      Presence::Optional,
+      kAnySize },
   };
 }
 
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -70,6 +70,7 @@
   , m_ticker(m_loop)
   , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
+  MemoryBudget::Of(m_loop).SetLimit(MessageMemory(m_settings.m_node));
   m_httpListener = std::make_unique<HttpListener>(
     m_loop, m_settings.m_node.m_rpc, [this](const auto& aConnection) {
       ServeRequest(aConnection);
--- a/tests/support/deployed_site.cpp
+++ b/tests/support/deployed_site.cpp
@@ -307,6 +307,9 @@
                { "platform", { { "address", aOptions.m_store.ToString() } } },
                { "zone", "here" },
                { "zones", { { "here", "home" }, { "there", "away" } } } };
+  if (aOptions.m_memoryMegabytes > 0) {
+    m_common["limits"]["memory_mb"] = aOptions.m_memoryMegabytes;
+  }
   for (std::size_t i = 0; i < aOptions.m_gateways; ++i) {
     AddVm("gateway", json::object());
   }
--- a/tests/support/deployed_site.h
+++ b/tests/support/deployed_site.h
@@ -63,6 +63,7 @@
   std::vector<Address> m_stagedRunners; // one stager for each
   std::string m_stagedService;
   std::chrono::seconds m_grace{ 3 };
+  std::size_t m_memoryMegabytes = 0; // of each VM; 0: not stated
 };
 
 class DeployedSite
