A runner counts towards max_attempts unless it is known to have ended

Cause: once a stream had begun, MayRetry allowed one attempt more than max_attempts, meant for runners that crash, whatever had ended the attempts before.

Change: the runners that may have run the request are kept; those that are known to have ended (they refused a connection, or a later start of them is known) don't count. Hedges and repeats after an error count the same way.

--- a/src/dispatch/runner_table.cpp
+++ b/src/dispatch/runner_table.cpp
@@ -93,6 +93,15 @@
   state.m_olderSince.reset();
 }
 
+bool
+RunnerTable::IsReplaced(const RunnerIncarnation& aRunner) const
+{
+  const auto found = m_runners.find(aRunner.m_id);
+  // Without the times of both starts, it may only be listed anew.
+  return found != m_runners.end() && aRunner.m_born != 0 &&
+         found->second.m_record.m_born > aRunner.m_born;
+}
+
 bool
 RunnerTable::RecordStart(RunnerState& aState, std::uint64_t aBorn)
 {
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -109,6 +109,8 @@
   RunnerState* Find(const std::string& aId);
   // Returns null unless this start of the runner is the one known.
   RunnerState* Find(const RunnerIncarnation& aRunner);
+  // Whether a later start of the runner is known.
+  bool IsReplaced(const RunnerIncarnation& aRunner) const;
   // Prefers a runner that started at aBorn, unless that is 0.
   RunnerState* FindByAddress(const Address& aAddress, std::uint64_t aBorn);
 
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -477,8 +477,7 @@
       RecordIfSilent(*attempt);
       attempt->m_connection->Abort();
       EndAttempt(*attempt, RunnerHealth::Unknown);
-      m_mayHaveRun = true;
-      ++m_executions;
+      RecordExecution(*attempt);
     }
   }
 }
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -386,8 +386,7 @@
   EndAttempt(aAttempt, RunnerHealth::Healthy);
   m_gateway.Suspicions().RecordCompletion(
     m_traits, status, aAttempt.m_sentAt, LoopNow());
-  m_mayHaveRun = true;
-  ++m_executions;
+  RecordExecution(aAttempt);
   if (IsFailure(status)) {
     OnErrorAnswer(aAttempt);
     return;
@@ -408,7 +407,7 @@
     return; // another runner may still respond
   }
   if (status / 100 == 5 && m_route->IsRetryable() &&
-      m_executions < m_route->m_maxAttempts && TakeRetry()) {
+      CountedExecutions() < m_route->m_maxAttempts && TakeRetry()) {
     Dispatch();
     return;
   }
@@ -459,6 +458,24 @@
          (m_lastEventId.has_value() && !m_hasUnnumberedEvents);
 }
 
+void
+CallerExchange::RecordExecution(const RunnerAttempt& aAttempt)
+{
+  m_mayHaveRun = true;
+  m_executedOn.push_back(aAttempt.m_runner);
+}
+
+std::size_t
+CallerExchange::CountedExecutions() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_executedOn.begin(),
+                  m_executedOn.end(),
+                  [this](const RunnerIncarnation& aRunner) {
+                    return !m_gateway.HasEnded(aRunner);
+                  }));
+}
+
 bool
 CallerExchange::TakeRetry()
 {
@@ -492,10 +509,8 @@
   if (!MayResume()) {
     return false;
   }
-  const std::uint32_t maxAttempts = m_phase == Phase::Streaming
-                                      ? m_route->m_maxAttempts + 1
-                                      : m_route->m_maxAttempts;
-  return m_route->IsRetryable() && m_executions < maxAttempts && TakeRetry();
+  return m_route->IsRetryable() &&
+         CountedExecutions() < m_route->m_maxAttempts && TakeRetry();
 }
 
 void
@@ -513,7 +528,7 @@
                          { "status", aAttempt.m_head.m_status },
                          { "may_have_run", aMayHaveRun },
                          { "send", aAttempt.m_number },
-                         { "executions", m_executions },
+                         { "executions", CountedExecutions() },
                          { "max_attempts", m_route->m_maxAttempts },
                          { "events", m_eventCount },
                          { "region", aAttempt.m_region },
@@ -531,8 +546,7 @@
   aAttempt.DropResponse();
   m_lastReason = aReason;
   if (aFailure == CallFailure::MayHaveRun) {
-    m_mayHaveRun = true;
-    ++m_executions;
+    RecordExecution(aAttempt);
   }
   LogAttempt("attempt failed", aAttempt, aFailure == CallFailure::MayHaveRun);
   if (!m_openAttempts.empty()) {
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -160,7 +160,7 @@
 {
   if (m_openAttempts.empty() || !m_route->IsRetryable() || !MayResume() ||
       m_sends >= kMaxSends ||
-      m_executions + m_openAttempts.size() >= m_route->m_maxAttempts) {
+      CountedExecutions() + m_openAttempts.size() >= m_route->m_maxAttempts) {
     return false;
   }
   return std::all_of(m_openAttempts.begin(),
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -113,6 +113,11 @@
   void LogAttempt(std::string_view aEvent,
                   const RunnerAttempt& aAttempt,
                   bool aMayHaveRun);
+  // Records that a runner may have executed the request.
+  void RecordExecution(const RunnerAttempt& aAttempt);
+  // How many of the runners that max_attempts allows are used up. Those that
+  // are known to have ended don't count.
+  std::size_t CountedExecutions() const;
   // Draws one further send from the budget that all gateways share.
   bool TakeRetry();
   bool MayRetry(CallFailure aFailure);
@@ -194,8 +199,9 @@
   std::chrono::milliseconds m_linkDelay{ 0 }; // part of it
 
   std::set<RunnerIncarnation> m_triedRunners;
-  std::uint32_t m_executions = 0; // ended attempts that may have executed
-  std::uint32_t m_sends = 0;      // all attempts
+  // Of ended attempts that may have executed the request.
+  std::vector<RunnerIncarnation> m_executedOn;
+  std::uint32_t m_sends = 0; // all attempts
   bool m_mayHaveRun = false;
 
   std::optional<std::uint64_t> m_lastEventId; // forwarded to the caller
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kProbeTimeout{ 300 };   // a timeout isn't a crash
 constexpr std::size_t kMaxProbes = 256;        // one per runner
 constexpr std::size_t kMaxSilentRequests = 4096;
+// Longer than requests last that a crashed runner may have executed.
+constexpr std::chrono::minutes kLongestRequest{ 10 };
 
 const char*
 ProbeResultName(const NetError& aResult)
@@ -148,6 +150,10 @@
   if (!refused) {
     return;
   }
+  std::erase_if(m_crashed, [](const auto& aEntry) {
+    return LoopNow() - aEntry.second > kLongestRequest;
+  });
+  m_crashed[aRunner] = LoopNow();
   CountMetric("siskindeal_gateway_runner_crashes_total", {});
   m_suspicions.RecordCrash(aRunner, inFlight, LoopNow());
 }
--- a/src/gateway/crash_watch_p.h
+++ b/src/gateway/crash_watch_p.h
@@ -38,6 +38,11 @@
   void OnConnectionLost(const RunnerIncarnation& aRunner,
                         const Address& aAddress,
                         RequestTraits aRequest);
+  // Whether this start of a runner refused a probe's connection.
+  bool HasCrashed(const RunnerIncarnation& aRunner) const
+  {
+    return m_crashed.contains(aRunner);
+  }
   struct ClosedResponse
   {
     int m_status = 0;
@@ -104,6 +109,8 @@
   std::chrono::milliseconds m_crashWindow;
   std::map<RunnerIncarnation, std::shared_ptr<RunnerProbe>> m_probes;
   std::deque<SilentRequest> m_silent; // by time
+  // What is dropped counts as alive, which allows fewer attempts.
+  std::map<RunnerIncarnation, MonotonicTime> m_crashed;
 };
 
 } // namespace siskindeal
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -344,6 +344,12 @@
   return m_suspicions.DecideParts(aParts, mayTry, now);
 }
 
+bool
+Gateway::HasEnded(const RunnerIncarnation& aRunner) const
+{
+  return m_crashes.HasCrashed(aRunner) || m_runners.IsReplaced(aRunner);
+}
+
 void
 Gateway::RecordRestarts()
 {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -69,6 +69,9 @@
   Placer& RequestPlacer() { return m_placer; }
   SharedRetryBudget& Retries() { return m_retries; }
   CrashWatch& Crashes() { return m_crashes; }
+  // Whether this start of a runner is known to have ended: it refused a
+  // connection, or a later start is known. One that left the list may live.
+  bool HasEnded(const RunnerIncarnation& aRunner) const;
   SuspicionExchange& Suspicions() { return m_suspicions; }
   // Whether a request has crashed its runners and isn't to be tried again here.
   bool IsQuarantined(std::uint64_t aFingerprint) const;
--- a/tests/gateway_stop_soak_test.cpp
+++ b/tests/gateway_stop_soak_test.cpp
@@ -6,8 +6,8 @@
 
 #include "siskindeal/random.h"
 #include "support/gateway_fixture.h"
+#include "support/soak_settings.h"
 
-#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -192,14 +192,8 @@
 
 TEST_F(GatewayStopSoak, NoRequestThatRanGoesWithoutAnAnswer)
 {
-  std::uint64_t first = 1;
-  std::uint64_t last = 3;
-  if (const char* seeds = std::getenv("SISKINDEAL_SOAK_SEEDS")) {
-    char* end = nullptr;
-    first = std::strtoull(seeds, &end, 10);
-    last = std::strtoull(end + 1, nullptr, 10);
-  }
-  for (std::uint64_t seed = first; seed <= last; ++seed) {
+  const SoakSeeds seeds = SeedsFromEnvironment({ 1, 3 });
+  for (std::uint64_t seed = seeds.m_first; seed <= seeds.m_last; ++seed) {
     SCOPED_TRACE(testing::Message() << "seed " << seed);
     ASSERT_NO_FATAL_FAILURE(Play(seed));
   }
--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -10,11 +10,11 @@
 #include "support/engine_site.h"
 #include "support/gateway_fixture.h"
 #include "support/soak_fleet.h"
+#include "support/soak_settings.h"
 #include "support/soak_traffic.h"
 
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <map>
 
@@ -42,13 +42,6 @@
 constexpr std::size_t kGatewaysPerRunner = 4;
 const std::vector<std::string> kServices{ "get", "post", "feed", "tail" };
 
-std::uint64_t
-FromEnvironment(const char* aName, std::uint64_t aDefault)
-{
-  const char* text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
-}
-
 std::string
 MsText(SteadyTime aFrom, SteadyTime aTo)
 {
@@ -473,14 +466,8 @@
 
 TEST_F(ProcessSoak, NoProcessEndsUnaskedAndEachRequestIsAnswered)
 {
-  std::uint64_t first = 1;
-  std::uint64_t last = 3;
-  if (const char* seeds = std::getenv("SISKINDEAL_SOAK_SEEDS")) {
-    char* end = nullptr;
-    first = std::strtoull(seeds, &end, 10);
-    last = std::strtoull(end + 1, nullptr, 10);
-  }
-  for (std::uint64_t seed = first; seed <= last; ++seed) {
+  const SoakSeeds seeds = SeedsFromEnvironment({ 1, 3 });
+  for (std::uint64_t seed = seeds.m_first; seed <= seeds.m_last; ++seed) {
     ASSERT_NO_FATAL_FAILURE(Play(seed));
   }
 }
--- /dev/null
+++ b/tests/support/faulty_runner.cpp
@@ -0,0 +1,293 @@
+#include "support/faulty_runner.h"
+
+#include "siskindeal/random.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <stdexcept>
+
+namespace siskindeal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPoll{ 50 };
+constexpr std::uint64_t kMaxCopyDelayMs = 60;
+constexpr int kBacklog = 128;
+const std::string kRejected =
+  "503 Service Unavailable\r\nX-Siskindeal-Not-Executed: 1";
+
+// What a runner does with a request that it has run.
+enum class Fault
+{
+  Reset,
+  Close,
+  Cut,           // in the middle of the body
+  CutWithoutEnd, // a body that ends with the connection
+  Garbage,
+  Error,        // 500
+  RanAndRefused // 503 that doesn't say that it hasn't run
+};
+constexpr std::uint64_t kFaults = 7;
+
+std::string
+ResponseText(const std::string& aStatus,
+             const std::string& aId,
+             const std::string& aBody)
+{
+  const std::string id =
+    aId.empty() ? "" : "X-Siskindeal-Attempt-Id: " + aId + "\r\n";
+  return "HTTP/1.1 " + aStatus + "\r\n" + id +
+         "X-Siskindeal-Runner-Signature: sig-" + aId +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+std::string
+StreamHead(const std::string& aId)
+{
+  return "HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: " + aId +
+         "\r\nX-Siskindeal-Runner-Signature: sig-" + aId +
+         "\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+Chunk(const std::string& aText)
+{
+  constexpr const char* kDigits = "0123456789abcdef";
+  const std::size_t size = aText.size();
+  return std::string{ kDigits[size / 16 % 16], kDigits[size % 16] } + "\r\n" +
+         aText + "\r\n";
+}
+
+// Reads the rest of a request's body.
+void
+ReadBody(RawSocket& aSocket, std::string& aIn, std::size_t aLength)
+{
+  while (aIn.size() < aLength) {
+    const std::string more = aSocket.ReadSome();
+    if (more.empty()) {
+      return;
+    }
+    aIn += more;
+  }
+  aIn.erase(0, aLength);
+}
+
+std::size_t
+LengthOf(const std::string& aHead)
+{
+  const std::string name = "Content-Length: ";
+  const auto at = aHead.find(name);
+  return at == std::string::npos ? 0
+                                 : std::stoul(aHead.substr(at + name.size()));
+}
+
+} // namespace
+
+FaultyRunner::FaultyRunner(const FaultyRunnerOptions& aOptions,
+                           Describe aDescribe,
+                           Record aRecord)
+  : m_options(aOptions)
+  , m_describe(std::move(aDescribe))
+  , m_record(std::move(aRecord))
+{
+  m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(m_listener, generic, size) != 0 ||
+      listen(m_listener, kBacklog) != 0 ||
+      getsockname(m_listener, generic, &size) != 0) {
+    throw std::runtime_error("faulty runner cannot listen");
+  }
+  m_port = ntohs(address.sin_port);
+  m_thread = std::thread([this] { Accept(); });
+}
+
+FaultyRunner::~FaultyRunner()
+{
+  m_stopping = true;
+  shutdown(m_listener, SHUT_RDWR); // ends the accept
+  m_thread.join();
+  close(m_listener);
+  for (std::thread& connection : m_connections) {
+    connection.join();
+  }
+}
+
+void
+FaultyRunner::Accept()
+{
+  for (std::uint64_t number = 0; !m_stopping; ++number) {
+    const int accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (accepted < 0) {
+      continue;
+    }
+    m_connections.emplace_back(
+      [this, accepted, seed = m_options.m_seed + number] {
+        Serve(RawSocket::Adopt(accepted), seed);
+      });
+  }
+}
+
+void
+FaultyRunner::Serve(RawSocket aSocket, std::uint64_t aSeed)
+{
+  Random random(aSeed);
+  std::string in;
+  while (!m_stopping) {
+    const auto end = in.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      if (!aSocket.HasInput(kPoll)) {
+        continue;
+      }
+      const std::string more = aSocket.ReadSome();
+      if (more.empty()) {
+        return;
+      }
+      in += more;
+      continue;
+    }
+    const std::string head = in.substr(0, end + 4);
+    in.erase(0, end + 4);
+    ReadBody(aSocket, in, LengthOf(head));
+    FaultyRunnerRequest request;
+    if (!m_describe(head, request)) {
+      aSocket.Send(ResponseText("404 Not Found", {}, {}));
+      continue;
+    }
+    if (!Answer(aSocket, random, request)) {
+      return;
+    }
+  }
+}
+
+bool
+FaultyRunner::Answer(RawSocket& aSocket,
+                     Random& aRandom,
+                     const FaultyRunnerRequest& aRequest)
+{
+  constexpr double kRejectedShare = 0.3; // of the faulty
+  const bool isFaulty = aRandom.Chance(m_options.m_faulty);
+  if (isFaulty && aRandom.Chance(kRejectedShare)) {
+    SendWithCopy(aSocket, aRandom, aRequest, kRejected, {}, true);
+    return true;
+  }
+  m_record(aRequest.m_id);
+  const bool isReset = aRandom.Chance(0.5);
+  if (aRequest.m_events > 0) {
+    if (Stream(aSocket, aRandom, aRequest, isFaulty)) {
+      return true;
+    }
+  } else {
+    std::this_thread::sleep_for(milliseconds(aRequest.m_workMs));
+    if (!isFaulty) {
+      SendWithCopy(aSocket,
+                   aRandom,
+                   aRequest,
+                   "200 OK",
+                   aRequest.m_body,
+                   aRandom.Chance(m_options.m_faulty / 2));
+      return true;
+    }
+    const std::string sound =
+      ResponseText("200 OK", aRequest.m_id, aRequest.m_body);
+    switch (static_cast<Fault>(aRandom.Below(kFaults))) {
+      case Fault::Reset:
+        aSocket.Reset();
+        return false;
+      case Fault::Close:
+        return false;
+      case Fault::Cut:
+        aSocket.Send(sound.substr(0, sound.size() - 1 - aRandom.Below(60)));
+        break;
+      case Fault::CutWithoutEnd:
+        aSocket.Send("HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: " +
+                     aRequest.m_id + "\r\n\r\n" + aRequest.m_body.substr(3));
+        break;
+      case Fault::Garbage:
+        aSocket.Send("\x01\x02 503 \r\n\r\n no answer");
+        break;
+      case Fault::Error:
+        SendWithCopy(aSocket,
+                     aRandom,
+                     aRequest,
+                     "500 Internal Server Error",
+                     "failed",
+                     aRandom.Chance(0.5));
+        return true;
+      case Fault::RanAndRefused:
+        SendWithCopy(aSocket,
+                     aRandom,
+                     aRequest,
+                     "503 Service Unavailable",
+                     {},
+                     aRandom.Chance(0.5));
+        return true;
+    }
+  }
+  if (isReset) {
+    aSocket.Reset();
+  }
+  return false;
+}
+
+bool
+FaultyRunner::Stream(RawSocket& aSocket,
+                     Random& aRandom,
+                     const FaultyRunnerRequest& aRequest,
+                     bool aIsFaulty) const
+{
+  const int events = aRequest.m_events - aRequest.m_lastEvent;
+  // A faulty one ends before its head, between two events or inside one.
+  const int sound =
+    aIsFaulty ? static_cast<int>(aRandom.Below(events + 1)) - 1 : events;
+  if (sound < 0) {
+    return false;
+  }
+  aSocket.Send(StreamHead(aRequest.m_id));
+  for (int event = 1; event <= sound; ++event) {
+    std::this_thread::sleep_for(milliseconds(aRequest.m_workMs));
+    const std::string text = aRequest.m_eventText(aRequest.m_lastEvent + event);
+    if (!aSocket.Send(Chunk(text))) {
+      return false;
+    }
+  }
+  if (!aIsFaulty) {
+    return aSocket.Send("0\r\n\r\n");
+  }
+  if (aRandom.Chance(0.5)) {
+    aSocket.Send(Chunk("id: 99"));
+  }
+  return false;
+}
+
+void
+FaultyRunner::SendWithCopy(RawSocket& aSocket,
+                           Random& aRandom,
+                           const FaultyRunnerRequest& aRequest,
+                           const std::string& aStatus,
+                           const std::string& aBody,
+                           bool aIsCopied) const
+{
+  aSocket.Send(ResponseText(aStatus, aRequest.m_id, aBody));
+  const bool mayCopy = m_options.m_copiesAnswers || aStatus == kRejected;
+  if (!aIsCopied || !mayCopy) {
+    return;
+  }
+  std::this_thread::sleep_for(milliseconds(aRandom.Below(kMaxCopyDelayMs)));
+  const bool isUntied = aRandom.Chance(m_options.m_untied);
+  aSocket.Send(
+    ResponseText(aStatus, isUntied ? std::string() : aRequest.m_id, aBody));
+}
+
+} // namespace siskindeal
--- /dev/null
+++ b/tests/support/faulty_runner.h
@@ -0,0 +1,87 @@
+#pragma once
+// A runner that fails requests after it has run them, in the ways that the
+// platform's protocol describes, and writes responses more than once.
+
+#include "siskindeal/site.h"
+#include "support/raw_socket.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <thread>
+
+namespace siskindeal {
+
+class Random;
+
+// What a runner is asked for, and the texts of a sound answer.
+struct FaultyRunnerRequest
+{
+  std::string m_id;
+  int m_workMs = 0;
+  int m_events = 0; // 0: no stream
+  int m_lastEvent = 0;
+  std::string m_body;                          // of the answer
+  std::function<std::string(int)> m_eventText; // by number
+};
+
+struct FaultyRunnerOptions
+{
+  std::uint64_t m_seed = 0;
+  double m_faulty = 0.5; // share of the requests
+  // Share of the copies that lack the request's id.
+  double m_untied = 0.5;
+  bool m_copiesAnswers = true; // not only rejections
+};
+
+class FaultyRunner
+{
+public:
+  // Completes a request from the head that arrived. Returns false for one that
+  // isn't a caller's. Thread-safe, as is Record.
+  using Describe = std::function<bool(const std::string& aHead,
+                                      FaultyRunnerRequest& aRequest)>;
+  // Called when a request begins to run.
+  using Record = std::function<void(const std::string& aId)>;
+
+  FaultyRunner(const FaultyRunnerOptions& aOptions,
+               Describe aDescribe,
+               Record aRecord);
+  ~FaultyRunner();
+  FaultyRunner(const FaultyRunner&) = delete;
+  FaultyRunner& operator=(const FaultyRunner&) = delete;
+
+  Address ListenAddress() const { return { "127.0.0.1", m_port }; }
+
+private:
+  void Accept();
+  void Serve(RawSocket aSocket, std::uint64_t aSeed);
+  // Returns whether the connection is kept.
+  bool Answer(RawSocket& aSocket,
+              Random& aRandom,
+              const FaultyRunnerRequest& aRequest);
+  bool Stream(RawSocket& aSocket,
+              Random& aRandom,
+              const FaultyRunnerRequest& aRequest,
+              bool aIsFaulty) const;
+  // Sends a response and, at times, a copy of it, at once or late.
+  void SendWithCopy(RawSocket& aSocket,
+                    Random& aRandom,
+                    const FaultyRunnerRequest& aRequest,
+                    const std::string& aStatus,
+                    const std::string& aBody,
+                    bool aIsCopied) const;
+
+  FaultyRunnerOptions m_options;
+  Describe m_describe;
+  Record m_record;
+  int m_listener = -1;
+  std::uint16_t m_port = 0;
+  std::atomic<bool> m_stopping = false;
+  std::list<std::thread> m_connections; // by the accepting thread
+  std::thread m_thread;
+};
+
+} // namespace siskindeal
--- a/tests/support/soak_traffic.cpp
+++ b/tests/support/soak_traffic.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
 #include <system_error>
 
 namespace siskindeal {
@@ -180,6 +181,7 @@
 SoakTraffic::~SoakTraffic()
 {
   StopCallers();
+  m_faultyRunners.clear(); // their threads record runs
 }
 
 Address
@@ -192,6 +194,52 @@
     { { "slots", 16 } });
 }
 
+void
+SoakTraffic::AddFaultyRunner(const std::string& aId,
+                             const std::string& aService,
+                             const FaultyRunnerOptions& aOptions)
+{
+  const auto describe = [](const std::string& aHead,
+                           FaultyRunnerRequest& aRequest) {
+    aRequest.m_id = FieldOf(aHead, "X-Siskindeal-Attempt-Id");
+    const std::string work = FieldOf(aHead, "X-Work-Ms");
+    const std::string events = FieldOf(aHead, "X-Events");
+    if (aRequest.m_id.empty() || work.empty() || events.empty()) {
+      return false;
+    }
+    const std::string last = FieldOf(aHead, "Last-Event-Id");
+    aRequest.m_workMs = std::stoi(work);
+    aRequest.m_events = std::stoi(events);
+    aRequest.m_lastEvent = last.empty() ? 0 : std::stoi(last);
+    aRequest.m_body = BodyText(aRequest.m_id);
+    aRequest.m_eventText = [id = aRequest.m_id](int aNumber) {
+      return EventText(id, aNumber);
+    };
+    return true;
+  };
+  m_faultyRunners.push_back(std::make_unique<FaultyRunner>(
+    aOptions, describe, [this, aId](const std::string& aRequest) {
+      RecordRun(aRequest, aId);
+    }));
+  m_site.Put(
+    "servers",
+    aId,
+    { { "service", aService },
+      { "address", m_faultyRunners.back()->ListenAddress().ToString() },
+      { "zone", "here" },
+      { "slots", 16 },
+      { "state", "ready" } });
+}
+
+std::size_t
+SoakTraffic::RecordRun(const std::string& aId, const std::string& aRunner)
+{
+  const std::lock_guard lock(m_mutex);
+  auto& runs = m_runs[aId];
+  runs.push_back({ aRunner, steady_clock::now(), std::nullopt });
+  return runs.size() - 1;
+}
+
 void
 SoakTraffic::Run(const std::string& aRunner,
                  const std::shared_ptr<ServerConnection>& aConnection)
@@ -208,12 +256,7 @@
   started->m_id = *id;
   started->m_gap = milliseconds(std::stoi(*work));
   started->m_events = std::stoi(*events);
-  {
-    const std::lock_guard lock(m_mutex);
-    auto& runs = m_runs[*id];
-    started->m_run = runs.size();
-    runs.push_back({ aRunner, steady_clock::now(), std::nullopt });
-  }
+  started->m_run = RecordRun(*id, aRunner);
   if (started->m_events > 0) {
     const std::string* last = fields.Find("last-event-id");
     started->m_sent = last == nullptr ? 0 : std::stoi(*last);
@@ -329,6 +372,19 @@
   return Send(socket, random, aGateway, "probe-" + std::to_string(m_probes++));
 }
 
+const SoakKind&
+SoakTraffic::DrawKind(Random& aRandom) const
+{
+  if (m_routes.empty()) {
+    return SoakKinds()[aRandom.Below(SoakKinds().size())];
+  }
+  const std::string& route = m_routes[aRandom.Below(m_routes.size())];
+  return *std::find_if(
+    SoakKinds().begin(), SoakKinds().end(), [&](const SoakKind& aKind) {
+      return aKind.m_route == route;
+    });
+}
+
 SoakOutcome
 SoakTraffic::Send(RawSocket& aSocket,
                   Random& aRandom,
@@ -339,8 +395,7 @@
   const bool isProbe = absl::StartsWith(aId, "probe");
   outcome.m_id = std::move(aId);
   outcome.m_gateway = aGateway;
-  outcome.m_kind =
-    &SoakKinds()[isProbe ? 0 : aRandom.Below(SoakKinds().size())];
+  outcome.m_kind = isProbe ? &SoakKinds().front() : &DrawKind(aRandom);
   outcome.m_hasSteadyKey = isProbe || aRandom.Below(8) != 0;
   const bool isStream = outcome.m_kind->m_isStream;
   const bool isChunked = aRandom.Below(4) == 0;
--- a/tests/support/soak_traffic.h
+++ b/tests/support/soak_traffic.h
@@ -3,6 +3,7 @@
 // of deployed gateways.
 
 #include "support/deployed_site.h"
+#include "support/faulty_runner.h"
 #include "support/site.h"
 
 #include <atomic>
@@ -73,6 +74,10 @@
   SoakTraffic& operator=(const SoakTraffic&) = delete;
 
   Address AddRunner(const std::string& aId, const std::string& aService);
+  // Adds one that fails requests after it has run them.
+  void AddFaultyRunner(const std::string& aId,
+                       const std::string& aService,
+                       const FaultyRunnerOptions& aOptions);
   void StartCallers(std::size_t aCount, std::size_t aGateways, Random& aRandom);
   // Waits for the requests in flight.
   void StopCallers();
@@ -80,6 +85,10 @@
   // accept a connection.
   SoakOutcome SendProbe(std::size_t aGateway);
 
+  // The kinds of requests that callers send, by route; empty: all. To be set
+  // before StartCallers.
+  std::vector<std::string> m_routes;
+
   // For use after StopCallers.
   const std::vector<SoakOutcome>& Outcomes() const { return m_outcomes; }
   std::vector<SoakRun> RunsOf(const std::string& aId);
@@ -92,6 +101,10 @@
 
   void Run(const std::string& aRunner,
            const std::shared_ptr<ServerConnection>& aConnection);
+  // Records the begin of a run and returns its number among the request's runs.
+  std::size_t RecordRun(const std::string& aId, const std::string& aRunner);
+  // Draws the kind of a request.
+  const SoakKind& DrawKind(Random& aRandom) const;
   void Finish(const Work& aWork);
   void Step(const std::shared_ptr<Work>& aWork);
   void Call(std::size_t aCaller, std::size_t aGateways, std::uint64_t aSeed);
@@ -106,6 +119,7 @@
   std::atomic<std::size_t> m_answered = 0;
   std::atomic<std::size_t> m_probes = 0;
   std::vector<std::thread> m_callers;
+  std::vector<std::unique_ptr<FaultyRunner>> m_faultyRunners;
   std::mutex m_mutex;
   std::map<std::string, std::vector<SoakRun>> m_runs; // by request
   std::vector<SoakOutcome> m_outcomes;
