A gateway that starts has no share of the retry slack that its predecessor may have used

Cause (BUDGET): each gateway keeps the shared allowance for itself, and a process that starts had its whole share of the slack at once, whatever the one before it had used in the same window. Without the list of gateways it also took those that it had heard of for all that share the slack.

Change: over its first window a process's share grows from nothing to the fifth that the others don't use, so that starts in series use that fifth together; the slack is used only once the list is known.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// The rest covers retries made before a restart, which are no longer counted.
+// The rest is for processes that have run for less than a window.
 constexpr double kUsableShare = 0.8;
 
 } // namespace
@@ -38,6 +38,19 @@
   DropExpired(window, aNow);
 }
 
+double
+SharedRetryBudget::UsableSlackShare(MonotonicTime aNow) const
+{
+  using Seconds = std::chrono::duration<double>;
+  const Seconds age = aNow - m_startedAt;
+  if (age >= m_allowance.m_window) {
+    return kUsableShare;
+  }
+  // Processes that start in series use up the rest once in a window, however
+  // many they are.
+  return (1 - kUsableShare) * (age / Seconds(m_allowance.m_window));
+}
+
 RetryUsage
 SharedRetryBudget::Usage(const std::string& aService, MonotonicTime aNow)
 {
@@ -47,10 +60,9 @@
     m_gatewayCount == 0
       ? 0
       : m_allowance.m_slack / static_cast<double>(m_gatewayCount);
-  const double allowed =
-    kUsableShare *
-    (m_allowance.m_ratio * static_cast<double>(window.m_requests.size()) +
-     ownSlack);
+  const double allowed = kUsableShare * m_allowance.m_ratio *
+                           static_cast<double>(window.m_requests.size()) +
+                         UsableSlackShare(aNow) * ownSlack;
   return {
     window.m_requests.size(), window.m_retries.size(), allowed, m_gatewayCount
   };
--- a/src/dispatch/retry_budget_p.h
+++ b/src/dispatch/retry_budget_p.h
@@ -30,8 +30,9 @@
 class SharedRetryBudget
 {
 public:
-  // aStartedAt: when this gateway's process started. Retries of a former
-  // process in the window before aren't known.
+  // aStartedAt: when this gateway's process started. What a former process on
+  // its VM has used in the window isn't known, so the share of the slack grows
+  // from then on.
   explicit SharedRetryBudget(const RetryAllowance& aAllowance,
                              MonotonicTime aStartedAt = {})
     : m_allowance(aAllowance)
@@ -61,6 +62,8 @@
   };
 
   void DropExpired(Window& aWindow, MonotonicTime aNow) const;
+  // The share of this gateway's part of the slack that it may use.
+  double UsableSlackShare(MonotonicTime aNow) const;
 
   RetryAllowance m_allowance;
   MonotonicTime m_startedAt;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,7 +80,7 @@
   , m_placer(aSettings.m_node.m_place,
              aSettings.m_gateway.m_regions,
              StableHash(NewId()))
-  , m_retries(AllowanceOf(aSettings.m_gateway))
+  , m_retries(AllowanceOf(aSettings.m_gateway), LoopNow())
   , m_peers(aSettings.m_node.m_vm,
             RegionOf(aSettings.m_gateway.m_regions, aSettings.m_node.m_place))
   , m_region(RegionOf(aSettings.m_gateway.m_regions, aSettings.m_node.m_place))
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -305,7 +305,8 @@
 void
 Gateway::UpdateGatewayCount()
 {
-  if (KnowsGatewayCount()) {
+  // Beacons alone may be of a part of the gateways that share the slack.
+  if (m_haveGatewayList) {
     m_retries.SetGatewayCount(m_peers.Count());
   }
 }
