A plain runner with a free place takes whoever can be answered before the deadline

Cause: a request had to be predicted within a share of its target, or within 0.4 of it, whatever the runner did. A duration that was measured once held for ever.

Change: for plain services, a request that can be answered before its deadline is refused only where no place is free. An idle runner whose duration was measured over 0.5 s ago gets one request whatever is predicted, and a duration after such a pause counts for half. Engines are placed as before.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -52,10 +52,13 @@
   double m_requests = 0;
   double m_promptTokens = 0; // not processed yet
   Ms m_typicalDuration{ 0 }; // of plain services' requests
+  bool m_isOutdated = false; // that duration
 };
 
 Occupancy
-OccupancyOf(const ServiceRecord& aService, const RunnerState& aRunner)
+OccupancyOf(const ServiceRecord& aService,
+            const RunnerState& aRunner,
+            MonotonicTime aNow)
 {
   Occupancy occupancy;
   occupancy.m_slots = aRunner.m_record.m_slots > 0 ? aRunner.m_record.m_slots
@@ -68,6 +71,7 @@
   occupancy.m_typicalDuration = aRunner.m_smoothedDuration.count() > 0
                                   ? aRunner.m_smoothedDuration
                                   : kDefaultDuration;
+  occupancy.m_isOutdated = aRunner.DurationIsOutdated(aNow);
   return occupancy;
 }
 
@@ -137,10 +141,19 @@
            const Occupancy& aOccupancy,
            Ms aLinkDelay)
 {
+  const bool isPlain = !aService.m_engine;
+  if (isPlain && aOccupancy.m_isOutdated && aOccupancy.m_requests == 0) {
+    return std::nullopt;
+  }
   const Ms predicted = PredictAt(aShape, aService, aOccupancy) + aLinkDelay;
   if (predicted > aShape.m_timeLeft) {
     return std::chrono::ceil<milliseconds>(predicted - aShape.m_timeLeft);
   }
+  // With a free place the request keeps no other one waiting, however late it
+  // is.
+  if (isPlain && aOccupancy.m_requests + 1 <= aOccupancy.m_slots) {
+    return std::nullopt;
+  }
   const Ms target = std::max(aShape.m_target, kMinTarget);
   const double share =
     aShape.m_alreadyStarted ? kStartedRequestShare : kNewRequestShare;
@@ -293,7 +306,7 @@
   std::vector<RunnerIncarnation> waiting;
   for (const RunnerState* runner : aRunners.Usable(aShape.m_service)) {
     const RunnerIncarnation incarnation = runner->m_record.Incarnation();
-    const Occupancy occupancy = OccupancyOf(aService, *runner);
+    const Occupancy occupancy = OccupancyOf(aService, *runner, aNow);
     const std::string& place = runner->m_record.m_place;
     const milliseconds linkDelay = LinkDelay(place);
     const Ms predicted = PredictAt(aShape, aService, occupancy);
@@ -332,13 +345,14 @@
                              RetryAfter(kMinRetryAfter, aShape.m_timeLeft),
                              milliseconds(0) };
   }
-  return Choose(aShape, aService, std::move(candidates));
+  return Choose(aShape, aService, std::move(candidates), aNow);
 }
 
 Decision
 Placer::Choose(const RequestShape& aShape,
                const ServiceRecord& aService,
-               std::vector<Candidate> aCandidates)
+               std::vector<Candidate> aCandidates,
+               MonotonicTime aNow)
 {
   std::sort(aCandidates.begin(), aCandidates.end());
   const Candidate& best = aCandidates.front();
@@ -362,7 +376,7 @@
     }
     places.push_back(PlacesFor(aShape,
                                aService,
-                               OccupancyOf(aService, *candidate.m_runner),
+                               OccupancyOf(aService, *candidate.m_runner, aNow),
                                candidate.m_linkDelay));
     offered += places.back();
   }
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -130,7 +130,8 @@
 
   Decision Choose(const RequestShape& aShape,
                   const ServiceRecord& aService,
-                  std::vector<Candidate> aCandidates);
+                  std::vector<Candidate> aCandidates,
+                  MonotonicTime aNow);
   void RecordArrival(const std::string& aService, MonotonicTime aNow);
   // The requests that other gateways have sent and not reported yet, if as many
   // arrive at each as here.
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -39,8 +39,10 @@
   // Reported by the runner with its responses.
   std::uint32_t m_reportedRequests = 0;
 
-  // Smoothed duration of requests; used for plain services only.
+  // Smoothed duration of requests, and when it was last measured; used for
+  // plain services only.
   std::chrono::duration<double, std::milli> m_smoothedDuration{ 0 };
+  MonotonicTime m_durationMeasuredAt{};
   // Until then the runner gets requests only if no other runner is eligible.
   MonotonicTime m_avoidUntil{};
   std::uint32_t m_consecutiveFailures = 0;
@@ -59,6 +61,28 @@
     return found == m_record.m_versions.end() ? 0 : found->second;
   }
 
+  // Records how long a request of a plain service took.
+  void RecordDuration(std::chrono::duration<double, std::milli> aDuration,
+                      MonotonicTime aNow)
+  {
+    constexpr double kSampleWeight = 0.1;
+    constexpr double kWeightAfterAPause = 0.5;
+    const double weight =
+      DurationIsOutdated(aNow) ? kWeightAfterAPause : kSampleWeight;
+    m_durationMeasuredAt = aNow;
+    m_smoothedDuration =
+      m_smoothedDuration.count() == 0
+        ? aDuration
+        : m_smoothedDuration * (1 - weight) + aDuration * weight;
+  }
+  // Whether the runner may have become faster since its duration was measured.
+  // If it is idle, one request is sent to it, whatever is predicted.
+  bool DurationIsOutdated(MonotonicTime aNow) const
+  {
+    constexpr std::chrono::milliseconds kLifetime{ 500 };
+    return aNow - m_durationMeasuredAt > kLifetime;
+  }
+
   // Starts a backoff period; it doubles with each failure in a row.
   void AvoidAfterFailure(MonotonicTime aNow)
   {
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -342,17 +342,12 @@
   if (runner == nullptr) {
     return;
   }
-  constexpr double kSampleWeight = 0.1;
   std::chrono::duration<double, std::milli> elapsed =
     LoopNow() - aAttempt.m_sentAt;
   if (elapsed > aAttempt.m_linkDelay) {
     elapsed -= aAttempt.m_linkDelay; // placement adds the present one
   }
-  runner->m_smoothedDuration =
-    runner->m_smoothedDuration.count() == 0
-      ? elapsed
-      : runner->m_smoothedDuration * (1 - kSampleWeight) +
-          elapsed * kSampleWeight;
+  runner->RecordDuration(elapsed, LoopNow());
 }
 
 void
