Responses that an entry or agent waits for share a bound too

The same cause in the roles that call by libcurl: each buffered response had a bound of 20 MiB, their sum none. Their client now ends the largest beyond an eighth of the process's memory; their server draws on as much for requests in arrival and responses not read.

HttpClient.ResponsesWithoutEndLeaveMemoryForOthers, new. Servers for tests that handle each connection on a thread share one implementation.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -173,6 +173,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
+  // Limits what all responses in arrival hold; the largest are ended beyond it.
+  // A response that m_onBody takes holds nothing. Thread-safe.
+  void LimitMessages(std::size_t aBytes);
+
   // Starts a request; aDone runs exactly once, on the client's thread, and must
   // not block. Owners of what the callbacks use call Stop before destroying it.
   std::shared_ptr<HttpCall> Start(HttpClientRequest aRequest, Done aDone);
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -48,6 +48,7 @@
   , m_client(aSettings.m_auth, aSettings.m_node.m_vm)
   , m_platform(MakeHttpPlatform(aSettings.m_platform, m_http, m_pool, m_clock))
 {
+  m_http.LimitMessages(MessageMemory(m_settings.m_node) / 2);
   if (IsModel()) {
     m_weights = std::make_unique<WeightsAgent>(
       m_settings, MakeWeightsIo(m_http, m_client, m_pool), m_clock);
@@ -118,7 +119,7 @@
   }
   HttpServerLimits limits;
   limits.m_connections = kMaxHttpConnections;
-  limits.m_messageBytes = MessageMemory(m_settings.m_node);
+  limits.m_messageBytes = MessageMemory(m_settings.m_node) / 2;
   m_httpServer = std::make_unique<HttpServer>(
     m_settings.m_node.m_http.m_host,
     m_settings.m_node.m_http.m_port,
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -35,7 +35,7 @@
   limits.m_bodyBytes = aSettings.m_http.m_bodyBytes;
   limits.m_headerBytes = aSettings.m_http.m_headerBytes;
   limits.m_connections = aSettings.m_http.m_connections;
-  limits.m_messageBytes = MessageMemory(aSettings.m_node);
+  limits.m_messageBytes = MessageMemory(aSettings.m_node) / 2;
   return limits;
 }
 
@@ -47,6 +47,7 @@
   , m_client(aSettings.m_auth, aSettings.m_node.m_vm)
   , m_platform(MakeHttpPlatform(aSettings.m_platform, m_http, m_pool, m_clock))
 {
+  m_http.LimitMessages(MessageMemory(m_settings.m_node) / 2);
   m_traffic = std::make_shared<Traffic>(m_settings.m_routing,
                                         m_settings.m_admission,
                                         m_settings.m_node.m_place,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,10 +1,16 @@
 #include "http/client_call_p.h"
 #include "siskindeal/http.h"
 #include "siskindeal/lock_order.h"
+#include "siskindeal/metrics.h"
 
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
+#include <atomic>
+#include <functional>
 #include <future>
+#include <limits>
+#include <numeric>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -127,6 +133,8 @@
 
   const std::shared_ptr<CommandQueue>& Commands() const { return m_commands; }
 
+  void LimitMessages(std::size_t aBytes) { m_messageBytes = aBytes; }
+
 private:
   void Run()
   {
@@ -134,6 +142,7 @@
       int activeTransfers = 0;
       curl_multi_perform(m_multi, &activeTransfers);
       FinishCompleted();
+      BreakOffLargest();
       curl_multi_poll(m_multi, nullptr, 0, kMaxPollMs, nullptr);
     }
     CancelAll();
@@ -199,6 +208,33 @@
     }
   }
 
+  // Ends the calls that hold most until the others are within the limit.
+  void BreakOffLargest()
+  {
+    const auto bytesOf = [](const std::shared_ptr<ClientCall>& aCall) {
+      return aCall->BufferedBytes();
+    };
+    std::size_t held = std::transform_reduce(m_active.begin(),
+                                             m_active.end(),
+                                             std::size_t{ 0 },
+                                             std::plus<>(),
+                                             bytesOf);
+    while (held > m_messageBytes) {
+      const auto largest =
+        std::max_element(m_active.begin(),
+                         m_active.end(),
+                         [&](const auto& aFirst, const auto& aSecond) {
+                           return bytesOf(aFirst) < bytesOf(aSecond);
+                         });
+      held -= bytesOf(*largest);
+      CountMetric("siskindeal_messages_broken_off_total",
+                  { { "kind", "client response" } });
+      const auto call = Detach(largest->get());
+      call->FinishBrokenOff();
+      Recycle(call->Easy());
+    }
+  }
+
   void CancelCall(ClientCall* aCall)
   {
     const auto call = Detach(aCall);
@@ -249,6 +285,8 @@
   CURLM* m_multi = nullptr;
   absl::flat_hash_set<std::shared_ptr<ClientCall>> m_active;
   std::vector<CURL*> m_spare;
+  std::atomic<std::size_t> m_messageBytes =
+    std::numeric_limits<std::size_t>::max();
   std::thread m_thread;
 };
 
@@ -259,6 +297,12 @@
 
 HttpClient::~HttpClient() = default;
 
+void
+HttpClient::LimitMessages(std::size_t aBytes)
+{
+  m_impl->LimitMessages(aBytes);
+}
+
 std::shared_ptr<HttpCall>
 HttpClient::Start(HttpClientRequest aRequest, Done aDone)
 {
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -1,6 +1,7 @@
 #include "http/client_call_p.h"
 
 #include "kernel/contain_p.h"
+#include "net/memory_budget_p.h"
 #include "siskindeal/log.h"
 
 #include <absl/strings/ascii.h>
@@ -293,6 +294,17 @@
   InvokeCallback();
 }
 
+void
+ClientCall::FinishBrokenOff()
+{
+  m_reply.m_outcome =
+    WasSent() ? HttpOutcome::SentNoReply : HttpOutcome::NotSent;
+  m_reply.m_fault = HttpFault::Other;
+  m_reply.m_error = kOutOfMessageMemory;
+  m_reply.m_body = {};
+  InvokeCallback();
+}
+
 void
 ClientCall::InvokeCallback()
 {
--- a/src/http/client_call_p.h
+++ b/src/http/client_call_p.h
@@ -29,6 +29,10 @@
   bool TakeRestart();
   // Runs the callback for a transfer that ended with aCode.
   void Finish(CURLcode aCode);
+  // Size of the body that is kept until the response is complete.
+  std::size_t BufferedBytes() const { return m_reply.m_body.capacity(); }
+  // Runs the callback of a call that was ended to save memory.
+  void FinishBrokenOff();
   // Runs the callback of a cancelled call, whether or not it was started.
   void FinishCancelled();
 
--- a/tests/endless_bytes_test.cpp
+++ b/tests/endless_bytes_test.cpp
@@ -3,12 +3,9 @@
 // runners are answered. SISKINDEAL_SOAK_BINARY plays another program.
 
 #include "support/deployed_site.h"
+#include "support/endless_server.h"
 #include "support/gateway_fixture.h"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <filesystem>
 #include <list>
 
@@ -75,92 +72,6 @@
   return sResponses;
 }
 
-// A runner that answers each connection's first bytes with bytes without end,
-// until its peer closes.
-class EndlessRunner
-{
-public:
-  explicit EndlessRunner(const Endless& aSent)
-    : m_sent(aSent)
-  {
-    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    if (bind(m_listener, generic, size) != 0 || listen(m_listener, 512) != 0 ||
-        getsockname(m_listener, generic, &size) != 0) {
-      throw std::runtime_error("endless runner cannot listen");
-    }
-    m_port = ntohs(address.sin_port);
-    m_thread = std::thread([this] { Accept(); });
-  }
-  ~EndlessRunner()
-  {
-    m_stopping = true;
-    shutdown(m_listener, SHUT_RDWR); // ends the accept
-    m_thread.join();
-    close(m_listener);
-    for (std::thread& connection : m_connections) {
-      connection.join();
-    }
-  }
-  EndlessRunner(const EndlessRunner&) = delete;
-  EndlessRunner& operator=(const EndlessRunner&) = delete;
-
-  Address ListenAddress() const { return { "127.0.0.1", m_port }; }
-
-private:
-  void Accept()
-  {
-    while (!m_stopping) {
-      const int accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (accepted >= 0) {
-        m_connections.emplace_back(
-          [this, accepted] { Serve(RawSocket::Adopt(accepted), accepted); });
-      }
-    }
-  }
-
-  void Serve(RawSocket aSocket, int aHandle)
-  {
-    // A peer that stops reading must not keep this thread.
-    const timeval timeout{ 0, 200000 };
-    setsockopt(aHandle, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
-    while (!m_stopping && !aSocket.HasInput(milliseconds(50))) {
-    }
-    if (m_stopping || aSocket.ReadSome().empty() ||
-        !SendAll(aHandle, m_sent.m_first)) {
-      return;
-    }
-    while (SendAll(aHandle, m_sent.m_repeated)) {
-    }
-  }
-
-  // Returns false once the peer has closed.
-  bool SendAll(int aHandle, std::string_view aBytes) const
-  {
-    while (!aBytes.empty() && !m_stopping) {
-      const auto sent =
-        send(aHandle, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
-      if (sent > 0) {
-        aBytes.remove_prefix(static_cast<std::size_t>(sent));
-      } else if (errno != EAGAIN && errno != EWOULDBLOCK) {
-        return false;
-      }
-    }
-    return !m_stopping;
-  }
-
-  Endless m_sent;
-  int m_listener = -1;
-  std::uint16_t m_port = 0;
-  std::atomic<bool> m_stopping = false;
-  std::list<std::thread> m_connections; // by the accepting thread
-  std::thread m_thread;
-};
-
 // The most memory that a process has held.
 std::size_t
 PeakMegabytes(pid_t aProcess)
@@ -227,7 +138,7 @@
 
   void AddBadRunner(const Endless& aSent, const std::string& aService)
   {
-    m_runners.emplace_back(aSent);
+    m_runners.emplace_back(aSent.m_first, aSent.m_repeated);
     const std::string id = "bad-" + std::to_string(m_runners.size());
     m_site.Put("servers",
                id,
@@ -286,7 +197,7 @@
 
   std::string m_directory;
   SiteStandIn m_site;
-  std::list<EndlessRunner> m_runners;
+  std::list<EndlessServer> m_runners;
   std::unique_ptr<DeployedSite> m_deployed;
   std::shared_ptr<DeployedProcess> m_process;
   std::list<RawSocket> m_callers; // of requests to the bad runners
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,5 +1,6 @@
 #include "siskindeal/error.h"
 #include "siskindeal/http.h"
+#include "support/endless_server.h"
 #include "support/http_server.h"
 #include "support/raw_socket.h"
 
@@ -294,6 +295,39 @@
   }
 }
 
+TEST(HttpClient, ResponsesWithoutEndLeaveMemoryForOthers)
+{
+  constexpr std::size_t kMegabyte = 1 << 20;
+  constexpr std::size_t kLimit =
+    8 * kMegabyte; // less than one response may hold
+  const EndlessServer endless("HTTP/1.1 200 OK\r\n\r\n",
+                              std::string(kMegabyte, 'x'));
+  std::promise<void> ended;
+  std::atomic<int> left = 8;
+  HttpClient client;
+  client.LimitMessages(kLimit);
+  const int calls = left;
+  for (int i = 0; i < calls; ++i) {
+    client.Start({ "GET", "http://" + endless.ListenAddress().ToString() },
+                 [&](const HttpReply& aReply) {
+                   EXPECT_EQ(aReply.m_outcome, HttpOutcome::SentNoReply);
+                   EXPECT_EQ(aReply.m_error, "memory for messages is used up");
+                   EXPECT_TRUE(aReply.m_body.empty());
+                   if (--left == 0) {
+                     ended.set_value();
+                   }
+                 });
+  }
+  RawServer sound([](RawSocket& aSocket, int) {
+    aSocket.ReadUntil("\r\n\r\n");
+    aSocket.Send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbooked");
+  });
+  const HttpReply reply =
+    client.Fetch({ "GET", "http://127.0.0.1:" + std::to_string(sound.Port()) });
+  EXPECT_EQ(reply.m_body, "booked");
+  ended.get_future().wait();
+}
+
 TEST(HttpClient, CancelsAndTimesOut)
 {
   std::promise<void> arrived;
--- a/tests/support/faulty_runner.cpp
+++ b/tests/support/faulty_runner.cpp
@@ -2,13 +2,8 @@
 
 #include "siskindeal/random.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <chrono>
-#include <stdexcept>
+#include <thread>
 
 namespace siskindeal {
 
@@ -18,7 +13,6 @@
 
 constexpr milliseconds kPoll{ 50 };
 constexpr std::uint64_t kMaxCopyDelayMs = 60;
-constexpr int kBacklog = 128;
 const std::string kRejected =
   "503 Service Unavailable\r\nX-Siskindeal-Not-Executed: 1";
 
@@ -97,46 +91,10 @@
   : m_options(aOptions)
   , m_describe(std::move(aDescribe))
   , m_record(std::move(aRecord))
+  , m_server([this](RawSocket aSocket, int, std::uint64_t aNumber) {
+    Serve(std::move(aSocket), m_options.m_seed + aNumber);
+  })
 {
-  m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* const generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(m_listener, generic, size) != 0 ||
-      listen(m_listener, kBacklog) != 0 ||
-      getsockname(m_listener, generic, &size) != 0) {
-    throw std::runtime_error("faulty runner cannot listen");
-  }
-  m_port = ntohs(address.sin_port);
-  m_thread = std::thread([this] { Accept(); });
-}
-
-FaultyRunner::~FaultyRunner()
-{
-  m_stopping = true;
-  shutdown(m_listener, SHUT_RDWR); // ends the accept
-  m_thread.join();
-  close(m_listener);
-  for (std::thread& connection : m_connections) {
-    connection.join();
-  }
-}
-
-void
-FaultyRunner::Accept()
-{
-  for (std::uint64_t number = 0; !m_stopping; ++number) {
-    const int accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-    if (accepted < 0) {
-      continue;
-    }
-    m_connections.emplace_back(
-      [this, accepted, seed = m_options.m_seed + number] {
-        Serve(RawSocket::Adopt(accepted), seed);
-      });
-  }
 }
 
 void
@@ -144,7 +102,7 @@
 {
   Random random(aSeed);
   std::string in;
-  while (!m_stopping) {
+  while (!m_server.IsStopping()) {
     const auto end = in.find("\r\n\r\n");
     if (end == std::string::npos) {
       if (!aSocket.HasInput(kPoll)) {
--- a/tests/support/faulty_runner.h
+++ b/tests/support/faulty_runner.h
@@ -2,15 +2,11 @@
 // A runner that fails requests after it has run them, in the ways that the
 // platform's protocol describes, and writes responses more than once.
 
-#include "siskindeal/site.h"
-#include "support/raw_socket.h"
+#include "support/threaded_server.h"
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <string>
-#include <thread>
 
 namespace siskindeal {
 
@@ -49,14 +45,10 @@
   FaultyRunner(const FaultyRunnerOptions& aOptions,
                Describe aDescribe,
                Record aRecord);
-  ~FaultyRunner();
-  FaultyRunner(const FaultyRunner&) = delete;
-  FaultyRunner& operator=(const FaultyRunner&) = delete;
 
-  Address ListenAddress() const { return { "127.0.0.1", m_port }; }
+  Address ListenAddress() const { return m_server.ListenAddress(); }
 
 private:
-  void Accept();
   void Serve(RawSocket aSocket, std::uint64_t aSeed);
   // Returns whether the connection is kept.
   bool Answer(RawSocket& aSocket,
@@ -77,11 +69,7 @@
   FaultyRunnerOptions m_options;
   Describe m_describe;
   Record m_record;
-  int m_listener = -1;
-  std::uint16_t m_port = 0;
-  std::atomic<bool> m_stopping = false;
-  std::list<std::thread> m_connections; // by the accepting thread
-  std::thread m_thread;
+  ThreadedServer m_server; // its threads use the members above
 };
 
 } // namespace siskindeal
