--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -135,9 +135,9 @@
   bool m_sentAny = false;
   bool m_paused = false;
   bool m_reusable = false;
-  bool m_discardResponse = false; // informational, or of an earlier call
-  bool m_hasDiscarded = false;    // a final response
-  bool m_hasCarriedCall = false;  // before the present one
+  bool m_discardResponse = false;   // informational, or of an earlier call
+  bool m_hasDiscarded = false;      // a final response
+  bool m_hasCarriedCall = false;    // before the present one
   std::size_t m_discardedBytes = 0; // in this call, as the next
   std::size_t m_discardedResponses = 0;
   bool m_closed = false;
