--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -64,20 +64,18 @@
   return std::nullopt;
 }
 
-// Whether an event ends with the line break at aAt: "\n\n" or "\r\n\r\n". Sets
-// aEnd to the position after it.
-bool
-EndsEvent(std::string_view aBytes, std::size_t aAt, std::size_t& aEnd)
+// The end of an event whose last line breaks at aLineFeed, if it ends there: by
+// "\n\n" or "\r\n\r\n".
+std::optional<std::size_t>
+EndOfEvent(std::string_view aBytes, std::size_t aLineFeed)
 {
-  if (aBytes.substr(aAt, 2) == "\n\n") {
-    aEnd = aAt + 2;
-    return true;
+  if (aBytes.substr(aLineFeed, 2) == "\n\n") {
+    return aLineFeed + 2;
   }
-  if (aAt > 0 && aBytes.substr(aAt - 1, 4) == "\r\n\r\n") {
-    aEnd = aAt + 3;
-    return true;
+  if (aLineFeed > 0 && aBytes.substr(aLineFeed - 1, 4) == "\r\n\r\n") {
+    return aLineFeed + 3;
   }
-  return false;
+  return std::nullopt;
 }
 
 // Whether an event consists of comments and empty lines.
@@ -100,13 +98,13 @@
   std::vector<StreamEvent> events;
   std::size_t begin = 0;
   while ((next = bytes.find('\n', next)) != std::string_view::npos) {
-    std::size_t end = 0;
-    if (!EndsEvent(bytes, next, end)) {
+    const auto end = EndOfEvent(bytes, next);
+    if (!end) {
       ++next;
       continue;
     }
-    Add(bytes.substr(begin, end - begin), events);
-    begin = next = end;
+    Add(bytes.substr(begin, *end - begin), events);
+    begin = next = *end;
   }
   m_pending.erase(0, begin);
   return events;
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -187,6 +187,59 @@
   }
 }
 
+TEST(EventSplitter, CommentsInARowAreOneEvent)
+{
+  EventSplitter splitter;
+  const auto events = splitter.Feed(":\n\n: a\n\nid: 1\n\n:\n\n:\r\n\r\n");
+  ASSERT_EQ(events.size(), 3U);
+  EXPECT_EQ(events[0].m_bytes, ":\n\n: a\n\n");
+  EXPECT_FALSE(events[0].m_hasFields);
+  EXPECT_EQ(events[1].m_id, 1U);
+  EXPECT_EQ(events[2].m_bytes, ":\n\n:\r\n\r\n");
+}
+
+// Position after the first of both kinds of ends; npos if there is none.
+std::size_t
+FirstEnd(const std::string& aStream)
+{
+  const auto lf = aStream.find("\n\n");
+  const auto crlf = aStream.find("\r\n\r\n");
+  if (lf == std::string::npos && crlf == std::string::npos) {
+    return std::string::npos;
+  }
+  return lf < crlf ? lf + 2 : crlf + 4;
+}
+
+TEST(EventSplitter, EndsEventsAtTheFirstEmptyLineOfRandomStreams)
+{
+  const std::string alphabet = "\r\n\n\r\nd:";
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    Random random(seed);
+    std::string stream;
+    for (std::size_t left = random.Below(60); left > 0; --left) {
+      stream += alphabet[random.Below(alphabet.size())];
+    }
+    EventSplitter splitter;
+    std::string passed;
+    for (std::size_t at = 0; at < stream.size();) {
+      const std::size_t step = 1 + random.Below(8);
+      for (const StreamEvent& event : splitter.Feed(stream.substr(at, step))) {
+        passed += event.m_bytes;
+      }
+      at += step;
+    }
+    std::string expected = stream;
+    std::size_t ends = 0;
+    for (auto end = FirstEnd(expected); end != std::string::npos;
+         end = FirstEnd(expected)) {
+      expected.erase(0, end);
+      ends += end;
+    }
+    ASSERT_EQ(passed, stream.substr(0, ends)) << "seed " << seed;
+    ASSERT_EQ(splitter.PendingBytes(), expected.size()) << "seed " << seed;
+  }
+}
+
 v1::GatewayBeacon
 Beacon(const std::string& aVm, std::uint64_t aIncarnation, bool aServing)
 {
--- a/tests/max_attempts_test.cpp
+++ b/tests/max_attempts_test.cpp
@@ -68,6 +68,7 @@
 TEST_F(MaxAttemptsTest, RunnerThatHasEndedIsNotCounted)
 {
   std::vector<Address> addresses;
+  addresses.reserve(kRunners);
   for (int i = 0; i < kRunners; ++i) {
     addresses.push_back(m_site.AddRunner(
       "i-" + std::to_string(i), "chat", [&, i](const auto& aStream) {
