--- a/tests/max_attempts_test.cpp
+++ b/tests/max_attempts_test.cpp
@@ -45,11 +45,30 @@
            std::string::npos;
   }
 
-  std::atomic<int> m_runs = 0;
+  std::atomic<int> m_runs = 0; // and rejections
   std::atomic<bool> m_crashIsKnown = false;
   Timer m_timer{ m_site.m_loop };
 };
 
+// The gateways that share the slack aren't known before their list is read.
+TEST_F(MaxAttemptsTest, SlackIsNotUsedWithoutTheListOfGateways)
+{
+  m_site.SilenceKind("gateways");
+  for (int i = 1; i <= kRunners; ++i) {
+    m_site.AddRunner("i-" + std::to_string(i), "chat", [&](const auto& aCall) {
+      ++m_runs;
+      RejectNotExecuted(aCall);
+    });
+  }
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == kRunners; }));
+  // The gateways are counted once a second.
+  std::this_thread::sleep_for(milliseconds(1500));
+  const std::string answer = SendRequest(Request("POST", "/chat/a"));
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_EQ(m_runs, 1);
+}
+
 TEST_F(MaxAttemptsTest, StreamThatBreaksOffAgainAndAgainKeepsToMaxAttempts)
 {
   for (int i = 1; i <= kRunners; ++i) {
--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -366,6 +366,9 @@
         (aRuns.empty() || !SoakTraffic::IsOwnAnswer(aOutcome))) {
       return "the answer isn't its own: " + aOutcome.m_body;
     }
+    if (!aOutcome.m_isSent && !aRuns.empty()) {
+      return "ran before it was sent whole";
+    }
     const bool isAnswered =
       aOutcome.m_isWhole &&
       (status == 200 || isRefused || (isForbidden && mayBeForbidden));
