--- a/tests/support/faulty_runner.cpp
+++ b/tests/support/faulty_runner.cpp
@@ -19,15 +19,14 @@
 // What a runner does with a request that it has run.
 enum class Fault
 {
-  Reset,
-  Close,
+  NoAnswer,
   Cut,           // in the middle of the body
   CutWithoutEnd, // a body that ends with the connection
   Garbage,
-  Error,        // 500
-  RanAndRefused // 503 that doesn't say that it hasn't run
+  Error,         // 500
+  RanAndRefused, // 503 that doesn't say that it hasn't run
 };
-constexpr std::uint64_t kFaults = 7;
+constexpr std::uint64_t kFaults = 6;
 
 std::string
 ResponseText(const std::string& aStatus,
@@ -141,60 +140,66 @@
     return true;
   }
   m_record(aRequest.m_id);
-  const bool isReset = aRandom.Chance(0.5);
+  bool isKept = false;
   if (aRequest.m_events > 0) {
-    if (Stream(aSocket, aRandom, aRequest, isFaulty)) {
-      return true;
-    }
+    isKept = Stream(aSocket, aRandom, aRequest, isFaulty);
   } else {
     std::this_thread::sleep_for(milliseconds(aRequest.m_workMs));
-    if (!isFaulty) {
+    isKept = isFaulty ? FailAfterRun(aSocket, aRandom, aRequest)
+                      : Respond(aSocket, aRandom, aRequest);
+  }
+  if (!isKept && aRandom.Chance(0.5)) {
+    aSocket.Reset();
+  }
+  return isKept;
+}
+
+bool
+FaultyRunner::Respond(RawSocket& aSocket,
+                      Random& aRandom,
+                      const FaultyRunnerRequest& aRequest) const
+{
+  const bool isCopied = aRandom.Chance(m_options.m_faulty / 2);
+  SendWithCopy(aSocket, aRandom, aRequest, "200 OK", aRequest.m_body, isCopied);
+  return true;
+}
+
+bool
+FaultyRunner::FailAfterRun(RawSocket& aSocket,
+                           Random& aRandom,
+                           const FaultyRunnerRequest& aRequest) const
+{
+  const std::string sound =
+    ResponseText("200 OK", aRequest.m_id, aRequest.m_body);
+  switch (static_cast<Fault>(aRandom.Below(kFaults))) {
+    case Fault::NoAnswer:
+      return false;
+    case Fault::Cut:
+      aSocket.Send(sound.substr(0, sound.size() - 1 - aRandom.Below(60)));
+      return false;
+    case Fault::CutWithoutEnd:
+      aSocket.Send("HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: " +
+                   aRequest.m_id + "\r\n\r\n" + aRequest.m_body.substr(3));
+      return false;
+    case Fault::Garbage:
+      aSocket.Send("\x01\x02 503 \r\n\r\n no answer");
+      return false;
+    case Fault::Error:
       SendWithCopy(aSocket,
                    aRandom,
                    aRequest,
-                   "200 OK",
-                   aRequest.m_body,
-                   aRandom.Chance(m_options.m_faulty / 2));
+                   "500 Internal Server Error",
+                   "failed",
+                   aRandom.Chance(0.5));
+      return true;
+    case Fault::RanAndRefused:
+      SendWithCopy(aSocket,
+                   aRandom,
+                   aRequest,
+                   "503 Service Unavailable",
+                   {},
+                   aRandom.Chance(0.5));
       return true;
-    }
-    const std::string sound =
-      ResponseText("200 OK", aRequest.m_id, aRequest.m_body);
-    switch (static_cast<Fault>(aRandom.Below(kFaults))) {
-      case Fault::Reset:
-        aSocket.Reset();
-        return false;
-      case Fault::Close:
-        return false;
-      case Fault::Cut:
-        aSocket.Send(sound.substr(0, sound.size() - 1 - aRandom.Below(60)));
-        break;
-      case Fault::CutWithoutEnd:
-        aSocket.Send("HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: " +
-                     aRequest.m_id + "\r\n\r\n" + aRequest.m_body.substr(3));
-        break;
-      case Fault::Garbage:
-        aSocket.Send("\x01\x02 503 \r\n\r\n no answer");
-        break;
-      case Fault::Error:
-        SendWithCopy(aSocket,
-                     aRandom,
-                     aRequest,
-                     "500 Internal Server Error",
-                     "failed",
-                     aRandom.Chance(0.5));
-        return true;
-      case Fault::RanAndRefused:
-        SendWithCopy(aSocket,
-                     aRandom,
-                     aRequest,
-                     "503 Service Unavailable",
-                     {},
-                     aRandom.Chance(0.5));
-        return true;
-    }
-  }
-  if (isReset) {
-    aSocket.Reset();
   }
   return false;
 }
--- a/tests/support/faulty_runner.h
+++ b/tests/support/faulty_runner.h
@@ -50,10 +50,16 @@
 
 private:
   void Serve(RawSocket aSocket, std::uint64_t aSeed);
-  // Returns whether the connection is kept.
+  // Returns whether the connection is kept, as the next ones do.
   bool Answer(RawSocket& aSocket,
               Random& aRandom,
               const FaultyRunnerRequest& aRequest);
+  bool Respond(RawSocket& aSocket,
+               Random& aRandom,
+               const FaultyRunnerRequest& aRequest) const;
+  bool FailAfterRun(RawSocket& aSocket,
+                    Random& aRandom,
+                    const FaultyRunnerRequest& aRequest) const;
   bool Stream(RawSocket& aSocket,
               Random& aRandom,
               const FaultyRunnerRequest& aRequest,
