--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1,8 +1,6 @@
-// Tests a gateway's runner table, request placement, version tracking and retry
-// budget.
+// Tests a gateway's runner table, request placement and version tracking.
 
 #include "dispatch/placement_p.h"
-#include "dispatch/retry_budget_p.h"
 
 #include <gtest/gtest.h>
 
@@ -366,9 +364,6 @@
   }
 }
 
-// For any order of requests and retries and any distribution over gateways, the
-// total number of retries stays within the shared allowance.
-// A gateway that has just started doesn't know how many others share the slack.
 class NoticePlacement : public testing::Test
 {
 protected:
@@ -440,63 +435,6 @@
   EXPECT_TRUE(std::holds_alternative<Placement>(Place({ former })));
 }
 
-TEST(SharedRetryBudget, GatewaysStartedTogetherStayWithinTheSharedSlack)
-{
-  constexpr std::size_t kGateways = 9;
-  const RetryAllowance allowance{ 0.2, milliseconds(10000), 106 };
-  std::vector<SharedRetryBudget> budgets(kGateways,
-                                         SharedRetryBudget(allowance));
-  double retries = 0;
-  for (SharedRetryBudget& budget : budgets) {
-    while (budget.TakeRetry("caddie", kStart)) {
-      ++retries;
-    }
-  }
-  EXPECT_LE(retries, allowance.m_slack);
-  for (SharedRetryBudget& budget : budgets) {
-    budget.SetGatewayCount(kGateways);
-    EXPECT_TRUE(budget.TakeRetry("caddie", kStart));
-  }
-}
-
-TEST(SharedRetryBudget, AllGatewaysStayWithinTheSharedAllowance)
-{
-  constexpr std::size_t kGateways = 9;
-  constexpr int kSteps = 60000;
-  const RetryAllowance allowance{ 0.2, milliseconds(10000), 106 };
-  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    SCOPED_TRACE(seed);
-    Random random(seed);
-    std::vector<SharedRetryBudget> budgets;
-    for (std::size_t i = 0; i < kGateways; ++i) {
-      budgets.emplace_back(allowance);
-      budgets.back().SetGatewayCount(kGateways);
-    }
-    std::deque<MonotonicTime> requests;
-    std::deque<MonotonicTime> retries;
-    MonotonicTime now = kStart;
-    for (int step = 0; step < kSteps; ++step) {
-      now += milliseconds(random.Below(10));
-      SharedRetryBudget& budget = budgets[random.Below(kGateways)];
-      if (random.Chance(0.3)) {
-        budget.RecordRequest("caddie", now);
-        requests.push_back(now);
-      } else if (budget.TakeRetry("caddie", now)) {
-        retries.push_back(now);
-      }
-      for (auto* times : { &requests, &retries }) {
-        while (!times->empty() && now - times->front() > allowance.m_window) {
-          times->pop_front();
-        }
-      }
-      ASSERT_LE(static_cast<double>(retries.size()),
-                allowance.m_ratio * static_cast<double>(requests.size()) +
-                  allowance.m_slack);
-    }
-    EXPECT_FALSE(retries.empty());
-  }
-}
-
 } // namespace
 
 } // namespace siskindeal
--- a/tests/retry_budget_run_test.cpp
+++ b/tests/retry_budget_run_test.cpp
@@ -17,6 +17,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr MonotonicTime kStart{ std::chrono::hours(1) };
 const std::string kService = "caddie";
 constexpr milliseconds kTick{ 10 };
 constexpr milliseconds kRunTime{ 60000 };
@@ -141,7 +142,7 @@
 
   FleetShape m_shape;
   Random m_random;
-  MonotonicTime m_now{ std::chrono::hours(1) };
+  MonotonicTime m_now = kStart;
   double m_owed = 0; // requests, as a fraction
   std::vector<Gateway> m_gateways;
   EventCounts m_requests;
@@ -190,6 +191,63 @@
   ExpectWithinAllowance({ 0, 200, 1, milliseconds(700), 0 });
 }
 
+// A gateway that has just started doesn't know how many others share the slack.
+TEST(SharedRetryBudget, GatewaysStartedTogetherStayWithinTheSharedSlack)
+{
+  constexpr std::size_t kGateways = 9;
+  std::vector<SharedRetryBudget> budgets(kGateways,
+                                         SharedRetryBudget(kAllowance));
+  double retries = 0;
+  for (SharedRetryBudget& budget : budgets) {
+    while (budget.TakeRetry(kService, kStart)) {
+      ++retries;
+    }
+  }
+  EXPECT_LE(retries, kAllowance.m_slack);
+  for (SharedRetryBudget& budget : budgets) {
+    budget.SetGatewayCount(kGateways);
+    EXPECT_TRUE(budget.TakeRetry(kService, kStart));
+  }
+}
+
+// For any order of requests and retries and any distribution over gateways.
+TEST(SharedRetryBudget, AllGatewaysStayWithinTheSharedAllowance)
+{
+  constexpr std::size_t kGateways = 9;
+  constexpr int kSteps = 60000;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    SCOPED_TRACE(seed);
+    Random random(seed);
+    std::vector<SharedRetryBudget> budgets;
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      budgets.emplace_back(kAllowance);
+      budgets.back().SetGatewayCount(kGateways);
+    }
+    std::deque<MonotonicTime> requests;
+    std::deque<MonotonicTime> retries;
+    MonotonicTime now = kStart;
+    for (int step = 0; step < kSteps; ++step) {
+      now += milliseconds(random.Below(10));
+      SharedRetryBudget& budget = budgets[random.Below(kGateways)];
+      if (random.Chance(0.3)) {
+        budget.RecordRequest(kService, now);
+        requests.push_back(now);
+      } else if (budget.TakeRetry(kService, now)) {
+        retries.push_back(now);
+      }
+      for (auto* times : { &requests, &retries }) {
+        while (!times->empty() && now - times->front() > kAllowance.m_window) {
+          times->pop_front();
+        }
+      }
+      ASSERT_LE(static_cast<double>(retries.size()),
+                kAllowance.m_ratio * static_cast<double>(requests.size()) +
+                  kAllowance.m_slack);
+    }
+    EXPECT_FALSE(retries.empty());
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Gateways, RetryBudgetRun, testing::Values(3, 30, 148));
 
 } // namespace
