Logs of a request's way: caller, delivery, datagrams sent, whom callers are told of

The record of GONE can't be explained by the present lines: none names the caller, when the runner's system had the request, what a gateway sends to others, or which gateways callers are told of. A request line now has the caller's address and delivered_ms (by SIOCOUTQ); new lines count datagrams by kind, those that the system didn't take, and answers of the directory that list other regions. Bytes of the store and of passed on configurations are counted.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -84,6 +84,7 @@
 CallerExchange::Begin()
 {
   m_request = m_caller->Request();
+  m_callerHost = m_caller->RemoteAddress().m_host;
   m_caller->m_onDisconnect = [self = shared_from_this()] {
     self->Guard([&self] { self->OnCallerDisconnected(); });
   };
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -83,6 +83,9 @@
   aAttempt.m_head = aHead;
   aAttempt.m_lastProgress = LoopNow();
   aAttempt.m_firstByteAt = aAttempt.m_lastProgress;
+  if (!aAttempt.m_deliveredAt) {
+    aAttempt.m_deliveredAt = aAttempt.m_lastProgress;
+  }
   ApplyResponseHead(aAttempt);
   aAttempt.m_isEventStream =
     m_route->m_retryClass == RetryClass::Streaming && IsEventStream(aHead);
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -28,12 +28,23 @@
     }
     return;
   }
+  RecordDeliveries(aNow);
   WithdrawOutdated();
   if (m_phase != Phase::Done && NeedsHedge(aNow)) {
     Hedge(aNow);
   }
 }
 
+void
+CallerExchange::RecordDeliveries(MonotonicTime aNow)
+{
+  for (const RunnerAttemptPtr& attempt : m_openAttempts) {
+    if (!attempt->m_deliveredAt && attempt->m_connection->IsAcknowledged()) {
+      attempt->m_deliveredAt = aNow;
+    }
+  }
+}
+
 bool
 CallerExchange::IsResponseArriving(MonotonicTime aNow)
 {
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -125,6 +125,8 @@
   // begun: without event ids, a second run can't be told from a repetition.
   bool MayResume() const;
 
+  // Records which attempts' requests have reached their runners' systems.
+  void RecordDeliveries(MonotonicTime aNow);
   // Whether bytes of a response wait to be read past the deadline, as after a
   // pause of the process. True for a short time only.
   bool IsResponseArriving(MonotonicTime aNow);
@@ -180,6 +182,8 @@
   const SiteTeam* m_team = nullptr;
   IncomingRequest m_request;
   std::string m_id;
+  std::string
+    m_callerHost; // for the log; the connection may have ended by then
   std::string m_service;
   RequestShape m_shape;
   RequestTraits m_traits;
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -30,6 +30,18 @@
          aAttempt->m_predicted;
 }
 
+// Time from sending until the runner's system had the request, to a tick; -1:
+// that wasn't seen before the attempt ended.
+milliseconds
+DeliveryTime(const RunnerAttemptPtr& aAttempt)
+{
+  if (!aAttempt || !aAttempt->m_deliveredAt) {
+    return milliseconds(-1);
+  }
+  return std::chrono::duration_cast<milliseconds>(*aAttempt->m_deliveredAt -
+                                                  aAttempt->m_sentAt);
+}
+
 } // namespace
 
 HttpFields
@@ -188,12 +200,14 @@
     LogLevel::Info,
     "request",
     { { "id", m_id },
+      { "caller", m_callerHost },
       { "outcome", aOutcome },
       { "reason", m_lastReason },
       { "route", route },
       { "runner", reported ? reported->m_runner.m_id : "" },
       { "region", reported ? reported->m_region : "" },
       { "link_delay_ms", m_linkDelay.count() },
+      { "delivered_ms", DeliveryTime(reported).count() },
       { "first_beyond_ms", FirstByteBeyond(reported).count() },
       { "sends", m_sends },
       { "events", m_eventCount },
--- a/src/gateway/config_server.cpp
+++ b/src/gateway/config_server.cpp
@@ -1,6 +1,7 @@
 #include "gateway/config_server_p.h"
 
 #include "net/datagrams_p.h"
+#include "siskindeal/metrics.h"
 
 #include <algorithm>
 
@@ -78,6 +79,12 @@
     reply.mutable_runners()->set_known_until_ms(
       (m_snapshot.m_runnersKnownUntil - aQuestion.m_arrivedAt).count());
   }
+  CountMetric("siskindeal_gateway_config_bytes_total",
+              { { "kind", "config" } },
+              static_cast<double>(reply.spec().size()));
+  CountMetric("siskindeal_gateway_config_bytes_total",
+              { { "kind", "runners" } },
+              static_cast<double>(reply.runners().ByteSizeLong()));
   aQuestion.m_connection->m_onDisconnect = nullptr;
   aQuestion.m_connection->SendResponse(200, {}, {}, reply.SerializeAsString());
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -274,6 +274,7 @@
     SetMetric("siskindeal_message_bytes",
               static_cast<double>(MemoryBudget::Of(m_loop).Held()));
     SendToStagers();
+    LogDatagrams();
     UpdateGatewayFeed();
     UpdateGatewayCount();
     m_runners.Sweep(aNow);
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -115,14 +115,14 @@
   if (report.sent_at_ms() > 0) {
     AppendMeasurement(*relayed.mutable_region());
   }
-  SendToRegionPeers(relayed);
+  SendToRegionPeers(relayed, DatagramKind::Relay);
 }
 
 void
-Gateway::SendToRegionPeers(const v1::Datagram& aDatagram)
+Gateway::SendToRegionPeers(const v1::Datagram& aDatagram, DatagramKind aKind)
 {
   for (const Address& address : m_peers.RegionPeers()) {
-    m_datagrams->Send(aDatagram, address);
+    m_datagrams->Send(aDatagram, address, aKind);
   }
 }
 
@@ -211,7 +211,7 @@
     return;
   }
   m_lastLoadBeacon = std::move(serialized);
-  SendToRegionPeers(datagram);
+  SendToRegionPeers(datagram, DatagramKind::Load);
 }
 
 std::vector<v1::RunnerLimitReport>
@@ -308,7 +308,7 @@
   v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
   AppendConfigState(beacon);
   Append(aCommon, beacon);
-  SendToRegionPeers(datagram);
+  SendToRegionPeers(datagram, DatagramKind::Heartbeat);
 }
 
 // Sends the state of this region to gateways of the other regions.
@@ -347,7 +347,7 @@
   AppendLinkDelays(report);
   report.set_sent_at_ms(static_cast<std::uint64_t>(BootTime().count()));
   for (const Address& address : targets) {
-    m_datagrams->Send(datagram, address);
+    m_datagrams->Send(datagram, address, DatagramKind::Report);
   }
   CountMetric("siskindeal_gateway_region_bytes_total",
               { { "kind", "report" } },
@@ -387,7 +387,8 @@
     if (inRegion && m_routes->Service(state.m_record.m_service).m_engine) {
       m_datagrams->Send(
         datagram,
-        { state.m_record.m_address.m_host, m_settings.m_node.m_rpc.m_port });
+        { state.m_record.m_address.m_host, m_settings.m_node.m_rpc.m_port },
+        DatagramKind::Weights);
     }
   }
 }
--- a/src/gateway/gateway_endpoints.cpp
+++ b/src/gateway/gateway_endpoints.cpp
@@ -60,10 +60,11 @@
     aConnection->SendResponse(503, {}, {}, "no gateway is serving");
     return;
   }
-  const std::vector<Address> addresses = ListGateways(
-    std::move(serving),
-    QueryValue(aConnection->Request().m_target, dialect::kCallerRegion),
-    m_random);
+  const std::string region =
+    QueryValue(aConnection->Request().m_target, dialect::kCallerRegion);
+  RecordDirectoryAnswer(serving, region);
+  const std::vector<Address> addresses =
+    ListGateways(std::move(serving), region, m_random);
   HttpFields fields;
   fields.Add("Content-Type", "application/json");
   aConnection->SendResponse(
@@ -73,6 +74,31 @@
     dialect::EncodeDirectory(addresses, m_settings.m_gateway.m_answerLifetime));
 }
 
+void
+Gateway::RecordDirectoryAnswer(const std::vector<ServingGateway>& aServing,
+                               const std::string& aCallerRegion)
+{
+  constexpr std::chrono::seconds kLogInterval{ 1 };
+  const auto local = static_cast<std::size_t>(std::count_if(
+    aServing.begin(), aServing.end(), [&](const ServingGateway& aGateway) {
+      return aGateway.m_region == aCallerRegion;
+    }));
+  const bool isLocal = local >= kMinListedAddresses || local == aServing.size();
+  CountMetric("siskindeal_gateway_directory_answers_total",
+              { { "listed", isLocal ? "own region" : "other regions" } });
+  if (isLocal || LoopNow() - m_foreignAnswerLoggedAt < kLogInterval) {
+    return;
+  }
+  m_foreignAnswerLoggedAt = LoopNow();
+  LogRequest(LogLevel::Info,
+             "callers told of other regions",
+             { { "region", aCallerRegion },
+               { "serving_there", local },
+               { "serving", aServing.size() },
+               { "advertised", IsAdvertised() },
+               { "config_age_ms", ConfigAge().count() } });
+}
+
 void
 Gateway::HandleAdmin(const std::shared_ptr<ServerConnection>& aConnection)
 {
--- a/src/gateway/gateway_links.cpp
+++ b/src/gateway/gateway_links.cpp
@@ -87,6 +87,41 @@
   }
 }
 
+void
+Gateway::LogDatagrams()
+{
+  constexpr std::uint64_t kMinLoggedBytes = 100000;
+  constexpr std::uint64_t kMuch = 2;
+  const auto traffic = m_datagrams->TakeTraffic();
+  DatagramTraffic sum;
+  for (const auto& [kind, sent] : traffic) {
+    sum.m_datagrams += sent.m_datagrams;
+    sum.m_bytes += sent.m_bytes;
+    sum.m_dropped += sent.m_dropped;
+  }
+  const std::uint64_t shown = std::max(sum.m_bytes, kMinLoggedBytes);
+  const std::uint64_t former = std::max(m_loggedDatagramBytes, kMinLoggedBytes);
+  const bool hasChanged = shown >= former * kMuch || former >= shown * kMuch;
+  if (!hasChanged && sum.m_dropped == 0) {
+    return;
+  }
+  m_loggedDatagramBytes = sum.m_bytes;
+  const auto bytesOf = [&](DatagramKind aKind) {
+    const auto found = traffic.find(aKind);
+    return found == traffic.end() ? 0 : found->second.m_bytes;
+  };
+  LogRequest(LogLevel::Info,
+             "datagrams of the last second",
+             { { "sent", sum.m_datagrams },
+               { "dropped", sum.m_dropped },
+               { "bytes", sum.m_bytes },
+               { "heartbeat_bytes", bytesOf(DatagramKind::Heartbeat) },
+               { "load_bytes", bytesOf(DatagramKind::Load) },
+               { "report_bytes", bytesOf(DatagramKind::Report) },
+               { "relay_bytes", bytesOf(DatagramKind::Relay) },
+               { "weights_bytes", bytesOf(DatagramKind::Weights) } });
+}
+
 void
 Gateway::CountRegionBytes(const std::string& aRegion,
                           const char* aKind,
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -197,6 +197,9 @@
   void UpdateLinkDelays();
   // Logs delays between regions that have changed much.
   void LogLinkDelays();
+  // Logs what datagrams were sent in the last second if that has changed much,
+  // or if the system dropped any.
+  void LogDatagrams();
   // Adds for how long a report that is relayed was queued.
   void AppendMeasurement(v1::RegionReport& aRelayed) const;
   // Adds for how long the reports of other regions are queued.
@@ -207,7 +210,7 @@
   void RegisterAfter(std::chrono::milliseconds aDelay);
   v1::Datagram Beacon() const;
   v1::Datagram BeaconWithLoads() const;
-  void SendToRegionPeers(const v1::Datagram& aDatagram);
+  void SendToRegionPeers(const v1::Datagram& aDatagram, DatagramKind aKind);
   void SendLoadChanges();
   // Between two reports of changed loads to the region's gateways.
   std::uint32_t TicksPerLoadReport() const;
@@ -235,6 +238,10 @@
   void RunPeriodicTasks(MonotonicTime aNow);
   void HandleReady(const std::shared_ptr<ServerConnection>& aConnection);
   void HandleDirectory(const std::shared_ptr<ServerConnection>& aConnection);
+  // Counts an answer of the directory, and logs one that lists gateways of
+  // other regions than the caller's, one a second at most.
+  void RecordDirectoryAnswer(const std::vector<ServingGateway>& aServing,
+                             const std::string& aCallerRegion);
   void HandleAdmin(const std::shared_ptr<ServerConnection>& aConnection);
   std::string StateJson() const;
   bool AcceptsCallers() const;
@@ -314,6 +321,8 @@
   LinkDelays m_linkDelays;
   std::map<std::string, std::chrono::milliseconds> m_loggedDelays; // by region
   std::map<std::string, ReceivedRunnerReport> m_runnerReports;     // by id
+  std::uint64_t m_loggedDatagramBytes = 0; // of a second
+  MonotonicTime m_foreignAnswerLoggedAt{};
   std::string m_region;
   std::string m_lastLoadBeacon; // serialized; unchanged loads aren't sent
   std::uint64_t m_incarnation;
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -30,6 +30,8 @@
   std::string m_region;                       // of the runner
   std::chrono::milliseconds m_linkDelay{ 0 }; // there and back, as measured
   MonotonicTime m_sentAt{};
+  // When the runner's system was seen to have the whole request.
+  std::optional<MonotonicTime> m_deliveredAt;
   std::optional<MonotonicTime> m_firstByteAt;
   MonotonicTime m_lastProgress{};
   bool m_promptCounted = false; // in the runner's load
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -1,10 +1,12 @@
 #include "net/datagrams_p.h"
 
 #include "kernel/contain_p.h"
+#include "siskindeal/metrics.h"
 
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace siskindeal {
 
@@ -61,6 +63,24 @@
                         : aNamed.Record(aAge.model(), aAge.version(), at);
 }
 
+std::string_view
+ToString(DatagramKind aKind)
+{
+  switch (aKind) {
+    case DatagramKind::Heartbeat:
+      return "heartbeat";
+    case DatagramKind::Load:
+      return "load";
+    case DatagramKind::Report:
+      return "report";
+    case DatagramKind::Relay:
+      return "relay";
+    case DatagramKind::Weights:
+      return "weights";
+  }
+  return "unknown";
+}
+
 DatagramSocket::DatagramSocket(Loop& aLoop,
                                const Address& aAddress,
                                Receiver aReceiver)
@@ -80,14 +100,41 @@
 }
 
 void
-DatagramSocket::Send(const v1::Datagram& aDatagram, const Address& aTo)
+DatagramSocket::Send(const v1::Datagram& aDatagram,
+                     const Address& aTo,
+                     DatagramKind aKind)
 {
   m_out.clear();
   if (!aDatagram.SerializeToString(&m_out)) {
     return;
   }
-  NetError ignored; // the data is sent again periodically
-  m_socket.send_to(boost::asio::buffer(m_out), UdpEndpoint(aTo), 0, ignored);
+  NetError error;
+  m_socket.send_to(boost::asio::buffer(m_out), UdpEndpoint(aTo), 0, error);
+  DatagramTraffic& traffic = m_traffic[aKind];
+  if (error) { // the data is sent again periodically
+    ++traffic.m_dropped;
+    return;
+  }
+  ++traffic.m_datagrams;
+  traffic.m_bytes += m_out.size();
+}
+
+std::map<DatagramKind, DatagramTraffic>
+DatagramSocket::TakeTraffic()
+{
+  for (const auto& [kind, traffic] : m_traffic) {
+    const MetricLabels labels = { { "kind", std::string(ToString(kind)) } };
+    CountMetric("siskindeal_datagrams_sent_total",
+                labels,
+                static_cast<double>(traffic.m_datagrams));
+    CountMetric("siskindeal_datagram_bytes_total",
+                labels,
+                static_cast<double>(traffic.m_bytes));
+    CountMetric("siskindeal_datagrams_dropped_total",
+                labels,
+                static_cast<double>(traffic.m_dropped));
+  }
+  return std::exchange(m_traffic, {});
 }
 
 void
--- a/src/net/datagrams_p.h
+++ b/src/net/datagrams_p.h
@@ -9,8 +9,11 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
+#include <string_view>
 
 namespace siskindeal {
 
@@ -28,6 +31,27 @@
                const v1::NamedAge& aAge,
                std::chrono::milliseconds aBootTime);
 
+// What a datagram is sent for.
+enum class DatagramKind
+{
+  Heartbeat, // between gateways of a region
+  Load,      // changed loads of runners, between them
+  Report,    // of a region, to another region
+  Relay,     // of another region's report, within a region
+  Weights,   // between stagers, and between them and gateways
+};
+
+std::string_view
+ToString(DatagramKind aKind);
+
+// What was sent since the last call of TakeTraffic.
+struct DatagramTraffic
+{
+  std::uint64_t m_datagrams = 0;
+  std::uint64_t m_bytes = 0;
+  std::uint64_t m_dropped = 0; // datagrams that the system didn't take
+};
+
 class DatagramSocket
 {
 public:
@@ -40,7 +64,12 @@
   std::uint16_t Port() const { return m_socket.local_endpoint().port(); }
 
   // Sends without blocking; drops the datagram if it cannot be sent now.
-  void Send(const v1::Datagram& aDatagram, const Address& aTo);
+  void Send(const v1::Datagram& aDatagram,
+            const Address& aTo,
+            DatagramKind aKind);
+
+  // Returns what was sent since the last call, and adds it to the metrics.
+  std::map<DatagramKind, DatagramTraffic> TakeTraffic();
 
 private:
   static constexpr std::size_t kMaxDatagramBytes = 16 << 10;
@@ -51,6 +80,7 @@
   boost::asio::ip::udp::endpoint m_from;
   std::array<char, kMaxDatagramBytes> m_in;
   std::string m_out;
+  std::map<DatagramKind, DatagramTraffic> m_traffic;
   Receiver m_receiver;
 };
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -139,6 +141,17 @@
   return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool
+HttpConnection::IsAcknowledged()
+{
+  if (!m_connected || m_writing || !m_sentAny) {
+    return false;
+  }
+  int unacknowledged = 0;
+  return ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) != 0 ||
+         unacknowledged == 0;
+}
+
 void
 HttpConnection::Write()
 {
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -92,6 +92,9 @@
   // Whether the peer has closed the connection or sent bytes that weren't read.
   // Between two calls, such bytes are the response to none.
   bool HasUnreadInput();
+  // Whether the peer's system has acknowledged all that was written. True if
+  // the local system can't tell.
+  bool IsAcknowledged();
   MonotonicClockPoint IdleSince() const { return m_idleSince; }
   std::chrono::milliseconds IdleLimit() const { return m_idleLimit; }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -89,6 +89,14 @@
   return { local.address().to_string(), local.port() };
 }
 
+Address
+ServerConnection::RemoteAddress() const
+{
+  NetError ignored;
+  const auto remote = m_socket.remote_endpoint(ignored);
+  return { remote.address().to_string(), remote.port() };
+}
+
 void
 ServerConnection::Read()
 {
--- a/src/net/http_server_p.h
+++ b/src/net/http_server_p.h
@@ -68,6 +68,8 @@
   const IncomingRequest& Request() const { return m_request; }
   // The local address that the client connected to.
   Address LocalAddress() const;
+  // The client's address; port 0 if it is not connected any more.
+  Address RemoteAddress() const;
 
   // Sends a complete response. Adds framing fields; aFields must not hold any.
   void SendResponse(int aStatus,
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -261,6 +261,9 @@
      basis = m_basis,
      call = m_calls,
      aHandler](const BufferedResponse& aAnswer) {
+      CountMetric("siskindeal_store_bytes_total",
+                  { { "kind", self->m_kind } },
+                  static_cast<double>(aAnswer.m_body.size()));
       if (call != self->m_calls) {
         return; // given up for a later call
       }
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -241,14 +241,17 @@
   const MonotonicTime now = LoopNow();
   for (const std::string& host : AnnounceTargets()) {
     // Every process uses the same port for datagrams.
-    m_datagrams->Send(datagram, { host, m_settings.m_node.m_rpc.m_port });
+    m_datagrams->Send(datagram,
+                      { host, m_settings.m_node.m_rpc.m_port },
+                      DatagramKind::Weights);
   }
   notice.clear_held();
   for (const auto& [key, gateway] : m_gateways) {
     if (now - gateway.m_lastSeen < kGatewayTimeout && m_runnerReachable) {
-      m_datagrams->Send(datagram, gateway.m_address);
+      m_datagrams->Send(datagram, gateway.m_address, DatagramKind::Weights);
     }
   }
+  m_datagrams->TakeTraffic();
 }
 
 void
--- a/tests/handler_failure_test.cpp
+++ b/tests/handler_failure_test.cpp
@@ -94,7 +94,9 @@
   });
   DatagramSocket sender(m_loop, { "127.0.0.1", 0 }, [](auto&&...) {});
   EXPECT_TRUE(Eventually([&] {
-    sender.Send(v1::Datagram(), { "127.0.0.1", receiver.Port() });
+    sender.Send(v1::Datagram(),
+                { "127.0.0.1", receiver.Port() },
+                DatagramKind::Heartbeat);
     return received > 2;
   }));
 }
--- a/tests/stager_test.cpp
+++ b/tests/stager_test.cpp
@@ -163,7 +163,7 @@
       named.set_version(aNamed);
     }
     boost::asio::post(m_loop, [this, datagram, aStager] {
-      m_datagrams.Send(datagram, aStager);
+      m_datagrams.Send(datagram, aStager, DatagramKind::Weights);
     });
   }
 
