A stager that waits for its configuration reads nothing else from the store, and waits longer

Callers saw: after a loss of power of all VMs, no gateway outside the store's region took requests for two to four seconds, and for ten more requests and closes were seconds late between regions, so that work went on for callers that had left (GONE).

Cause, of the stagers' part: without a gateway that has the configuration, each read it from the store after 1.5 s, and every second again, and every second the list of runners too, which it needs only for weights of a model that it doesn't know yet. Two dozen stagers of a region ask for more than the link to the store carries, and what has been given up is sent all the same.

Evidence: StagerWithoutAConfigurationDoesNotReadTheListOfRunners fails before (the list is read at once).

Change: the first read of the store comes at a random time 2.5 to 5 s after the start, further ones after growing times; gateways that start at the same time have the configuration by then. The list of runners is read once the model is known, and fetching waits until its peers have been heard, as it did when the list came first.

--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -263,9 +263,8 @@
   if (m_model.empty() && now - m_configReadAt >= kConfigRetryInterval) {
     ReadConfig();
   }
-  const milliseconds peersMaxAge =
-    m_model.empty() ? kConfigRetryInterval : kPeerListMaxAge;
-  if ((m_model.empty() || !idle) && now - m_peersReadAt >= peersMaxAge) {
+  // Peers give pieces of weights, which are fetched once the model is known.
+  if (!m_model.empty() && !idle && now - m_peersReadAt >= kPeerListMaxAge) {
     ReadPeers();
   }
   const bool fastPoll =
--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -120,11 +120,19 @@
          (LoadedVersion() == 0 || LoadedVersion() < m_target || !m_plan);
 }
 
+bool
+Stager::KnowsPeers() const
+{
+  // Peers that have nothing to do send notices this often at least.
+  constexpr milliseconds kNoticeTime{ 1100 };
+  return m_peersAnsweredAt && LoopNow() - *m_peersAnsweredAt >= kNoticeTime;
+}
+
 void
 Stager::StepFetch()
 {
   const auto newest = m_named.Newest(m_model);
-  if (newest && *newest > m_target &&
+  if (newest && *newest > m_target && KnowsPeers() &&
       !ShouldFinishTargetFirst(
         Progress(), m_named, m_model, *newest, BootTime())) {
     m_target = *newest;
@@ -133,7 +141,7 @@
   }
   switch (m_fetchStage) {
     case FetchStage::Resting:
-      if (NeedsWeights()) {
+      if (NeedsWeights() && KnowsPeers()) {
         BeginVersion();
       } else if (m_plan && !m_plan->Complete()) {
         EnterFetchStage(FetchStage::Fetching); // a piece was dropped
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -10,6 +10,7 @@
 #include "stager/fetch_plan_p.h"
 #include "stager/fetch_target_p.h"
 #include "stager/load_turn_p.h"
+#include "stager/store_fallback_p.h"
 #include "weights/link_shaper_p.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -122,6 +123,9 @@
   void OnReport(const BufferedResponse& aAnswer);
   void Step();
   void StepFetch();
+  // Whether the peers that may give pieces have been heard; without them, all
+  // pieces would be taken from the origin.
+  bool KnowsPeers() const;
   void StepLoad();
   bool NeedsWeights() const;
   void BeginVersion();
@@ -234,6 +238,9 @@
   MonotonicTime m_startedAt = LoopNow();
   MonotonicTime m_announcedAt{};
   MonotonicTime m_peersReadAt{};
+  // When the list was answered for the first time, or reading it failed.
+  std::optional<MonotonicTime> m_peersAnsweredAt;
+  StoreFallback m_storeFallback{ m_startedAt, m_random };
   MonotonicTime m_configReadAt{};
   bool m_readingConfig = false;
   bool m_gatewayFailed = false; // when it was asked for the configuration last
--- a/src/stager/stager_site.cpp
+++ b/src/stager/stager_site.cpp
@@ -89,7 +89,9 @@
         { "version", aVersion },
         { "age_ms", namedAt ? (BootTime() - *namedAt).count() : 0 },
         { "assumed", !m_named.Assumed(aModel).empty() } });
-  ReadPeers();
+  if (!m_model.empty()) {
+    ReadPeers();
+  }
 }
 
 // Other processes report versions too, as the store may refuse only this VM.
@@ -120,15 +122,17 @@
   if (m_readingConfig) {
     return; // a second copy would only delay the first
   }
+  const MonotonicTime now = LoopNow();
   const std::optional<Address> gateway = ChooseConfigGateway();
-  if (!gateway && LoopNow() - m_startedAt < kGatewayDiscoveryTime) {
-    return;
-  }
-  m_readingConfig = true;
-  m_configReadAt = LoopNow();
-  if (gateway && !m_gatewayFailed) {
+  const bool mayAskStore = m_storeFallback.IsDue(now);
+  if (gateway && !(m_gatewayFailed && mayAskStore)) {
+    m_readingConfig = true;
+    m_configReadAt = now;
     ReadConfigFromGateway(*gateway);
-  } else {
+  } else if (mayAskStore) {
+    m_readingConfig = true;
+    m_configReadAt = now;
+    m_storeFallback.RecordAttempt(now);
     ReadConfigFromStore();
   }
 }
@@ -166,7 +170,7 @@
                                    !reply.ParseFromString(aAnswer.m_body) ||
                                    reply.spec().empty();
                  if (m_gatewayFailed) {
-                   return; // the store is asked next
+                   return; // another gateway or the store is asked next
                  }
                  try {
                    OnConfig(DecodeConfigReply(reply));
@@ -225,6 +229,7 @@
 Stager::OnConfig(const SiteObject& aObject)
 {
   const SiteConfig config = dialect::DecodeConfig(aObject);
+  m_storeFallback.RecordSuccess();
   m_requestsRepeatable =
     AllRequestsRepeatable(config, m_settings.m_stager.m_service);
   for (const auto& [name, service] : config.m_services) {
@@ -238,7 +243,11 @@
   }
   if (m_service && m_service->m_engine &&
       !m_service->m_engine->m_models.empty()) {
+    const bool isFirst = m_model.empty();
     m_model = m_service->m_engine->m_models.front();
+    if (isFirst) {
+      ReadPeers();
+    }
   }
 }
 
@@ -253,6 +262,7 @@
   ListAllowingStale(dialect::kRunnerKind,
                     [this](const BufferedResponse& aAnswer) {
                       m_readingPeers = false;
+                      m_peersAnsweredAt = m_peersAnsweredAt.value_or(LoopNow());
                       OnPeers(aAnswer);
                     });
 }
--- a/tests/stager_test.cpp
+++ b/tests/stager_test.cpp
@@ -105,6 +105,15 @@
   EXPECT_EQ(m_site.Unanswered().m_mostWaiting, 1U);
 }
 
+TEST_F(StagerTest, StagerWithoutAConfigurationDoesNotReadTheListOfRunners)
+{
+  SiteStandIn store; // has no configuration yet
+  AddStager(1, store);
+  EXPECT_TRUE(Eventually([&] { return store.ListCount("config") >= 2; }));
+  EXPECT_EQ(store.ListCount("servers"), 0U);
+  TearDown(); // the stager must stop before the store is destroyed
+}
+
 TEST_F(StagerTest, IdleStagerDoesNotReadTheListOfRunners)
 {
   constexpr int kQueries = 40;
