Gateways that start together don't all read the configuration from the store

No loop was delayed.

Cause: a gateway takes its turn at the store by the order of those that it hears, but one that starts hears hardly anybody, and after 2 s without recent knowledge all had their turn at once. A copy for each fills the link, the responses time out, are asked for again and fill it further.

Change: a gateway that starts waits until it knows who is registered, then for its turn, and as long as another says in its heartbeats that it is reading its first configuration. A list that failed gets twice the time.

GatewaysTakeTurnsAtTheStoreWhenAllAreOld compared the turns with the cap of 2 s, which is the fault; it now uses StoreTurn and asserts that each turn comes later than the one before, which the cap didn't give.

--- a/src/gateway/config_sources.cpp
+++ b/src/gateway/config_sources.cpp
@@ -19,6 +19,28 @@
   return StableHash(aVm, kOrderSeed);
 }
 
+// This gateway's place among those of its region.
+struct StoreOrder
+{
+  std::int64_t m_preceding = 0; // gateways, whether recent or not
+  bool m_isRead = false; // another one is reading its first configuration
+};
+
+// Whether a gateway that gets nothing recent from others turns to the store.
+bool
+IsStoreTurn(const ConfigKnowledge& aOwn, const StoreOrder& aOrder)
+{
+  if (aOwn.m_age) {
+    return *aOwn.m_age - kMaxConfigSourceAge >= StoreTurn(aOrder.m_preceding);
+  }
+  const milliseconds lacking = aOwn.m_knowsOthersFor - kConfigDiscoveryTime;
+  if (aOrder.m_isRead) {
+    return lacking >= kMaxFirstReadTurnTime;
+  }
+  return lacking >= std::min(kFirstReadTurnTime * aOrder.m_preceding,
+                             kMaxFirstReadTurnTime);
+}
+
 // The gateway to ask for a version that is newer than the own one. Gateways
 // choose different ones, so that the first that has it isn't overloaded.
 const ConfigHolder*
@@ -55,12 +77,16 @@
 {
   const std::uint64_t ownOrder = OrderOf(aOwnVm);
   std::vector<const ConfigHolder*> recent; // in this region
-  std::int64_t preceding = 0;              // whether recent or not
+  StoreOrder order;
   for (const ConfigHolder& holder : aHolders) {
     if (!holder.m_isInOwnRegion) {
       continue;
     }
-    preceding += OrderOf(holder.m_vm) > ownOrder ? 1 : 0;
+    const bool precedes = OrderOf(holder.m_vm) > ownOrder;
+    order.m_preceding += precedes ? 1 : 0;
+    // Of two that began at once, one goes on.
+    order.m_isRead = order.m_isRead ||
+                     (holder.m_readsFirst && (precedes || !aOwn.m_readsFirst));
     if (holder.m_age && *holder.m_age <= kMaxConfigSourceAge) {
       recent.push_back(&holder);
     }
@@ -74,13 +100,8 @@
       return OrderOf(aHolder->m_vm) > ownOrder;
     }));
   const bool isRecent = aOwn.m_age && *aOwn.m_age <= kMaxConfigSourceAge;
-  const milliseconds lacking = aOwn.m_age
-                                 ? *aOwn.m_age - kMaxConfigSourceAge
-                                 : aOwn.m_uptime - kConfigDiscoveryTime;
   ConfigSources sources;
-  sources.m_store = isRecent ? rank == 0
-                             : lacking >= std::min(kStoreTurnTime * preceding,
-                                                   kMaxStoreTurnTime);
+  sources.m_store = isRecent ? rank == 0 : IsStoreTurn(aOwn, order);
   const ConfigHolder* source = nullptr;
   if (rank > 0) {
     source = recent[(rank - 1) / kConfigFanOut];
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -186,14 +186,21 @@
 Gateway::OwnConfig() const
 {
   ConfigKnowledge own;
-  own.m_uptime =
-    std::chrono::duration_cast<milliseconds>(LoopNow() - m_startedAt);
+  // Without the list, the beacons of the first seconds show who else runs.
+  constexpr milliseconds kMaxListTime{ 2000 };
+  const MonotonicTime knownAt =
+    m_gatewaysKnownAt.value_or(m_startedAt + kMaxListTime);
+  own.m_knowsOthersFor =
+    std::chrono::duration_cast<milliseconds>(LoopNow() - knownAt);
   if (m_routes && m_configKnownUntil) {
     own.m_version = m_routes->Config().m_version;
     if (const auto runnersKnown = m_runnerFeed->KnownUntil()) {
       own.m_age = std::max(ConfigAge(), BootTime() - *runnersKnown);
     }
   }
+  own.m_readsFirst = m_readsStore && !own.m_age &&
+                     m_configFeed->Failures() == 0 &&
+                     m_runnerFeed->Failures() == 0;
   return own;
 }
 
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -307,6 +307,7 @@
   }
   v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
   AppendConfigState(beacon);
+  beacon.set_reads_first_config(OwnConfig().m_readsFirst);
   Append(aCommon, beacon);
   SendToRegionPeers(datagram, DatagramKind::Heartbeat);
 }
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -292,6 +292,7 @@
   RunnerTable m_runners;
   bool m_haveRunnerList = false;
   bool m_haveGatewayList = false;
+  std::optional<MonotonicTime> m_gatewaysKnownAt; // the list's first arrival
   // Boot time since which this gateway is registered in the store.
   std::optional<std::chrono::milliseconds> m_registeredAt;
   MonotonicTime m_startedAt = LoopNow();
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -278,6 +278,9 @@
 Gateway::OnGateways(const std::vector<SiteObject>& aObjects)
 {
   m_haveGatewayList = true;
+  if (!m_gatewaysKnownAt) {
+    m_gatewaysKnownAt = LoopNow();
+  }
   for (const SiteObject& object : aObjects) {
     OnGateway(object);
   }
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -80,6 +80,7 @@
   peer.m_address = aFrom;
   peer.m_incarnation = aBeacon.incarnation();
   peer.m_serving = aBeacon.serving();
+  peer.m_readsFirstConfig = aBeacon.reads_first_config();
   peer.m_region = aBeacon.region();
   peer.m_lastSeen = aNow;
   try {
@@ -284,6 +285,7 @@
     ConfigHolder& holder = holders.emplace_back();
     holder.m_vm = vm;
     holder.m_isInOwnRegion = peer.m_region == m_ownRegion;
+    holder.m_readsFirst = peer.m_readsFirstConfig;
     if (peer.m_config) {
       holder.m_address = { peer.m_address.m_host,
                            PortFromWire(peer.m_config->port()) };
--- a/src/gateway/peers_p.h
+++ b/src/gateway/peers_p.h
@@ -91,6 +91,7 @@
     std::string m_region;
     std::uint64_t m_incarnation = 0;
     bool m_serving = false;
+    bool m_readsFirstConfig = false;
     MonotonicTime m_lastSeen{};
     RunnerLoads m_loads;
     std::optional<v1::ConfigState> m_config;
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -234,7 +234,7 @@
   }
   m_listedAfter = aAfter;
   Fetch(dialect::ListPath(m_kind, aAfter, dialect::Freshness::Current),
-        kResponseTimeout,
+        ListTimeout(m_failures),
         &ObjectFeed::OnList);
 }
 
--- a/src/site/object_feed_p.h
+++ b/src/site/object_feed_p.h
@@ -32,6 +32,16 @@
   std::function<void(std::uint64_t)> m_onEra = [](std::uint64_t) {};
 };
 
+// The time allowed for the first byte of a list, after that many failures in a
+// row. A list that was given up is sent all the same, so repeating it at a
+// constant rate keeps a queueing link full.
+constexpr std::chrono::milliseconds
+ListTimeout(std::uint32_t aFailures)
+{
+  constexpr std::chrono::milliseconds kFirst{ 900 };
+  return aFailures == 0 ? kFirst : kFirst * 2;
+}
+
 class ObjectFeed : public std::enable_shared_from_this<ObjectFeed>
 {
 public:
@@ -64,6 +74,8 @@
   void Continue(const StorePosition& aPosition,
                 std::chrono::milliseconds aKnownUntil);
 
+  // How many calls have failed since one succeeded.
+  std::uint32_t Failures() const { return m_failures; }
   // Returns the boot time up to which all changes are known; none before the
   // first list.
   std::optional<std::chrono::milliseconds> KnownUntil() const
--- a/tests/config_sources_run_test.cpp
+++ b/tests/config_sources_run_test.cpp
@@ -1,9 +1,10 @@
 // Runs the gateways of two regions over a simulated clock: configurations
 // change while gateways stop, freeze or lose the store, the store is down and
-// heartbeats are lost.
+// heartbeats are lost, and all of them lose power at once.
 
 #include "gateway/config_sources_p.h"
 #include "siskindeal/random.h"
+#include "site/object_feed_p.h"
 
 #include <gtest/gtest.h>
 
@@ -49,6 +50,7 @@
 {
   milliseconds m_sentAt{ 0 };
   milliseconds m_expiresAt{ 0 };
+  milliseconds m_firstByteAt{ 0 };         // likewise
   std::optional<milliseconds> m_arrivesAt; // once there is a response
   std::string m_peer;                      // empty: the store
   bool m_isLost = false;
@@ -66,10 +68,16 @@
   ConfigSources m_sources;
   std::optional<Call> m_storeCall;
   std::optional<Call> m_peerCall;
+  std::optional<Call> m_listCall; // for the registered gateways
+  // Has read who is registered. Until then it announces itself to the seeds
+  // only, and so do the others to it.
+  bool m_knowsGateways = true;
+  milliseconds m_knowsGatewaysAt{ 0 };
+  std::uint32_t m_storeTimeouts = 0; // in a row
+  std::uint32_t m_listTimeouts = 0;
   milliseconds m_storeAt{ 0 }; // when the next call may start
   milliseconds m_peerAt{ 0 };
   milliseconds m_heartbeatAt{ 0 };
-  milliseconds m_startedAt{ 0 };
   milliseconds m_downUntil{ 0 };
   milliseconds m_frozenUntil{ 0 };
   milliseconds m_cutUntil{ 0 }; // from the store
@@ -94,6 +102,9 @@
   double m_configBytes = 0;
   milliseconds m_inForceWithin{ 0 };
   bool m_hasFaults = true;
+  // All gateways lose power then, and start again; zero: never.
+  milliseconds m_losesPowerAt{ 0 };
+  double m_listBytes = 0; // of the registered gateways
 };
 
 class World
@@ -123,6 +134,9 @@
       if (m_scenario.m_hasFaults && m_now >= m_nextFault) {
         Disturb();
       }
+      if (m_now == m_scenario.m_losesPowerAt) {
+        LosePower();
+      }
       for (Node& node : m_nodes) {
         if (node.Runs(m_now)) {
           Step(node);
@@ -133,6 +147,14 @@
   }
 
   milliseconds SlowestInForce() const { return m_slowest; }
+  // From the loss of power until all gateways had a configuration again.
+  milliseconds RecoveryTime() const { return m_recoveredAt - m_lastStartAt; }
+  // Bytes that the store has sent to a region since the loss of power, in
+  // copies of the configuration.
+  double CopiesInRecovery() const
+  {
+    return m_bytesInRecovery / m_scenario.m_configBytes;
+  }
   // The most copies of one change that the store sent to a region.
   std::size_t MostCopies() const
   {
@@ -192,13 +214,31 @@
     Node fresh;
     fresh.m_vm = aNode.m_vm;
     fresh.m_region = aNode.m_region;
-    fresh.m_downUntil = fresh.m_startedAt = aUntil;
+    fresh.m_downUntil = fresh.m_knowsGatewaysAt = aUntil;
     fresh.m_heartbeatAt = aUntil;
     return fresh;
   }
 
+  void LosePower()
+  {
+    constexpr milliseconds kDark{ 1400 };
+    constexpr milliseconds kStartSpread{ 300 };
+    constexpr milliseconds kMaxListTime{ 2000 };
+    m_linkBusyUntil.clear();
+    for (Node& node : m_nodes) {
+      node = Restarted(node, m_now + kDark + Below(kStartSpread));
+      node.m_knowsGateways = false;
+      node.m_knowsGatewaysAt = node.m_downUntil + kMaxListTime;
+      node.m_troubledUntil = node.m_downUntil + kCalmTime;
+    }
+    m_nextChange = milliseconds::max();
+    m_lastStartAt = m_now + kDark + kStartSpread;
+    m_hasLostPower = true;
+  }
+
   void Step(Node& aNode)
   {
+    StepList(aNode);
     if (m_now >= aNode.m_heartbeatAt) {
       aNode.m_heartbeatAt = m_now + kHeartbeat;
       SendHeartbeat(aNode);
@@ -211,8 +251,11 @@
   void SendHeartbeat(const Node& aFrom)
   {
     constexpr std::uint64_t kLostOfHundred = 33;
+    constexpr std::ptrdiff_t kSeeds = 3;
     for (Node& node : m_nodes) {
+      const bool isSeed = &node - m_nodes.data() < kSeeds;
       if (&node == &aFrom || !node.Runs(m_now) ||
+          !(aFrom.m_knowsGateways || isSeed) ||
           m_random.Below(100) < kLostOfHundred) {
         continue;
       }
@@ -222,6 +265,7 @@
       heard.m_holder.m_isInOwnRegion = node.m_region == aFrom.m_region;
       heard.m_holder.m_version = aFrom.m_version;
       heard.m_holder.m_age = AgeOf(aFrom);
+      heard.m_holder.m_readsFirst = ReadsFirst(aFrom);
     }
   }
 
@@ -231,6 +275,12 @@
                               : std::nullopt;
   }
 
+  static bool ReadsFirst(const Node& aNode)
+  {
+    return aNode.m_sources.m_store && !aNode.m_knownUntil &&
+           aNode.m_storeTimeouts == 0;
+  }
+
   void ChooseSources(Node& aNode)
   {
     std::vector<ConfigHolder> holders;
@@ -241,7 +291,8 @@
     }
     const ConfigKnowledge own{ aNode.m_version,
                                AgeOf(aNode),
-                               m_now - aNode.m_startedAt };
+                               m_now - aNode.m_knowsGatewaysAt,
+                               ReadsFirst(aNode) };
     aNode.m_sources = ChooseConfigSources(aNode.m_vm, own, holders);
   }
 
@@ -265,7 +316,9 @@
     if (!call && aNode.m_sources.m_store && m_now >= aNode.m_storeAt) {
       call = Call{};
       call->m_sentAt = m_now;
-      call->m_expiresAt = m_now + kWatchWait + kStoreTimeout;
+      call->m_expiresAt =
+        m_now + (aNode.m_version > 0 ? kWatchWait + kStoreTimeout
+                                     : ListTimeout(aNode.m_storeTimeouts));
     }
     if (!call) {
       return;
@@ -278,23 +331,59 @@
     }
     if (call->m_arrivesAt && m_now >= *call->m_arrivesAt) {
       Learn(aNode, *call);
+      aNode.m_storeTimeouts = 0;
       aNode.m_storeAt = m_now + kStorePause;
       call.reset();
-    } else if (!call->m_arrivesAt && m_now >= call->m_expiresAt) {
+    } else if (IsExpired(*call)) {
+      ++aNode.m_storeTimeouts;
       aNode.m_storeAt = m_now + kStoreRetry;
       call.reset();
     }
   }
 
+  // What is on its way of a response that was given up is sent all the same.
+  bool IsExpired(const Call& aCall) const
+  {
+    return m_now >= aCall.m_expiresAt &&
+           (!aCall.m_arrivesAt || aCall.m_firstByteAt > aCall.m_expiresAt);
+  }
+
+  void StepList(Node& aNode)
+  {
+    std::optional<Call>& call = aNode.m_listCall;
+    if (aNode.m_knowsGateways) {
+      return;
+    }
+    if (!call) {
+      call = Call{};
+      call->m_sentAt = m_now;
+      call->m_expiresAt = m_now + ListTimeout(aNode.m_listTimeouts);
+      SendOverLink(aNode.m_region, m_scenario.m_listBytes, *call);
+    }
+    if (m_now >= *call->m_arrivesAt) {
+      aNode.m_knowsGateways = true;
+      aNode.m_knowsGatewaysAt = m_now;
+    } else if (IsExpired(*call)) {
+      ++aNode.m_listTimeouts;
+      call.reset();
+    }
+  }
+
+  void SendOverLink(std::size_t aRegion, double aBytes, Call& aCall)
+  {
+    milliseconds& busy = m_linkBusyUntil[aRegion];
+    busy = std::max(busy, m_now);
+    aCall.m_firstByteAt = busy + kDelay;
+    busy += milliseconds(static_cast<std::int64_t>(aBytes / kLinkBytesPerMs));
+    aCall.m_arrivesAt = busy + kDelay;
+    m_bytesInRecovery += m_hasLostPower && aRegion == 0 ? aBytes : 0;
+  }
+
   void RespondFromStore(const Node& aNode, Call& aCall)
   {
     const std::uint64_t newest = m_accepted.back().m_version;
     if (newest > aNode.m_version) {
-      milliseconds& busy = m_linkBusyUntil[aNode.m_region];
-      busy =
-        std::max(busy, m_now) + milliseconds(static_cast<std::int64_t>(
-                                  m_scenario.m_configBytes / kLinkBytesPerMs));
-      aCall.m_arrivesAt = busy + kDelay;
+      SendOverLink(aNode.m_region, m_scenario.m_configBytes, aCall);
       aCall.m_version = newest;
       aCall.m_knownUntil = aCall.m_sentAt;
       ++m_copies[{ newest, aNode.m_region }];
@@ -382,6 +471,13 @@
     if (!everywhere) {
       m_slowest = std::max(m_slowest, m_now - m_accepted.back().m_at);
     }
+    const bool serve =
+      std::all_of(m_nodes.begin(), m_nodes.end(), [&](const Node& aNode) {
+        return aNode.m_version > 0 && m_now >= aNode.m_downUntil;
+      });
+    if (m_hasLostPower && serve && m_recoveredAt == milliseconds(0)) {
+      m_recoveredAt = m_now;
+    }
   }
 
   Scenario m_scenario;
@@ -395,6 +491,10 @@
   std::vector<Node> m_nodes;
   std::map<std::size_t, milliseconds> m_linkBusyUntil; // by region
   milliseconds m_slowest{ 0 };
+  bool m_hasLostPower = false;
+  milliseconds m_lastStartAt{ 0 };
+  milliseconds m_recoveredAt{ 0 };
+  double m_bytesInRecovery = 0; // to the first region
   // Of the store, by version and region.
   std::map<std::pair<std::uint64_t, std::size_t>, std::size_t> m_copies;
 };
@@ -425,6 +525,26 @@
   EXPECT_LE(world.MostCopies(), 3U);
 }
 
+TEST(ConfigSourcesRun, FleetThatLostPowerReadsTheStoreAFewTimesPerRegion)
+{
+  constexpr std::uint64_t kSeeds = 20;
+  // All accepted configuration is in force within seconds.
+  constexpr milliseconds kInForceWithin{ 3000 };
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE(seed);
+    Scenario scenario{ 60, 430e3, milliseconds(3000), false };
+    scenario.m_losesPowerAt = milliseconds(5000);
+    scenario.m_listBytes = 60e3;
+    World world(scenario, seed);
+    world.Run(milliseconds(25000));
+    EXPECT_GT(world.RecoveryTime(), milliseconds(0));
+    EXPECT_LE(world.RecoveryTime(), kInForceWithin);
+    // Besides each gateway's list of the others, three of thirty that read it.
+    constexpr double kLists = 30 * 60e3 / 430e3;
+    EXPECT_LE(world.CopiesInRecovery(), kLists + 3);
+  }
+}
+
 } // namespace
 
 } // namespace siskindeal
--- a/tests/config_sources_test.cpp
+++ b/tests/config_sources_test.cpp
@@ -131,16 +131,45 @@
   std::vector<ConfigHolder> holders;
   for (const std::string& name : NamesBeside(true, kPreceding)) {
     holders.push_back(Holder(name, kOld));
-    const milliseconds turn =
-      std::min(kStoreTurnTime * static_cast<std::int64_t>(holders.size()),
-               kMaxStoreTurnTime);
-    const milliseconds start = kMaxConfigSourceAge + turn;
+    const auto preceding = static_cast<std::int64_t>(holders.size());
+    const milliseconds start = kMaxConfigSourceAge + StoreTurn(preceding);
+    EXPECT_GE(StoreTurn(preceding) - StoreTurn(preceding - 1), kStoreTurnTime);
     EXPECT_EQ(SourcesOf({ kVersion, start - milliseconds(1), {} }, holders),
               "");
     EXPECT_EQ(SourcesOf({ kVersion, start, {} }, holders), kStore);
   }
 }
 
+TEST(ConfigSources, StartingGatewayWaitsForTheOneThatReads)
+{
+  const std::string before = NamesBeside(true, 1)[0];
+  const std::string after = NamesBeside(false, 1)[0];
+  const auto starting = [](milliseconds aKnowsOthersFor, bool aReads = false) {
+    return ConfigKnowledge{ 0, {}, aKnowsOthersFor, aReads };
+  };
+  const auto reading = [](const std::string& aVm) {
+    ConfigHolder holder = Holder(aVm, {}, 0);
+    holder.m_readsFirst = true;
+    return holder;
+  };
+  const milliseconds ready = kConfigDiscoveryTime;
+  const milliseconds longest = ready + kMaxFirstReadTurnTime;
+  EXPECT_EQ(SourcesOf(starting(milliseconds(-1)), {}), "");
+  EXPECT_EQ(SourcesOf(starting(ready), { Holder(after, {}, 0) }), kStore);
+  EXPECT_EQ(SourcesOf(starting(ready), { Holder(before, {}, 0) }), "");
+  EXPECT_EQ(
+    SourcesOf(starting(ready + kFirstReadTurnTime), { Holder(before, {}, 0) }),
+    kStore);
+  EXPECT_EQ(SourcesOf(starting(longest - milliseconds(1)), { reading(after) }),
+            "");
+  EXPECT_EQ(SourcesOf(starting(longest), { reading(after) }), kStore);
+  // Of two that began at the same time, the first in the order goes on.
+  EXPECT_EQ(SourcesOf(starting(ready, true), { reading(after) }), kStore);
+  EXPECT_EQ(
+    SourcesOf(starting(ready + kFirstReadTurnTime, true), { reading(before) }),
+    "");
+}
+
 TEST(ConfigSources, NoGatewayIsAskedByMoreThanTheFanOut)
 {
   std::vector<ConfigHolder> holders;
