A request to another region is preceded by a handshake unless its link was quick a moment ago

Callers saw nothing of it; work went on for callers that had left: a request that waits in a link between regions can't be called back, and neither its caller's close nor a cancellation overtakes it. Kept connections show nothing of the link at the moment of sending, and after a loss of power nothing else does: all receivers of region reports have just started, so the least delay that they compare with has itself been queued, and 0 ms was logged for links that queued for seconds.

Change: unless a request to that region was acknowledged within 0.1 s in the last 0.3 s, the runner gets a new connection in place of an idle one. Its handshake must return within the 0.4 s that connects have; it is abandoned without a trace if the caller leaves meanwhile.

RequestIsNotSentToAnotherRegionWithoutAHandshake fails before: the request is written to the kept connection and ends with 504 instead of 503.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -303,7 +303,8 @@
   const MonotonicTime now = LoopNow();
   constexpr milliseconds kConnectTimeout{ 400 };
   // Before anything is recorded: an open attempt always has its connection.
-  const auto connection = m_gateway.Pool()->Acquire(aRunner.m_record.m_address);
+  const auto connection =
+    m_gateway.Connect(aRunner.m_record.m_address, aPlacement.m_region);
   ++m_sends;
   m_predicted = aPlacement.m_predicted;
   m_linkDelay = aPlacement.m_linkDelay;
--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -41,6 +41,7 @@
   for (const RunnerAttemptPtr& attempt : m_openAttempts) {
     if (!attempt->m_deliveredAt && attempt->m_connection->IsAcknowledged()) {
       attempt->m_deliveredAt = aNow;
+      m_gateway.Deliveries().Record(attempt->m_region, attempt->m_sentAt, aNow);
     }
   }
 }
--- a/src/gateway/gateway_links.cpp
+++ b/src/gateway/gateway_links.cpp
@@ -65,6 +65,14 @@
   m_placer.SetLinkDelays(m_linkDelays.RoundTrips(BootTime()));
 }
 
+std::shared_ptr<HttpConnection>
+Gateway::Connect(const Address& aRunner, const std::string& aRegion)
+{
+  const bool isProven =
+    aRegion == m_region || m_deliveries.IsProven(aRegion, LoopNow());
+  return isProven ? m_pool->Acquire(aRunner) : m_pool->Replace(aRunner);
+}
+
 void
 Gateway::LogLinkDelays()
 {
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -13,6 +13,7 @@
 #include "gateway/crash_watch_p.h"
 #include "gateway/link_delays_p.h"
 #include "gateway/peers_p.h"
+#include "gateway/recent_deliveries_p.h"
 #include "gateway/route_index_p.h"
 #include "net/datagrams_p.h"
 #include "net/http_server_p.h"
@@ -78,6 +79,11 @@
   // Whether a request may be sent in view of the parts of its prompt.
   PartDecision DecideParts(const std::vector<PromptPart>& aParts) const;
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
+  // A connection to a runner in aRegion. One that handshakes first if the link
+  // to another region may queue.
+  std::shared_ptr<HttpConnection> Connect(const Address& aRunner,
+                                          const std::string& aRegion);
+  RecentDeliveries& Deliveries() { return m_deliveries; }
   Loop& EventLoop() { return m_loop; }
   Random& Rng() { return m_random; }
   RouteDurations& Durations() { return m_durations; }
@@ -320,6 +326,7 @@
   SettingsReload m_reload; // for the latest SIGHUP
   GatewayPeers m_peers;
   LinkDelays m_linkDelays;
+  RecentDeliveries m_deliveries;
   std::map<std::string, std::chrono::milliseconds> m_loggedDelays; // by region
   std::map<std::string, ReceivedRunnerReport> m_runnerReports;     // by id
   std::uint64_t m_loggedDatagramBytes = 0; // of a second
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -33,6 +33,17 @@
   return std::make_shared<HttpConnection>(m_loop, EndpointOf(aAddress));
 }
 
+std::shared_ptr<HttpConnection>
+ConnectionPool::Replace(const Address& aAddress)
+{
+  auto& idle = m_idle[aAddress.ToString()];
+  if (!idle.empty()) {
+    idle.back()->Abort();
+    idle.pop_back();
+  }
+  return std::make_shared<HttpConnection>(m_loop, EndpointOf(aAddress));
+}
+
 void
 ConnectionPool::Release(const Address& aAddress,
                         const std::shared_ptr<HttpConnection>& aConnection)
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -163,6 +163,10 @@
   // Returns an idle connection, or a new one that connects on its first call.
   std::shared_ptr<HttpConnection> Acquire(const Address& aAddress);
 
+  // Returns a new connection in place of an idle one, which is closed. Its call
+  // is sent only once the remote system has responded.
+  std::shared_ptr<HttpConnection> Replace(const Address& aAddress);
+
   // Returns a connection to the pool after its call, if it is reusable.
   void Release(const Address& aAddress,
                const std::shared_ptr<HttpConnection>& aConnection);
--- a/tests/gateway_regions_test.cpp
+++ b/tests/gateway_regions_test.cpp
@@ -3,6 +3,8 @@
 #include "support/gateway_fixture.h"
 #include "support/remote_process.h"
 
+#include <absl/cleanup/cleanup.h>
+
 namespace siskindeal {
 
 namespace {
@@ -173,6 +175,45 @@
   }));
 }
 
+TEST_F(GatewayRegionsTest, RequestIsNotSentToAnotherRegionWithoutAHandshake)
+{
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
+                               "X-Siskindeal-Attempt-Id: id-1\r\n"
+                               "X-Siskindeal-Runner-Signature: s\r\n\r\nbooked";
+  std::atomic<bool> isServed = false;
+  std::atomic<bool> hasMore = false;
+  std::atomic<bool> isOver = false;
+  // Keeps its first connection and takes no other one, as behind a link whose
+  // queue outlasts the time for a handshake.
+  const RawServer runner(
+    [&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(response);
+      isServed = true;
+      hasMore = hasMore || !aSocket.ReadSome().empty();
+      while (!isOver) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
+    },
+    /* aBacklog */ 0);
+  const absl::Cleanup end = [&] { isOver = true; };
+  m_site.Put("servers",
+             "i-1",
+             { { "service", "get" },
+               { "address", "127.0.0.1:" + std::to_string(runner.Port()) },
+               { "zone", "far" },
+               { "state", "ready" } });
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+  ASSERT_TRUE(IsServed());
+  ASSERT_TRUE(isServed);
+  const RawSocket waiting(runner.Port());
+  std::this_thread::sleep_for(2 * RecentDeliveries::kProofLifetime);
+  const std::string refusal = SendRequest(Request("GET", "/get/a"));
+  EXPECT_NE(refusal.find(" 503 "), std::string::npos) << refusal;
+  EXPECT_FALSE(hasMore);
+}
+
 TEST_F(GatewayRegionsTest, RunnersAreReportedToAnotherRegion)
 {
   std::vector<Address> runners;
