--- a/src/gateway/gateway_links.cpp
+++ b/src/gateway/gateway_links.cpp
@@ -68,8 +68,8 @@
 std::shared_ptr<HttpConnection>
 Gateway::Connect(const Address& aRunner, const std::string& aRegion)
 {
-  const bool isProven =
-    aRegion == m_region || m_deliveries.IsProven(aRegion, LoopNow());
+  const bool isOther = !aRegion.empty() && aRegion != m_region;
+  const bool isProven = !isOther || m_deliveries.IsProven(aRegion, LoopNow());
   return isProven ? m_pool->Acquire(aRunner) : m_pool->Replace(aRunner);
 }
 
