--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -13,6 +13,7 @@
 #include "gateway/crash_watch_p.h"
 #include "gateway/link_delays_p.h"
 #include "gateway/peers_p.h"
+#include "gateway/recent_deliveries_p.h"
 #include "gateway/route_index_p.h"
 #include "net/datagrams_p.h"
 #include "net/http_server_p.h"
@@ -78,6 +79,11 @@
   // Whether a request may be sent in view of the parts of its prompt.
   PartDecision DecideParts(const std::vector<PromptPart>& aParts) const;
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
+  // A connection to a runner in aRegion. One that handshakes first if the link
+  // to another region may queue.
+  std::shared_ptr<HttpConnection> Connect(const Address& aRunner,
+                                          const std::string& aRegion);
+  RecentDeliveries& Deliveries() { return m_deliveries; }
   Loop& EventLoop() { return m_loop; }
   Random& Rng() { return m_random; }
   RouteDurations& Durations() { return m_durations; }
@@ -197,6 +203,9 @@
   void UpdateLinkDelays();
   // Logs delays between regions that have changed much.
   void LogLinkDelays();
+  // Logs what datagrams were sent in the last second if that has changed much,
+  // or if the system dropped any.
+  void LogDatagrams();
   // Adds for how long a report that is relayed was queued.
   void AppendMeasurement(v1::RegionReport& aRelayed) const;
   // Adds for how long the reports of other regions are queued.
@@ -207,7 +216,7 @@
   void RegisterAfter(std::chrono::milliseconds aDelay);
   v1::Datagram Beacon() const;
   v1::Datagram BeaconWithLoads() const;
-  void SendToRegionPeers(const v1::Datagram& aDatagram);
+  void SendToRegionPeers(const v1::Datagram& aDatagram, DatagramKind aKind);
   void SendLoadChanges();
   // Between two reports of changed loads to the region's gateways.
   std::uint32_t TicksPerLoadReport() const;
@@ -235,6 +244,10 @@
   void RunPeriodicTasks(MonotonicTime aNow);
   void HandleReady(const std::shared_ptr<ServerConnection>& aConnection);
   void HandleDirectory(const std::shared_ptr<ServerConnection>& aConnection);
+  // Counts an answer of the directory, and logs one that lists gateways of
+  // other regions than the caller's, one a second at most.
+  void RecordDirectoryAnswer(const std::vector<ServingGateway>& aServing,
+                             const std::string& aCallerRegion);
   void HandleAdmin(const std::shared_ptr<ServerConnection>& aConnection);
   std::string StateJson() const;
   bool AcceptsCallers() const;
@@ -285,6 +298,7 @@
   RunnerTable m_runners;
   bool m_haveRunnerList = false;
   bool m_haveGatewayList = false;
+  std::optional<MonotonicTime> m_gatewaysKnownAt; // the list's first arrival
   // Boot time since which this gateway is registered in the store.
   std::optional<std::chrono::milliseconds> m_registeredAt;
   MonotonicTime m_startedAt = LoopNow();
@@ -312,8 +326,11 @@
   SettingsReload m_reload; // for the latest SIGHUP
   GatewayPeers m_peers;
   LinkDelays m_linkDelays;
+  RecentDeliveries m_deliveries;
   std::map<std::string, std::chrono::milliseconds> m_loggedDelays; // by region
   std::map<std::string, ReceivedRunnerReport> m_runnerReports;     // by id
+  std::uint64_t m_loggedDatagramBytes = 0; // of a second
+  MonotonicTime m_foreignAnswerLoggedAt{};
   std::string m_region;
   std::string m_lastLoadBeacon; // serialized; unchanged loads aren't sent
   std::uint64_t m_incarnation;
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -92,6 +92,9 @@
   // Whether the peer has closed the connection or sent bytes that weren't read.
   // Between two calls, such bytes are the response to none.
   bool HasUnreadInput();
+  // Whether the peer's system has acknowledged all that was written. True if
+  // the local system can't tell.
+  bool IsAcknowledged();
   MonotonicClockPoint IdleSince() const { return m_idleSince; }
   std::chrono::milliseconds IdleLimit() const { return m_idleLimit; }
 
@@ -160,6 +163,10 @@
   // Returns an idle connection, or a new one that connects on its first call.
   std::shared_ptr<HttpConnection> Acquire(const Address& aAddress);
 
+  // Returns a new connection in place of an idle one, which is closed. Its call
+  // is sent only once the remote system has responded.
+  std::shared_ptr<HttpConnection> Replace(const Address& aAddress);
+
   // Returns a connection to the pool after its call, if it is reusable.
   void Release(const Address& aAddress,
                const std::shared_ptr<HttpConnection>& aConnection);
--- a/src/site/object_feed.cpp
+++ b/src/site/object_feed.cpp
@@ -234,7 +234,7 @@
   }
   m_listedAfter = aAfter;
   Fetch(dialect::ListPath(m_kind, aAfter, dialect::Freshness::Current),
-        kResponseTimeout,
+        ListTimeout(m_failures),
         &ObjectFeed::OnList);
 }
 
@@ -261,6 +261,9 @@
      basis = m_basis,
      call = m_calls,
      aHandler](const BufferedResponse& aAnswer) {
+      CountMetric("siskindeal_store_bytes_total",
+                  { { "kind", self->m_kind } },
+                  static_cast<double>(aAnswer.m_body.size()));
       if (call != self->m_calls) {
         return; // given up for a later call
       }
