--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -123,9 +123,10 @@
 bool
 Stager::KnowsPeers() const
 {
-  // Peers that have nothing to do send notices this often at least.
+  // Peers answer a newcomer's notice at once, and send theirs this often.
   constexpr milliseconds kNoticeTime{ 1100 };
-  return m_peersAnsweredAt && LoopNow() - *m_peersAnsweredAt >= kNoticeTime;
+  return m_peersAnsweredAt &&
+         (!m_peers.empty() || LoopNow() - *m_peersAnsweredAt >= kNoticeTime);
 }
 
 void
