Logs of an attempt say what the belief about it rests on

attempt failed and attempt rejected said what a gateway believes of a send, not why: whether its connection had carried other requests, for how long it had been open, whether the response named the request, and what else had arrived before it. The three hypotheses of docs/incidents/2026-12-06-rejection-joined-with-an-answer.md differ in just these.

--- a/src/gateway/caller_exchange_retries.cpp
+++ b/src/gateway/caller_exchange_retries.cpp
@@ -84,22 +84,28 @@
                            const RunnerAttempt& aAttempt,
                            bool aMayHaveRun)
 {
-  m_gateway.LogRequest(LogLevel::Info,
-                       aEvent,
-                       { { "id", m_id },
-                         { "runner", aAttempt.m_runner.m_id },
-                         { "runner_start", aAttempt.m_runner.Start() },
-                         { "address", aAttempt.m_address.ToString() },
-                         { "reason", m_lastReason },
-                         { "status", aAttempt.m_head.m_status },
-                         { "may_have_run", aMayHaveRun },
-                         { "send", aAttempt.m_number },
-                         { "executions", CountedExecutions() },
-                         { "max_attempts", m_route->m_maxAttempts },
-                         { "events", m_eventCount },
-                         { "region", aAttempt.m_region },
-                         { "link_delay_ms", aAttempt.m_linkDelay.count() },
-                         { "open_attempts", m_openAttempts.size() } });
+  const CallEvidence& evidence = aAttempt.m_connection->Evidence();
+  m_gateway.LogRequest(
+    LogLevel::Info,
+    aEvent,
+    { { "id", m_id },
+      { "runner", aAttempt.m_runner.m_id },
+      { "runner_start", aAttempt.m_runner.Start() },
+      { "address", aAttempt.m_address.ToString() },
+      { "reason", m_lastReason },
+      { "status", aAttempt.m_head.m_status },
+      { "may_have_run", aMayHaveRun },
+      { "send", aAttempt.m_number },
+      { "connection_calls", evidence.m_earlierCalls },
+      { "connection_age_ms", evidence.m_connectionAge.count() },
+      { "id_echoed", evidence.m_isEchoed },
+      { "discarded_bytes", evidence.m_discardedBytes },
+      { "executions", CountedExecutions() },
+      { "max_attempts", m_route->m_maxAttempts },
+      { "events", m_eventCount },
+      { "region", aAttempt.m_region },
+      { "link_delay_ms", aAttempt.m_linkDelay.count() },
+      { "open_attempts", m_openAttempts.size() } });
 }
 
 void
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -67,6 +67,7 @@
   , m_socket(aLoop)
   , m_timer(aLoop)
   , m_idleLimit(kDefaultIdleLimit)
+  , m_openedAt(std::chrono::steady_clock::now())
 {
 }
 
@@ -83,7 +84,9 @@
   m_reusable = false;
   m_sentAny = false;
   m_paused = false;
-  m_discardedBytes = 0;
+  m_evidence = { m_calls,
+                 std::chrono::duration_cast<milliseconds>(
+                   std::chrono::steady_clock::now() - m_openedAt) };
   m_discardedResponses = 0;
   m_memory.emplace(m_loop, "response in arrival", [weak = weak_from_this()] {
     const auto self = weak.lock();
@@ -260,8 +263,8 @@
       return;
     }
     if (m_discardResponse) {
-      m_discardedBytes += used;
-      if (m_discardedBytes > kMaxDiscardedBytes) {
+      m_evidence.m_discardedBytes += used;
+      if (m_evidence.m_discardedBytes > kMaxDiscardedBytes) {
         Fail("too many bytes that belong to no response");
         return;
       }
@@ -326,6 +329,8 @@
     return;
   }
   if (IsTied(head.m_fields)) {
+    m_evidence.m_isEchoed = !m_call.m_echo.empty() &&
+                            head.m_fields.Find(m_call.m_echoName) != nullptr;
     Emit(head);
     return;
   }
@@ -343,7 +348,7 @@
   if (const std::string* echo = aFields.Find(m_call.m_echoName)) {
     return *echo == m_call.m_echo;
   }
-  return !m_hasCarriedCall || m_call.m_echo.empty();
+  return m_calls == 0 || m_call.m_echo.empty();
 }
 
 void
@@ -359,7 +364,7 @@
         { "port", m_remote.port() },
         { "status", aHead.m_status },
         { "response_id", echo == nullptr ? "" : *echo },
-        { "first_call", !m_hasCarriedCall },
+        { "first_call", m_calls == 0 },
         { "writing", m_writing } });
 }
 
@@ -379,7 +384,7 @@
                     m_in.empty() && !m_writing && !m_hasDiscarded &&
                     m_idleLimit > milliseconds(0);
   m_inCall = false;
-  m_hasCarriedCall = true;
+  ++m_calls;
   m_paused = false;
   m_reusable = keep;
   m_idleSince = std::chrono::steady_clock::now();
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -33,6 +33,15 @@
   std::string m_echo;
 };
 
+// What ties a response, or the lack of one, to the present call.
+struct CallEvidence
+{
+  std::uint32_t m_earlierCalls = 0;               // on the connection
+  std::chrono::milliseconds m_connectionAge{ 0 }; // when the call began
+  bool m_isEchoed = false;                        // the response names the call
+  std::size_t m_discardedBytes = 0; // received in this call, before its head
+};
+
 struct ResponseHead
 {
   int m_status = 0;
@@ -95,6 +104,8 @@
   // Whether the peer's system has acknowledged all that was written. True if
   // the local system can't tell.
   bool IsAcknowledged();
+  // Of the present or last call.
+  const CallEvidence& Evidence() const { return m_evidence; }
   MonotonicClockPoint IdleSince() const { return m_idleSince; }
   std::chrono::milliseconds IdleLimit() const { return m_idleLimit; }
 
@@ -130,6 +141,7 @@
   std::unique_ptr<Parser> m_parser;
   std::string m_in;
   std::chrono::milliseconds m_idleLimit;
+  MonotonicClockPoint m_openedAt;
   MonotonicClockPoint m_idleSince;
   bool m_inCall = false;
   bool m_connected = false;
@@ -138,11 +150,11 @@
   bool m_sentAny = false;
   bool m_paused = false;
   bool m_reusable = false;
-  bool m_discardResponse = false;   // informational, or of an earlier call
-  bool m_hasDiscarded = false;      // a final response
-  bool m_hasCarriedCall = false;    // before the present one
-  std::size_t m_discardedBytes = 0; // in this call, as the next
-  std::size_t m_discardedResponses = 0;
+  bool m_discardResponse = false; // informational, or of an earlier call
+  bool m_hasDiscarded = false;    // a final response
+  std::uint32_t m_calls = 0;      // that a response has ended
+  CallEvidence m_evidence;
+  std::size_t m_discardedResponses = 0; // in this call
   bool m_closed = false;
   std::optional<MemoryBudget::Account> m_memory; // of input, during a call
 };
