No rejection of an earlier request decides about one that may run only once

Cause: a runner may write a rejection once more on a connection that it goes on to use, and break it off. The parser then reads one head from it and the next answer: the status (and X-Siskindeal-Not-Executed) of the rejection, the id of the answer. The id alone was taken for what ties a response to its request, so the request counted as not run: it was sent again, or refused. The other way round, part of an answer before a rejection made it a success that never ran.

Change: requests that may run only once, and second sends (a copy of the first send's rejection would have the right id), use connections of their own. On a connection that has carried a request a head with a status line inside it, or with two ids, decides nothing: the call may have run. So what decides the two promises can't be preceded by other bytes, and what else is read wrongly can be repeated.

--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -46,6 +46,9 @@
   // Until then the runner gets requests only if no other runner is eligible.
   MonotonicTime m_avoidUntil{};
   std::uint32_t m_consecutiveFailures = 0;
+  // Until then its connections carry one request each, since it sent a response
+  // that belonged to none, or to two.
+  MonotonicTime m_unsharedUntil{};
   // Until then its stager is loading weights and new requests avoid it.
   MonotonicTime m_loadingUntil{};
   // Set while the runner is missing from the list but may have only expired.
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -303,8 +303,9 @@
   const MonotonicTime now = LoopNow();
   constexpr milliseconds kConnectTimeout{ 400 };
   // Before anything is recorded: an open attempt always has its connection.
-  const auto connection =
-    m_gateway.Connect(aRunner.m_record.m_address, aPlacement.m_region);
+  const bool isUnshared = NeedsUnsharedConnection(aRunner, now);
+  const auto connection = m_gateway.Connect(
+    aRunner.m_record.m_address, aPlacement.m_region, isUnshared);
   ++m_sends;
   m_predicted = aPlacement.m_predicted;
   m_linkDelay = aPlacement.m_linkDelay;
@@ -346,6 +347,7 @@
   call.m_body = m_request.m_body;
   call.m_echoName = dialect::kAttemptId;
   call.m_echo = m_id;
+  call.m_isLast = isUnshared;
   m_gateway.CountRegionBytes(
     m_latest->m_region, "request", call.m_head.size() + call.m_body.size());
   m_latest->m_connection->Begin(
@@ -459,6 +461,7 @@
   if (runner == nullptr) {
     return;
   }
+  RecordStrayResponse(aAttempt, *runner);
   ReleasePromptTokens(aAttempt, *runner);
   if (runner->m_ownLoad.m_requests > 0) {
     --runner->m_ownLoad.m_requests;
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -63,6 +63,10 @@
   void Dispatch();
   Decision Decide();
   void SendTo(RunnerState& aRunner, const Placement& aPlacement);
+  // Whether the next send goes on a connection that no other request uses, so
+  // that no earlier rejection can be taken for one of this send.
+  bool NeedsUnsharedConnection(const RunnerState& aRunner,
+                               MonotonicTime aNow) const;
   // Logs that a request that was in flight at a crash is sent again.
   void LogIfSuspect();
   std::vector<PromptPart> ReadPromptParts() const;
@@ -151,6 +155,7 @@
   // from its runner.
   void EndAttempt(RunnerAttempt& aAttempt, RunnerHealth aHealth);
   void RecordIfSilent(const RunnerAttempt& aAttempt);
+  void RecordStrayResponse(const RunnerAttempt& aAttempt, RunnerState& aRunner);
   // Cancels all open attempts but one, if given.
   void CancelAttempts(const RunnerAttempt* aExcept = nullptr);
   // Makes an attempt the one whose response the caller gets.
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -79,10 +79,11 @@
   // Whether a request may be sent in view of the parts of its prompt.
   PartDecision DecideParts(const std::vector<PromptPart>& aParts) const;
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
-  // A connection to a runner in aRegion. One that handshakes first if the link
-  // to another region may queue.
+  // A connection to a runner in aRegion: a new one if it must be unshared, and
+  // if the link to another region may queue, since that handshakes first.
   std::shared_ptr<HttpConnection> Connect(const Address& aRunner,
-                                          const std::string& aRegion);
+                                          const std::string& aRegion,
+                                          bool aIsUnshared);
   RecentDeliveries& Deliveries() { return m_deliveries; }
   Loop& EventLoop() { return m_loop; }
   Random& Rng() { return m_random; }
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -30,6 +30,12 @@
     }
     connection->Abort();
   }
+  return Open(aAddress);
+}
+
+std::shared_ptr<HttpConnection>
+ConnectionPool::Open(const Address& aAddress)
+{
   return std::make_shared<HttpConnection>(m_loop, EndpointOf(aAddress));
 }
 
@@ -41,7 +47,7 @@
     idle.back()->Abort();
     idle.pop_back();
   }
-  return std::make_shared<HttpConnection>(m_loop, EndpointOf(aAddress));
+  return Open(aAddress);
 }
 
 void
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/http_connection_p.h"
 #include "net/message_parser_p.h"
+#include "net/response_ambiguity_p.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 
@@ -303,6 +304,9 @@
   const std::string part = std::exchange(m_parser->m_body, {});
   if (!m_discardResponse) {
     Emit(ResponseBodyPart{ part });
+  } else if (ContainsStatusLine(part)) {
+    // It has broken off, and its length takes up the response to this call.
+    Fail("status line inside the body of another response");
   }
 }
 
@@ -324,6 +328,12 @@
                            m_parser->m_fields,
                            m_parser->m_length,
                            m_parser->need_eof() };
+  const std::string_view ambiguity =
+    HasPast() ? AmbiguityOf(head, m_call.m_echoName) : std::string_view();
+  if (!ambiguity.empty()) {
+    FailAmbiguous(head, ambiguity);
+    return;
+  }
   if (head.m_status / 100 == 1) {
     m_discardResponse = true;
     return;
@@ -335,10 +345,16 @@
     return;
   }
   m_discardResponse = true;
-  m_hasDiscarded = true;
+  m_evidence.m_hasStrayResponse = true;
   LogDiscarded(head);
 }
 
+bool
+HttpConnection::HasPast() const
+{
+  return m_calls > 0 || m_evidence.m_discardedBytes > 0;
+}
+
 bool
 HttpConnection::IsTied(const HttpFields& aFields) const
 {
@@ -368,6 +384,23 @@
         { "writing", m_writing } });
 }
 
+void
+HttpConnection::FailAmbiguous(const ResponseHead& aHead,
+                              std::string_view aReason)
+{
+  m_evidence.m_hasStrayResponse = true;
+  CountMetric("siskindeal_ambiguous_responses_total");
+  Log(LogLevel::Warning,
+      "response ambiguous",
+      { { "id", m_call.m_echo },
+        { "from", m_remote.address().to_string() },
+        { "port", m_remote.port() },
+        { "status", aHead.m_status },
+        { "reason", aReason },
+        { "connection_calls", m_evidence.m_earlierCalls } });
+  Fail("ambiguous response: " + std::string(aReason));
+}
+
 void
 HttpConnection::OnEnd()
 {
@@ -381,7 +414,8 @@
   // request, if the request body is only partly written, or if the peer sent
   // a response to another call.
   const bool keep = m_parser->keep_alive() && !m_parser->need_eof() &&
-                    m_in.empty() && !m_writing && !m_hasDiscarded &&
+                    m_in.empty() && !m_writing &&
+                    !m_evidence.m_hasStrayResponse && !m_call.m_isLast &&
                     m_idleLimit > milliseconds(0);
   m_inCall = false;
   ++m_calls;
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -31,6 +31,7 @@
   // connection that has carried a call. Empty name: any response is accepted.
   std::string_view m_echoName;
   std::string m_echo;
+  bool m_isLast = false; // the connection is closed after its response
 };
 
 // What ties a response, or the lack of one, to the present call.
@@ -40,6 +41,8 @@
   std::chrono::milliseconds m_connectionAge{ 0 }; // when the call began
   bool m_isEchoed = false;                        // the response names the call
   std::size_t m_discardedBytes = 0; // received in this call, before its head
+  // The peer sent a response that isn't this call's, or may not be.
+  bool m_hasStrayResponse = false;
 };
 
 struct ResponseHead
@@ -123,8 +126,11 @@
   void CountMemory();
   void NewParser();
   void OnHead();
+  // Whether bytes of an earlier response may arrive in the present call.
+  bool HasPast() const;
   // Whether a response belongs to the present call.
   bool IsTied(const HttpFields& aFields) const;
+  void FailAmbiguous(const ResponseHead& aHead, std::string_view aReason);
   void LogDiscarded(const ResponseHead& aHead);
   void OnEnd();
   void Fail(std::string aReason);
@@ -151,7 +157,6 @@
   bool m_paused = false;
   bool m_reusable = false;
   bool m_discardResponse = false; // informational, or of an earlier call
-  bool m_hasDiscarded = false;    // a final response
   std::uint32_t m_calls = 0;      // that a response has ended
   CallEvidence m_evidence;
   std::size_t m_discardedResponses = 0; // in this call
@@ -175,6 +180,9 @@
   // Returns an idle connection, or a new one that connects on its first call.
   std::shared_ptr<HttpConnection> Acquire(const Address& aAddress);
 
+  // Returns a new connection. No response to an earlier call can arrive on it.
+  std::shared_ptr<HttpConnection> Open(const Address& aAddress);
+
   // Returns a new connection in place of an idle one, which is closed. Its call
   // is sent only once the remote system has responded.
   std::shared_ptr<HttpConnection> Replace(const Address& aAddress);
