Soak: runners that shed and break copies of rejections off

PartOfARejectionMakesNoRequestRunTwiceOrAfterARefusal, 8 gateways as processes, two services of three runners of six slots, 40 callers, half of the copies before the next response. The draws of the other soak are unchanged.

--- a/tests/faulty_runner_soak_test.cpp
+++ b/tests/faulty_runner_soak_test.cpp
@@ -2,9 +2,10 @@
 // they have run them, reject them, and write responses more than once, beside
 // signals and restarts. Judges how often and where each request ran.
 // SISKINDEAL_SOAK_SEEDS=FIRST-LAST plays other seeds than those of CI;
-// SISKINDEAL_SOAK_GATEWAYS and _SECONDS set the size, _UNTIED the percentage of
-// copies without the request's id, _COPY_ANSWERS=0 copies rejections only, and
-// SISKINDEAL_SOAK_BINARY the program.
+// SISKINDEAL_SOAK_GATEWAYS, _RUNNERS, _CALLERS and _SECONDS set the size,
+// _UNTIED the percentage of copies without the request's id, _CUT of those that
+// break off, _COPY_ANSWERS=0 copies rejections only, and SISKINDEAL_SOAK_BINARY
+// the program.
 
 #include "siskindeal/random.h"
 #include "support/deployed_site.h"
@@ -29,22 +30,58 @@
 using std::chrono::steady_clock;
 
 constexpr seconds kGrace{ 3 };
-constexpr std::size_t kMaxAttempts = 2; // as RouteJson
-constexpr std::size_t kRunnersPerService = 4;
-constexpr std::size_t kCallers = 32;
+constexpr std::size_t kMaxAttempts = 2;    // as RouteJson
+constexpr std::size_t kSlots = 6;          // of a runner that sheds
 constexpr std::uint64_t kMaxStepMs = 1500; // between two disturbances
-const std::vector<std::string> kServices{ "get", "post", "feed", "tail" };
+
+// What one soak plays.
+struct SoakPlan
+{
+  std::vector<std::string> m_services;
+  std::size_t m_gateways = 3;
+  std::size_t m_runners = 4; // of each service
+  std::size_t m_callers = 32;
+  FaultyRunnerOptions m_faults;
+};
 
 class FaultyRunnerSoak : public testing::Test
 {
 protected:
+  void PlaySeeds(const SoakPlan& aPlan)
+  {
+    m_plan = aPlan;
+    m_plan.m_gateways =
+      FromEnvironment("SISKINDEAL_SOAK_GATEWAYS", aPlan.m_gateways);
+    m_plan.m_runners =
+      FromEnvironment("SISKINDEAL_SOAK_RUNNERS", aPlan.m_runners);
+    m_plan.m_callers =
+      FromEnvironment("SISKINDEAL_SOAK_CALLERS", aPlan.m_callers);
+    FaultyRunnerOptions& faults = m_plan.m_faults;
+    faults.m_untied = ShareFromEnvironment("SISKINDEAL_SOAK_UNTIED", 0.5);
+    faults.m_cut = ShareFromEnvironment("SISKINDEAL_SOAK_CUT", faults.m_cut);
+    faults.m_copiesAnswers =
+      FromEnvironment("SISKINDEAL_SOAK_COPY_ANSWERS", 1) != 0;
+    const SoakSeeds seeds = SeedsFromEnvironment({ 1, 2 });
+    for (std::uint64_t seed = seeds.m_first; seed <= seeds.m_last; ++seed) {
+      ASSERT_NO_FATAL_FAILURE(Play(seed));
+    }
+  }
+
+private:
+  static double ShareFromEnvironment(const char* aName, double aDefault)
+  {
+    constexpr double kPercent = 100;
+    const auto percent = static_cast<std::uint64_t>(aDefault * kPercent + 0.5);
+    return static_cast<double>(FromEnvironment(aName, percent)) / kPercent;
+  }
+
   void Play(std::uint64_t aSeed)
   {
     m_random = std::make_unique<Random>(aSeed);
     ASSERT_NO_FATAL_FAILURE(Deploy(aSeed));
     AwaitServing();
-    m_traffic->m_routes = kServices;
-    m_traffic->StartCallers(kCallers, m_gateways, *m_random);
+    m_traffic->m_routes = m_plan.m_services;
+    m_traffic->StartCallers(m_plan.m_callers, m_plan.m_gateways, *m_random);
     const auto end = steady_clock::now() + m_duration;
     while (steady_clock::now() < end) {
       m_fleet->Disturb();
@@ -57,10 +94,8 @@
     TearDownSite();
   }
 
-private:
   void Deploy(std::uint64_t aSeed)
   {
-    m_gateways = FromEnvironment("SISKINDEAL_SOAK_GATEWAYS", 3);
     m_duration = seconds(FromEnvironment("SISKINDEAL_SOAK_SECONDS", 8));
     m_directory =
       testing::TempDir() + "faulty-soak-" + std::to_string(aSeed) + "-XXXXXX";
@@ -70,17 +105,13 @@
     DeployedSiteOptions options;
     options.m_directory = m_directory;
     options.m_store = m_site->Store();
-    options.m_gateways = m_gateways;
+    options.m_gateways = m_plan.m_gateways;
     options.m_grace = kGrace;
     m_deployed = std::make_unique<DeployedSite>(options);
     m_traffic = std::make_unique<SoakTraffic>(*m_site, *m_deployed);
-    FaultyRunnerOptions faults;
-    faults.m_untied =
-      static_cast<double>(FromEnvironment("SISKINDEAL_SOAK_UNTIED", 50)) / 100;
-    faults.m_copiesAnswers =
-      FromEnvironment("SISKINDEAL_SOAK_COPY_ANSWERS", 1) != 0;
-    for (const std::string& service : kServices) {
-      for (std::size_t i = 0; i < kRunnersPerService; ++i) {
+    FaultyRunnerOptions faults = m_plan.m_faults;
+    for (const std::string& service : m_plan.m_services) {
+      for (std::size_t i = 0; i < m_plan.m_runners; ++i) {
         faults.m_seed = m_random->Below(1U << 30);
         m_traffic->AddFaultyRunner(
           service + "-" + std::to_string(i), service, faults);
@@ -107,7 +138,7 @@
 
   void AwaitServing()
   {
-    for (std::size_t gateway = 0; gateway < m_gateways; ++gateway) {
+    for (std::size_t gateway = 0; gateway < m_plan.m_gateways; ++gateway) {
       EXPECT_TRUE(Eventually([&] {
         try {
           return m_traffic->SendProbe(gateway).m_status == 200;
@@ -184,7 +215,7 @@
     }
   }
 
-  std::size_t m_gateways = 0;
+  SoakPlan m_plan;
   seconds m_duration{ 0 };
   std::string m_directory;
   std::unique_ptr<Random> m_random;
@@ -196,10 +227,17 @@
 
 TEST_F(FaultyRunnerSoak, NoRequestRunsTwiceOrAfterARefusalOrAtTooManyRunners)
 {
-  const SoakSeeds seeds = SeedsFromEnvironment({ 1, 2 });
-  for (std::uint64_t seed = seeds.m_first; seed <= seeds.m_last; ++seed) {
-    ASSERT_NO_FATAL_FAILURE(Play(seed));
-  }
+  PlaySeeds({ { "get", "post", "feed", "tail" }, 3, 4, 32, {} });
+}
+
+TEST_F(FaultyRunnerSoak, PartOfARejectionMakesNoRequestRunTwiceOrAfterARefusal)
+{
+  FaultyRunnerOptions faults;
+  faults.m_faulty = 0.2;
+  faults.m_cut = 0.8;
+  faults.m_held = 0.5;
+  faults.m_slots = kSlots;
+  PlaySeeds({ { "get", "post" }, 8, 3, 40, faults });
 }
 
 } // namespace
--- a/tests/support/faulty_runner.cpp
+++ b/tests/support/faulty_runner.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <thread>
+#include <utility>
 
 namespace siskindeal {
 
@@ -14,7 +15,10 @@
 constexpr milliseconds kPoll{ 50 };
 constexpr std::uint64_t kMaxCopyDelayMs = 60;
 const std::string kRejected =
-  "503 Service Unavailable\r\nX-Siskindeal-Not-Executed: 1";
+  "503 Service Unavailable\r\nX-Siskindeal-Not-Executed: 1\r\n"
+  "At-Server: i-71122a3d";
+const std::string kMisdirected =
+  "421 Misdirected Request\r\nAt-Server: i-71122a3d";
 
 // What a runner does with a request that it has run.
 enum class Fault
@@ -100,14 +104,15 @@
 FaultyRunner::Serve(RawSocket aSocket, std::uint64_t aSeed)
 {
   Random random(aSeed);
+  Connection connection{ std::move(aSocket), random, {} };
   std::string in;
   while (!m_server.IsStopping()) {
     const auto end = in.find("\r\n\r\n");
     if (end == std::string::npos) {
-      if (!aSocket.HasInput(kPoll)) {
+      if (!connection.m_socket.HasInput(kPoll)) {
         continue;
       }
-      const std::string more = aSocket.ReadSome();
+      const std::string more = connection.m_socket.ReadSome();
       if (more.empty()) {
         return;
       }
@@ -116,141 +121,174 @@
     }
     const std::string head = in.substr(0, end + 4);
     in.erase(0, end + 4);
-    ReadBody(aSocket, in, LengthOf(head));
+    ReadBody(connection.m_socket, in, LengthOf(head));
     FaultyRunnerRequest request;
     if (!m_describe(head, request)) {
-      aSocket.Send(ResponseText("404 Not Found", {}, {}));
+      connection.m_socket.Send(ResponseText("404 Not Found", {}, {}));
       continue;
     }
-    if (!Answer(aSocket, random, request)) {
+    if (!Answer(connection, request)) {
       return;
     }
   }
 }
 
 bool
-FaultyRunner::Answer(RawSocket& aSocket,
-                     Random& aRandom,
+FaultyRunner::TakeSlot()
+{
+  if (m_running++ < m_options.m_slots || m_options.m_slots == 0) {
+    return true;
+  }
+  --m_running;
+  return false;
+}
+
+bool
+FaultyRunner::Answer(Connection& aConnection,
                      const FaultyRunnerRequest& aRequest)
 {
   constexpr double kRejectedShare = 0.3; // of the faulty
-  const bool isFaulty = aRandom.Chance(m_options.m_faulty);
-  if (isFaulty && aRandom.Chance(kRejectedShare)) {
-    SendWithCopy(aSocket, aRandom, aRequest, kRejected, {}, true);
+  Random& random = aConnection.m_random;
+  const bool isFaulty = random.Chance(m_options.m_faulty);
+  if ((isFaulty && random.Chance(kRejectedShare)) || !TakeSlot()) {
+    const bool isMisdirected = m_options.m_cut > 0 && random.Chance(0.5);
+    SendWithCopy(aConnection,
+                 aRequest,
+                 isMisdirected ? kMisdirected : kRejected,
+                 {},
+                 true);
     return true;
   }
+  const bool isKept = Run(aConnection, aRequest, isFaulty);
+  --m_running;
+  if (!isKept && random.Chance(0.5)) {
+    aConnection.m_socket.Reset();
+  }
+  return isKept;
+}
+
+bool
+FaultyRunner::Run(Connection& aConnection,
+                  const FaultyRunnerRequest& aRequest,
+                  bool aIsFaulty)
+{
   m_record(aRequest.m_id);
-  bool isKept = false;
   if (aRequest.m_events > 0) {
-    isKept = Stream(aSocket, aRandom, aRequest, isFaulty);
-  } else {
-    std::this_thread::sleep_for(milliseconds(aRequest.m_workMs));
-    isKept = isFaulty ? FailAfterRun(aSocket, aRandom, aRequest)
-                      : Respond(aSocket, aRandom, aRequest);
-  }
-  if (!isKept && aRandom.Chance(0.5)) {
-    aSocket.Reset();
+    return Stream(aConnection, aRequest, aIsFaulty);
   }
-  return isKept;
+  std::this_thread::sleep_for(milliseconds(aRequest.m_workMs));
+  return aIsFaulty ? FailAfterRun(aConnection, aRequest)
+                   : Respond(aConnection, aRequest);
 }
 
 bool
-FaultyRunner::Respond(RawSocket& aSocket,
-                      Random& aRandom,
+FaultyRunner::Respond(Connection& aConnection,
                       const FaultyRunnerRequest& aRequest) const
 {
-  const bool isCopied = aRandom.Chance(m_options.m_faulty / 2);
-  SendWithCopy(aSocket, aRandom, aRequest, "200 OK", aRequest.m_body, isCopied);
+  const bool isCopied = aConnection.m_random.Chance(m_options.m_faulty / 2);
+  SendWithCopy(aConnection, aRequest, "200 OK", aRequest.m_body, isCopied);
   return true;
 }
 
 bool
-FaultyRunner::FailAfterRun(RawSocket& aSocket,
-                           Random& aRandom,
+FaultyRunner::FailAfterRun(Connection& aConnection,
                            const FaultyRunnerRequest& aRequest) const
 {
+  RawSocket& socket = aConnection.m_socket;
+  Random& random = aConnection.m_random;
   const std::string sound =
     ResponseText("200 OK", aRequest.m_id, aRequest.m_body);
-  switch (static_cast<Fault>(aRandom.Below(kFaults))) {
+  switch (static_cast<Fault>(random.Below(kFaults))) {
     case Fault::NoAnswer:
       return false;
     case Fault::Cut:
-      aSocket.Send(sound.substr(0, sound.size() - 1 - aRandom.Below(60)));
+      socket.Send(sound.substr(0, sound.size() - 1 - random.Below(60)));
       return false;
     case Fault::CutWithoutEnd:
-      aSocket.Send("HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: " +
-                   aRequest.m_id + "\r\n\r\n" + aRequest.m_body.substr(3));
+      socket.Send("HTTP/1.1 200 OK\r\nX-Siskindeal-Attempt-Id: " +
+                  aRequest.m_id + "\r\n\r\n" + aRequest.m_body.substr(3));
       return false;
     case Fault::Garbage:
-      aSocket.Send("\x01\x02 503 \r\n\r\n no answer");
+      socket.Send("\x01\x02 503 \r\n\r\n no answer");
       return false;
     case Fault::Error:
-      SendWithCopy(aSocket,
-                   aRandom,
+      SendWithCopy(aConnection,
                    aRequest,
                    "500 Internal Server Error",
                    "failed",
-                   aRandom.Chance(0.5));
+                   random.Chance(0.5));
       return true;
     case Fault::RanAndRefused:
-      SendWithCopy(aSocket,
-                   aRandom,
+      SendWithCopy(aConnection,
                    aRequest,
                    "503 Service Unavailable",
                    {},
-                   aRandom.Chance(0.5));
+                   random.Chance(0.5));
       return true;
   }
   return false;
 }
 
 bool
-FaultyRunner::Stream(RawSocket& aSocket,
-                     Random& aRandom,
+FaultyRunner::Stream(Connection& aConnection,
                      const FaultyRunnerRequest& aRequest,
                      bool aIsFaulty) const
 {
+  RawSocket& socket = aConnection.m_socket;
+  Random& random = aConnection.m_random;
   const int events = aRequest.m_events - aRequest.m_lastEvent;
   // A faulty one ends before its head, between two events or inside one.
   const int sound =
-    aIsFaulty ? static_cast<int>(aRandom.Below(events + 1)) - 1 : events;
+    aIsFaulty ? static_cast<int>(random.Below(events + 1)) - 1 : events;
   if (sound < 0) {
     return false;
   }
-  aSocket.Send(StreamHead(aRequest.m_id));
+  socket.Send(std::exchange(aConnection.m_heldCopy, {}) +
+              StreamHead(aRequest.m_id));
   for (int event = 1; event <= sound; ++event) {
     std::this_thread::sleep_for(milliseconds(aRequest.m_workMs));
     const std::string text = aRequest.m_eventText(aRequest.m_lastEvent + event);
-    if (!aSocket.Send(Chunk(text))) {
+    if (!socket.Send(Chunk(text))) {
       return false;
     }
   }
   if (!aIsFaulty) {
-    return aSocket.Send("0\r\n\r\n");
+    return socket.Send("0\r\n\r\n");
   }
-  if (aRandom.Chance(0.5)) {
-    aSocket.Send(Chunk("id: 99"));
+  if (random.Chance(0.5)) {
+    socket.Send(Chunk("id: 99"));
   }
   return false;
 }
 
 void
-FaultyRunner::SendWithCopy(RawSocket& aSocket,
-                           Random& aRandom,
+FaultyRunner::SendWithCopy(Connection& aConnection,
                            const FaultyRunnerRequest& aRequest,
                            const std::string& aStatus,
                            const std::string& aBody,
                            bool aIsCopied) const
 {
-  aSocket.Send(ResponseText(aStatus, aRequest.m_id, aBody));
-  const bool mayCopy = m_options.m_copiesAnswers || aStatus == kRejected;
+  Random& random = aConnection.m_random;
+  aConnection.m_socket.Send(std::exchange(aConnection.m_heldCopy, {}) +
+                            ResponseText(aStatus, aRequest.m_id, aBody));
+  const bool mayCopy = m_options.m_copiesAnswers || aStatus == kRejected ||
+                       aStatus == kMisdirected;
   if (!aIsCopied || !mayCopy) {
     return;
   }
-  std::this_thread::sleep_for(milliseconds(aRandom.Below(kMaxCopyDelayMs)));
-  const bool isUntied = aRandom.Chance(m_options.m_untied);
-  aSocket.Send(
-    ResponseText(aStatus, isUntied ? std::string() : aRequest.m_id, aBody));
+  const milliseconds delay(random.Below(kMaxCopyDelayMs));
+  const bool isUntied = random.Chance(m_options.m_untied);
+  std::string copy =
+    ResponseText(aStatus, isUntied ? std::string() : aRequest.m_id, aBody);
+  if (m_options.m_cut > 0 && random.Chance(m_options.m_cut)) {
+    copy.resize(1 + random.Below(copy.size() - 1));
+  }
+  if (m_options.m_held > 0 && random.Chance(m_options.m_held)) {
+    aConnection.m_heldCopy = std::move(copy);
+    return;
+  }
+  std::this_thread::sleep_for(delay);
+  aConnection.m_socket.Send(copy);
 }
 
 } // namespace siskindeal
--- a/tests/support/faulty_runner.h
+++ b/tests/support/faulty_runner.h
@@ -4,6 +4,7 @@
 
 #include "support/threaded_server.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -30,6 +31,12 @@
   // Share of the copies that lack the request's id.
   double m_untied = 0.5;
   bool m_copiesAnswers = true; // not only rejections
+  // Share of the copies that break off, and of those that precede the response
+  // to the connection's next request.
+  double m_cut = 0;
+  double m_held = 0;
+  // Requests that run at once; it rejects others. 0: any number.
+  std::size_t m_slots = 0;
 };
 
 class FaultyRunner
@@ -49,32 +56,41 @@
   Address ListenAddress() const { return m_server.ListenAddress(); }
 
 private:
+  // A caller's connection.
+  struct Connection
+  {
+    RawSocket m_socket;
+    Random& m_random;
+    std::string m_heldCopy; // written before the next response
+  };
+
   void Serve(RawSocket aSocket, std::uint64_t aSeed);
   // Returns whether the connection is kept, as the next ones do.
-  bool Answer(RawSocket& aSocket,
-              Random& aRandom,
-              const FaultyRunnerRequest& aRequest);
-  bool Respond(RawSocket& aSocket,
-               Random& aRandom,
+  bool Answer(Connection& aConnection, const FaultyRunnerRequest& aRequest);
+  bool Run(Connection& aConnection,
+           const FaultyRunnerRequest& aRequest,
+           bool aIsFaulty);
+  bool Respond(Connection& aConnection,
                const FaultyRunnerRequest& aRequest) const;
-  bool FailAfterRun(RawSocket& aSocket,
-                    Random& aRandom,
+  bool FailAfterRun(Connection& aConnection,
                     const FaultyRunnerRequest& aRequest) const;
-  bool Stream(RawSocket& aSocket,
-              Random& aRandom,
+  bool Stream(Connection& aConnection,
               const FaultyRunnerRequest& aRequest,
               bool aIsFaulty) const;
-  // Sends a response and, at times, a copy of it, at once or late.
-  void SendWithCopy(RawSocket& aSocket,
-                    Random& aRandom,
+  // Sends a response and, at times, a copy of it: at once, late, or before the
+  // next response.
+  void SendWithCopy(Connection& aConnection,
                     const FaultyRunnerRequest& aRequest,
                     const std::string& aStatus,
                     const std::string& aBody,
                     bool aIsCopied) const;
+  // Takes a slot, if one is free.
+  bool TakeSlot();
 
   FaultyRunnerOptions m_options;
   Describe m_describe;
   Record m_record;
+  std::atomic<std::size_t> m_running = 0;
   ThreadedServer m_server; // its threads use the members above
 };
 
