Histogram of how far the predicted time to a first byte was off

Only the line of a request said it, and lines are bounded to 60 a second. Observed at the head of each success, by side; rejections and failures come sooner than what is predicted and would hide it.

GatewayTest.ErrorOfThePredictionIsObservedOnItsSide: a runner that takes 400 ms counts as late once.

--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -2,10 +2,12 @@
 
 #include "gateway/caller_exchange_p.h"
 #include "kernel/contain_p.h"
+#include "siskindeal/metrics.h"
 
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace siskindeal {
 
@@ -87,6 +89,7 @@
     aAttempt.m_deliveredAt = aAttempt.m_lastProgress;
   }
   ApplyResponseHead(aAttempt);
+  RecordPredictionError(aAttempt);
   aAttempt.m_isEventStream =
     m_route->m_retryClass == RetryClass::Streaming && IsEventStream(aHead);
   const bool isSigned = aHead.m_fields.Find(dialect::kSignature) != nullptr;
@@ -122,6 +125,19 @@
   }
 }
 
+void
+CallerExchange::RecordPredictionError(const RunnerAttempt& aAttempt) const
+{
+  if (!IsSuccess(aAttempt.m_head.m_status)) {
+    return; // rejections and failures come sooner than what is predicted
+  }
+  const std::chrono::duration<double> error =
+    *aAttempt.m_firstByteAt - aAttempt.m_sentAt - aAttempt.m_predicted;
+  ObserveSeconds("siskindeal_gateway_prediction_error_seconds",
+                 std::abs(error.count()),
+                 { { "side", error.count() < 0 ? "early" : "late" } });
+}
+
 void
 CallerExchange::On(RunnerAttempt& aAttempt, const ResponseBodyPart& aBody)
 {
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -84,6 +84,8 @@
   void On(RunnerAttempt& aAttempt, const CallFailed& aFailure);
 
   void ApplyResponseHead(const RunnerAttempt& aAttempt);
+  // Observes how far the predicted time to the first byte was off.
+  void RecordPredictionError(const RunnerAttempt& aAttempt) const;
   void OnRefusedByRunner(RunnerAttempt& aAttempt);
   void OnCompleteAnswer(RunnerAttempt& aAttempt);
   void OnErrorAnswer(RunnerAttempt& aAttempt);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,7 +1,10 @@
 // Tests how a gateway forwards and authenticates requests and shuts down.
 
+#include "siskindeal/metrics.h"
 #include "support/gateway_fixture.h"
 
+#include <cstdlib>
+
 namespace siskindeal {
 
 namespace {
@@ -53,6 +56,33 @@
   EXPECT_EQ(seen, "four tees");
 }
 
+// A service that isn't predicted well must show.
+TEST_F(GatewayTest, ErrorOfThePredictionIsObservedOnItsSide)
+{
+  constexpr milliseconds kDuration{ 400 }; // far above what a new one predicts
+  const auto observed = [](const std::string& aSide) {
+    const std::string line =
+      "siskindeal_gateway_prediction_error_seconds_count{side=\"" + aSide +
+      "\"} ";
+    const std::string metrics = MetricsText();
+    const auto at = metrics.find(line);
+    return at == std::string::npos
+             ? 0
+             : std::atoi(metrics.c_str() + at + line.size());
+  };
+  const int early = observed("early");
+  const int late = observed("late");
+  m_site.AddRunner("i-1", "post", [&](const auto& aConnection) {
+    std::this_thread::sleep_for(kDuration);
+    Answer(aConnection);
+  });
+  StartAndAwaitReady();
+  EXPECT_NE(SendRequest(Request("POST", "/post/a")).find(" 200 "),
+            std::string::npos);
+  EXPECT_EQ(observed("late"), late + 1);
+  EXPECT_EQ(observed("early"), early);
+}
+
 struct RefusalCase
 {
   const char* m_name;
