What may consist of two responses decides nothing, on new connections and in bodies too

Heads are checked whenever they come. A body is scanned for a status line followed by the request's id, or by bytes beyond the body's end: it has taken up another response. A response without an id counts only if nothing was discarded before. Bytes that are no response, or that follow one, mark a connection's runner as well. A body that quotes a status line and its own request's id would be taken for joined; ids are random.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,5 @@
 #include "net/http_connection_p.h"
 #include "net/message_parser_p.h"
-#include "net/response_ambiguity_p.h"
 #include "siskindeal/log.h"
 #include "siskindeal/metrics.h"
 
@@ -241,6 +240,7 @@
   m_parser = std::make_unique<Parser>(kMaxHeadBytes, kMaxBodyBytes);
   m_parser->skip(m_call.m_head.rfind("HEAD ", 0) == 0);
   m_discardResponse = false;
+  m_scanner.reset();
 }
 
 void
@@ -254,6 +254,7 @@
       m_parser->put(boost::asio::buffer(m_in.data(), m_in.size()), error);
     m_in.erase(0, used);
     if (error && error != http::error::need_more) {
+      m_evidence.m_hasStrayResponse = true;
       Fail("parse: " + error.message());
       return;
     }
@@ -283,6 +284,10 @@
         NewParser();
         continue;
       }
+      if (m_scanner && m_scanner->IsContinuedBy(m_in)) {
+        FailJoined();
+        return;
+      }
       OnEnd();
       return;
     }
@@ -302,11 +307,12 @@
     return;
   }
   const std::string part = std::exchange(m_parser->m_body, {});
+  if (m_scanner && m_scanner->Add(part)) {
+    FailJoined();
+    return;
+  }
   if (!m_discardResponse) {
     Emit(ResponseBodyPart{ part });
-  } else if (ContainsStatusLine(part)) {
-    // It has broken off, and its length takes up the response to this call.
-    Fail("status line inside the body of another response");
   }
 }
 
@@ -328,8 +334,7 @@
                            m_parser->m_fields,
                            m_parser->m_length,
                            m_parser->need_eof() };
-  const std::string_view ambiguity =
-    HasPast() ? AmbiguityOf(head, m_call.m_echoName) : std::string_view();
+  const std::string_view ambiguity = AmbiguityOf(head, m_call.m_echoName);
   if (!ambiguity.empty()) {
     FailAmbiguous(head, ambiguity);
     return;
@@ -341,20 +346,18 @@
   if (IsTied(head.m_fields)) {
     m_evidence.m_isEchoed = !m_call.m_echo.empty() &&
                             head.m_fields.Find(m_call.m_echoName) != nullptr;
+    if (!m_call.m_echo.empty()) {
+      m_scanner.emplace(m_call.m_echo);
+    }
     Emit(head);
     return;
   }
+  m_scanner.emplace(std::string());
   m_discardResponse = true;
   m_evidence.m_hasStrayResponse = true;
   LogDiscarded(head);
 }
 
-bool
-HttpConnection::HasPast() const
-{
-  return m_calls > 0 || m_evidence.m_discardedBytes > 0;
-}
-
 bool
 HttpConnection::IsTied(const HttpFields& aFields) const
 {
@@ -364,7 +367,8 @@
   if (const std::string* echo = aFields.Find(m_call.m_echoName)) {
     return *echo == m_call.m_echo;
   }
-  return m_calls == 0 || m_call.m_echo.empty();
+  const bool isFirst = m_calls == 0 && !m_evidence.m_hasStrayResponse;
+  return isFirst || m_call.m_echo.empty();
 }
 
 void
@@ -384,6 +388,13 @@
         { "writing", m_writing } });
 }
 
+void
+HttpConnection::FailJoined()
+{
+  m_evidence.m_hasStrayResponse = true;
+  Fail("a response inside the body of another one");
+}
+
 void
 HttpConnection::FailAmbiguous(const ResponseHead& aHead,
                               std::string_view aReason)
@@ -413,10 +424,11 @@
   // The connection is not reused if bytes are left over, which belong to no
   // request, if the request body is only partly written, or if the peer sent
   // a response to another call.
+  m_evidence.m_hasStrayResponse =
+    m_evidence.m_hasStrayResponse || !m_in.empty();
   const bool keep = m_parser->keep_alive() && !m_parser->need_eof() &&
-                    m_in.empty() && !m_writing &&
-                    !m_evidence.m_hasStrayResponse && !m_call.m_isLast &&
-                    m_idleLimit > milliseconds(0);
+                    !m_writing && !m_evidence.m_hasStrayResponse &&
+                    !m_call.m_isLast && m_idleLimit > milliseconds(0);
   m_inCall = false;
   ++m_calls;
   m_paused = false;
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -5,6 +5,7 @@
 #include "net/http_fields_p.h"
 #include "net/loop_p.h"
 #include "net/memory_budget_p.h"
+#include "net/response_ambiguity_p.h"
 
 #include <functional>
 #include <map>
@@ -41,7 +42,8 @@
   std::chrono::milliseconds m_connectionAge{ 0 }; // when the call began
   bool m_isEchoed = false;                        // the response names the call
   std::size_t m_discardedBytes = 0; // received in this call, before its head
-  // The peer sent a response that isn't this call's, or may not be.
+  // The peer sent a response that isn't this call's or may not be, or bytes
+  // that are none.
   bool m_hasStrayResponse = false;
 };
 
@@ -126,10 +128,10 @@
   void CountMemory();
   void NewParser();
   void OnHead();
-  // Whether bytes of an earlier response may arrive in the present call.
-  bool HasPast() const;
   // Whether a response belongs to the present call.
   bool IsTied(const HttpFields& aFields) const;
+  // The body has broken off, and its length takes up another response.
+  void FailJoined();
   void FailAmbiguous(const ResponseHead& aHead, std::string_view aReason);
   void LogDiscarded(const ResponseHead& aHead);
   void OnEnd();
@@ -159,6 +161,7 @@
   bool m_discardResponse = false; // informational, or of an earlier call
   std::uint32_t m_calls = 0;      // that a response has ended
   CallEvidence m_evidence;
+  std::optional<BodyScanner> m_scanner; // of the present body
   std::size_t m_discardedResponses = 0; // in this call
   bool m_closed = false;
   std::optional<MemoryBudget::Account> m_memory; // of input, during a call
--- a/tests/joined_response_test.cpp
+++ b/tests/joined_response_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
 #include <map>
 #include <mutex>
 #include <set>
@@ -79,21 +80,28 @@
   return result;
 }
 
-// Makes a call, then one before whose answer the server writes aStray. The
-// server closes after the answer.
+// Calls a server that writes the pieces for the call, a read each, and closes.
+// If aIsKept, the connection has carried a call before.
 CallResult
-CallBehind(const std::string& aStray, const std::string& aAnswer)
+CallBehind(const std::vector<std::string>& aPieces, bool aIsKept)
 {
   const RawServer server([&](RawSocket& aSocket, int) {
+    if (aIsKept) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(Response("200 OK", IdField("id-1") + kSigned, "first"));
+    }
     aSocket.ReadUntil("\r\n\r\n");
-    aSocket.Send(Response("200 OK", IdField("id-1") + kSigned, "first"));
-    aSocket.ReadUntil("\r\n\r\n");
-    aSocket.Send(aStray + aAnswer);
+    for (const std::string& piece : aPieces) {
+      aSocket.Send(piece);
+      aSocket.AwaitAcknowledged();
+    }
   });
   Loop loop;
   const auto connection = std::make_shared<HttpConnection>(
     loop, EndpointOf({ "127.0.0.1", server.Port() }));
-  EXPECT_EQ(RunCall(loop, connection, "id-1").m_status, 200);
+  if (aIsKept) {
+    EXPECT_EQ(RunCall(loop, connection, "id-1").m_status, 200);
+  }
   return RunCall(loop, connection, "id-2");
 }
 
@@ -143,34 +151,95 @@
   EXPECT_EQ(aResult.m_body, aBody);
 }
 
-TEST(JoinedResponse, PartOfAnEarlierRejectionDoesNotTurnAnAnswerIntoARejection)
+// On a new connection a whole response without an id counts.
+bool
+MayCount(const std::string& aStray, std::size_t aCut, bool aIsKept)
 {
-  const std::string answer =
-    Response("200 OK", IdField("id-2") + kSigned, "booked");
-  for (const StrayCase& stray : StrayCases()) {
-    for (std::size_t cut = 1; cut <= stray.m_response.size(); ++cut) {
-      SCOPED_TRACE(std::string(stray.m_name) + ", bytes " +
-                   std::to_string(cut));
-      ExpectOwnOrNone(
-        CallBehind(stray.m_response.substr(0, cut), answer), 200, "booked");
+  return !aIsKept && aCut == aStray.size() &&
+         aStray.find("X-Siskindeal-Attempt-Id") == std::string::npos &&
+         aStray.find(" 100 ") == std::string::npos;
+}
+
+// Plays each length of each stray response before a response to the call.
+void
+PlayJoins(const std::string& aResponse, int aStatus, const std::string& aBody)
+{
+  for (const bool isKept : { true, false }) {
+    for (const StrayCase& stray : StrayCases()) {
+      for (std::size_t cut = 1; cut <= stray.m_response.size(); ++cut) {
+        if (MayCount(stray.m_response, cut, isKept)) {
+          continue;
+        }
+        SCOPED_TRACE(std::string(isKept ? "kept, " : "new, ") + stray.m_name +
+                     ", bytes " + std::to_string(cut));
+        ExpectOwnOrNone(
+          CallBehind({ stray.m_response.substr(0, cut) + aResponse }, isKept),
+          aStatus,
+          aBody);
+      }
     }
   }
 }
 
+TEST(JoinedResponse, PartOfAnEarlierRejectionDoesNotTurnAnAnswerIntoARejection)
+{
+  PlayJoins(
+    Response("200 OK", IdField("id-2") + kSigned, "booked"), 200, "booked");
+}
+
 TEST(JoinedResponse, PartOfAnEarlierAnswerDoesNotTurnARejectionIntoAnAnswer)
 {
-  const std::string rejection =
-    Response("503 Full", IdField("id-2") + kNotRun, "");
-  for (const StrayCase& stray : StrayCases()) {
-    for (std::size_t cut = 1; cut <= stray.m_response.size(); ++cut) {
-      SCOPED_TRACE(std::string(stray.m_name) + ", bytes " +
-                   std::to_string(cut));
+  PlayJoins(Response("503 Full", IdField("id-2") + kNotRun, ""), 503, "");
+}
+
+TEST(JoinedResponse, AnswerThatBreaksOffIsNotCompletedByItsCopy)
+{
+  const std::string body(100, 'b');
+  const std::string answer =
+    Response("200 OK", IdField("id-2") + kSigned, body);
+  for (const bool isKept : { true, false }) {
+    for (std::size_t cut = 1; cut < answer.size(); ++cut) {
+      SCOPED_TRACE(std::to_string(cut));
       ExpectOwnOrNone(
-        CallBehind(stray.m_response.substr(0, cut), rejection), 503, "");
+        CallBehind({ answer.substr(0, cut) + answer }, isKept), 200, body);
     }
   }
 }
 
+// A call whose answer was taken up would wait until its deadline.
+TEST(JoinedResponse, AnswerTakenUpByABodyIsNoticedWhereverReadsEnd)
+{
+  const std::string stray =
+    Response("503 Full", kNotRun + IdField("id-1"), std::string(900, 'f'));
+  const std::string part = stray.substr(0, stray.size() - 880);
+  const std::string answer =
+    Response("200 OK", IdField("id-2") + kSigned, "booked");
+  for (std::size_t at = 1; at < 30; ++at) {
+    std::promise<void> failed;
+    const RawServer server([&](RawSocket& aSocket, int) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(part + answer.substr(0, at));
+      aSocket.AwaitAcknowledged();
+      aSocket.Send(answer.substr(at));
+      failed.get_future().wait(); // the connection stays open
+    });
+    Loop loop;
+    const auto connection = std::make_shared<HttpConnection>(
+      loop, EndpointOf({ "127.0.0.1", server.Port() }));
+    EXPECT_EQ(RunCall(loop, connection, "id-2").m_failure,
+              CallFailure::MayHaveRun);
+    failed.set_value();
+  }
+}
+
+TEST(JoinedResponse, RejectionWithoutAnIdAfterAStrayResponseDecidesNothing)
+{
+  const std::string stray = Response("200 OK", IdField("id-1") + kSigned, "x");
+  const CallResult result =
+    CallBehind({ stray + Response("503 Full", kNotRun, "") }, false);
+  EXPECT_EQ(result.m_failure, CallFailure::MayHaveRun);
+}
+
 // Runners that write part of an earlier rejection before the answer to each
 // request but a connection's first.
 class JoinedResponseTest : public GatewayTest
