A connection that isn't shared takes the place of an idle one

Found by the review of: a runner accepts so many connections and resets others. Idle ones of repeatable requests could hold all of them; a booking on a connection of its own was then reset after it was sent and counted as possibly run (502).

The new connection replaces an idle one to the same runner, as handshakes to other regions do. ConnectionLimitTest: 4 of 8 bookings answered, 7 connections reset before, 8 and none now. Other gateways' idle connections still count.

--- a/src/gateway/gateway_links.cpp
+++ b/src/gateway/gateway_links.cpp
@@ -70,12 +70,10 @@
                  const std::string& aRegion,
                  bool aIsUnshared)
 {
-  if (aIsUnshared) {
-    return m_pool->Open(aRunner);
-  }
   const bool isOther = !aRegion.empty() && aRegion != m_region;
   const bool isProven = !isOther || m_deliveries.IsProven(aRegion, LoopNow());
-  return isProven ? m_pool->Acquire(aRunner) : m_pool->Replace(aRunner);
+  return isProven && !aIsUnshared ? m_pool->Acquire(aRunner)
+                                  : m_pool->Replace(aRunner);
 }
 
 void
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -79,8 +79,9 @@
   // Whether a request may be sent in view of the parts of its prompt.
   PartDecision DecideParts(const std::vector<PromptPart>& aParts) const;
   const std::shared_ptr<ConnectionPool>& Pool() const { return m_pool; }
-  // A connection to a runner in aRegion: a new one if it must be unshared, and
-  // if the link to another region may queue, since that handshakes first.
+  // A connection to a runner in aRegion: a new one in place of an idle one if
+  // it must be unshared, and if the link to another region may queue, since
+  // that handshakes first.
   std::shared_ptr<HttpConnection> Connect(const Address& aRunner,
                                           const std::string& aRegion,
                                           bool aIsUnshared);
