--- a/tests/connection_limit_test.cpp
+++ b/tests/connection_limit_test.cpp
@@ -108,6 +108,7 @@
   constexpr int kBookings = 8;
   StartWithRunner(kLimit);
   std::vector<std::thread> callers;
+  callers.reserve(kLimit);
   for (int i = 0; i < kLimit; ++i) {
     callers.emplace_back([this] { SendRequest(Request("GET", "/get/a")); });
   }
--- a/tests/faulty_runner_soak_test.cpp
+++ b/tests/faulty_runner_soak_test.cpp
@@ -15,6 +15,7 @@
 #include "support/soak_traffic.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <filesystem>
 #include <map>
@@ -71,7 +72,8 @@
   static double ShareFromEnvironment(const char* aName, double aDefault)
   {
     constexpr double kPercent = 100;
-    const auto percent = static_cast<std::uint64_t>(aDefault * kPercent + 0.5);
+    const auto percent =
+      static_cast<std::uint64_t>(std::lround(aDefault * kPercent));
     return static_cast<double>(FromEnvironment(aName, percent)) / kPercent;
   }
 
--- a/tests/joined_response_test.cpp
+++ b/tests/joined_response_test.cpp
@@ -289,10 +289,11 @@
       const std::string stray =
         isFirst || !m_writesParts ? "" : "HTTP/1.1 421 Misdirec";
       isFirst = false;
-      aSocket.Send(
-        stray +
-        (rejects ? Response("503 Full", IdField(id) + kNotRun, "")
-                 : Response("200 OK", IdField(id) + kSigned, "run of " + id)));
+      std::string bytes = stray;
+      bytes += rejects
+                 ? Response("503 Full", IdField(id) + kNotRun, "")
+                 : Response("200 OK", IdField(id) + kSigned, "run of " + id);
+      aSocket.Send(bytes);
     }
   }
 
