No copy of an earlier response answers an unsafe call of the HTTP client

Callers of an agent could be told 503, not run, for a request that its upstream ran, or get another request's answer; an order to an engine, or a write to the platform, could end with an earlier one's status.

Cause: a server may write a response once more, whole or in part, after the next request on the connection was sent. Nothing in these protocols ties a response to its request, and libcurl joins part of the copy with the answer. Only bytes that had arrived before the call were looked for.

Change: methods other than GET and HEAD go on connections of their own, which aren't kept. No copy can arrive there. Reads still share connections and can be repeated. The platform's conditional writes, a few a second, pay one connect each.

--- a/include/siskindeal/http.h
+++ b/include/siskindeal/http.h
@@ -135,7 +135,8 @@
   std::string m_body{};
   std::chrono::milliseconds m_timeout{ 30000 };
   std::chrono::milliseconds m_connectTimeout{ 1000 };
-  // Opens a new connection instead of reusing one.
+  // Opens a new connection instead of reusing one. Methods other than GET and
+  // HEAD do so in any case, and their connections aren't reused.
   bool m_newConnection = false;
   // Called on the client's thread with the body bytes of a 2xx response as they
   // arrive. The m_body of the reply then stays empty. Returning false cancels.
@@ -162,7 +163,8 @@
   virtual void Cancel() = 0;
 };
 
-// Runs all requests on one thread with curl_multi. Connections are reused.
+// Runs all requests on one thread with curl_multi. Connections of GET and HEAD
+// are reused.
 class HttpClient
 {
 public:
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -62,8 +62,13 @@
   curl_easy_setopt(aEasy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(aEasy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
-  curl_easy_setopt(
-    aEasy, CURLOPT_FRESH_CONNECT, m_request.m_newConnection ? 1L : 0L);
+  // On a connection that has carried another request, a response to that one
+  // may arrive first, whole or in part, and no field tells them apart.
+  const bool isUnshared = !IsSafe();
+  curl_easy_setopt(aEasy,
+                   CURLOPT_FRESH_CONNECT,
+                   isUnshared || m_request.m_newConnection ? 1L : 0L);
+  curl_easy_setopt(aEasy, CURLOPT_FORBID_REUSE, isUnshared ? 1L : 0L);
   curl_easy_setopt(
     aEasy, CURLOPT_TIMEOUT_MS, static_cast<long>(m_request.m_timeout.count()));
   curl_easy_setopt(aEasy,
