No copy of an earlier response answers a stager's order or a write to the store

Stagers could take an earlier response for a load order's or a stored piece's, gateways one for their registration's: a piece fetched again, a load given up, a registration taken for written.

Cause: CallBuffered reused idle connections for every method. Its responses have no field that ties them to a call, and a copy that arrives after the call was sent isn't found beforehand.

Change: methods other than GET go on a connection of their own, closed after its response. Reads share connections as before.

BufferedCall.CopyOfARefusalDoesNotAnswerTheOrderAfterIt, each length of a copy after GET, POST and PUT: 159 of 159 cases failed before (3 with the copied 503, 156 without an answer); all pass now.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -130,7 +130,8 @@
     m_begin = std::chrono::steady_clock::now();
     m_end = m_begin + aTimeout + kMaxExtra;
     ArmTimer(aTimeout);
-    m_connection = m_pool->Acquire(m_address);
+    m_connection =
+      aCall.m_isLast ? m_pool->Open(m_address) : m_pool->Acquire(m_address);
     m_connection->Begin(
       std::move(aCall),
       std::min(aTimeout, kConnectTimeout),
@@ -244,6 +245,8 @@
   }
   call.m_head += "\r\n";
   call.m_body = std::move(aBody);
+  // Nothing in these responses names their request. A read can be repeated.
+  call.m_isLast = aMethod != "GET";
   std::make_shared<BufferedCall>(aLoop, aPool, aAddress, std::move(aDone))
     ->Begin(std::move(call), aTimeout);
 }
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -215,7 +215,8 @@
 };
 
 // Sends one request and buffers the response. Fails after aTimeout, or later
-// while data is still arriving.
+// while data is still arriving. Methods other than GET get a connection of
+// their own, so that no response to an earlier call is taken for theirs.
 void
 CallBuffered(Loop& aLoop,
              const std::shared_ptr<ConnectionPool>& aPool,
--- a/tests/buffered_call_test.cpp
+++ b/tests/buffered_call_test.cpp
@@ -1,6 +1,7 @@
 // Tests calls with a buffered response: slow, stalled and unconnected servers.
 
 #include "net/http_connection_p.h"
+#include "support/copying_server.h"
 #include "support/raw_socket.h"
 
 #include <gtest/gtest.h>
@@ -146,6 +147,59 @@
   EXPECT_LT(sent, kMaxSent);
 }
 
+BufferedResponse
+RunCall(Loop& aLoop,
+        const std::shared_ptr<ConnectionPool>& aPool,
+        const CopyingServer& aServer,
+        std::string_view aMethod)
+{
+  BufferedResponse answer;
+  CallBuffered(aLoop,
+               aPool,
+               aServer.ListenAddress(),
+               aMethod,
+               "/",
+               {},
+               milliseconds(3000),
+               [&](BufferedResponse aAnswer) {
+                 answer = std::move(aAnswer);
+                 aLoop.stop();
+               });
+  aLoop.restart();
+  aLoop.run();
+  return answer;
+}
+
+TEST(BufferedCall, CopyOfARefusalDoesNotAnswerTheOrderAfterIt)
+{
+  for (const std::string_view first : { "GET", "POST", "PUT" }) {
+    for (std::size_t copied = 1; copied <= CopyingServer::kRefusal.size();
+         ++copied) {
+      SCOPED_TRACE(std::string(first) + ", bytes " + std::to_string(copied));
+      CopyingServer server(copied);
+      Loop loop{ 1 };
+      const auto pool = std::make_shared<ConnectionPool>(loop);
+      EXPECT_EQ(RunCall(loop, pool, server, first).m_status, 503);
+      const BufferedResponse answer = RunCall(loop, pool, server, "POST");
+      EXPECT_EQ(answer.m_status, 200) << answer.m_failure;
+      EXPECT_EQ(answer.m_body, CopyingServer::kAnswerBody);
+    }
+  }
+}
+
+TEST(BufferedCall, OrdersShareNoConnectionAndReadsStillDo)
+{
+  constexpr int kCalls = 3;
+  CopyingServer server(0);
+  Loop loop{ 1 };
+  const auto pool = std::make_shared<ConnectionPool>(loop);
+  for (int i = 0; i < kCalls; ++i) {
+    RunCall(loop, pool, server, "GET");
+    RunCall(loop, pool, server, "POST");
+  }
+  EXPECT_EQ(server.Connections(), 1U + kCalls);
+}
+
 } // namespace
 
 } // namespace siskindeal
