Process soak: the excuse "crossed the close" is bounded

Cause: the soak excused each request without an answer that no runner ran and whose connection was reset, at any time, or ended within 0.2 s, although no close was under way. A request that wasn't sent whole and got no answer was never judged.

Change: a close can be under way while a stopped process exits, from its SIGTERM to its observed end, at most until 1 s after the grace period; at a SIGKILL, for the loss slack; and once a connection has been idle for the shortest idle timeout that a configuration sets. A request is excused only if its connection was open in such a time and ended within the loss slack of its last byte. A reset that comes later is excused only for the first request of a connection, which may have waited unaccepted for the process to stop. Requests that weren't sent whole need an excuse too. What is excused now was excused before.

--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -33,6 +33,8 @@
 // Bounds of RULES.md, LOST.
 constexpr milliseconds kLossSlack{ 200 };
 constexpr seconds kLateStart{ 3 };
+constexpr seconds kStopSlack{ 1 }; // after the grace period
+constexpr milliseconds kMinIdleTimeout{ 2000 };
 constexpr std::size_t kMinCallers = 24;
 constexpr std::size_t kMaxCallers = 96;
 constexpr std::uint64_t kMaxStepMs = 1200; // between disturbances of one VM
@@ -154,7 +156,8 @@
     config["limits"] = { { "max_header_bytes", 2000 + m_random->Below(6000) },
                          { "max_body_bytes", 1000 + m_random->Below(10000) },
                          { "header_timeout_ms", 5000 },
-                         { "idle_timeout_ms", 2000 + m_random->Below(8000) } };
+                         { "idle_timeout_ms",
+                           kMinIdleTimeout.count() + m_random->Below(8000) } };
     return config;
   }
 
@@ -336,16 +339,34 @@
         }
       }
     }
-    // It crossed the close of its connection, or wasn't read.
-    const bool isUnanswered = aRuns.empty() && aOutcome.m_status == 0;
-    if (isUnanswered &&
-        (aOutcome.m_wasReset ||
-         aOutcome.m_endedAt - aOutcome.m_sentAt <= kLossSlack)) {
+    if (aRuns.empty() && aOutcome.m_status == 0 && CrossedClose(aOutcome)) {
       return "crossed the close";
     }
     return {};
   }
 
+  // Whether the gateway may have closed the connection of a request without an
+  // answer before it had read the request.
+  bool CrossedClose(const SoakOutcome& aOutcome) const
+  {
+    const bool isRecent = aOutcome.m_endedAt - aOutcome.m_sentAt <= kLossSlack;
+    const bool mayBeUnaccepted = aOutcome.m_isFirst && aOutcome.m_wasReset;
+    if (isRecent && aOutcome.m_from >= aOutcome.m_idleSince + kMinIdleTimeout) {
+      return true; // the idle timeout may have passed
+    }
+    const SoakFleet::Member& member = m_fleet->Members()[aOutcome.m_gateway];
+    const auto mayHaveClosed = [&](const SoakFleet::Exit& aExit) {
+      const SteadyTime latest =
+        aExit.m_isKill ? aExit.m_from + kLossSlack
+                       : member.NoticedAt(aExit.m_from) + kGrace + kStopSlack;
+      return aExit.m_from <= aOutcome.m_endedAt &&
+             aOutcome.m_idleSince <= std::min(aExit.m_to, latest);
+    };
+    return (isRecent || mayBeUnaccepted) && std::any_of(member.m_exits.begin(),
+                                                        member.m_exits.end(),
+                                                        mayHaveClosed);
+  }
+
   // Returns what is wrong with a request; empty: nothing.
   std::string Judge(const SoakOutcome& aOutcome,
                     const std::vector<SoakRun>& aRuns)
@@ -371,7 +392,7 @@
     const bool isAnswered =
       aOutcome.m_isWhole &&
       (status == 200 || isRefused || (isForbidden && mayBeForbidden));
-    if (isAnswered || !aOutcome.m_isSent) {
+    if (isAnswered) {
       return {};
     }
     const std::string excuse = Excuse(aOutcome, aRuns);
--- a/tests/support/soak_fleet.cpp
+++ b/tests/support/soak_fleet.cpp
@@ -66,6 +66,18 @@
 
 } // namespace
 
+SteadyTime
+SoakFleet::Member::NoticedAt(SteadyTime aSignalAt) const
+{
+  SteadyTime noticedAt = aSignalAt;
+  for (const Pause& pause : m_pauses) {
+    if (pause.m_from <= aSignalAt && aSignalAt <= pause.m_to) {
+      noticedAt = std::max(noticedAt, pause.m_to);
+    }
+  }
+  return noticedAt;
+}
+
 SoakFleet::SoakFleet(DeployedSite& aSite,
                      seconds aGrace,
                      std::uint64_t aSeed,
@@ -309,6 +321,9 @@
     }
     return false;
   }
+  const SteadyTime from =
+    aProcess.m_stoppedAt.value_or(aProcess.m_killedAt.value_or(now));
+  aMember.m_exits.push_back({ from, now, !aProcess.m_stoppedAt });
   if (!aProcess.m_killedAt) {
     CheckAskedEnd(aMember, aProcess);
   }
--- a/tests/support/soak_fleet.h
+++ b/tests/support/soak_fleet.h
@@ -23,6 +23,14 @@
     SteadyTime m_to;
   };
 
+  // From the signal that ends a process until its end has been observed.
+  struct Exit
+  {
+    SteadyTime m_from;
+    SteadyTime m_to;
+    bool m_isKill = false;
+  };
+
   // A VM with its process and what was done to it.
   struct Member
   {
@@ -31,8 +39,12 @@
     std::vector<SteadyTime> m_kills;
     std::vector<SteadyTime> m_stops;
     std::vector<Pause> m_pauses;
+    std::vector<Exit> m_exits;
     std::vector<SteadyTime> m_unaskedEnds;
     bool m_startsAtEnd = false; // the next start follows the end
+
+    // When a signal is noticed: at the end of a pause that it came in.
+    SteadyTime NoticedAt(SteadyTime aSignalAt) const;
   };
 
   // Starts all processes.
--- a/tests/support/soak_traffic.cpp
+++ b/tests/support/soak_traffic.cpp
@@ -340,16 +340,20 @@
   std::size_t number = 0;
   while (!m_stopping) {
     const std::size_t gateway = random.Below(aGateways);
+    bool isFirst = true;
+    SteadyTime idleSince = steady_clock::now();
     try {
       RawSocket socket(m_deployed.Vms()[gateway].m_host,
                        DeployedSite::kFrontPort);
       bool isKept = true;
       while (isKept && !m_stopping) {
-        const auto outcome =
+        auto outcome =
           Send(socket,
                random,
                gateway,
                std::to_string(aCaller) + "-" + std::to_string(number++));
+        outcome.m_isFirst = std::exchange(isFirst, false);
+        outcome.m_idleSince = std::exchange(idleSince, outcome.m_sentAt);
         isKept =
           outcome.m_keepsOpen && random.Below(kRequestsPerConnection) != 0;
         {
--- a/tests/support/soak_traffic.h
+++ b/tests/support/soak_traffic.h
@@ -50,6 +50,8 @@
   const SoakKind* m_kind = nullptr;
   std::size_t m_gateway = 0;
   bool m_hasSteadyKey = true; // every configuration has its key
+  bool m_isFirst = false;     // on its connection
+  SteadyTime m_idleSince;     // its connection was in use until then
   SteadyTime m_from;          // before its first byte
   SteadyTime m_sentAt;        // after its last byte
   SteadyTime m_endedAt;
