--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -218,7 +218,8 @@
 };
 
 // Sends one request and buffers the response. Fails after aTimeout, or later
-// while data is still arriving.
+// while data is still arriving. A POST gets a connection of its own, so that no
+// response to an earlier call is taken for its.
 void
 CallBuffered(Loop& aLoop,
              const std::shared_ptr<ConnectionPool>& aPool,
