--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,6 @@
 #include "dispatch/placement_p.h"
+
+#include "dispatch/engine_model_p.h"
 #include "siskindeal/site.h"
 
 #include <algorithm>
@@ -16,10 +18,6 @@
 // more than bytes between places of one region.
 constexpr double kCrossRegionPenaltyMs = 80;
 constexpr double kCrossPlacePenaltyMs = 15;
-// Duration of a plain service's requests until one has been measured.
-constexpr Ms kDefaultDuration{ 30 };
-constexpr double kFirstTokenOverheadMs = 12; // of engines, without the prompt
-constexpr double kDefaultSlots = 8; // of a runner that reports no slots
 // A new request is in time if its first byte is predicted within this share of
 // its target.
 constexpr double kNewRequestShare = 0.9;
@@ -39,99 +37,10 @@
 constexpr double kMaxRetryAfterShare = 0.3;
 constexpr double kMaxWaitFactor = 2; // ratio of actual to predicted wait
 constexpr double kTieBreakMs = 4;    // smaller differences are decided randomly
-constexpr double kPassesWhenBusy = 1.5;
-constexpr double kOccupancyWeight = 0.3;
 constexpr milliseconds kArrivalWindow{
   1000
 }; // over which arrivals are counted
 
-// What occupies a runner, or would if requests were added.
-struct Occupancy
-{
-  double m_slots = 1;
-  double m_requests = 0;
-  double m_promptTokens = 0; // not processed yet
-  Ms m_typicalDuration{ 0 }; // of plain services' requests
-  bool m_isOutdated = false; // that duration
-};
-
-Occupancy
-OccupancyOf(const ServiceRecord& aService,
-            const RunnerState& aRunner,
-            MonotonicTime aNow)
-{
-  Occupancy occupancy;
-  occupancy.m_slots = aRunner.m_record.m_slots > 0 ? aRunner.m_record.m_slots
-                      : aService.m_engine          ? aService.m_engine->m_slots
-                                                   : kDefaultSlots;
-  occupancy.m_requests = aRunner.Requests();
-  occupancy.m_promptTokens =
-    aRunner.m_ownLoad.m_promptTokens +
-    static_cast<double>(aRunner.m_peerLoad.m_promptTokens);
-  occupancy.m_typicalDuration = aRunner.m_smoothedDuration.count() > 0
-                                  ? aRunner.m_smoothedDuration
-                                  : kDefaultDuration;
-  occupancy.m_isOutdated = aRunner.DurationIsOutdated(aNow);
-  return occupancy;
-}
-
-double
-PrefillMs(const EngineProfile& aEngine, double aTokens)
-{
-  return aEngine.m_promptTokensPerMs <= 0
-           ? 0
-           : aTokens / aEngine.m_promptTokensPerMs;
-}
-
-// Time for which a typical request occupies its slot in a full batch.
-double
-ResidenceMs(const EngineProfile& aEngine, double aSlots)
-{
-  const double step = aEngine.m_stepMs + aEngine.m_stepMsPerRequest * aSlots;
-  return aEngine.m_typicalAnswerTokens * step +
-         aSlots * PrefillMs(aEngine, aEngine.m_typicalPromptTokens);
-}
-
-double
-EngineMs(std::uint32_t aPromptTokens,
-         const EngineProfile& aEngine,
-         const Occupancy& aOccupancy)
-{
-  const double requests = aOccupancy.m_requests;
-  const double slots = aOccupancy.m_slots;
-  const double pass =
-    aEngine.m_stepsPerPass *
-    (aEngine.m_stepMs + aEngine.m_stepMsPerRequest * requests);
-  const double waiting = std::max(0.0, requests - slots + 1);
-  const double wait = waiting * ResidenceMs(aEngine, slots) / slots;
-  // The current pass ends first; the prompt is processed in the next one.
-  const double passes = requests > 0 ? kPassesWhenBusy : 1;
-  return kFirstTokenOverheadMs + wait + passes * pass +
-         PrefillMs(aEngine, aOccupancy.m_promptTokens + aPromptTokens);
-}
-
-double
-PlainMs(const Occupancy& aOccupancy)
-{
-  const double requests = aOccupancy.m_requests;
-  const double slots = aOccupancy.m_slots;
-  const double waiting = std::max(0.0, requests - slots + 1);
-  // The occupancy term avoids nearly full runners while others have free slots.
-  return aOccupancy.m_typicalDuration.count() *
-         (1 + kOccupancyWeight * requests / slots + waiting / slots);
-}
-
-// Time to the first byte at a runner with that occupancy.
-Ms
-PredictAt(const RequestShape& aShape,
-          const ServiceRecord& aService,
-          const Occupancy& aOccupancy)
-{
-  return Ms(aService.m_engine
-              ? EngineMs(aShape.m_promptTokens, *aService.m_engine, aOccupancy)
-              : PlainMs(aOccupancy));
-}
-
 // By how much the request would miss its caller's deadline or its target, or
 // would take capacity from requests that can be in time; unset if it may be
 // sent. aLinkDelay: of the link to the runner, there and back.
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -2,6 +2,7 @@
 // Chooses the runner for a request by the predicted time to its first byte, or
 // refuses the request. Does no I/O; the caller passes time and random seed.
 
+#include "dispatch/request_shape_p.h"
 #include "dispatch/runner_limits_p.h"
 #include "dispatch/runner_notices_p.h"
 #include "dispatch/runner_table_p.h"
@@ -15,29 +16,6 @@
 
 namespace siskindeal {
 
-// A newer version of weights that requests must run on once m_dueIn has passed.
-struct UpcomingVersion
-{
-  std::uint64_t m_version = 0;
-  std::chrono::milliseconds m_dueIn{ 0 };
-};
-
-// The properties of a request that placement depends on.
-struct RequestShape
-{
-  std::string m_service;
-  std::string m_model; // empty: none
-  std::uint32_t m_promptTokens = 0;
-  std::chrono::milliseconds m_target{ 0 };   // to the first byte
-  std::chrono::milliseconds m_timeLeft{ 0 }; // until the caller's deadline
-  bool m_isCallerRetry = false;              // retried by the caller
-  bool m_alreadyStarted = false;             // resumed or sent before
-  std::optional<std::uint64_t> m_minVersion; // of the weights; unset: any
-  // A request that may still wait when one of them becomes due is not sent to
-  // older weights.
-  std::vector<UpcomingVersion> m_upcoming;
-};
-
 struct Placement
 {
   std::string m_runner;                       // id
--- /dev/null
+++ b/src/dispatch/request_shape_p.h
@@ -0,0 +1,35 @@
+#pragma once
+// What placement and admission know of a request.
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskindeal {
+
+// A newer version of weights that requests must run on once m_dueIn has passed.
+struct UpcomingVersion
+{
+  std::uint64_t m_version = 0;
+  std::chrono::milliseconds m_dueIn{ 0 };
+};
+
+// The properties of a request that placement depends on.
+struct RequestShape
+{
+  std::string m_service;
+  std::string m_model; // empty: none
+  std::uint32_t m_promptTokens = 0;
+  std::chrono::milliseconds m_target{ 0 };   // to the first byte
+  std::chrono::milliseconds m_timeLeft{ 0 }; // until the caller's deadline
+  bool m_isCallerRetry = false;              // retried by the caller
+  bool m_alreadyStarted = false;             // resumed or sent before
+  std::optional<std::uint64_t> m_minVersion; // of the weights; unset: any
+  // A request that may still wait when one of them becomes due is not sent to
+  // older weights.
+  std::vector<UpcomingVersion> m_upcoming;
+};
+
+} // namespace siskindeal
