Requests are served in their home regions only, and callers told of gateways there

Placement leaves out runners of other regions and of unknown ones; the directory leaves out gateways that are neither in the caller's region nor in a home.

--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -44,6 +44,7 @@
   bool m_anonymous = false;
   bool m_resumable = false;
   std::vector<RouteShare> m_shares;
+  std::vector<std::string> m_allowedRegions; // empty: any
 
   bool IsRetryable() const
   {
@@ -81,7 +82,8 @@
 {
   std::string m_name;
   std::vector<std::string> m_keys;
-  std::optional<int> m_priority; // overrides the route's
+  std::optional<int> m_priority;             // overrides the route's
+  std::vector<std::string> m_allowedRegions; // empty: any
 };
 
 // Limits on the size and duration of client requests and on idle connections.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -33,6 +33,10 @@
 constexpr milliseconds kMinTarget{ 100 };
 constexpr milliseconds kMinRetryAfter{ 200 };
 constexpr milliseconds kRetryAfterJitter{ 600 };
+// Nobody knows when an evacuation ends.
+constexpr milliseconds kEvacuatedRetryAfter{ 1000 };
+// Only a new configuration gives a request without a home one.
+constexpr milliseconds kNoHomeRetryAfter{ 5000 };
 // Of the time until the caller's deadline. Callers do not wait longer.
 constexpr double kMaxRetryAfterShare = 0.3;
 constexpr double kMaxWaitFactor = 2; // ratio of actual to predicted wait
@@ -200,6 +204,41 @@
   return { "the runners' limits are used up", RetryAfter(delay, aTimeLeft) };
 }
 
+Exclusion
+Placer::ExclusionOf(const RequestShape& aShape, const std::string& aPlace) const
+{
+  const auto found = m_regions.find(aPlace);
+  if (!aShape.m_homes.Allows(found == m_regions.end()
+                               ? std::nullopt
+                               : std::optional(found->second))) {
+    return Exclusion::NotAtHome;
+  }
+  return m_evacuatedPlaces.contains(aPlace) ? Exclusion::Evacuated
+                                            : Exclusion::None;
+}
+
+PlacementRefusal
+Placer::RefuseWithoutRunner(const RequestShape& aShape,
+                            std::size_t aEvacuated,
+                            std::size_t aAway)
+{
+  const milliseconds jitter(m_random.Below(kRetryAfterJitter.count()));
+  PlacementRefusal refusal{ "no eligible runner",
+                            RetryAfter(kMinRetryAfter, aShape.m_timeLeft) };
+  if (aShape.m_homes.IsEmpty()) {
+    refusal = { "no home region is left", kNoHomeRetryAfter + jitter };
+    refusal.m_exclusion = Exclusion::NotAtHome;
+  } else if (aEvacuated > 0) {
+    refusal = { "the places of the service's runners are evacuated",
+                kEvacuatedRetryAfter + jitter };
+    refusal.m_exclusion = Exclusion::Evacuated;
+  } else if (aAway > 0) {
+    refusal.m_reason = "no eligible runner in the home regions";
+    refusal.m_exclusion = Exclusion::NotAtHome;
+  }
+  return refusal;
+}
+
 Decision
 Placer::Place(const RequestShape& aShape,
               const ServiceRecord& aService,
@@ -213,10 +252,17 @@
   std::vector<Candidate> candidates;
   std::vector<RunnerIncarnation> limited;
   std::vector<RunnerIncarnation> waiting;
+  std::size_t evacuated = 0;
+  std::size_t away = 0;
   for (const RunnerState* runner : aRunners.Usable(aShape.m_service)) {
     const RunnerIncarnation incarnation = runner->m_record.Incarnation();
-    const Occupancy occupancy = OccupancyOf(aService, *runner, aNow);
     const std::string& place = runner->m_record.m_place;
+    const Exclusion exclusion = ExclusionOf(aShape, place);
+    if (exclusion != Exclusion::None) {
+      ++(exclusion == Exclusion::Evacuated ? evacuated : away);
+      continue;
+    }
+    const Occupancy occupancy = OccupancyOf(aService, *runner, aNow);
     const milliseconds linkDelay = LinkDelay(place);
     const Ms predicted = PredictAt(aShape, aService, occupancy);
     if (aNotices.IsLeaving(incarnation) ||
@@ -250,9 +296,7 @@
       limited, waiting, aLimits, aNotices, aShape.m_timeLeft, aNow);
   }
   if (candidates.empty()) {
-    return PlacementRefusal{ "no eligible runner",
-                             RetryAfter(kMinRetryAfter, aShape.m_timeLeft),
-                             milliseconds(0) };
+    return RefuseWithoutRunner(aShape, evacuated, away);
   }
   return Choose(aShape, aService, std::move(candidates), aNow);
 }
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -29,12 +29,21 @@
   std::optional<std::uint64_t> m_requiredVersion;
 };
 
+// What excludes all runners that could serve a request.
+enum class Exclusion
+{
+  None, // or others than these
+  Evacuated,
+  NotAtHome,
+};
+
 struct PlacementRefusal
 {
   std::string m_reason;
   std::chrono::milliseconds m_retryAfter{ 0 };
   std::chrono::milliseconds m_predicted{ 0 }; // at the best runner; 0: none
   std::chrono::milliseconds m_linkDelay{ 0 }; // of the link to it
+  Exclusion m_exclusion = Exclusion::None;
 };
 
 using Decision = std::variant<Placement, PlacementRefusal>;
@@ -51,8 +60,9 @@
   {
   }
 
-  // Chooses among the runners of the request's service, except those in aTried,
-  // those whose limit is used up, and those that leave or want no requests.
+  // Chooses among the runners of the request's service, except those outside
+  // its home regions, those of evacuated places, those in aTried, those whose
+  // limit is used up, and those that leave or want no requests.
   Decision Place(const RequestShape& aShape,
                  const ServiceRecord& aService,
                  RunnerTable& aRunners,
@@ -79,7 +89,21 @@
     m_linkDelays = std::move(aDelays);
   }
 
+  // Sets the places whose runners get no requests.
+  void SetEvacuatedPlaces(std::set<std::string> aPlaces)
+  {
+    m_evacuatedPlaces = std::move(aPlaces);
+  }
+
 private:
+  // Why a runner must not get the request, by its place.
+  Exclusion ExclusionOf(const RequestShape& aShape,
+                        const std::string& aPlace) const;
+  // The refusal if no runner is eligible. aEvacuated, aAway: how many were
+  // excluded by an evacuation or by the request's homes.
+  PlacementRefusal RefuseWithoutRunner(const RequestShape& aShape,
+                                       std::size_t aEvacuated,
+                                       std::size_t aAway);
   double DistanceMs(const std::string& aPlace) const;
   std::chrono::milliseconds LinkDelay(const std::string& aPlace) const;
   struct Candidate
@@ -131,6 +155,7 @@
   std::chrono::milliseconds m_reportInterval{ 0 };
   std::map<std::string, std::chrono::milliseconds> m_linkDelays; // by region
   std::map<std::string, Arrivals> m_arrivals;                    // by service
+  std::set<std::string> m_evacuatedPlaces;
   Random m_random;
 };
 
--- a/src/dispatch/request_shape_p.h
+++ b/src/dispatch/request_shape_p.h
@@ -1,6 +1,8 @@
 #pragma once
 // What placement and admission know of a request.
 
+#include "dispatch/home_regions_p.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -30,6 +32,7 @@
   // A request that may still wait when one of them becomes due is not sent to
   // older weights.
   std::vector<UpcomingVersion> m_upcoming;
+  HomeRegions m_homes; // the regions whose runners may serve it
 };
 
 } // namespace siskindeal
--- a/src/gateway/directory_p.h
+++ b/src/gateway/directory_p.h
@@ -1,6 +1,7 @@
 #pragma once
 // Chooses the gateways that a caller is told to connect to. Does no I/O.
 
+#include "dispatch/home_regions_p.h"
 #include "siskindeal/random.h"
 #include "siskindeal/settings.h"
 
@@ -25,10 +26,12 @@
 // Lists the gateways of the caller's region, so that requests and responses
 // don't cross the links between regions twice. If that region has too few, the
 // list is filled with random gateways of other regions; a caller that names no
-// known region gets random ones of all.
+// known region gets random ones of all. Other regions than the caller's and
+// aHomes are left out, unless no gateway serves there.
 std::vector<Address>
 ListGateways(std::vector<ServingGateway> aServing,
              const std::string& aCallerRegion,
+             const HomeRegions& aHomes,
              Random& aRandom);
 
 } // namespace siskindeal
--- a/src/gateway/gateway_endpoints.cpp
+++ b/src/gateway/gateway_endpoints.cpp
@@ -42,7 +42,8 @@
       503,
       {},
       {},
-      m_drainingSince ? "leaving" : "configuration or runner list not loaded");
+      m_drainingSince ? "leaving"
+                      : "configuration, runner list or evacuations not loaded");
   }
 }
 
@@ -63,8 +64,13 @@
   const std::string region =
     QueryValue(aConnection->Request().m_target, dialect::kCallerRegion);
   RecordDirectoryAnswer(serving, region);
+  const std::string host =
+    QueryValue(aConnection->Request().m_target, dialect::kResolvedHost);
   const std::vector<Address> addresses =
-    ListGateways(std::move(serving), region, m_random);
+    ListGateways(std::move(serving),
+                 region,
+                 m_routes ? m_routes->HomesOf(host) : HomeRegions(),
+                 m_random);
   HttpFields fields;
   fields.Add("Content-Type", "application/json");
   aConnection->SendResponse(
@@ -153,6 +159,8 @@
     { "vm", m_settings.m_node.m_vm },
     { "config", m_routes ? m_routes->Config().m_version : 0 },
     { "config_age_ms", ConfigAge().count() },
+    { "evacuated", m_evacuations.Places() },
+    { "evacuations_known", m_evacuations.Known().has_value() },
     { "exchanges", m_exchanges.size() },
     { "gateways", m_peers.Count() },
     { "idle_connections", m_pool->IdleCount() },
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -18,6 +18,7 @@
 
 RouteIndex::RouteIndex(SiteConfig aConfig)
   : m_config(std::move(aConfig))
+  , m_homes(HomesByHost(m_config))
 {
   for (const Route& route : m_config.m_routes) {
     m_routes[HostKey(route.m_host) + route.m_pathPrefix] = &route;
@@ -58,6 +59,13 @@
   return found == m_teams.end() ? nullptr : found->second;
 }
 
+HomeRegions
+RouteIndex::HomesOf(std::string_view aHost) const
+{
+  const auto found = m_homes.find(HostKey(aHost));
+  return found == m_homes.end() ? HomeRegions() : found->second;
+}
+
 const ServiceRecord&
 RouteIndex::Service(const std::string& aName) const
 {
--- a/src/gateway/route_index_p.h
+++ b/src/gateway/route_index_p.h
@@ -1,6 +1,7 @@
 #pragma once
 // One version of the configuration, indexed for lookups of routes and keys.
 
+#include "dispatch/home_regions_p.h"
 #include "siskindeal/site.h"
 
 #include <string>
@@ -23,6 +24,9 @@
   // The team that owns an API key; null if it is unknown.
   const SiteTeam* TeamOf(const std::string& aKey) const;
 
+  // The homes that the requests to a host have in common, whatever their team.
+  HomeRegions HomesOf(std::string_view aHost) const;
+
   // The service's record; an empty one if the service isn't configured.
   const ServiceRecord& Service(const std::string& aName) const;
 
@@ -32,6 +36,7 @@
   SiteConfig m_config;
   std::unordered_map<std::string, const Route*> m_routes; // by host and prefix
   std::unordered_map<std::string, const SiteTeam*> m_teams; // by key
+  std::map<std::string, HomeRegions> m_homes;               // by host
   ServiceRecord m_unknown;
 };
 
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -47,8 +47,9 @@
   const auto serving =
     Serving({ { "east", 34 }, { "north", 31 }, { "west", 83 } });
   for (int i = 0; i < kCallers; ++i) {
-    EXPECT_EQ(CountByRegion(ListGateways(serving, "east", random)),
-              (std::map<std::string, std::size_t>{ { "east", 34 } }));
+    EXPECT_EQ(
+      CountByRegion(ListGateways(serving, "east", HomeRegions(), random)),
+      (std::map<std::string, std::size_t>{ { "east", 34 } }));
   }
 }
 
@@ -59,7 +60,8 @@
     Serving({ { "east", 3 }, { "north", 3 }, { "west", 3 } });
   std::set<std::string> others;
   for (int i = 0; i < kCallers; ++i) {
-    const auto counts = CountByRegion(ListGateways(serving, "east", random));
+    const auto counts =
+      CountByRegion(ListGateways(serving, "east", HomeRegions(), random));
     EXPECT_EQ(counts.at("east"), 3U);
     std::size_t listed = 0;
     for (const auto& [region, count] : counts) {
@@ -76,7 +78,8 @@
   Random random(3);
   const auto serving = Serving({ { "north", 20 }, { "west", 20 } });
   for (const char* region : { "east", "", "nowhere" }) {
-    EXPECT_EQ(ListGateways(serving, region, random).size(), serving.size());
+    EXPECT_EQ(ListGateways(serving, region, HomeRegions(), random).size(),
+              serving.size());
   }
 }
 
@@ -86,7 +89,7 @@
   const auto serving = Serving({ { "east", 170 }, { "west", 170 } });
   std::map<std::uint16_t, int> told;
   for (int i = 0; i < kCallers; ++i) {
-    const auto listed = ListGateways(serving, "east", random);
+    const auto listed = ListGateways(serving, "east", HomeRegions(), random);
     EXPECT_EQ(listed.size(), kMaxListedAddresses);
     for (const Address& address : listed) {
       EXPECT_EQ(address.m_host, "east");
@@ -104,7 +107,7 @@
 TEST(Directory, NothingServesNothingIsListed)
 {
   Random random(5);
-  EXPECT_TRUE(ListGateways({}, "east", random).empty());
+  EXPECT_TRUE(ListGateways({}, "east", HomeRegions(), random).empty());
 }
 
 TEST(QueryValue, FindsParametersAmongOthers)
