Evacuated places get no requests

The gateways that read the store watch them and tell the others with each heartbeat and region report; the newest position in the store wins, so a gateway without the store learns them from any peer. One that starts takes no callers before it knows them. On where [gateway] evacuate_within is set.

--- a/include/siskindeal/settings.h
+++ b/include/siskindeal/settings.h
@@ -195,6 +195,9 @@
   std::chrono::milliseconds m_configWithin{ 3000 };
   // Maximum time for which old weights are used after a new version is named.
   std::chrono::milliseconds m_versionWithin{ 8000 };
+  // Maximum time until the evacuation of a place is in force; 0: places can't
+  // be evacuated.
+  std::chrono::milliseconds m_evacuateWithin{ 0 };
   double m_graceSeconds = 8; // from SIGTERM to SIGKILL
   double m_retryRatio = 0.2; // retries per request, over all gateways
   double m_retryWindowSeconds = 10;
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -108,6 +108,10 @@
       kServiceUnavailable, "configuration not loaded yet", kShortRetryAfter);
     return false;
   }
+  if (!m_gateway.KnowsEvacuations()) {
+    Refuse(kServiceUnavailable, "evacuations not loaded yet", kShortRetryAfter);
+    return false;
+  }
   if (m_gateway.ConfigIsSuperseded()) {
     Refuse(
       kServiceUnavailable, "configuration is superseded", kShortRetryAfter);
@@ -176,6 +180,9 @@
                                          m_request.m_body);
   m_shape.m_service = m_service;
   m_shape.m_target = m_route->m_targetLatency;
+  m_shape.m_homes = HomeRegions(m_route->m_allowedRegions,
+                                m_team == nullptr ? std::vector<std::string>()
+                                                  : m_team->m_allowedRegions);
   if (const std::string* tokens = fields.Find(dialect::kTokens)) {
     if (const auto usage = dialect::DecodeTokens(*tokens)) {
       m_shape.m_promptTokens = usage->m_prompt;
@@ -288,6 +295,11 @@
     return;
   }
   const auto& refusal = std::get<PlacementRefusal>(decision);
+  if (refusal.m_exclusion != Exclusion::None) {
+    const bool isEvacuated = refusal.m_exclusion == Exclusion::Evacuated;
+    CountMetric("siskindeal_gateway_excluded_requests_total",
+                { { "by", isEvacuated ? "evacuation" : "homes" } });
+  }
   m_predicted = refusal.m_predicted;
   m_linkDelay = refusal.m_linkDelay;
   if (m_mayHaveRun) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -195,6 +195,7 @@
       [] {},
       onEra },
     m_readsStore);
+  StartEvacuationFeed();
   m_gatewayFeed =
     StartFeed(kGatewayKind,
               kGatewayFeedTiming,
@@ -278,6 +279,7 @@
     UpdateGatewayFeed();
     UpdateGatewayCount();
     m_runners.Sweep(aNow);
+    SweepEvacuations();
     std::erase_if(m_runnerReports, [&](const auto& aEntry) {
       return m_runners.Find(aEntry.first) == nullptr;
     });
@@ -294,7 +296,7 @@
 Gateway::AcceptsCallers() const
 {
   return m_routes && m_haveRunnerList && KnowsGatewayCount() &&
-         !m_drainingSince;
+         KnowsEvacuations() && !m_drainingSince;
 }
 
 bool
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -60,6 +60,7 @@
                                   m_directoryListener.get() }) {
     listener->m_limits = aConfig.m_limits;
   }
+  LogUnknownHomes(aConfig);
   m_routes = std::make_shared<const RouteIndex>(std::move(aConfig));
   std::set<std::string> routes;
   for (const Route& route : m_routes->Config().m_routes) {
@@ -69,6 +70,25 @@
   return true;
 }
 
+void
+Gateway::LogUnknownHomes(const SiteConfig& aConfig) const
+{
+  constexpr std::size_t kMaxLines = 10; // of one configuration
+  const std::vector<UnknownHome> unknown =
+    FindUnknownHomes(aConfig, m_settings.m_gateway.m_regions);
+  CountMetric("siskindeal_gateway_unknown_home_regions_total",
+              {},
+              static_cast<double>(unknown.size()));
+  for (std::size_t i = 0; i < std::min(unknown.size(), kMaxLines); ++i) {
+    Log(LogLevel::Warning,
+        "unknown home region",
+        { { "entry", unknown[i].m_entry },
+          { "region", unknown[i].m_region },
+          { "version", aConfig.m_version },
+          { "unknown", unknown.size() } });
+  }
+}
+
 void
 Gateway::OnStoredConfig(const SiteObject& aObject)
 {
@@ -83,6 +103,18 @@
   }
 }
 
+std::vector<std::shared_ptr<ObjectFeed>>
+Gateway::SharedFeeds() const
+{
+  std::vector<std::shared_ptr<ObjectFeed>> feeds = { m_configFeed,
+                                                     m_runnerFeed,
+                                                     m_versionFeed };
+  if (m_evacuationFeed) {
+    feeds.push_back(m_evacuationFeed);
+  }
+  return feeds;
+}
+
 void
 Gateway::RecordStoredConfig(const StoredConfig& aStored)
 {
@@ -125,7 +157,7 @@
   }
   // Runners write their entries again.
   m_runners.RecordListFailure(LoopNow());
-  for (const auto& feed : { m_configFeed, m_runnerFeed, m_versionFeed }) {
+  for (const auto& feed : SharedFeeds()) {
     feed->ObserveEra(aEra);
   }
   RegisterAfter(milliseconds(m_random.Below(kMaxRegisterDelay.count())));
@@ -263,7 +295,7 @@
           { "peer", sources.m_peer ? sources.m_peer->m_vm : "" },
           { "age_ms", ConfigAge().count() } });
   }
-  for (const auto& feed : { m_configFeed, m_runnerFeed, m_versionFeed }) {
+  for (const auto& feed : SharedFeeds()) {
     feed->SetActive(sources.m_store);
   }
   m_configFollower->Follow(sources.m_peer);
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -74,6 +74,9 @@
   }
   MergeLimits(aBeacon.limits());
   MergeLeaving(aBeacon.leaving());
+  if (aBeacon.has_evacuations()) {
+    MergeEvacuations(aBeacon.evacuations());
+  }
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
     UpdateGatewayCount();
   }
@@ -100,6 +103,9 @@
   }
   MergeLimits(report.limits());
   MergeLeaving(report.leaving());
+  if (report.has_evacuations()) {
+    MergeEvacuations(report.evacuations());
+  }
   for (const v1::RunnerReport& runnerReport : report.runners()) {
     RunnerState* runner = m_runners.Find(runnerReport.runner());
     if (runner != nullptr &&
@@ -308,6 +314,9 @@
   }
   v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
   AppendConfigState(beacon);
+  if (m_evacuations.Known()) {
+    AppendEvacuations(*beacon.mutable_evacuations());
+  }
   Append(aCommon, beacon);
   SendToRegionPeers(datagram, DatagramKind::Heartbeat);
 }
@@ -344,6 +353,9 @@
   if (aIncludeVersions) {
     AppendNamedAges(m_named, BootTime(), *report.mutable_named());
   }
+  if (m_evacuations.Known()) {
+    AppendEvacuations(*report.mutable_evacuations());
+  }
   Append(aCommon, report);
   AppendLinkDelays(report);
   report.set_sent_at_ms(static_cast<std::uint64_t>(BootTime().count()));
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -2,6 +2,7 @@
 // The gateway process: accepts callers' requests and forwards each to a runner.
 // Single-threaded: everything runs on one event loop.
 
+#include "dispatch/evacuations_p.h"
 #include "dispatch/list_outage_p.h"
 #include "dispatch/named_versions_p.h"
 #include "dispatch/placement_p.h"
@@ -99,6 +100,8 @@
   // Whether another gateway has had a newer configuration for so long that
   // requests must not be judged by this one's.
   bool ConfigIsSuperseded() const;
+  // Whether it is known which places are evacuated, if they can be at all.
+  bool KnowsEvacuations() const;
   // Sets the versions of weights that the request may run on.
   void SetVersions(RequestShape& aShape) const;
   // The version that nothing must begin without any more, even what was sent
@@ -147,6 +150,8 @@
   bool ApplyConfig(SiteConfig aConfig,
                    std::size_t aBytes,
                    std::string_view aSource);
+  // Logs the regions that routes and teams name and no place is in.
+  void LogUnknownHomes(const SiteConfig& aConfig) const;
   void OnStoredConfig(const SiteObject& aObject);
   void RecordStoredConfig(const StoredConfig& aStored);
   // Records that all changes up to aKnownUntil (boot time) are known, unless
@@ -177,6 +182,21 @@
   // Applies a list or changes that another gateway read.
   void ApplyRunnerDelta(const RunnerListDelta& aDelta,
                         const RunnerListMark& aMark);
+  void StartEvacuationFeed();
+  void OnEvacuations(const std::vector<SiteObject>& aObjects);
+  void OnEvacuation(const SiteObject& aObject);
+  // Whether an entry evacuates a place; logged if it doesn't.
+  bool IsEvacuation(const SiteObject& aObject) const;
+  bool IsKnownPlace(const std::string& aPlace) const;
+  std::size_t RunnersIn(const std::set<std::string>& aPlaces) const;
+  void RecordEvacuations(const EvacuationKnowledge& aKnown,
+                         std::string_view aSource);
+  // Has placement apply the evacuated places, and tells the other gateways.
+  void ApplyEvacuations(const std::set<std::string>& aFormer,
+                        std::string_view aSource);
+  void SweepEvacuations();
+  void MergeEvacuations(const v1::EvacuationState& aState);
+  void AppendEvacuations(v1::EvacuationState& aState) const;
   void OnVersion(const SiteObject& aObject);
   void MergeNamedVersions(
     const google::protobuf::RepeatedPtrField<v1::NamedAge>& aNamed);
@@ -214,6 +234,8 @@
   void AppendLinkDelays(v1::RegionReport& aReport) const;
   void OnStagerNotice(const v1::StagerNotice& aNotice);
   void ApplyRunnerReport(RunnerState& aRunner, const v1::RunnerReport& aReport);
+  // The feeds that only a gateway that reads the store needs.
+  std::vector<std::shared_ptr<ObjectFeed>> SharedFeeds() const;
   void Register();
   void RegisterAfter(std::chrono::milliseconds aDelay);
   v1::Datagram Beacon() const;
@@ -291,6 +313,8 @@
   std::uint64_t m_storeEra = 0; // 0: not named yet
   RunnerList m_runnerList;      // as in the store
   ListOutage m_runnerOutage;
+  Evacuations m_evacuations;
+  std::set<std::string> m_storedEvacuations; // as this gateway's feed has them
   NamedVersions m_named;
   std::map<std::string, std::uint64_t> m_dueVersions; // logged, by model
   ConfigServer m_configServer{ m_runnerList, m_named };
@@ -356,6 +380,8 @@
   std::shared_ptr<ObjectFeed> m_configFeed;
   std::shared_ptr<ObjectFeed> m_runnerFeed;
   std::shared_ptr<ObjectFeed> m_versionFeed;
+  // Null if places can't be evacuated.
+  std::shared_ptr<ObjectFeed> m_evacuationFeed;
   std::shared_ptr<ObjectFeed> m_gatewayFeed;
 };
 
--- a/src/gateway/gateway_reload.cpp
+++ b/src/gateway/gateway_reload.cpp
@@ -35,6 +35,8 @@
   add(former.m_ready != latest.m_ready, "[gateway] ready");
   add(former.m_directory != latest.m_directory, "[gateway] directory");
   add(former.m_regions != latest.m_regions, "[gateway.regions]");
+  add(former.m_evacuateWithin != latest.m_evacuateWithin,
+      "[gateway] evacuate_within");
   return names;
 }
 
@@ -121,6 +123,7 @@
   applied.m_ready = former.m_ready;
   applied.m_directory = former.m_directory;
   applied.m_regions = former.m_regions;
+  applied.m_evacuateWithin = former.m_evacuateWithin;
   if (m_drainingSince) {
     // Requests were accepted for the time that was left then.
     applied.m_graceSeconds = former.m_graceSeconds;
--- a/src/settings/schema_platform.cpp
+++ b/src/settings/schema_platform.cpp
@@ -50,6 +50,13 @@
       "longest use of old weights after new ones are named",
       Presence::Optional,
       kDurationBounds },
+    { "gateway",
+      "evacuate_within",
+      &aGateway.m_evacuateWithin,
+      "longest time until no requests are sent to the runners of an evacuated "
+      "place; 0s doesn't read evacuations",
+      Presence::Optional,
+      kOptionalDurationBounds },
     { "gateway",
       "grace_seconds",
       &aGateway.m_graceSeconds,
--- a/src/settings/schema_rows_p.h
+++ b/src/settings/schema_rows_p.h
@@ -10,6 +10,8 @@
 inline constexpr Bounds kFraction{ 0, 1 };
 inline constexpr Bounds kAnySize{ 0, 1e15 };
 inline constexpr Bounds kDurationBounds{ 1, 24 * kHourMs };
+// Of a duration that 0 switches off.
+inline constexpr Bounds kOptionalDurationBounds{ 0, 24 * kHourMs };
 inline constexpr Bounds kPositiveNumber{ 0.001, 1e9 };
 
 void
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -92,6 +92,8 @@
     settings.m_gateway.m_graceSeconds = m_graceSeconds;
     settings.m_gateway.m_versionWithin = m_versionWithin;
     settings.m_gateway.m_retrySlack = m_retrySlack;
+    settings.m_gateway.m_evacuateWithin = m_evacuateWithin;
+    settings.m_gateway.m_regions = m_regions;
     settings.m_platform.m_url = "http://" + m_site.Store().ToString();
     m_gateway = std::make_unique<Gateway>(settings, m_settingsFile);
     m_thread = std::thread([this] { m_gateway->Run(); });
@@ -191,6 +193,8 @@
   std::string m_settingsFile; // empty: no file
   std::chrono::milliseconds m_versionWithin{ 8000 };
   std::chrono::milliseconds m_answerLifetime{ 50 }; // of the directory
+  std::chrono::milliseconds m_evacuateWithin{ 0 };
+  std::map<std::string, std::string> m_regions; // by place
   double m_retrySlack = 1e6; // enough at once after the start
   double m_graceSeconds = 5;
   SiteStandIn m_site;
