A response whose status is outside 100 to 599 fails its attempt

Both clients now take such a response for none: the request may have run, and the connection isn't used again.

--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -1,6 +1,7 @@
 #include "http/client_call_p.h"
 
 #include "kernel/contain_p.h"
+#include "net/http_fields_p.h"
 #include "net/memory_budget_p.h"
 #include "siskindeal/log.h"
 
@@ -190,7 +191,8 @@
   }
   const auto line = Trim(aLine);
   if (line.empty()) {
-    m_haveHead = m_reply.m_status >= kFirstFinalStatus;
+    m_haveHead =
+      m_reply.m_status >= kFirstFinalStatus && IsHttpStatus(m_reply.m_status);
     if (m_haveHead && m_request.m_onHeaders) {
       m_request.m_onHeaders(m_reply.m_status, m_reply.m_headers);
     }
@@ -281,6 +283,8 @@
                                                                : FaultOf(aCode);
   if (aCode != CURLE_OK) {
     m_reply.m_error = curl_easy_strerror(aCode);
+  } else if (!IsHttpStatus(m_reply.m_status)) {
+    m_reply.m_error = "response has status " + std::to_string(m_reply.m_status);
   } else if (m_reply.m_outcome != HttpOutcome::Answered) {
     m_reply.m_error =
       m_haveHead ? "response has neither a length nor chunked encoding"
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -349,6 +349,11 @@
     if (!m_call.m_echo.empty()) {
       m_scanner.emplace(m_call.m_echo);
     }
+    if (!IsHttpStatus(head.m_status)) {
+      m_evidence.m_hasStrayResponse = true;
+      Fail("response has status " + std::to_string(head.m_status));
+      return;
+    }
     Emit(head);
     return;
   }
--- a/src/net/http_fields_p.h
+++ b/src/net/http_fields_p.h
@@ -1,5 +1,6 @@
 #pragma once
-// HTTP header fields in the order of arrival, and functions on field names.
+// HTTP header fields in the order of arrival, and functions on field names and
+// statuses.
 
 #include <string>
 #include <string_view>
@@ -38,6 +39,13 @@
   std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
+// Whether a response may have this status. Others have no meaning to a caller.
+constexpr bool
+IsHttpStatus(int aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599;
+}
+
 // Compares two field names, ignoring case.
 bool
 SameName(std::string_view aFirst, std::string_view aSecond);
