Placement by learned cost, work left and pace; admission by priority is applied

Predictions now follow from the pace, the answer tokens still expected at each runner and the answers' learned lengths; load reports carry tokens and levels, heartbeats the paces and the demand by priority. On for services whose runners state a pace or whose routes have different priorities.

--- a/src/dispatch/engine_model.cpp
+++ b/src/dispatch/engine_model.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/engine_model_p.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace siskindeal {
 
@@ -15,6 +16,34 @@
 constexpr double kPassesWhenBusy = 1.5;
 constexpr double kOccupancyWeight = 0.3;
 
+double
+AnswerTokens(const RequestShape& aShape, const EngineProfile& aEngine)
+{
+  return aShape.m_answerTokens > 0 ? aShape.m_answerTokens
+                                   : aEngine.m_typicalAnswerTokens;
+}
+
+// Duration of one step in a batch of so many requests, at the usual pace.
+double
+StepMs(const EngineProfile& aEngine, double aRequests)
+{
+  return aEngine.m_stepMs + aEngine.m_stepMsPerRequest * aRequests;
+}
+
+// Time for which the requests at a runner occupy their slots from now on, on
+// average and at the usual pace, if the batch stays full.
+double
+MeanResidenceMs(const EngineProfile& aEngine, const Occupancy& aOccupancy)
+{
+  const double slots = aOccupancy.m_slots;
+  if (aOccupancy.m_answerTokens <= 0 || aOccupancy.m_requests <= 0) {
+    return ResidenceMs(aEngine, slots);
+  }
+  return aOccupancy.m_answerTokens / aOccupancy.m_requests *
+           StepMs(aEngine, slots) +
+         slots * PrefillMs(aEngine, aEngine.m_typicalPromptTokens);
+}
+
 double
 EngineMs(std::uint32_t aPromptTokens,
          const EngineProfile& aEngine,
@@ -22,15 +51,19 @@
 {
   const double requests = aOccupancy.m_requests;
   const double slots = aOccupancy.m_slots;
-  const double pass =
-    aEngine.m_stepsPerPass *
-    (aEngine.m_stepMs + aEngine.m_stepMsPerRequest * requests);
-  const double waiting = std::max(0.0, requests - slots + 1);
-  const double wait = waiting * ResidenceMs(aEngine, slots) / slots;
+  const double pass = aEngine.m_stepsPerPass * StepMs(aEngine, requests);
+  // Of the requests without a slot, the less urgent ones are passed by.
+  const double beyond = requests - slots + 1;
+  const double waiting = beyond <= 1
+                           ? std::max(0.0, beyond)
+                           : std::max(1.0, beyond - aOccupancy.m_lessUrgent);
+  const double wait = waiting * MeanResidenceMs(aEngine, aOccupancy) / slots;
   // The current pass ends first; the prompt is processed in the next one.
   const double passes = requests > 0 ? kPassesWhenBusy : 1;
-  return kFirstTokenOverheadMs + wait + passes * pass +
-         PrefillMs(aEngine, aOccupancy.m_promptTokens + aPromptTokens);
+  return kFirstTokenOverheadMs +
+         aOccupancy.m_pace *
+           (wait + passes * pass +
+            PrefillMs(aEngine, aOccupancy.m_promptTokens + aPromptTokens));
 }
 
 double
@@ -40,14 +73,15 @@
   const double slots = aOccupancy.m_slots;
   const double waiting = std::max(0.0, requests - slots + 1);
   // The occupancy term avoids nearly full runners while others have free slots.
-  return aOccupancy.m_typicalDuration.count() *
+  return aOccupancy.m_pace * aOccupancy.m_typicalDuration.count() *
          (1 + kOccupancyWeight * requests / slots + waiting / slots);
 }
 
 } // namespace
 
 Occupancy
-OccupancyOf(const ServiceRecord& aService,
+OccupancyOf(const RequestShape& aShape,
+            const ServiceRecord& aService,
             const RunnerState& aRunner,
             MonotonicTime aNow)
 {
@@ -63,6 +97,18 @@
                                   ? aRunner.m_smoothedDuration
                                   : kDefaultDuration;
   occupancy.m_isOutdated = aRunner.DurationIsOutdated(aNow);
+  if (aShape.m_learnsCosts || aRunner.m_pace.IsStated()) {
+    occupancy.m_pace = aRunner.m_pace.Expected(aNow);
+  }
+  if (aShape.m_learnsCosts) {
+    RunnerLoad load = aRunner.m_ownLoad;
+    load += aRunner.m_peerLoad;
+    occupancy.m_answerTokens = load.m_answerTokens;
+    occupancy.m_lessUrgent = std::accumulate(
+      load.m_byLevel.begin() + static_cast<std::ptrdiff_t>(aShape.m_level) + 1,
+      load.m_byLevel.end(),
+      0.0);
+  }
   return occupancy;
 }
 
@@ -77,11 +123,47 @@
 double
 ResidenceMs(const EngineProfile& aEngine, double aSlots)
 {
-  const double step = aEngine.m_stepMs + aEngine.m_stepMsPerRequest * aSlots;
-  return aEngine.m_typicalAnswerTokens * step +
+  return aEngine.m_typicalAnswerTokens * StepMs(aEngine, aSlots) +
          aSlots * PrefillMs(aEngine, aEngine.m_typicalPromptTokens);
 }
 
+double
+WorkMs(const RequestShape& aShape, const EngineProfile& aEngine)
+{
+  const double slots = aEngine.m_slots;
+  return AnswerTokens(aShape, aEngine) * StepMs(aEngine, slots) +
+         slots * PrefillMs(aEngine, aShape.m_promptTokens);
+}
+
+double
+GenerationMs(const RequestShape& aShape,
+             const EngineProfile& aEngine,
+             const Occupancy& aOccupancy)
+{
+  const double requests =
+    std::min(aOccupancy.m_requests + 1, aOccupancy.m_slots);
+  const double answer = AnswerTokens(aShape, aEngine);
+  // While it runs, others take the slots that become free, and their prompts
+  // hold it up.
+  const double others =
+    aEngine.m_typicalAnswerTokens <= 0
+      ? 0
+      : (requests - 1) * answer / aEngine.m_typicalAnswerTokens;
+  return aOccupancy.m_pace *
+         (answer * StepMs(aEngine, requests) +
+          others * PrefillMs(aEngine, aEngine.m_typicalPromptTokens));
+}
+
+double
+EventGapMs(const EngineProfile& aEngine, const Occupancy& aOccupancy)
+{
+  return aOccupancy.m_pace *
+         (aEngine.m_stepsPerPass *
+            StepMs(aEngine,
+                   std::min(aOccupancy.m_requests + 1, aOccupancy.m_slots)) +
+          PrefillMs(aEngine, aEngine.m_typicalPromptTokens));
+}
+
 Ms
 PredictAt(const RequestShape& aShape,
           const ServiceRecord& aService,
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -71,7 +71,8 @@
   const double share =
     aShape.m_alreadyStarted ? kStartedRequestShare : kNewRequestShare;
   const bool isInTime = predicted <= target * share &&
-                        (aShape.m_alreadyStarted || !aShape.m_isCallerRetry);
+                        (aShape.m_alreadyStarted || aShape.m_replacesNew ||
+                         !aShape.m_isCallerRetry);
   const Ms ownPrefill(aService.m_engine
                         ? PrefillMs(*aService.m_engine, aShape.m_promptTokens)
                         : 0);
@@ -86,6 +87,39 @@
   return std::chrono::duration_cast<milliseconds>(std::max(excess, Ms(0)));
 }
 
+// Whether the whole response would come after the caller's deadline, or its
+// events with longer pauses than its target, at a runner that is that busy.
+bool
+IsTooSlow(const RequestShape& aShape,
+          const ServiceRecord& aService,
+          const Occupancy& aOccupancy,
+          Ms aFirstByte)
+{
+  if (!aShape.m_learnsCosts || !aService.m_engine) {
+    return false;
+  }
+  const EngineProfile& engine = *aService.m_engine;
+  const Ms end = aFirstByte + Ms(GenerationMs(aShape, engine, aOccupancy));
+  return end > aShape.m_timeLeft ||
+         (aShape.m_targetGap.count() > 0 &&
+          Ms(EventGapMs(engine, aOccupancy)) > aShape.m_targetGap);
+}
+
+// What a slow machine adds to the time of the answer, as far as it counts
+// beside the time to the first byte: long answers go to fast machines.
+double
+ExtraGenerationMs(const RequestShape& aShape,
+                  const ServiceRecord& aService,
+                  const Occupancy& aOccupancy)
+{
+  constexpr double kWeight = 0.1;
+  if (!aShape.m_learnsCosts || !aService.m_engine || aOccupancy.m_pace <= 1) {
+    return 0;
+  }
+  return kWeight * GenerationMs(aShape, *aService.m_engine, aOccupancy) *
+         (1 - 1 / aOccupancy.m_pace);
+}
+
 // How many typical requests may be sent to a runner before this one may not.
 double
 PlacesFor(const RequestShape& aShape,
@@ -99,8 +133,12 @@
          !ExcessTime(aShape, aService, aOccupancy, aLinkDelay)) {
     ++places;
     ++aOccupancy.m_requests;
-    aOccupancy.m_promptTokens +=
-      aService.m_engine ? aService.m_engine->m_typicalPromptTokens : 0;
+    if (aService.m_engine) {
+      aOccupancy.m_promptTokens += aService.m_engine->m_typicalPromptTokens;
+    }
+    if (aOccupancy.m_answerTokens > 0) {
+      aOccupancy.m_answerTokens += aService.m_engine->m_typicalAnswerTokens;
+    }
   }
   return places;
 }
@@ -262,7 +300,7 @@
       ++(exclusion == Exclusion::Evacuated ? evacuated : away);
       continue;
     }
-    const Occupancy occupancy = OccupancyOf(aService, *runner, aNow);
+    const Occupancy occupancy = OccupancyOf(aShape, aService, *runner, aNow);
     const milliseconds linkDelay = LinkDelay(place);
     const Ms predicted = PredictAt(aShape, aService, occupancy);
     if (aNotices.IsLeaving(incarnation) ||
@@ -284,11 +322,13 @@
     }
     candidates.push_back(
       { runner,
-        runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow,
+        runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow ||
+          IsTooSlow(aShape, aService, occupancy, predicted),
         ExcessTime(aShape, aService, occupancy, linkDelay),
         linkDelay,
         predicted + linkDelay,
-        predicted.count() + std::max(DistanceMs(place), Ms(linkDelay).count()) +
+        predicted.count() + ExtraGenerationMs(aShape, aService, occupancy) +
+          std::max(DistanceMs(place), Ms(linkDelay).count()) +
           kTieBreakMs * m_random.Unit() });
   }
   if (candidates.empty() && !(limited.empty() && waiting.empty())) {
@@ -327,14 +367,16 @@
         candidate.m_avoided != best.m_avoided) {
       break;
     }
-    places.push_back(PlacesFor(aShape,
-                               aService,
-                               OccupancyOf(aService, *candidate.m_runner, aNow),
-                               candidate.m_linkDelay));
+    places.push_back(
+      PlacesFor(aShape,
+                aService,
+                OccupancyOf(aShape, aService, *candidate.m_runner, aNow),
+                candidate.m_linkDelay));
     offered += places.back();
   }
   double drawn = m_random.Unit() * std::max(offered, wanted);
-  if (drawn >= offered && !aShape.m_alreadyStarted) {
+  // Requests of other gateways that are less urgent don't take its place.
+  if (drawn >= offered && !aShape.m_alreadyStarted && !aShape.m_isMostUrgent) {
     return PlacementRefusal{ "other gateways' requests take the free places",
                              RetryAfter(milliseconds(0), aShape.m_timeLeft),
                              bestPredicted,
@@ -346,13 +388,21 @@
   }
   const Candidate& candidate = aCandidates[chosen];
   const RunnerState& runner = *candidate.m_runner;
+  const Ms generation(
+    aShape.m_learnsCosts && aService.m_engine
+      ? GenerationMs(aShape,
+                     *aService.m_engine,
+                     OccupancyOf(aShape, aService, runner, aNow))
+      : 0);
   return Placement{
     runner.m_record.m_id,
     std::chrono::duration_cast<milliseconds>(candidate.m_predicted),
+    std::chrono::duration_cast<milliseconds>(generation),
     RegionOf(m_regions, runner.m_record.m_place),
     candidate.m_linkDelay,
     { runner.Requests(),
-      runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens },
+      runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens,
+      runner.m_ownLoad.m_answerTokens + runner.m_peerLoad.m_answerTokens },
     RequiredVersion(aShape, candidate.m_predicted)
   };
 }
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -20,7 +20,9 @@
 {
   std::string m_runner;                       // id
   std::chrono::milliseconds m_predicted{ 0 }; // to the first byte
-  std::string m_region;                       // of the runner
+  // From the first byte to the end; 0 if costs aren't learned.
+  std::chrono::milliseconds m_generation{ 0 };
+  std::string m_region; // of the runner
   // For which the request and its response are queued between regions; part of
   // the predicted time.
   std::chrono::milliseconds m_linkDelay{ 0 };
--- a/src/dispatch/request_shape_p.h
+++ b/src/dispatch/request_shape_p.h
@@ -33,6 +33,15 @@
   // older weights.
   std::vector<UpcomingVersion> m_upcoming;
   HomeRegions m_homes; // the regions whose runners may serve it
+  // Of a service whose costs are learned: the tokens that are expected of the
+  // answer (0: the service's typical number), the level of priority, and
+  // whether a retry by the caller may take the place of a new request.
+  bool m_learnsCosts = false;
+  double m_answerTokens = 0;
+  std::size_t m_level = 0;
+  bool m_replacesNew = false;
+  bool m_isMostUrgent = false;                // of a service with priorities
+  std::chrono::milliseconds m_targetGap{ 0 }; // between events; 0: none
 };
 
 } // namespace siskindeal
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -4,6 +4,8 @@
 // runners and this gateway's own requests. Does no I/O; the caller passes the
 // time.
 
+#include "dispatch/priority_admission_p.h"
+#include "dispatch/runner_pace_p.h"
 #include "siskindeal/clock.h"
 #include "siskindeal/site.h"
 
@@ -21,12 +23,20 @@
 {
   std::uint32_t m_requests = 0;     // in flight
   std::uint32_t m_promptTokens = 0; // of those without a first event
+  // Only of services whose costs are learned: the tokens of answers that are
+  // expected and not generated yet, and the requests by level of priority.
+  std::uint32_t m_answerTokens = 0;
+  std::array<std::uint32_t, kPriorityLevels> m_byLevel{};
 
   bool operator==(const RunnerLoad&) const = default;
   RunnerLoad& operator+=(const RunnerLoad& aOther)
   {
     m_requests += aOther.m_requests;
     m_promptTokens += aOther.m_promptTokens;
+    m_answerTokens += aOther.m_answerTokens;
+    for (std::size_t i = 0; i < kPriorityLevels; ++i) {
+      m_byLevel[i] += aOther.m_byLevel[i];
+    }
     return *this;
   }
 };
@@ -38,6 +48,7 @@
   RunnerLoad m_peerLoad; // sum of the other gateways' last reports
   // Reported by the runner with its responses.
   std::uint32_t m_reportedRequests = 0;
+  RunnerPace m_pace;
 
   // Smoothed duration of requests, and when it was last measured; used for
   // plain services only.
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -191,6 +191,7 @@
   if (const std::string* model = fields.Find(dialect::kModel)) {
     m_shape.m_model = *model;
   }
+  ReadCost();
   if (const std::string* last = fields.Find(dialect::kLastEventId)) {
     std::uint64_t id = 0;
     if (absl::SimpleAtoi(*last, &id)) {
@@ -272,6 +273,9 @@
       milliseconds(0)
     };
   }
+  if (auto refusal = CheckPriority()) {
+    return *std::move(refusal);
+  }
   m_shape.m_timeLeft = TimeLeft(now);
   m_gateway.SetVersions(m_shape);
   if (m_sends > 0 || m_phase == Phase::Streaming) {
@@ -338,6 +342,7 @@
   m_latest->m_region = aPlacement.m_region;
   m_latest->m_linkDelay = aPlacement.m_linkDelay;
   m_latest->m_predicted = aPlacement.m_predicted;
+  m_latest->m_predictedGeneration = aPlacement.m_generation;
   m_latest->m_loadBefore = aPlacement.m_load;
   m_latest->m_heldVersion = aRunner.VersionOf(m_shape.m_model);
   m_latest->m_requiredVersion = aPlacement.m_requiredVersion;
@@ -354,6 +359,7 @@
   ++aRunner.m_ownLoad.m_requests;
   aRunner.m_ownLoad.m_promptTokens += m_shape.m_promptTokens;
   m_latest->m_promptCounted = true;
+  CountLoad(*m_latest, aRunner);
   OutgoingCall call;
   call.m_head = BuildHead(aRunner);
   call.m_body = m_request.m_body;
@@ -393,11 +399,8 @@
 CallerExchange::PriorityNumber() const
 {
   constexpr int kMaxPriority = 9;
-  const int configured = m_team != nullptr && m_team->m_priority
-                           ? *m_team->m_priority
-                           : m_route->m_priority;
   // Resumed and retried requests precede new ones of the same priority.
-  const int rank = std::clamp(configured, 0, kMaxPriority / 2) * 2 + 1;
+  const int rank = std::clamp(Priority(), 0, kMaxPriority / 2) * 2 + 1;
   return m_shape.m_isCallerRetry || m_shape.m_alreadyStarted ? rank - 1 : rank;
 }
 
@@ -475,6 +478,7 @@
   }
   RecordStrayResponse(aAttempt, *runner);
   ReleasePromptTokens(aAttempt, *runner);
+  ReleaseLoad(aAttempt, *runner);
   if (runner->m_ownLoad.m_requests > 0) {
     --runner->m_ownLoad.m_requests;
   }
--- a/src/gateway/caller_exchange_attempts.cpp
+++ b/src/gateway/caller_exchange_attempts.cpp
@@ -114,6 +114,7 @@
   if (const std::string* text = fields.Find(dialect::kLoad)) {
     if (const auto load = dialect::DecodeLoad(*text)) {
       runner->m_reportedRequests = load->m_running + load->m_waiting;
+      m_gateway.RecordPace(*runner, load->m_pace);
     }
   }
   const std::string* version = fields.Find(dialect::kVersions);
@@ -222,6 +223,7 @@
   }
   if (RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner)) {
     ReleasePromptTokens(aAttempt, *runner);
+    RecordEventCost(aAttempt, *runner);
   }
   if (m_phase == Phase::Waiting) {
     StartStream(aAttempt);
@@ -347,6 +349,7 @@
     m_gateway.Suspicions().RecordCompletion(
       m_traits, status, aAttempt.m_sentAt, LoopNow());
   }
+  RecordAnswerCost(aAttempt);
   Choose(aAttempt);
   m_caller->SendPart(std::exchange(aAttempt.m_heldEvents, {}));
   m_caller->SendEnd();
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -62,6 +62,18 @@
   void ReadHeaders();
   void Dispatch();
   Decision Decide();
+  // Reads what the request is likely to cost, where costs are learned.
+  void ReadCost();
+  // Refuses the request if its level of priority is short of room. Decides
+  // once.
+  std::optional<PlacementRefusal> CheckPriority();
+  int Priority() const; // the team's, else the route's
+  void CountLoad(RunnerAttempt& aAttempt, RunnerState& aRunner) const;
+  void ReleaseLoad(RunnerAttempt& aAttempt, RunnerState& aRunner) const;
+  // Records what an event shows of the work left and of the runner's speed.
+  void RecordEventCost(RunnerAttempt& aAttempt, RunnerState& aRunner) const;
+  // Records the length of a complete answer.
+  void RecordAnswerCost(const RunnerAttempt& aAttempt) const;
   void SendTo(RunnerState& aRunner, const Placement& aPlacement);
   // Whether the next send goes on a connection that no other request uses, so
   // that no earlier rejection can be taken for one of this send.
@@ -192,6 +204,8 @@
   std::string m_callerHost; // known after the connection has ended, too
   std::string m_service;
   RequestShape m_shape;
+  double m_answerEstimate = 0; // tokens, by the caller; 0: none
+  bool m_priorityChecked = false;
   RequestTraits m_traits;
   MonotonicTime m_deadline{};                  // the caller's or the route's
   std::optional<MonotonicTime> m_expiredSince; // noticed by Tick
--- a/src/gateway/caller_exchange_responses.cpp
+++ b/src/gateway/caller_exchange_responses.cpp
@@ -215,6 +215,8 @@
       { "requests_there", load.m_requests },
       { "tokens_there", load.m_promptTokens },
       { "prompt_tokens", m_shape.m_promptTokens },
+      { "answer_tokens", m_shape.m_answerTokens },
+      { "priority", m_route == nullptr ? 0 : Priority() },
       { "weights_held", reported ? reported->m_heldVersion : 0 },
       { "weights_required",
         reported ? reported->m_requiredVersion.value_or(0)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -259,6 +259,7 @@
   if (m_ticks % kTicksPerHeartbeat == 0) {
     UpdateLimits();
     UpdateNotices();
+    UpdateAdmission();
     UpdateConfigSources();
     m_configServer.Tick();
     LogDueVersions();
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -26,6 +26,15 @@
   load.set_born(aRunner.m_born);
   load.set_requests(aLoad.m_requests);
   load.set_prompt_tokens(aLoad.m_promptTokens);
+  load.set_answer_tokens(aLoad.m_answerTokens);
+  for (std::size_t i = kPriorityLevels; i > 0; --i) {
+    if (aLoad.m_byLevel[i - 1] > 0) {
+      load.mutable_by_priority()->Add(aLoad.m_byLevel.begin(),
+                                      aLoad.m_byLevel.begin() +
+                                        static_cast<std::ptrdiff_t>(i));
+      break;
+    }
+  }
 }
 
 // aTo is a GatewayBeacon or a RegionReport.
@@ -79,6 +88,8 @@
   }
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
     UpdateGatewayCount();
+    MergePaces(aBeacon.loads());
+    MergeDemand(aBeacon.vm(), aBeacon.demand());
   }
   if (aBeacon.config().version() > OwnConfig().m_version) {
     UpdateConfigSources();
@@ -93,6 +104,8 @@
     return;
   }
   RecordLinkDelays(report);
+  MergePaces(report.loads());
+  MergeRegionDemand(report);
   UpdateGatewayCount();
   MergeNamedVersions(report.named());
   for (const wire::Suspicion& suspicion : report.suspicions()) {
@@ -314,6 +327,8 @@
   }
   v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
   AppendConfigState(beacon);
+  AppendPaces(/* aOnlyOwn */ true, *beacon.mutable_loads());
+  AppendDemand(beacon);
   if (m_evacuations.Known()) {
     AppendEvacuations(*beacon.mutable_evacuations());
   }
@@ -342,6 +357,8 @@
     *report.add_gateways() = std::move(beacon);
   }
   AppendRegionLoads(report);
+  AppendPaces(/* aOnlyOwn */ false, *report.mutable_loads());
+  AppendDemand(report);
   for (const auto& [id, received] : m_runnerReports) {
     if (now - received.m_receivedAt < kRunnerReportLifetime) {
       v1::RunnerReport& runner = *report.add_runners();
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -2,10 +2,12 @@
 // The gateway process: accepts callers' requests and forwards each to a runner.
 // Single-threaded: everything runs on one event loop.
 
+#include "dispatch/answer_length_p.h"
 #include "dispatch/evacuations_p.h"
 #include "dispatch/list_outage_p.h"
 #include "dispatch/named_versions_p.h"
 #include "dispatch/placement_p.h"
+#include "dispatch/priority_admission_p.h"
 #include "dispatch/retry_budget_p.h"
 #include "dispatch/route_durations_p.h"
 #include "gateway/config_follower_p.h"
@@ -102,6 +104,13 @@
   bool ConfigIsSuperseded() const;
   // Whether it is known which places are evacuated, if they can be at all.
   bool KnowsEvacuations() const;
+  // Whether the costs of a service's requests are learned: its routes have
+  // different priorities, or its runners state their pace.
+  bool LearnsCosts(const std::string& aService) const;
+  AnswerLengths& Lengths() { return m_lengths; }
+  PriorityAdmission& Admission() { return m_admission; }
+  // Records the pace that a runner states; 0: none.
+  void RecordPace(RunnerState& aRunner, double aPace);
   // Sets the versions of weights that the request may run on.
   void SetVersions(RequestShape& aShape) const;
   // The version that nothing must begin without any more, even what was sent
@@ -240,6 +249,21 @@
   void RegisterAfter(std::chrono::milliseconds aDelay);
   v1::Datagram Beacon() const;
   v1::Datagram BeaconWithLoads() const;
+  // Adds the paces that runners have stated lately, to this gateway itself or
+  // to any.
+  void AppendPaces(
+    bool aOnlyOwn,
+    google::protobuf::RepeatedPtrField<v1::RunnerLoadReport>& aTo) const;
+  void MergePaces(
+    const google::protobuf::RepeatedPtrField<v1::RunnerLoadReport>& aLoads);
+  void UpdateAdmission();
+  void AppendDemand(v1::GatewayBeacon& aBeacon) const;
+  // Adds the demand of the region's gateways together.
+  void AppendDemand(v1::RegionReport& aReport) const;
+  void MergeRegionDemand(const v1::RegionReport& aReport);
+  void MergeDemand(
+    const std::string& aSource,
+    const google::protobuf::RepeatedPtrField<v1::ServiceDemand>& aDemand);
   void SendToRegionPeers(const v1::Datagram& aDatagram, DatagramKind aKind);
   void SendLoadChanges();
   // Between two reports of changed loads to the region's gateways.
@@ -331,6 +355,9 @@
   RunnerLimits m_limits;
   RunnerNotices m_notices;
   Placer m_placer;
+  PriorityAdmission m_admission;
+  AnswerLengths m_lengths;
+  std::set<std::string> m_pacedServices; // whose runners state their pace
   SharedRetryBudget m_retries;
   RouteDurations m_durations;
   SuspicionExchange m_suspicions;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -28,6 +28,18 @@
   }
 }
 
+RunnerLoad
+LoadOf(const v1::RunnerLoadReport& aReport)
+{
+  RunnerLoad load{ aReport.requests(),
+                   aReport.prompt_tokens(),
+                   aReport.answer_tokens() };
+  const auto levels = std::min<std::size_t>(
+    static_cast<std::size_t>(aReport.by_priority_size()), kPriorityLevels);
+  std::copy_n(aReport.by_priority().begin(), levels, load.m_byLevel.begin());
+  return load;
+}
+
 } // namespace
 
 void
@@ -93,9 +105,7 @@
   }
   peer.m_loads.clear();
   for (const auto& load : aBeacon.loads()) {
-    peer.m_loads[LoadKey(load.runner(), load.born())] = {
-      load.requests(), load.prompt_tokens()
-    };
+    peer.m_loads[LoadKey(load.runner(), load.born())] = LoadOf(load);
   }
   return true;
 }
@@ -120,9 +130,7 @@
   region.m_lastSeen = aNow;
   region.m_loads.clear();
   for (const auto& load : aReport.loads()) {
-    region.m_loads[LoadKey(load.runner(), load.born())] = {
-      load.requests(), load.prompt_tokens()
-    };
+    region.m_loads[LoadKey(load.runner(), load.born())] = LoadOf(load);
   }
   return true;
 }
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/ascii.h>
 
+#include <algorithm>
+
 namespace siskindeal {
 
 namespace {
@@ -21,6 +23,14 @@
   , m_homes(HomesByHost(m_config))
 {
   for (const Route& route : m_config.m_routes) {
+    for (const RouteShare& share : route.m_shares) {
+      const auto [known, isNew] =
+        m_mostUrgent.emplace(share.m_service, route.m_priority);
+      if (!isNew && known->second != route.m_priority) {
+        m_prioritized.insert(share.m_service);
+        known->second = std::min(known->second, route.m_priority);
+      }
+    }
     m_routes[HostKey(route.m_host) + route.m_pathPrefix] = &route;
   }
   for (const SiteTeam& team : m_config.m_teams) {
--- a/src/gateway/route_index_p.h
+++ b/src/gateway/route_index_p.h
@@ -4,6 +4,7 @@
 #include "dispatch/home_regions_p.h"
 #include "siskindeal/site.h"
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +31,21 @@
   // The service's record; an empty one if the service isn't configured.
   const ServiceRecord& Service(const std::string& aName) const;
 
+  // Whether routes to the service have different priorities.
+  bool IsPrioritized(const std::string& aService) const
+  {
+    return m_prioritized.contains(aService);
+  }
+  const std::set<std::string>& PrioritizedServices() const
+  {
+    return m_prioritized;
+  }
+  // The priority of the most urgent route to a service that has routes.
+  int MostUrgent(const std::string& aService) const
+  {
+    return m_mostUrgent.at(aService);
+  }
+
   const SiteConfig& Config() const { return m_config; }
 
 private:
@@ -37,6 +53,8 @@
   std::unordered_map<std::string, const Route*> m_routes; // by host and prefix
   std::unordered_map<std::string, const SiteTeam*> m_teams; // by key
   std::map<std::string, HomeRegions> m_homes;               // by host
+  std::set<std::string> m_prioritized;
+  std::map<std::string, int> m_mostUrgent; // priorities, by service
   ServiceRecord m_unknown;
 };
 
--- a/src/gateway/runner_attempt_p.h
+++ b/src/gateway/runner_attempt_p.h
@@ -34,7 +34,12 @@
   std::optional<MonotonicTime> m_deliveredAt;
   std::optional<MonotonicTime> m_firstByteAt;
   MonotonicTime m_lastProgress{};
-  bool m_promptCounted = false; // in the runner's load
+  bool m_promptCounted = false;   // in the runner's load
+  std::uint32_t m_answerLeft = 0; // tokens that are counted in it
+  bool m_levelCounted = false;    // likewise
+  // From the first byte to the end; 0: not predicted.
+  std::chrono::milliseconds m_predictedGeneration{ 0 };
+  std::optional<MonotonicTime> m_lastEventAt;
   bool m_isEventStream = false;
   bool m_isPaused = false; // not read from, because the caller reads slowly
   ResponseHead m_head;
