--- a/src/gateway/caller_exchange_cost.cpp
+++ b/src/gateway/caller_exchange_cost.cpp
@@ -90,7 +90,9 @@
                 { "returned", m_shape.m_isCallerRetry ? "yes" : "no" },
                 { "admitted", decision.m_isAdmitted ? "yes" : "no" } });
   if (decision.m_isAdmitted) {
-    m_shape.m_replacesNew = m_shape.m_isCallerRetry;
+    // While its level is short. Otherwise it gets the capacity that new ones
+    // leave, as it is late in most cases and they would become so too.
+    m_shape.m_replacesNew = m_shape.m_isCallerRetry && decision.m_share < 1;
     return std::nullopt;
   }
   const auto& service = m_gateway.Admission().Services().at(m_service);
