--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,6 @@
 #include "dispatch/placement_p.h"
+
+#include "dispatch/engine_model_p.h"
 #include "siskindeal/site.h"
 
 #include <algorithm>
@@ -16,10 +18,6 @@
 // more than bytes between places of one region.
 constexpr double kCrossRegionPenaltyMs = 80;
 constexpr double kCrossPlacePenaltyMs = 15;
-// Duration of a plain service's requests until one has been measured.
-constexpr Ms kDefaultDuration{ 30 };
-constexpr double kFirstTokenOverheadMs = 12; // of engines, without the prompt
-constexpr double kDefaultSlots = 8; // of a runner that reports no slots
 // A new request is in time if its first byte is predicted within this share of
 // its target.
 constexpr double kNewRequestShare = 0.9;
@@ -35,103 +33,18 @@
 constexpr milliseconds kMinTarget{ 100 };
 constexpr milliseconds kMinRetryAfter{ 200 };
 constexpr milliseconds kRetryAfterJitter{ 600 };
+// Nobody knows when an evacuation ends.
+constexpr milliseconds kEvacuatedRetryAfter{ 1000 };
+// Only a new configuration gives a request without a home one.
+constexpr milliseconds kNoHomeRetryAfter{ 5000 };
 // Of the time until the caller's deadline. Callers do not wait longer.
 constexpr double kMaxRetryAfterShare = 0.3;
 constexpr double kMaxWaitFactor = 2; // ratio of actual to predicted wait
 constexpr double kTieBreakMs = 4;    // smaller differences are decided randomly
-constexpr double kPassesWhenBusy = 1.5;
-constexpr double kOccupancyWeight = 0.3;
 constexpr milliseconds kArrivalWindow{
   1000
 }; // over which arrivals are counted
 
-// What occupies a runner, or would if requests were added.
-struct Occupancy
-{
-  double m_slots = 1;
-  double m_requests = 0;
-  double m_promptTokens = 0; // not processed yet
-  Ms m_typicalDuration{ 0 }; // of plain services' requests
-  bool m_isOutdated = false; // that duration
-};
-
-Occupancy
-OccupancyOf(const ServiceRecord& aService,
-            const RunnerState& aRunner,
-            MonotonicTime aNow)
-{
-  Occupancy occupancy;
-  occupancy.m_slots = aRunner.m_record.m_slots > 0 ? aRunner.m_record.m_slots
-                      : aService.m_engine          ? aService.m_engine->m_slots
-                                                   : kDefaultSlots;
-  occupancy.m_requests = aRunner.Requests();
-  occupancy.m_promptTokens =
-    aRunner.m_ownLoad.m_promptTokens +
-    static_cast<double>(aRunner.m_peerLoad.m_promptTokens);
-  occupancy.m_typicalDuration = aRunner.m_smoothedDuration.count() > 0
-                                  ? aRunner.m_smoothedDuration
-                                  : kDefaultDuration;
-  occupancy.m_isOutdated = aRunner.DurationIsOutdated(aNow);
-  return occupancy;
-}
-
-double
-PrefillMs(const EngineProfile& aEngine, double aTokens)
-{
-  return aEngine.m_promptTokensPerMs <= 0
-           ? 0
-           : aTokens / aEngine.m_promptTokensPerMs;
-}
-
-// Time for which a typical request occupies its slot in a full batch.
-double
-ResidenceMs(const EngineProfile& aEngine, double aSlots)
-{
-  const double step = aEngine.m_stepMs + aEngine.m_stepMsPerRequest * aSlots;
-  return aEngine.m_typicalAnswerTokens * step +
-         aSlots * PrefillMs(aEngine, aEngine.m_typicalPromptTokens);
-}
-
-double
-EngineMs(std::uint32_t aPromptTokens,
-         const EngineProfile& aEngine,
-         const Occupancy& aOccupancy)
-{
-  const double requests = aOccupancy.m_requests;
-  const double slots = aOccupancy.m_slots;
-  const double pass =
-    aEngine.m_stepsPerPass *
-    (aEngine.m_stepMs + aEngine.m_stepMsPerRequest * requests);
-  const double waiting = std::max(0.0, requests - slots + 1);
-  const double wait = waiting * ResidenceMs(aEngine, slots) / slots;
-  // The current pass ends first; the prompt is processed in the next one.
-  const double passes = requests > 0 ? kPassesWhenBusy : 1;
-  return kFirstTokenOverheadMs + wait + passes * pass +
-         PrefillMs(aEngine, aOccupancy.m_promptTokens + aPromptTokens);
-}
-
-double
-PlainMs(const Occupancy& aOccupancy)
-{
-  const double requests = aOccupancy.m_requests;
-  const double slots = aOccupancy.m_slots;
-  const double waiting = std::max(0.0, requests - slots + 1);
-  // The occupancy term avoids nearly full runners while others have free slots.
-  return aOccupancy.m_typicalDuration.count() *
-         (1 + kOccupancyWeight * requests / slots + waiting / slots);
-}
-
-// Time to the first byte at a runner with that occupancy.
-Ms
-PredictAt(const RequestShape& aShape,
-          const ServiceRecord& aService,
-          const Occupancy& aOccupancy)
-{
-  return Ms(aService.m_engine
-              ? EngineMs(aShape.m_promptTokens, *aService.m_engine, aOccupancy)
-              : PlainMs(aOccupancy));
-}
-
 // By how much the request would miss its caller's deadline or its target, or
 // would take capacity from requests that can be in time; unset if it may be
 // sent. aLinkDelay: of the link to the runner, there and back.
@@ -158,7 +71,8 @@
   const double share =
     aShape.m_alreadyStarted ? kStartedRequestShare : kNewRequestShare;
   const bool isInTime = predicted <= target * share &&
-                        (aShape.m_alreadyStarted || !aShape.m_isCallerRetry);
+                        (aShape.m_alreadyStarted || aShape.m_replacesNew ||
+                         !aShape.m_isCallerRetry);
   const Ms ownPrefill(aService.m_engine
                         ? PrefillMs(*aService.m_engine, aShape.m_promptTokens)
                         : 0);
@@ -173,6 +87,39 @@
   return std::chrono::duration_cast<milliseconds>(std::max(excess, Ms(0)));
 }
 
+// Whether the whole response would come after the caller's deadline, or its
+// events with longer pauses than its target, at a runner that is that busy.
+bool
+IsTooSlow(const RequestShape& aShape,
+          const ServiceRecord& aService,
+          const Occupancy& aOccupancy,
+          Ms aFirstByte)
+{
+  if (!aShape.m_learnsCosts || !aService.m_engine) {
+    return false;
+  }
+  const EngineProfile& engine = *aService.m_engine;
+  const Ms end = aFirstByte + Ms(GenerationMs(aShape, engine, aOccupancy));
+  return end > aShape.m_timeLeft ||
+         (aShape.m_targetGap.count() > 0 &&
+          Ms(EventGapMs(engine, aOccupancy)) > aShape.m_targetGap);
+}
+
+// What a slow machine adds to the time of the answer, as far as it counts
+// beside the time to the first byte: long answers go to fast machines.
+double
+ExtraGenerationMs(const RequestShape& aShape,
+                  const ServiceRecord& aService,
+                  const Occupancy& aOccupancy)
+{
+  constexpr double kWeight = 0.1;
+  if (!aShape.m_learnsCosts || !aService.m_engine || aOccupancy.m_pace <= 1) {
+    return 0;
+  }
+  return kWeight * GenerationMs(aShape, *aService.m_engine, aOccupancy) *
+         (1 - 1 / aOccupancy.m_pace);
+}
+
 // How many typical requests may be sent to a runner before this one may not.
 double
 PlacesFor(const RequestShape& aShape,
@@ -186,8 +133,12 @@
          !ExcessTime(aShape, aService, aOccupancy, aLinkDelay)) {
     ++places;
     ++aOccupancy.m_requests;
-    aOccupancy.m_promptTokens +=
-      aService.m_engine ? aService.m_engine->m_typicalPromptTokens : 0;
+    if (aService.m_engine) {
+      aOccupancy.m_promptTokens += aService.m_engine->m_typicalPromptTokens;
+    }
+    if (aOccupancy.m_answerTokens > 0) {
+      aOccupancy.m_answerTokens += aService.m_engine->m_typicalAnswerTokens;
+    }
   }
   return places;
 }
@@ -291,6 +242,41 @@
   return { "the runners' limits are used up", RetryAfter(delay, aTimeLeft) };
 }
 
+Exclusion
+Placer::ExclusionOf(const RequestShape& aShape, const std::string& aPlace) const
+{
+  const auto found = m_regions.find(aPlace);
+  if (!aShape.m_homes.Allows(found == m_regions.end()
+                               ? std::nullopt
+                               : std::optional(found->second))) {
+    return Exclusion::NotAtHome;
+  }
+  return m_evacuatedPlaces.contains(aPlace) ? Exclusion::Evacuated
+                                            : Exclusion::None;
+}
+
+PlacementRefusal
+Placer::RefuseWithoutRunner(const RequestShape& aShape,
+                            std::size_t aEvacuated,
+                            std::size_t aAway)
+{
+  const milliseconds jitter(m_random.Below(kRetryAfterJitter.count()));
+  PlacementRefusal refusal{ "no eligible runner",
+                            RetryAfter(kMinRetryAfter, aShape.m_timeLeft) };
+  if (aShape.m_homes.IsEmpty()) {
+    refusal = { "no home region is left", kNoHomeRetryAfter + jitter };
+    refusal.m_exclusion = Exclusion::NotAtHome;
+  } else if (aEvacuated > 0) {
+    refusal = { "the places of the service's runners are evacuated",
+                kEvacuatedRetryAfter + jitter };
+    refusal.m_exclusion = Exclusion::Evacuated;
+  } else if (aAway > 0) {
+    refusal.m_reason = "no eligible runner in the home regions";
+    refusal.m_exclusion = Exclusion::NotAtHome;
+  }
+  return refusal;
+}
+
 Decision
 Placer::Place(const RequestShape& aShape,
               const ServiceRecord& aService,
@@ -304,10 +290,17 @@
   std::vector<Candidate> candidates;
   std::vector<RunnerIncarnation> limited;
   std::vector<RunnerIncarnation> waiting;
+  std::size_t evacuated = 0;
+  std::size_t away = 0;
   for (const RunnerState* runner : aRunners.Usable(aShape.m_service)) {
     const RunnerIncarnation incarnation = runner->m_record.Incarnation();
-    const Occupancy occupancy = OccupancyOf(aService, *runner, aNow);
     const std::string& place = runner->m_record.m_place;
+    const Exclusion exclusion = ExclusionOf(aShape, place);
+    if (exclusion != Exclusion::None) {
+      ++(exclusion == Exclusion::Evacuated ? evacuated : away);
+      continue;
+    }
+    const Occupancy occupancy = OccupancyOf(aShape, aService, *runner, aNow);
     const milliseconds linkDelay = LinkDelay(place);
     const Ms predicted = PredictAt(aShape, aService, occupancy);
     if (aNotices.IsLeaving(incarnation) ||
@@ -329,11 +322,13 @@
     }
     candidates.push_back(
       { runner,
-        runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow,
+        runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow ||
+          IsTooSlow(aShape, aService, occupancy, predicted),
         ExcessTime(aShape, aService, occupancy, linkDelay),
         linkDelay,
         predicted + linkDelay,
-        predicted.count() + std::max(DistanceMs(place), Ms(linkDelay).count()) +
+        predicted.count() + ExtraGenerationMs(aShape, aService, occupancy) +
+          std::max(DistanceMs(place), Ms(linkDelay).count()) +
           kTieBreakMs * m_random.Unit() });
   }
   if (candidates.empty() && !(limited.empty() && waiting.empty())) {
@@ -341,9 +336,7 @@
       limited, waiting, aLimits, aNotices, aShape.m_timeLeft, aNow);
   }
   if (candidates.empty()) {
-    return PlacementRefusal{ "no eligible runner",
-                             RetryAfter(kMinRetryAfter, aShape.m_timeLeft),
-                             milliseconds(0) };
+    return RefuseWithoutRunner(aShape, evacuated, away);
   }
   return Choose(aShape, aService, std::move(candidates), aNow);
 }
@@ -374,14 +367,16 @@
         candidate.m_avoided != best.m_avoided) {
       break;
     }
-    places.push_back(PlacesFor(aShape,
-                               aService,
-                               OccupancyOf(aService, *candidate.m_runner, aNow),
-                               candidate.m_linkDelay));
+    places.push_back(
+      PlacesFor(aShape,
+                aService,
+                OccupancyOf(aShape, aService, *candidate.m_runner, aNow),
+                candidate.m_linkDelay));
     offered += places.back();
   }
   double drawn = m_random.Unit() * std::max(offered, wanted);
-  if (drawn >= offered && !aShape.m_alreadyStarted) {
+  // Requests of other gateways that are less urgent don't take its place.
+  if (drawn >= offered && !aShape.m_alreadyStarted && !aShape.m_isMostUrgent) {
     return PlacementRefusal{ "other gateways' requests take the free places",
                              RetryAfter(milliseconds(0), aShape.m_timeLeft),
                              bestPredicted,
@@ -393,13 +388,21 @@
   }
   const Candidate& candidate = aCandidates[chosen];
   const RunnerState& runner = *candidate.m_runner;
+  const Ms generation(
+    aShape.m_learnsCosts && aService.m_engine
+      ? GenerationMs(aShape,
+                     *aService.m_engine,
+                     OccupancyOf(aShape, aService, runner, aNow))
+      : 0);
   return Placement{
     runner.m_record.m_id,
     std::chrono::duration_cast<milliseconds>(candidate.m_predicted),
+    std::chrono::duration_cast<milliseconds>(generation),
     RegionOf(m_regions, runner.m_record.m_place),
     candidate.m_linkDelay,
     { runner.Requests(),
-      runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens },
+      runner.m_ownLoad.m_promptTokens + runner.m_peerLoad.m_promptTokens,
+      runner.m_ownLoad.m_answerTokens + runner.m_peerLoad.m_answerTokens },
     RequiredVersion(aShape, candidate.m_predicted)
   };
 }
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -2,6 +2,7 @@
 // Chooses the runner for a request by the predicted time to its first byte, or
 // refuses the request. Does no I/O; the caller passes time and random seed.
 
+#include "dispatch/request_shape_p.h"
 #include "dispatch/runner_limits_p.h"
 #include "dispatch/runner_notices_p.h"
 #include "dispatch/runner_table_p.h"
@@ -15,34 +16,13 @@
 
 namespace siskindeal {
 
-// A newer version of weights that requests must run on once m_dueIn has passed.
-struct UpcomingVersion
-{
-  std::uint64_t m_version = 0;
-  std::chrono::milliseconds m_dueIn{ 0 };
-};
-
-// The properties of a request that placement depends on.
-struct RequestShape
-{
-  std::string m_service;
-  std::string m_model; // empty: none
-  std::uint32_t m_promptTokens = 0;
-  std::chrono::milliseconds m_target{ 0 };   // to the first byte
-  std::chrono::milliseconds m_timeLeft{ 0 }; // until the caller's deadline
-  bool m_isCallerRetry = false;              // retried by the caller
-  bool m_alreadyStarted = false;             // resumed or sent before
-  std::optional<std::uint64_t> m_minVersion; // of the weights; unset: any
-  // A request that may still wait when one of them becomes due is not sent to
-  // older weights.
-  std::vector<UpcomingVersion> m_upcoming;
-};
-
 struct Placement
 {
   std::string m_runner;                       // id
   std::chrono::milliseconds m_predicted{ 0 }; // to the first byte
-  std::string m_region;                       // of the runner
+  // From the first byte to the end; 0 if costs aren't learned.
+  std::chrono::milliseconds m_generation{ 0 };
+  std::string m_region; // of the runner
   // For which the request and its response are queued between regions; part of
   // the predicted time.
   std::chrono::milliseconds m_linkDelay{ 0 };
@@ -51,12 +31,21 @@
   std::optional<std::uint64_t> m_requiredVersion;
 };
 
+// What excludes all runners that could serve a request.
+enum class Exclusion
+{
+  None, // or others than these
+  Evacuated,
+  NotAtHome,
+};
+
 struct PlacementRefusal
 {
   std::string m_reason;
   std::chrono::milliseconds m_retryAfter{ 0 };
   std::chrono::milliseconds m_predicted{ 0 }; // at the best runner; 0: none
   std::chrono::milliseconds m_linkDelay{ 0 }; // of the link to it
+  Exclusion m_exclusion = Exclusion::None;
 };
 
 using Decision = std::variant<Placement, PlacementRefusal>;
@@ -73,8 +62,9 @@
   {
   }
 
-  // Chooses among the runners of the request's service, except those in aTried,
-  // those whose limit is used up, and those that leave or want no requests.
+  // Chooses among the runners of the request's service, except those outside
+  // its home regions, those of evacuated places, those in aTried, those whose
+  // limit is used up, and those that leave or want no requests.
   Decision Place(const RequestShape& aShape,
                  const ServiceRecord& aService,
                  RunnerTable& aRunners,
@@ -101,7 +91,21 @@
     m_linkDelays = std::move(aDelays);
   }
 
+  // Sets the places whose runners get no requests.
+  void SetEvacuatedPlaces(std::set<std::string> aPlaces)
+  {
+    m_evacuatedPlaces = std::move(aPlaces);
+  }
+
 private:
+  // Why a runner must not get the request, by its place.
+  Exclusion ExclusionOf(const RequestShape& aShape,
+                        const std::string& aPlace) const;
+  // The refusal if no runner is eligible. aEvacuated, aAway: how many were
+  // excluded by an evacuation or by the request's homes.
+  PlacementRefusal RefuseWithoutRunner(const RequestShape& aShape,
+                                       std::size_t aEvacuated,
+                                       std::size_t aAway);
   double DistanceMs(const std::string& aPlace) const;
   std::chrono::milliseconds LinkDelay(const std::string& aPlace) const;
   struct Candidate
@@ -153,6 +157,7 @@
   std::chrono::milliseconds m_reportInterval{ 0 };
   std::map<std::string, std::chrono::milliseconds> m_linkDelays; // by region
   std::map<std::string, Arrivals> m_arrivals;                    // by service
+  std::set<std::string> m_evacuatedPlaces;
   Random m_random;
 };
 
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -108,6 +108,10 @@
       kServiceUnavailable, "configuration not loaded yet", kShortRetryAfter);
     return false;
   }
+  if (!m_gateway.KnowsEvacuations()) {
+    Refuse(kServiceUnavailable, "evacuations not loaded yet", kShortRetryAfter);
+    return false;
+  }
   if (m_gateway.ConfigIsSuperseded()) {
     Refuse(
       kServiceUnavailable, "configuration is superseded", kShortRetryAfter);
@@ -176,6 +180,9 @@
                                          m_request.m_body);
   m_shape.m_service = m_service;
   m_shape.m_target = m_route->m_targetLatency;
+  m_shape.m_homes = HomeRegions(m_route->m_allowedRegions,
+                                m_team == nullptr ? std::vector<std::string>()
+                                                  : m_team->m_allowedRegions);
   if (const std::string* tokens = fields.Find(dialect::kTokens)) {
     if (const auto usage = dialect::DecodeTokens(*tokens)) {
       m_shape.m_promptTokens = usage->m_prompt;
@@ -184,6 +191,7 @@
   if (const std::string* model = fields.Find(dialect::kModel)) {
     m_shape.m_model = *model;
   }
+  ReadCost();
   if (const std::string* last = fields.Find(dialect::kLastEventId)) {
     std::uint64_t id = 0;
     if (absl::SimpleAtoi(*last, &id)) {
@@ -265,6 +273,9 @@
       milliseconds(0)
     };
   }
+  if (auto refusal = CheckPriority()) {
+    return *std::move(refusal);
+  }
   m_shape.m_timeLeft = TimeLeft(now);
   m_gateway.SetVersions(m_shape);
   if (m_sends > 0 || m_phase == Phase::Streaming) {
@@ -288,6 +299,11 @@
     return;
   }
   const auto& refusal = std::get<PlacementRefusal>(decision);
+  if (refusal.m_exclusion != Exclusion::None) {
+    const bool isEvacuated = refusal.m_exclusion == Exclusion::Evacuated;
+    CountMetric("siskindeal_gateway_excluded_requests_total",
+                { { "by", isEvacuated ? "evacuation" : "homes" } });
+  }
   m_predicted = refusal.m_predicted;
   m_linkDelay = refusal.m_linkDelay;
   if (m_mayHaveRun) {
@@ -326,6 +342,7 @@
   m_latest->m_region = aPlacement.m_region;
   m_latest->m_linkDelay = aPlacement.m_linkDelay;
   m_latest->m_predicted = aPlacement.m_predicted;
+  m_latest->m_predictedGeneration = aPlacement.m_generation;
   m_latest->m_loadBefore = aPlacement.m_load;
   m_latest->m_heldVersion = aRunner.VersionOf(m_shape.m_model);
   m_latest->m_requiredVersion = aPlacement.m_requiredVersion;
@@ -342,6 +359,7 @@
   ++aRunner.m_ownLoad.m_requests;
   aRunner.m_ownLoad.m_promptTokens += m_shape.m_promptTokens;
   m_latest->m_promptCounted = true;
+  CountLoad(*m_latest, aRunner);
   OutgoingCall call;
   call.m_head = BuildHead(aRunner);
   call.m_body = m_request.m_body;
@@ -381,11 +399,8 @@
 CallerExchange::PriorityNumber() const
 {
   constexpr int kMaxPriority = 9;
-  const int configured = m_team != nullptr && m_team->m_priority
-                           ? *m_team->m_priority
-                           : m_route->m_priority;
   // Resumed and retried requests precede new ones of the same priority.
-  const int rank = std::clamp(configured, 0, kMaxPriority / 2) * 2 + 1;
+  const int rank = std::clamp(Priority(), 0, kMaxPriority / 2) * 2 + 1;
   return m_shape.m_isCallerRetry || m_shape.m_alreadyStarted ? rank - 1 : rank;
 }
 
@@ -463,6 +478,7 @@
   }
   RecordStrayResponse(aAttempt, *runner);
   ReleasePromptTokens(aAttempt, *runner);
+  ReleaseLoad(aAttempt, *runner);
   if (runner->m_ownLoad.m_requests > 0) {
     --runner->m_ownLoad.m_requests;
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -195,6 +195,7 @@
       [] {},
       onEra },
     m_readsStore);
+  StartEvacuationFeed();
   m_gatewayFeed =
     StartFeed(kGatewayKind,
               kGatewayFeedTiming,
@@ -258,6 +259,7 @@
   if (m_ticks % kTicksPerHeartbeat == 0) {
     UpdateLimits();
     UpdateNotices();
+    UpdateAdmission();
     UpdateConfigSources();
     m_configServer.Tick();
     LogDueVersions();
@@ -278,6 +280,7 @@
     UpdateGatewayFeed();
     UpdateGatewayCount();
     m_runners.Sweep(aNow);
+    SweepEvacuations();
     std::erase_if(m_runnerReports, [&](const auto& aEntry) {
       return m_runners.Find(aEntry.first) == nullptr;
     });
@@ -294,7 +297,7 @@
 Gateway::AcceptsCallers() const
 {
   return m_routes && m_haveRunnerList && KnowsGatewayCount() &&
-         !m_drainingSince;
+         KnowsEvacuations() && !m_drainingSince;
 }
 
 bool
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -26,6 +26,15 @@
   load.set_born(aRunner.m_born);
   load.set_requests(aLoad.m_requests);
   load.set_prompt_tokens(aLoad.m_promptTokens);
+  load.set_answer_tokens(aLoad.m_answerTokens);
+  for (std::size_t i = kPriorityLevels; i > 0; --i) {
+    if (aLoad.m_byLevel[i - 1] > 0) {
+      load.mutable_by_priority()->Add(aLoad.m_byLevel.begin(),
+                                      aLoad.m_byLevel.begin() +
+                                        static_cast<std::ptrdiff_t>(i));
+      break;
+    }
+  }
 }
 
 // aTo is a GatewayBeacon or a RegionReport.
@@ -74,8 +83,13 @@
   }
   MergeLimits(aBeacon.limits());
   MergeLeaving(aBeacon.leaving());
+  if (aBeacon.has_evacuations()) {
+    MergeEvacuations(aBeacon.evacuations());
+  }
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
     UpdateGatewayCount();
+    MergePaces(aBeacon.loads());
+    MergeDemand(aBeacon.vm(), aBeacon.demand());
   }
   if (aBeacon.config().version() > OwnConfig().m_version) {
     UpdateConfigSources();
@@ -90,6 +104,8 @@
     return;
   }
   RecordLinkDelays(report);
+  MergePaces(report.loads());
+  MergeRegionDemand(report);
   UpdateGatewayCount();
   MergeNamedVersions(report.named());
   for (const wire::Suspicion& suspicion : report.suspicions()) {
@@ -100,6 +116,9 @@
   }
   MergeLimits(report.limits());
   MergeLeaving(report.leaving());
+  if (report.has_evacuations()) {
+    MergeEvacuations(report.evacuations());
+  }
   for (const v1::RunnerReport& runnerReport : report.runners()) {
     RunnerState* runner = m_runners.Find(runnerReport.runner());
     if (runner != nullptr &&
@@ -308,6 +327,11 @@
   }
   v1::GatewayBeacon& beacon = *datagram.mutable_gateway();
   AppendConfigState(beacon);
+  AppendPaces(/* aOnlyOwn */ true, *beacon.mutable_loads());
+  AppendDemand(beacon);
+  if (m_evacuations.Known()) {
+    AppendEvacuations(*beacon.mutable_evacuations());
+  }
   Append(aCommon, beacon);
   SendToRegionPeers(datagram, DatagramKind::Heartbeat);
 }
@@ -333,6 +357,8 @@
     *report.add_gateways() = std::move(beacon);
   }
   AppendRegionLoads(report);
+  AppendPaces(/* aOnlyOwn */ false, *report.mutable_loads());
+  AppendDemand(report);
   for (const auto& [id, received] : m_runnerReports) {
     if (now - received.m_receivedAt < kRunnerReportLifetime) {
       v1::RunnerReport& runner = *report.add_runners();
@@ -344,6 +370,9 @@
   if (aIncludeVersions) {
     AppendNamedAges(m_named, BootTime(), *report.mutable_named());
   }
+  if (m_evacuations.Known()) {
+    AppendEvacuations(*report.mutable_evacuations());
+  }
   Append(aCommon, report);
   AppendLinkDelays(report);
   report.set_sent_at_ms(static_cast<std::uint64_t>(BootTime().count()));
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/ascii.h>
 
+#include <algorithm>
+
 namespace siskindeal {
 
 namespace {
@@ -18,8 +20,17 @@
 
 RouteIndex::RouteIndex(SiteConfig aConfig)
   : m_config(std::move(aConfig))
+  , m_homes(HomesByHost(m_config))
 {
   for (const Route& route : m_config.m_routes) {
+    for (const RouteShare& share : route.m_shares) {
+      const auto [known, isNew] =
+        m_mostUrgent.emplace(share.m_service, route.m_priority);
+      if (!isNew && known->second != route.m_priority) {
+        m_prioritized.insert(share.m_service);
+        known->second = std::min(known->second, route.m_priority);
+      }
+    }
     m_routes[HostKey(route.m_host) + route.m_pathPrefix] = &route;
   }
   for (const SiteTeam& team : m_config.m_teams) {
@@ -58,6 +69,13 @@
   return found == m_teams.end() ? nullptr : found->second;
 }
 
+HomeRegions
+RouteIndex::HomesOf(std::string_view aHost) const
+{
+  const auto found = m_homes.find(HostKey(aHost));
+  return found == m_homes.end() ? HomeRegions() : found->second;
+}
+
 const ServiceRecord&
 RouteIndex::Service(const std::string& aName) const
 {
