A runner that is too slow for a request is used before it is refused

It counted like a failing runner, so that requests were refused beside it when all others were full. CostPlacementTest.SlowRunnerServesWhenTheOthersAreFull.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -322,8 +322,8 @@
     }
     candidates.push_back(
       { runner,
-        runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow ||
-          IsTooSlow(aShape, aService, occupancy, predicted),
+        runner->m_avoidUntil > aNow || runner->m_loadingUntil > aNow,
+        IsTooSlow(aShape, aService, occupancy, predicted),
         ExcessTime(aShape, aService, occupancy, linkDelay),
         linkDelay,
         predicted + linkDelay,
@@ -364,7 +364,8 @@
   std::vector<double> places;
   for (const Candidate& candidate : aCandidates) {
     if (offered >= wanted || candidate.m_excess ||
-        candidate.m_avoided != best.m_avoided) {
+        candidate.m_avoided != best.m_avoided ||
+        candidate.m_isSlow != best.m_isSlow) {
       break;
     }
     places.push_back(
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -112,6 +112,7 @@
   {
     const RunnerState* m_runner = nullptr;
     bool m_avoided = false;
+    bool m_isSlow = false; // the response would end or pause beyond its target
     std::optional<std::chrono::milliseconds> m_excess; // unset: may be sent
     std::chrono::milliseconds m_linkDelay{ 0 };
     std::chrono::duration<double, std::milli> m_predicted{ 0 };
@@ -119,9 +120,11 @@
 
     bool operator<(const Candidate& aOther) const
     {
-      return std::tuple(m_avoided, m_excess.has_value(), m_cost) <
-             std::tuple(
-               aOther.m_avoided, aOther.m_excess.has_value(), aOther.m_cost);
+      return std::tuple(m_avoided, m_excess.has_value(), m_isSlow, m_cost) <
+             std::tuple(aOther.m_avoided,
+                        aOther.m_excess.has_value(),
+                        aOther.m_isSlow,
+                        aOther.m_cost);
     }
   };
 
--- a/tests/request_cost_test.cpp
+++ b/tests/request_cost_test.cpp
@@ -135,6 +135,18 @@
   }
 }
 
+// A slow machine is better than a refusal.
+TEST_F(CostPlacementTest, SlowRunnerServesWhenTheOthersAreFull)
+{
+  for (int i = 0; i < 8; ++i) {
+    m_runners.Find("one")->m_pace.RecordEventGap(6, kNow);
+  }
+  m_runners.Find("two")->m_ownLoad = { 30, 9000, 3000 };
+  m_shape.m_target = milliseconds(1500);
+  m_shape.m_targetGap = milliseconds(300);
+  EXPECT_EQ(ChosenRunner(), "one");
+}
+
 // Two runners look alike by their requests; one has long answers to write.
 TEST_F(CostPlacementTest, WorkLeftCountsBesideTheNumberOfRequests)
 {
