--- a/src/dispatch/runner_pace.cpp
+++ b/src/dispatch/runner_pace.cpp
@@ -12,7 +12,12 @@
 // Machines change their pace in spells of this order, so that a reading says
 // little after that time.
 constexpr Seconds kReadingLifetime{ 0.5 };
-constexpr double kMeanWeight = 0.05; // of one reading
+// Smaller factors count as the usual pace. Runners that were heard of lately
+// would otherwise look a little faster than the others, and all gateways would
+// send to these.
+constexpr double kMinStatedSlowdown = 1.3;
+// Prompts of others lengthen the gaps of sound runners too, even the shortest.
+constexpr double kMinMeasuredSlowdown = 2;
 constexpr double kMinFactor = 0.2;
 constexpr double kMaxFactor = 20;
 // Gaps that are older say nothing of the present speed.
@@ -28,7 +33,6 @@
     return;
   }
   const double factor = std::clamp(aReading.m_factor, kMinFactor, kMaxFactor);
-  m_mean += kMeanWeight * (factor - m_mean);
   m_stated = { factor, aReading.m_at, aReading.m_isOwn };
 }
 
@@ -46,9 +50,12 @@
 RunnerPace::Expected(MonotonicTime aNow) const
 {
   if (IsStated()) {
+    if (m_stated.m_factor < kMinStatedSlowdown) {
+      return 1;
+    }
     const double trust =
       std::exp(-std::max(0.0, (aNow - m_stated.m_at) / kReadingLifetime));
-    return m_mean + (m_stated.m_factor - m_mean) * trust;
+    return 1 + (m_stated.m_factor - 1) * trust;
   }
   double shortest = 0;
   for (const Reading& gap : m_gaps) {
@@ -57,7 +64,7 @@
     }
     shortest = shortest == 0 ? gap.m_factor : std::min(shortest, gap.m_factor);
   }
-  return std::max(1.0, shortest);
+  return shortest < kMinMeasuredSlowdown ? 1 : shortest;
 }
 
 } // namespace siskindeal
--- a/src/dispatch/runner_pace_p.h
+++ b/src/dispatch/runner_pace_p.h
@@ -29,7 +29,7 @@
   // engine's figures say.
   void RecordEventGap(double aFactor, MonotonicTime aNow);
 
-  // The factor to expect now. 1 if nothing is known.
+  // The factor to expect now; 1 unless the runner is clearly slow.
   double Expected(MonotonicTime aNow) const;
   // Whether the runner has stated its pace.
   bool IsStated() const { return m_stated.m_factor > 0; }
@@ -41,7 +41,6 @@
   static constexpr std::size_t kGaps = 8;
 
   Reading m_stated;
-  double m_mean = 1; // of the factors stated
   std::array<Reading, kGaps> m_gaps{};
   std::size_t m_nextGap = 0;
 };
