--- a/src/dispatch/evacuations_p.h
+++ b/src/dispatch/evacuations_p.h
@@ -1,7 +1,7 @@
 #pragma once
 // The places that operators have evacuated: no requests are sent to their
-// runners. Gateways tell each other what they know, so one that can't reach the
-// store learns it from the others. Does no I/O; the caller passes the time.
+// runners. Gateways advertise what they know, so one that can't reach the store
+// learns it from the others. Does no I/O; the caller passes the time.
 
 #include "siskindeal/clock.h"
 #include "siskindeal/site.h"
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -105,8 +105,8 @@
           Ms(EventGapMs(engine, aOccupancy)) > aShape.m_targetGap);
 }
 
-// What a slow machine adds to the time of the answer, as far as it counts
-// beside the time to the first byte: long answers go to fast machines.
+// What a slow VM adds to the time of the answer, weighted against the time to
+// the first byte, so that long answers go to fast VMs.
 double
 ExtraGenerationMs(const RequestShape& aShape,
                   const ServiceRecord& aService,
@@ -376,7 +376,7 @@
     offered += places.back();
   }
   double drawn = m_random.Unit() * std::max(offered, wanted);
-  // Requests of other gateways that are less urgent don't take its place.
+  // Less urgent requests of other gateways don't take its place.
   if (drawn >= offered && !aShape.m_alreadyStarted && !aShape.m_isMostUrgent) {
     return PlacementRefusal{ "other gateways' requests take the free places",
                              RetryAfter(milliseconds(0), aShape.m_timeLeft),
--- a/src/dispatch/priority_admission.cpp
+++ b/src/dispatch/priority_admission.cpp
@@ -12,10 +12,10 @@
 using std::chrono::milliseconds;
 using Seconds = std::chrono::duration<double>;
 
-// Over which demand is averaged: shorter spells are queued by the runners.
+// Over which demand is averaged; runners queue shorter bursts.
 constexpr Seconds kDemandWindow{ 1.0 };
-// What each level gets of an equal division of the capacity. A kind of request
-// starves if it is served less than a quarter as often as all.
+// Guaranteed to each level, of an equal division of the capacity. A kind of
+// request starves if it is served less than a quarter as often as all.
 constexpr double kGuaranteedShare = 0.4;
 // Of what a level gets, for requests that came back.
 constexpr double kReturnedShare = 0.2;
@@ -26,8 +26,8 @@
 constexpr double kRaiseRate = 3;
 constexpr double kLowerRate = 0.8;
 constexpr double kMinCorrection = 0.7;
-// Callers that ask again at once count as more demand than there is, so that
-// far more has to be admitted than the sums suggest.
+// Callers that retry at once inflate the measured demand, so that far more has
+// to be admitted than the sums suggest.
 constexpr double kMaxCorrection = 3;
 constexpr double kMsPerSecond = 1000;
 constexpr milliseconds kMinRetryAfter{ 600 };
@@ -75,7 +75,7 @@
     const double granted = floor + extra;
     const double returned = std::min(level.m_returned, level.m_offered);
     const double fresh = level.m_offered - returned;
-    // New requests leave the rest to those that came back.
+    // Capacity that new requests don't need goes to returned ones too.
     const double toReturned =
       std::max(std::min(returned, granted * kReturnedShare), granted - fresh);
     shares[i].m_returned = returned > 0 ? toReturned / returned : 1;
@@ -123,7 +123,7 @@
     decision.m_share >= 1 ||
     UnitHash(aRequest.m_key, epoch, aRequest.m_hasReturned) < decision.m_share;
   if (!decision.m_isAdmitted) {
-    // The smaller the share, the longer until there is room for this one.
+    // The smaller the share, the longer until capacity is available.
     const double wait =
       kMinRetryAfter.count() / std::max(0.1, decision.m_share);
     decision.m_retryAfter =
@@ -151,8 +151,8 @@
                                 std::map<std::string, ServiceDemand> aDemand,
                                 MonotonicTime aNow)
 {
-  m_told[aSource] = { aNow, std::move(aDemand) };
-  std::erase_if(m_told, [&](const auto& aEntry) {
+  m_reports[aSource] = { aNow, std::move(aDemand) };
+  std::erase_if(m_reports, [&](const auto& aEntry) {
     return aNow - aEntry.second.m_at > kDemandLifetime;
   });
 }
--- a/src/dispatch/priority_admission_p.h
+++ b/src/dispatch/priority_admission_p.h
@@ -1,9 +1,9 @@
 #pragma once
-// Decides which requests of a service are refused when its callers want more
-// than its runners can do: the less urgent first, but never all of one level.
-// Gateways tell each other the work that is wanted of them, so that all of them
-// reach the same shares from the same sums. Does no I/O; the caller passes the
-// time.
+// Admission control by priority: decides which requests of a service are
+// refused when its demand exceeds the capacity of its runners. Less urgent
+// requests are refused first, but never all of one level. Gateways report their
+// demand to each other, so that all of them compute the same shares from the
+// same sums. Does no I/O; the caller passes the time.
 
 #include "siskindeal/clock.h"
 
@@ -16,8 +16,8 @@
 
 namespace siskindeal {
 
-// Levels of priority, 0 the most urgent. The least urgent one holds all that
-// are less urgent still; runners tell as many apart.
+// Levels of priority, 0 the most urgent; the last one includes all lower
+// priorities. Runners distinguish as many.
 inline constexpr std::size_t kPriorityLevels = 5;
 
 // The level of a configured priority.
@@ -49,11 +49,11 @@
 
 using ServiceShares = std::array<LevelShares, kPriorityLevels>;
 
-// The shares that are admitted if the runners can do aCapacity. Each level gets
-// a part of what an equal division would give it, so that none starves; the
-// rest goes to the most urgent first. Of a level's part, a bounded share goes
-// to requests that came back, before new ones: a request that came back is late
-// in most cases, so that serving these alone would make all of them late.
+// Returns the shares that are admitted with that capacity. Each level is
+// guaranteed a part of what an equal division would give it, so that none
+// starves; the rest goes to the most urgent levels first. Within a level, a
+// bounded share goes to requests that came back, before new ones: they are late
+// in most cases, so that serving these alone would make all requests late.
 ServiceShares
 DivideCapacity(const ServiceDemand& aDemand, double aCapacity);
 
@@ -86,32 +86,33 @@
 public:
   // Counts the request as offered and decides on it. Attempts at one request
   // within kEpoch get the same decision at all gateways, so that a caller gains
-  // nothing by asking again at once. aWallTime: Unix time.
+  // nothing by retrying at once. aWallTime: Unix time.
   AdmissionDecision Decide(const AdmissionRequest& aRequest,
                            MonotonicTime aNow,
                            std::chrono::milliseconds aWallTime);
 
-  // What this gateway's callers want, to be told to other gateways.
+  // The demand at this gateway, to be reported to the others.
   std::map<std::string, ServiceDemand> OwnDemand(MonotonicTime aNow) const;
-  // Applies what another gateway, or a region's gateways together, told last.
+  // Applies the last report of another gateway, or of a region's gateways
+  // together.
   void RecordDemand(const std::string& aSource,
                     std::map<std::string, ServiceDemand> aDemand,
                     MonotonicTime aNow);
-  // The sum of the demand told by sources for which aIsCounted.
+  // The sum of the demand reported by sources for which aIsCounted.
   template<typename F>
   std::map<std::string, ServiceDemand> DemandOf(F aIsCounted,
                                                 MonotonicTime aNow) const
   {
     std::map<std::string, ServiceDemand> sum;
-    for (const auto& [source, told] : m_told) {
-      if (aIsCounted(source) && aNow - told.m_at <= kDemandLifetime) {
-        Add(sum, told.m_demand);
+    for (const auto& [source, report] : m_reports) {
+      if (aIsCounted(source) && aNow - report.m_at <= kDemandLifetime) {
+        Add(sum, report.m_demand);
       }
     }
     return sum;
   }
 
-  // Recomputes a service's shares. Call it several times a second.
+  // Recomputes a service's shares. Called several times a second.
   void Update(const std::string& aService,
               const ServiceCapacity& aCapacity,
               MonotonicTime aNow);
@@ -143,11 +144,11 @@
   const std::map<std::string, Service>& Services() const { return m_services; }
 
   static constexpr std::chrono::milliseconds kEpoch{ 2000 };
-  // A source that is silent for longer isn't counted any more.
+  // Reports that aren't renewed for this long are discarded.
   static constexpr std::chrono::milliseconds kDemandLifetime{ 2000 };
 
 private:
-  struct Told
+  struct Report
   {
     MonotonicTime m_at{};
     std::map<std::string, ServiceDemand> m_demand; // by service
@@ -158,7 +159,7 @@
   static LevelDemand SumAt(const Service::Meter& aMeter, MonotonicTime aNow);
 
   std::map<std::string, Service> m_services;
-  std::map<std::string, Told> m_told; // by source
+  std::map<std::string, Report> m_reports; // by source
 };
 
 } // namespace siskindeal
--- a/src/dispatch/runner_pace_p.h
+++ b/src/dispatch/runner_pace_p.h
@@ -1,7 +1,7 @@
 #pragma once
-// How long work takes on a runner's machine at present, compared with what is
-// usual: as the runner states it, else as the events of its streams show. Does
-// no I/O; the caller passes the time.
+// How long work takes on a runner's VM at present, compared with what is usual:
+// as the runner states it, else as the events of its streams show. Does no I/O;
+// the caller passes the time.
 
 #include "siskindeal/clock.h"
 
@@ -40,7 +40,13 @@
   // the latest gaps shows the speed.
   static constexpr std::size_t kGaps = 8;
 
+  // Learns for how long the VM stays slow, from the reading after a slow one.
+  void LearnPeriod(double aFactor, MonotonicTime aAt);
+
   Reading m_stated;
+  // After it a slow reading says little. At first short: a VM that is taken for
+  // slow for too long loses requests to others that are no faster.
+  std::chrono::duration<double> m_slowPeriod{ 0.1 };
   std::array<Reading, kGaps> m_gaps{};
   std::size_t m_nextGap = 0;
 };
--- a/src/gateway/caller_exchange_cost.cpp
+++ b/src/gateway/caller_exchange_cost.cpp
@@ -1,5 +1,5 @@
-// What a request is likely to cost, whether its level of priority has room for
-// it, and what its runner still has to do for it.
+// Estimates what a request costs, applies admission by priority, and tracks the
+// work that is left at its runner.
 
 #include "dispatch/engine_model_p.h"
 #include "gateway/caller_exchange_p.h"
@@ -90,15 +90,15 @@
                 { "returned", m_shape.m_isCallerRetry ? "yes" : "no" },
                 { "admitted", decision.m_isAdmitted ? "yes" : "no" } });
   if (decision.m_isAdmitted) {
-    // While its level is short. Otherwise it gets the capacity that new ones
-    // leave, as it is late in most cases and they would become so too.
+    // Only while its level is limited. Otherwise it gets spare capacity: it is
+    // late in most cases, and would make new requests late too.
     m_shape.m_replacesNew = m_shape.m_isCallerRetry && decision.m_share < 1;
     return std::nullopt;
   }
   const auto& service = m_gateway.Admission().Services().at(m_service);
   m_gateway.LogRequest(
     LogLevel::Info,
-    "no room for priority",
+    "request refused by priority",
     { { "id", m_id },
       { "service", m_service },
       { "level", m_shape.m_level },
@@ -114,7 +114,7 @@
   const auto longest = std::chrono::duration_cast<milliseconds>(
     TimeLeft(LoopNow()) * kMaxRetryAfterShare);
   return PlacementRefusal{
-    "more urgent requests take the room",
+    "capacity is reserved for more urgent requests",
     std::max(kMinRetryAfter, std::min(decision.m_retryAfter + jitter, longest))
   };
 }
@@ -176,8 +176,8 @@
 CallerExchange::RecordAnswerCost(const RunnerAttempt& aAttempt) const
 {
   const auto& engine = m_routes->Service(m_service).m_engine;
-  const bool isWhole = m_sends == 1 && !m_shape.m_alreadyStarted;
-  if (!m_shape.m_learnsCosts || !engine || !isWhole) {
+  const bool isComplete = m_sends == 1 && !m_shape.m_alreadyStarted;
+  if (!m_shape.m_learnsCosts || !engine || !isComplete) {
     return;
   }
   const double tokens =
--- a/src/gateway/caller_exchange_p.h
+++ b/src/gateway/caller_exchange_p.h
@@ -62,10 +62,10 @@
   void ReadHeaders();
   void Dispatch();
   Decision Decide();
-  // Reads what the request is likely to cost, where costs are learned.
+  // Reads what the request is likely to cost, if costs are learned.
   void ReadCost();
-  // Refuses the request if its level of priority is short of room. Decides
-  // once.
+  // Refuses the request if its level of priority exceeds its share of the
+  // capacity. Decides once.
   std::optional<PlacementRefusal> CheckPriority();
   int Priority() const; // the team's, else the route's
   void CountLoad(RunnerAttempt& aAttempt, RunnerState& aRunner) const;
--- a/src/gateway/gateway_costs.cpp
+++ b/src/gateway/gateway_costs.cpp
@@ -1,5 +1,5 @@
-// Demand by priority and the pace of runners: measured here, told to and
-// learned from the other gateways.
+// Exchanges the demand by priority and the pace of runners with the other
+// gateways, and updates the admission control.
 
 #include "gateway/gateway_p.h"
 #include "siskindeal/metrics.h"
--- a/src/gateway/gateway_evacuations.cpp
+++ b/src/gateway/gateway_evacuations.cpp
@@ -1,5 +1,5 @@
-// Evacuated places: read from the store, told to the other gateways, applied to
-// placement.
+// Reads evacuated places from the store, exchanges them with the other gateways
+// and applies them to placement.
 
 #include "gateway/gateway_p.h"
 #include "siskindeal/metrics.h"
--- a/tests/request_cost_test.cpp
+++ b/tests/request_cost_test.cpp
@@ -38,7 +38,7 @@
   EXPECT_EQ(pace.Expected(kNow), 1);
   pace.RecordStated({ 2.5, kNow });
   EXPECT_NEAR(pace.Expected(kNow), 2.5, 0.01);
-  EXPECT_LT(pace.Expected(kNow + milliseconds(600)), 1.7);
+  EXPECT_LT(pace.Expected(kNow + milliseconds(200)), 1.3);
   EXPECT_LT(pace.Expected(kNow + milliseconds(5000)), 1.1);
   // Gateways would send everything to runners that look a little faster.
   pace.RecordStated({ 1.1, kNow + milliseconds(10) });
@@ -51,6 +51,23 @@
   EXPECT_LT(pace.Expected(kNow + milliseconds(50)), 1.1);
 }
 
+// Avoiding a runner for longer than it is slow sent everything to the others.
+TEST(RunnerPace, DurationOfSlowPeriodsIsLearned)
+{
+  RunnerPace lasting;
+  RunnerPace brief;
+  for (int i = 0; i < 100; ++i) {
+    const MonotonicTime at = kNow + milliseconds(100) * i;
+    lasting.RecordStated({ i % 20 < 10 ? 2.5 : 1.0, at }); // slow for 1 s
+    brief.RecordStated({ i % 5 == 0 ? 2.5 : 1.0, at });    // in one reading
+  }
+  const MonotonicTime slowAt = kNow + milliseconds(20000);
+  lasting.RecordStated({ 2.5, slowAt });
+  brief.RecordStated({ 2.5, slowAt });
+  EXPECT_GT(lasting.Expected(slowAt + milliseconds(100)), 1.7);
+  EXPECT_LT(brief.Expected(slowAt + milliseconds(100)), 1.5);
+}
+
 TEST(RunnerPace, SlowEventsShowASlowRunner)
 {
   RunnerPace pace;
