--- a/tests/request_cost_test.cpp
+++ b/tests/request_cost_test.cpp
@@ -171,6 +171,7 @@
 // Two runners look alike by their requests; one has long answers to write.
 TEST_F(CostPlacementTest, WorkLeftCountsBesideTheNumberOfRequests)
 {
+  m_shape.m_target = milliseconds(600);
   m_runners.Find("one")->m_ownLoad = { 14, 0, 14 * 300 };
   m_runners.Find("two")->m_ownLoad = { 14, 0, 14 * 20 };
   for (int i = 0; i < 20; ++i) {
