Work left at a runner only lengthens the wait that is predicted

Reports of little work left are late, so that requests went to runners whose queue was longer than predicted.

--- a/src/dispatch/engine_model.cpp
+++ b/src/dispatch/engine_model.cpp
@@ -40,7 +40,9 @@
   // Of an answer, on average over the requests in flight: long answers are in
   // flight for longer.
   constexpr double kUsualRest = 0.7;
-  constexpr double kMinRatio = 0.7;
+  // Less work left than usual doesn't count: reports of it are late, and a
+  // queue that is longer than predicted costs more than a slot that waits.
+  constexpr double kMinRatio = 1;
   constexpr double kMaxRatio = 2;
   const double residence = ResidenceMs(aEngine, aOccupancy.m_slots);
   const double usualLeft =
