--- a/src/dispatch/engine_model.cpp
+++ b/src/dispatch/engine_model.cpp
@@ -108,10 +108,8 @@
                                   ? aRunner.m_smoothedDuration
                                   : kDefaultDuration;
   occupancy.m_isOutdated = aRunner.DurationIsOutdated(aNow);
-  if (aShape.m_learnsCosts || aRunner.m_pace.IsStated()) {
-    occupancy.m_pace = aRunner.m_pace.Expected(aNow);
-  }
   if (aShape.m_learnsCosts) {
+    occupancy.m_pace = aRunner.m_pace.Expected(aNow);
     RunnerLoad load = aRunner.m_ownLoad;
     load += aRunner.m_peerLoad;
     occupancy.m_answerTokens = load.m_answerTokens;
--- a/src/gateway/gateway_costs.cpp
+++ b/src/gateway/gateway_costs.cpp
@@ -51,16 +51,14 @@
 bool
 Gateway::LearnsCosts(const std::string& aService) const
 {
-  return (m_routes && m_routes->IsPrioritized(aService)) ||
-         m_pacedServices.contains(aService);
+  return m_routes && m_routes->IsPrioritized(aService);
 }
 
 void
 Gateway::RecordPace(RunnerState& aRunner, double aPace)
 {
-  if (aPace > 0) {
+  if (aPace > 0 && LearnsCosts(aRunner.m_record.m_service)) {
     aRunner.m_pace.RecordStated({ aPace, LoopNow(), true });
-    m_pacedServices.insert(aRunner.m_record.m_service);
   }
 }
 
@@ -101,10 +99,10 @@
   for (const v1::RunnerLoadReport& load : aLoads) {
     RunnerState* runner =
       load.pace_percent() > 0 ? m_runners.Find(load.runner()) : nullptr;
-    if (runner != nullptr && runner->m_record.m_born == load.born()) {
+    if (runner != nullptr && runner->m_record.m_born == load.born() &&
+        LearnsCosts(runner->m_record.m_service)) {
       runner->m_pace.RecordStated({ load.pace_percent() / kPacePercent,
                                     now - MillisFromWire(load.pace_age_ms()) });
-      m_pacedServices.insert(runner->m_record.m_service);
     }
   }
 }
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -105,7 +105,7 @@
   // Whether it is known which places are evacuated, if they can be at all.
   bool KnowsEvacuations() const;
   // Whether the costs of a service's requests are learned: its routes have
-  // different priorities, or its runners state their pace.
+  // different priorities.
   bool LearnsCosts(const std::string& aService) const;
   AnswerLengths& Lengths() { return m_lengths; }
   PriorityAdmission& Admission() { return m_admission; }
@@ -357,7 +357,6 @@
   Placer m_placer;
   PriorityAdmission m_admission;
   AnswerLengths m_lengths;
-  std::set<std::string> m_pacedServices; // whose runners state their pace
   SharedRetryBudget m_retries;
   RouteDurations m_durations;
   SuspicionExchange m_suspicions;
