--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -1,7 +1,6 @@
 #include "gateway/caller_exchange_p.h"
 #include "siskindeal/digest.h"
 #include "siskindeal/metrics.h"
-#include "siskindeal/operators.h"
 
 #include <absl/strings/numbers.h>
 
@@ -376,34 +375,6 @@
     });
 }
 
-void
-CallerExchange::LogIfSuspect()
-{
-  const auto suspicion =
-    m_gateway.Suspicions().ListingOf(m_traits.m_fingerprint);
-  if (!suspicion) {
-    return;
-  }
-  CountMetric("siskindeal_gateway_suspects_forwarded_total");
-  m_gateway.LogRequest(
-    LogLevel::Warning,
-    "suspect forwarded",
-    { { "id", m_id },
-      { "runner", m_latest->m_runner.m_id },
-      { "fingerprint", FormatFingerprint(m_traits.m_fingerprint) },
-      { "crashes", suspicion->m_crashes },
-      { "attributed", suspicion->m_attributed } });
-}
-
-int
-CallerExchange::PriorityNumber() const
-{
-  constexpr int kMaxPriority = 9;
-  // Resumed and retried requests precede new ones of the same priority.
-  const int rank = std::clamp(Priority(), 0, kMaxPriority / 2) * 2 + 1;
-  return m_shape.m_isCallerRetry || m_shape.m_alreadyStarted ? rank - 1 : rank;
-}
-
 std::string
 CallerExchange::BuildHead(const RunnerState& aRunner) const
 {
--- a/src/gateway/caller_exchange_cost.cpp
+++ b/src/gateway/caller_exchange_cost.cpp
@@ -38,6 +38,15 @@
                                                  : m_route->m_priority;
 }
 
+int
+CallerExchange::PriorityNumber() const
+{
+  constexpr int kMaxPriority = 9;
+  // Resumed and retried requests precede new ones of the same priority.
+  const int rank = std::clamp(Priority(), 0, kMaxPriority / 2) * 2 + 1;
+  return m_shape.m_isCallerRetry || m_shape.m_alreadyStarted ? rank - 1 : rank;
+}
+
 void
 CallerExchange::ReadCost()
 {
--- a/src/gateway/caller_exchange_retries.cpp
+++ b/src/gateway/caller_exchange_retries.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/caller_exchange_p.h"
 #include "siskindeal/metrics.h"
+#include "siskindeal/operators.h"
 
 #include <algorithm>
 
@@ -79,6 +80,25 @@
          CountedExecutions() < m_route->m_maxAttempts && TakeRetry();
 }
 
+void
+CallerExchange::LogIfSuspect()
+{
+  const auto suspicion =
+    m_gateway.Suspicions().ListingOf(m_traits.m_fingerprint);
+  if (!suspicion) {
+    return;
+  }
+  CountMetric("siskindeal_gateway_suspects_forwarded_total");
+  m_gateway.LogRequest(
+    LogLevel::Warning,
+    "suspect forwarded",
+    { { "id", m_id },
+      { "runner", m_latest->m_runner.m_id },
+      { "fingerprint", FormatFingerprint(m_traits.m_fingerprint) },
+      { "crashes", suspicion->m_crashes },
+      { "attributed", suspicion->m_attributed } });
+}
+
 void
 CallerExchange::LogAttempt(std::string_view aEvent,
                            const RunnerAttempt& aAttempt,
