--- a/review/standin-2/box.h
+++ b/review/standin-2/box.h
@@ -186,5 +186,7 @@
 RunWeights();
 [[noreturn]] void
 RunCold();
+[[noreturn]] void
+RunLimit();
 
 } // namespace box
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -20,6 +20,9 @@
     if (name == "cold") {
       box::RunCold();
     }
+    if (name == "limit") {
+      box::RunLimit();
+    }
   } catch (const std::exception& error) {
     box::End(2, error.what());
   }
