--- a/review/standin-2/box.h
+++ b/review/standin-2/box.h
@@ -188,5 +188,7 @@
 RunCold();
 [[noreturn]] void
 RunLimit();
+[[noreturn]] void
+RunPart();
 
 } // namespace box
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -23,6 +23,9 @@
     if (name == "limit") {
       box::RunLimit();
     }
+    if (name == "part") {
+      box::RunPart();
+    }
   } catch (const std::exception& error) {
     box::End(2, error.what());
   }
