--- a/review/standin-2/box.cpp
+++ b/review/standin-2/box.cpp
@@ -76,7 +76,8 @@
   std::_Exit(aStatus);
 }
 
-Site::Site()
+Site::Site(Millis aVersionWithin)
+  : m_versionWithin(aVersionWithin)
 {
   std::mt19937 random(std::random_device{}());
   std::uniform_int_distribution<int> number(1, 250);
@@ -117,7 +118,9 @@
                  ":8009\"\n"
                  "config_within = \"2000ms\"\n"
                  "revoke_within = \"5000ms\"\n"
-                 "version_within = \"13400ms\"\n"
+                 "version_within = \"" +
+                 std::to_string(m_versionWithin.count()) +
+                 "ms\"\n"
                  "evacuate_within = \"5000ms\"\n"
                  "grace_seconds = 8\n"
                  "retry_ratio = 0.2\n"
@@ -140,7 +143,9 @@
                  "\"\n[stager]\nrunner = \"" + host + ":" +
                  std::to_string(kRunnerPort) + "\"\nservice = \"" + aService +
                  "\"\nlink_megabits = 7.3\n"
-                 "version_within = \"13400ms\"\n"
+                 "version_within = \"" +
+                 std::to_string(m_versionWithin.count()) +
+                 "ms\"\n"
                  "[stager.regions]\n\"mvd-centro\" = \"montevideo\"\n"
                  "\"paysandu\" = \"litoral\"\n");
 }
--- a/review/standin-2/box.h
+++ b/review/standin-2/box.h
@@ -48,6 +48,8 @@
   int m_status = 0; // of a response; 0: none, or an incomplete one
   std::map<std::string, std::string> m_fields; // names in lower case
   std::string m_body;
+  // Of a request: whether its connection is still open.
+  std::function<bool()> m_isOpen{};
 
   std::string Field(const std::string& aName) const;
   // The value of a query parameter; empty: there is none.
@@ -146,7 +148,8 @@
   static constexpr std::uint16_t kStorePort = 8007;
   static constexpr std::uint16_t kRunnerPort = 8080;
 
-  Site();
+  // aVersionWithin: version_ms of the site.
+  explicit Site(Millis aVersionWithin = Millis(13400));
 
   std::string Host(int aVm) const;
   // Start a process as the deploy file does; return its id.
@@ -159,6 +162,7 @@
   std::string Common(const std::string& aRole, int aVm) const;
   pid_t Start(const std::string& aRole, int aVm, const std::string& aSettings);
 
+  Millis m_versionWithin;
   std::string m_network; // the first three numbers of all hosts
   std::string m_directory;
   int m_starts = 0;
@@ -190,5 +194,7 @@
 RunLimit();
 [[noreturn]] void
 RunPart();
+[[noreturn]] void
+RunVersion();
 
 } // namespace box
--- a/review/standin-2/http.cpp
+++ b/review/standin-2/http.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -167,6 +168,14 @@
   ::setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+bool
+IsOpen(int aSocket)
+{
+  char next = 0;
+  const ssize_t got = ::recv(aSocket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got > 0 || (got < 0 && errno == EAGAIN);
+}
+
 std::string
 Encode(const Reply& aReply)
 {
@@ -229,6 +238,7 @@
     Reader reader(aSocket);
     Message request;
     while (reader.Read(request)) {
+      request.m_isOpen = [aSocket] { return IsOpen(aSocket); };
       const Reply reply = m_handler(request);
       if (reply.m_beforeWrite) {
         reply.m_beforeWrite();
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -26,6 +26,9 @@
     if (name == "part") {
       box::RunPart();
     }
+    if (name == "version") {
+      box::RunVersion();
+    }
   } catch (const std::exception& error) {
     box::End(2, error.what());
   }
