--- a/review/standin-2/box.cpp
+++ b/review/standin-2/box.cpp
@@ -77,8 +77,22 @@
   std::_Exit(aStatus);
 }
 
-Site::Site(Millis aVersionWithin)
-  : m_versionWithin(aVersionWithin)
+Sheet
+FcbTee()
+{
+  return { "kin-a",      "kingston", "mbj-a", "montego", Millis(2000),
+           Millis(8000), Millis(0),  106,     7.6 };
+}
+
+Sheet
+Cuaem()
+{
+  return { "mvd-centro",  "montevideo", "paysandu", "litoral", Millis(3000),
+           Millis(13400), Millis(5000), 214,        7.3 };
+}
+
+Site::Site(Sheet aSheet)
+  : m_sheet(std::move(aSheet))
 {
   std::mt19937 random(std::random_device{}());
   std::uniform_int_distribution<int> number(1, 250);
@@ -99,13 +113,26 @@
 {
   const std::string host = Host(aVm);
   return "[node]\nvm = \"" + aRole + "-" + std::to_string(aVm) +
-         "\"\nplace = \"mvd-centro\"\nrpc = \"" + host + ":7700\"\n";
+         "\"\nplace = \"" + m_sheet.m_place + "\"\nrpc = \"" + host +
+         ":7700\"\n";
+}
+
+std::string
+Site::Regions() const
+{
+  return "\"" + m_sheet.m_place + "\" = \"" + m_sheet.m_region + "\"\n\"" +
+         m_sheet.m_otherPlace + "\" = \"" + m_sheet.m_otherRegion + "\"\n";
 }
 
 pid_t
 Site::StartGateway(int aVm)
 {
   const std::string host = Host(aVm);
+  const std::string evacuate =
+    m_sheet.m_evacuateWithin == Millis(0)
+      ? ""
+      : "evacuate_within = \"" +
+          std::to_string(m_sheet.m_evacuateWithin.count()) + "ms\"\n";
   return Start("gateway",
                aVm,
                Common("gateway", aVm) + "http = \"" + host + ":" +
@@ -117,38 +144,37 @@
                  "\"\n[gateway]\nready = \"" + host + ":" +
                  std::to_string(kReadyPort) + "\"\ndirectory = \"" + host +
                  ":8009\"\n"
-                 "config_within = \"2000ms\"\n"
+                 "config_within = \"" +
+                 std::to_string(m_sheet.m_configWithin.count()) +
+                 "ms\"\n"
                  "revoke_within = \"5000ms\"\n"
                  "version_within = \"" +
-                 std::to_string(m_versionWithin.count()) +
-                 "ms\"\n"
-                 "evacuate_within = \"5000ms\"\n"
+                 std::to_string(m_sheet.m_versionWithin.count()) + "ms\"\n" +
+                 evacuate +
                  "grace_seconds = 8\n"
                  "retry_ratio = 0.2\n"
                  "retry_window_seconds = 10\n"
-                 "retry_slack = 214\n"
-                 "[gateway.regions]\n\"mvd-centro\" = \"montevideo\"\n"
-                 "\"paysandu\" = \"litoral\"\n");
+                 "retry_slack = " +
+                 std::to_string(m_sheet.m_retrySlack) +
+                 "\n[gateway.regions]\n" + Regions());
 }
 
 pid_t
 Site::StartStager(int aVm, const std::string& aService)
 {
   const std::string host = Host(aVm);
-  return Start("stager",
-               aVm,
-               Common("stager", aVm) + "http = \"" + host +
-                 ":7701\"\nmemory_megabytes = 128\n[platform]\nurl = "
-                 "\"http://" +
-                 Host(100) + ":" + std::to_string(kStorePort) +
-                 "\"\n[stager]\nrunner = \"" + host + ":" +
-                 std::to_string(kRunnerPort) + "\"\nservice = \"" + aService +
-                 "\"\nlink_megabits = 7.3\n"
-                 "version_within = \"" +
-                 std::to_string(m_versionWithin.count()) +
-                 "ms\"\n"
-                 "[stager.regions]\n\"mvd-centro\" = \"montevideo\"\n"
-                 "\"paysandu\" = \"litoral\"\n");
+  return Start(
+    "stager",
+    aVm,
+    Common("stager", aVm) + "http = \"" + host +
+      ":7701\"\nmemory_megabytes = 128\n[platform]\nurl = "
+      "\"http://" +
+      Host(100) + ":" + std::to_string(kStorePort) +
+      "\"\n[stager]\nrunner = \"" + host + ":" + std::to_string(kRunnerPort) +
+      "\"\nservice = \"" + aService + "\"\nlink_megabits = " +
+      std::to_string(m_sheet.m_sideMegabits) + "\nversion_within = \"" +
+      std::to_string(m_sheet.m_versionWithin.count()) +
+      "ms\"\n[stager.regions]\n" + Regions());
 }
 
 pid_t
--- a/review/standin-2/box.h
+++ b/review/standin-2/box.h
@@ -139,6 +139,26 @@
   std::unique_ptr<Server> m_server;
 };
 
+// What the settings take from a site's sheet and file.
+struct Sheet
+{
+  std::string m_place;
+  std::string m_region;
+  std::string m_otherPlace;
+  std::string m_otherRegion;
+  Millis m_configWithin{ 0 };
+  Millis m_versionWithin{ 0 };
+  Millis m_evacuateWithin{ 0 }; // 0: the site has no such bound
+  int m_retrySlack = 0;
+  double m_sideMegabits = 0;
+};
+
+// fcb-tee, and cuaem-siskindeal-grown.
+Sheet
+FcbTee();
+Sheet
+Cuaem();
+
 // A host of loopback for each VM, with the same ports on each.
 class Site
 {
@@ -148,10 +168,11 @@
   static constexpr std::uint16_t kStorePort = 8007;
   static constexpr std::uint16_t kRunnerPort = 8080;
 
-  // aVersionWithin: version_ms of the site.
-  explicit Site(Millis aVersionWithin = Millis(13400));
+  explicit Site(Sheet aSheet);
 
   std::string Host(int aVm) const;
+  const std::string& Place() const { return m_sheet.m_place; }
+  const std::string& OtherPlace() const { return m_sheet.m_otherPlace; }
   // Start a process as the deploy file does; return its id.
   pid_t StartGateway(int aVm);
   pid_t StartStager(int aVm, const std::string& aService);
@@ -160,9 +181,10 @@
 
 private:
   std::string Common(const std::string& aRole, int aVm) const;
+  std::string Regions() const;
   pid_t Start(const std::string& aRole, int aVm, const std::string& aSettings);
 
-  Millis m_versionWithin;
+  Sheet m_sheet;
   std::string m_network; // the first three numbers of all hosts
   std::string m_directory;
   int m_starts = 0;
--- a/review/standin-2/part.cpp
+++ b/review/standin-2/part.cpp
@@ -89,7 +89,7 @@
       Id(aIndex),
       { { "service", kService },
         { "address", Host(aIndex) + ":" + std::to_string(Site::kRunnerPort) },
-        { "zone", "mvd-centro" },
+        { "zone", m_site.Place() },
         { "version", "v1" },
         { "slots", 16 },
         { "state", "ready" },
@@ -234,7 +234,7 @@
   constexpr int kFirstCulprits = 8;
   constexpr int kLastCulprits = 4;
   constexpr int kSoundCallers = 12;
-  Site site;
+  Site site(FcbTee());
   Store store(site.Host(100), Site::kStorePort);
   store.Put("config", "main", Config());
   Runners runners(site, store);
--- a/review/standin-2/plain.h
+++ b/review/standin-2/plain.h
@@ -97,7 +97,7 @@
   std::string HostOf(int aIndex) const;
   void Beat(int aIndex);
 
-  Site m_site;
+  Site m_site{ Cuaem() };
   Store m_store;
   std::mutex m_mutex; // of what follows
   std::vector<std::unique_ptr<PlainRunner>> m_runners;
--- a/review/standin-2/version.cpp
+++ b/review/standin-2/version.cpp
@@ -31,6 +31,7 @@
   Runner(const Site& aSite, Store& aStore, int aIndex)
     : m_id("i-" + std::to_string(aIndex))
     , m_host(aSite.Host(kFirstRunnerVm + aIndex))
+    , m_place(aSite.Place())
     , m_store(aStore)
     , m_server(m_host, Site::kRunnerPort, [this](const Message& aRequest) {
       return Answer(aRequest);
@@ -58,7 +59,7 @@
       m_id,
       { { "service", kService },
         { "address", m_host + ":" + std::to_string(Site::kRunnerPort) },
-        { "zone", "mvd-centro" },
+        { "zone", m_place },
         { "version", "v1" },
         { "slots", 16 },
         { "state", "ready" },
@@ -164,6 +165,7 @@
 
   std::string m_id;
   std::string m_host;
+  std::string m_place;
   Store& m_store;
   std::uint64_t m_born = UnixMillis();
   std::mutex m_mutex;
@@ -237,7 +239,7 @@
 {
   constexpr Millis kStartTimeout{ 20000 };
   constexpr int kRequests = 8;
-  Site site(kVersionWithin);
+  Site site(FcbTee());
   Store store(site.Host(100), Site::kStorePort);
   store.Put("config", "main", Config());
   Runner still(site, store, 0);
--- a/review/standin-2/weights.cpp
+++ b/review/standin-2/weights.cpp
@@ -341,7 +341,7 @@
 {
   constexpr Millis kStartTimeout{ 20000 };
   constexpr Millis kLoadTimeout{ 60000 };
-  Site site;
+  Site site(Cuaem());
   Store store(site.Host(100), Site::kStorePort);
   Runner runner;
   const Server app(
