--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -231,7 +231,8 @@
              std::string_view aTarget,
              std::string aBody,
              milliseconds aTimeout,
-             std::function<void(BufferedResponse)> aDone)
+             std::function<void(BufferedResponse)> aDone,
+             std::optional<milliseconds> aSendBefore)
 {
   OutgoingCall call;
   call.m_head.append(aMethod).append(" ").append(aTarget).append(
@@ -248,6 +249,7 @@
   // Nothing in these responses names their request. What is read or stored can
   // be checked or repeated, an order can't.
   call.m_isLast = aMethod == "POST";
+  call.m_sendBefore = aSendBefore;
   std::make_shared<BufferedCall>(aLoop, aPool, aAddress, std::move(aDone))
     ->Begin(std::move(call), aTimeout);
 }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -162,6 +162,10 @@
     Fail("closed, or bytes received, before the request was sent");
     return;
   }
+  if (m_call.m_sendBefore && BootTime() >= *m_call.m_sendBefore) {
+    Fail("expired before the request was sent");
+    return;
+  }
   m_writing = true;
   m_sentAny = true;
   const std::array<boost::asio::const_buffer, 2> buffers = {
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -33,6 +33,8 @@
   std::string_view m_echoName;
   std::string m_echo;
   bool m_isLast = false; // the connection is closed after its response
+  // The call fails unsent if writing it would start later, by BootTime.
+  std::optional<std::chrono::milliseconds> m_sendBefore;
 };
 
 // What ties a response, or the lack of one, to the present call.
@@ -219,7 +221,8 @@
 
 // Sends one request and buffers the response. Fails after aTimeout, or later
 // while data is still arriving. A POST gets a connection of its own, so that no
-// response to an earlier call is taken for its.
+// response to an earlier call is taken for its. aSendBefore: as in
+// OutgoingCall.
 void
 CallBuffered(Loop& aLoop,
              const std::shared_ptr<ConnectionPool>& aPool,
@@ -228,6 +231,7 @@
              std::string_view aTarget,
              std::string aBody,
              std::chrono::milliseconds aTimeout,
-             std::function<void(BufferedResponse)> aDone);
+             std::function<void(BufferedResponse)> aDone,
+             std::optional<std::chrono::milliseconds> aSendBefore = {});
 
 } // namespace siskindeal
--- a/src/stager/stager.cpp
+++ b/src/stager/stager.cpp
@@ -333,7 +333,8 @@
 Stager::CallRunner(std::string_view aMethod,
                    const std::string& aTarget,
                    std::string aBody,
-                   std::function<void(BufferedResponse)> aDone)
+                   std::function<void(BufferedResponse)> aDone,
+                   std::optional<milliseconds> aSendBefore)
 {
   CallBuffered(m_loop,
                m_pool,
@@ -342,7 +343,8 @@
                aTarget,
                std::move(aBody),
                kRunnerTimeout,
-               std::move(aDone));
+               std::move(aDone),
+               aSendBefore);
 }
 
 std::vector<StagerPeer>
--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -178,7 +178,7 @@
                            m_lastPollAt > m_load->m_since && !m_polling;
       if (drained || since >= m_load->m_drain) {
         EnterLoadStage(LoadStage::Verifying);
-        VerifyPiece(0);
+        ContinueVerifying();
       }
       break;
     }
@@ -197,7 +197,13 @@
 void
 Stager::BeginLoad()
 {
-  m_load = Load{ m_pieces, m_listText, LoadStage::Staged, {}, {}, false };
+  m_load = Load{ m_pieces,
+                 m_listText,
+                 PieceVerification(m_pieces.m_digests.size()),
+                 LoadStage::Staged,
+                 {},
+                 {},
+                 false };
   EnterLoadStage(LoadStage::Staged);
 }
 
@@ -239,12 +245,30 @@
 }
 
 void
-Stager::VerifyPiece(std::size_t aPiece)
+Stager::ContinueVerifying()
 {
-  if (aPiece >= m_load->m_pieces.m_digests.size()) {
-    SendLoadOrder();
+  const milliseconds now = BootTime();
+  PieceVerification& verification = m_load->m_verification;
+  if (verification.IsTooSlow()) {
+    Log(LogLevel::Warning,
+        "staged pieces are read too slowly to be loaded",
+        { { "version", m_load->m_pieces.m_version },
+          { "reads", verification.Reads() } });
+    CountMetric("siskindeal_stager_slow_verifications_total");
+    EndLoad();
     return;
   }
+  while (const auto piece = verification.StartNext(now)) {
+    VerifyPiece(*piece);
+  }
+  if (verification.IsComplete(now)) {
+    SendLoadOrder();
+  }
+}
+
+void
+Stager::VerifyPiece(std::size_t aPiece)
+{
   CallRunner("GET",
              dialect::StageGetPath(m_model, aPiece),
              {},
@@ -261,7 +285,8 @@
   const PieceList& list = m_load->m_pieces;
   if (aAnswer.m_status == 200 &&
       Sha256Hex(aAnswer.m_body) == list.m_digests[aPiece]) {
-    VerifyPiece(aPiece + 1);
+    m_load->m_verification.RecordIntact(aPiece);
+    ContinueVerifying();
     return;
   }
   // If this version is still the target, the piece is fetched and loaded again.
@@ -274,6 +299,12 @@
 void
 Stager::SendLoadOrder()
 {
+  const milliseconds expiresAt = m_load->m_verification.ExpiresAt();
+  Log(LogLevel::Info,
+      "staged pieces verified",
+      { { "version", m_load->m_pieces.m_version },
+        { "reads", m_load->m_verification.Reads() },
+        { "order_within_ms", (expiresAt - BootTime()).count() } });
   EnterLoadStage(LoadStage::Loading);
   CallRunner(
     "POST",
@@ -284,7 +315,8 @@
                              m_requestsRepeatable
                                ? dialect::RunningWork::Cut
                                : dialect::RunningWork::Finish),
-    [this](const BufferedResponse& aAnswer) { OnLoadOrderReply(aAnswer); });
+    [this](const BufferedResponse& aAnswer) { OnLoadOrderReply(aAnswer); },
+    expiresAt);
 }
 
 void
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -10,6 +10,7 @@
 #include "stager/fetch_plan_p.h"
 #include "stager/fetch_target_p.h"
 #include "stager/load_turn_p.h"
+#include "stager/piece_verification_p.h"
 #include "stager/store_fallback_p.h"
 #include "weights/link_shaper_p.h"
 
@@ -67,6 +68,7 @@
   {
     PieceList m_pieces;
     std::string m_listText;
+    PieceVerification m_verification;
     LoadStage m_stage = LoadStage::Staged;
     MonotonicTime m_since{};
     std::chrono::milliseconds m_drain{ 0 };
@@ -148,6 +150,8 @@
   void StoreBuffered();
   void BeginLoad();
   void EndLoad();
+  // Reads staged pieces back until the load may be ordered.
+  void ContinueVerifying();
   void VerifyPiece(std::size_t aPiece);
   void OnPieceVerified(std::size_t aPiece, const BufferedResponse& aAnswer);
   void DropPiece(std::size_t aPiece);
@@ -187,7 +191,8 @@
   void CallRunner(std::string_view aMethod,
                   const std::string& aTarget,
                   std::string aBody,
-                  std::function<void(BufferedResponse)> aDone);
+                  std::function<void(BufferedResponse)> aDone,
+                  std::optional<std::chrono::milliseconds> aSendBefore = {});
 
   StagerSettings m_settings;
   Address m_store;
--- a/tests/http_connection_test.cpp
+++ b/tests/http_connection_test.cpp
@@ -85,6 +85,41 @@
   EXPECT_TRUE(wasReset);
 }
 
+// Guards against an order that is sent after a pause, on what was known before.
+TEST(HttpConnection, CallThatExpiresBeforeItsConnectionIsOpenIsNotSent)
+{
+  for (const milliseconds left : { milliseconds(60000), milliseconds(-1) }) {
+    Loop loop;
+    std::atomic<int> requests = 0;
+    std::optional<CallFailure> failure;
+    {
+      const RawServer server([&](RawSocket& aSocket, int) {
+        requests += aSocket.ReadUntil("\r\n\r\n").empty() ? 0 : 1;
+        aSocket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      });
+      OutgoingCall call;
+      call.m_head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+      call.m_sendBefore = BootTime() + left;
+      const auto connection = std::make_shared<HttpConnection>(
+        loop, EndpointOf({ "127.0.0.1", server.Port() }));
+      connection->Begin(call, milliseconds(400), [&](const CallEvent& aEvent) {
+        if (const auto* failed = std::get_if<CallFailed>(&aEvent)) {
+          failure = failed->m_how;
+          loop.stop();
+        } else if (std::holds_alternative<ResponseEnd>(aEvent)) {
+          loop.stop();
+        }
+      });
+      loop.run_for(std::chrono::seconds(10));
+      connection->Abort();
+    }
+    const bool isInTime = left > milliseconds(0);
+    EXPECT_EQ(requests, isInTime ? 1 : 0);
+    EXPECT_EQ(failure,
+              isInTime ? std::nullopt : std::optional(CallFailure::NotSent));
+  }
+}
+
 TEST(HttpConnection, IdleConnectionIsClosedWithoutAReset)
 {
   Loop loop;
--- a/tests/stager_test.cpp
+++ b/tests/stager_test.cpp
@@ -218,6 +218,17 @@
   EXPECT_EQ(m_site.ListCount("versions"), 0U);
 }
 
+// Guards against a load that relies on pieces read back seconds ago, as after a
+// pause: a piece had become corrupt in the meantime.
+TEST_F(StagerTest, PieceThatBecomesCorruptAfterItsReadingIsNotLoaded)
+{
+  m_engines.m_corruptAfterRead = { 0 };
+  m_engines.m_slowReads = { 1, 2, 3, 4, 5 };
+  AddStager(0);
+  EXPECT_TRUE(AllServe(1));
+  EXPECT_TRUE(m_engines.AllLoadsIntact());
+}
+
 TEST_F(StagerTest, EmptyRunnersFetchWeightsFromPeers)
 {
   AddStager(1);
--- a/tests/support/engine_site.cpp
+++ b/tests/support/engine_site.cpp
@@ -198,10 +198,7 @@
     MaybeCorruptStaged(aRunner);
     aConnection->SendResponse(200, {}, {}, "");
   } else if (request.m_target.find("/stage-get/") != std::string::npos) {
-    const auto found = aRunner.m_staged.find(piece);
-    const bool staged = found != aRunner.m_staged.end();
-    aConnection->SendResponse(
-      staged ? 200 : 404, {}, {}, staged ? found->second : std::string());
+    SendStaged(aRunner, piece, aConnection);
   } else if (request.m_target.find("/order") != std::string::npos) {
     HandleOrder(aRunner, aConnection);
   } else {
@@ -209,11 +206,43 @@
   }
 }
 
+bool
+EngineSite::IsStagedAtFirst(const Runner& aRunner) const
+{
+  return &aRunner == m_runners.front().get() &&
+         aRunner.m_staged.size() >= kEnginePieces;
+}
+
+void
+EngineSite::SendStaged(Runner& aRunner,
+                       std::size_t aPiece,
+                       const std::shared_ptr<ServerConnection>& aConnection)
+{
+  const auto found = aRunner.m_staged.find(aPiece);
+  if (found == aRunner.m_staged.end()) {
+    aConnection->SendResponse(404, {}, {}, "");
+    return;
+  }
+  const std::string bytes = found->second;
+  const bool hasFaults = IsStagedAtFirst(aRunner);
+  if (hasFaults && m_corruptAfterRead.erase(aPiece) > 0) {
+    found->second[0] = '!';
+  }
+  if (!hasFaults || m_slowReads.erase(aPiece) == 0) {
+    aConnection->SendResponse(200, {}, {}, bytes);
+    return;
+  }
+  const auto timer = std::make_shared<Timer>(m_site.m_loop);
+  timer->expires_after(kSlowRead);
+  timer->async_wait([timer, aConnection, bytes](const NetError&) {
+    aConnection->SendResponse(200, {}, {}, bytes);
+  });
+}
+
 void
 EngineSite::MaybeCorruptStaged(Runner& aRunner)
 {
-  if (&aRunner != m_runners.front().get() ||
-      aRunner.m_staged.size() < kEnginePieces) {
+  if (!IsStagedAtFirst(aRunner)) {
     return;
   }
   for (const std::size_t piece : std::exchange(m_corruptWhenStaged, {})) {
--- a/tests/support/engine_site.h
+++ b/tests/support/engine_site.h
@@ -59,6 +59,11 @@
   std::uint64_t m_withheldVersion = 0;
   // Pieces corrupted once at runner 0, when it has all of them.
   std::set<std::size_t> m_corruptWhenStaged;
+  // Pieces corrupted once at runner 0, as soon as they are read back.
+  std::set<std::size_t> m_corruptAfterRead;
+  // Pieces that runner 0 once reads back kSlowRead late, when it has all.
+  std::set<std::size_t> m_slowReads;
+  static constexpr std::chrono::milliseconds kSlowRead{ 700 };
 
 private:
   struct Runner
@@ -77,6 +82,11 @@
   void HandleOrder(Runner& aRunner,
                    const std::shared_ptr<ServerConnection>& aConnection);
   void MaybeCorruptStaged(Runner& aRunner);
+  void SendStaged(Runner& aRunner,
+                  std::size_t aPiece,
+                  const std::shared_ptr<ServerConnection>& aConnection);
+  // Whether the faults of runner 0's staging area apply.
+  bool IsStagedAtFirst(const Runner& aRunner) const;
   nlohmann::json ModelsJson(const Runner& aRunner) const;
 
   // Copies aValue on the stand-in's thread.
