Gateways: what crashes runners outlasts all gateways, in the platform's store

What is known of parts and requests that crash runners was kept by the gateways alone and told from one to the other.

The gateways that read the store for their regions write changes, after one list and under the revision that it had; each gateway reads it once at its start, before it takes callers, but waits for it no longer than 1 s after its first configuration.

Ruled out: that the started gateways fail to tell each other (none knows anything). Open: one request still crashes three runners while its first crash is being probed.

--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -111,6 +111,10 @@
     Refuse(kServiceUnavailable, "evacuations not loaded yet", kShortRetryAfter);
     return false;
   }
+  if (!m_gateway.KnowsSuspicions()) {
+    Refuse(kServiceUnavailable, "suspicions not loaded yet", kShortRetryAfter);
+    return false;
+  }
   if (m_gateway.ConfigIsSuperseded()) {
     Refuse(
       kServiceUnavailable, "configuration is superseded", kShortRetryAfter);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -81,6 +81,12 @@
              aSettings.m_gateway.m_regions,
              StableHash(NewId()))
   , m_retries(AllowanceOf(aSettings.m_gateway), LoopNow())
+  , m_suspicionStore(m_loop,
+                     m_pool,
+                     m_store,
+                     aSettings.m_platform.m_timeout,
+                     m_suspicions,
+                     m_random)
   , m_peers(aSettings.m_node.m_vm,
             RegionOf(aSettings.m_gateway.m_regions, aSettings.m_node.m_place))
   , m_region(RegionOf(aSettings.m_gateway.m_regions, aSettings.m_node.m_place))
@@ -246,6 +252,7 @@
   }
   m_versionFeed->RecordAlive();
   m_runnerOutage.RecordAlive(BootTime());
+  m_suspicionStore.Tick(aNow, m_readsStore);
   RecordRestarts();
   const auto exchanges = m_exchanges;
   for (const auto& exchange : exchanges) {
@@ -297,7 +304,16 @@
 Gateway::AcceptsCallers() const
 {
   return m_routes && m_haveRunnerList && KnowsGatewayCount() &&
-         KnowsEvacuations() && !m_drainingSince;
+         KnowsEvacuations() && KnowsSuspicions() && !m_drainingSince;
+}
+
+bool
+Gateway::KnowsSuspicions() const
+{
+  // What the other gateways know arrives by datagram in the meantime.
+  constexpr milliseconds kMaxWait{ 1000 };
+  return m_suspicionStore.IsRead() ||
+         (m_firstConfigAt && LoopNow() - *m_firstConfigAt > kMaxWait);
 }
 
 bool
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -61,6 +61,10 @@
     listener->m_limits = aConfig.m_limits;
   }
   LogUnknownHomes(aConfig);
+  if (!m_routes) {
+    m_firstConfigAt = LoopNow();
+    m_suspicionStore.ReadSoon();
+  }
   m_routes = std::make_shared<const RouteIndex>(std::move(aConfig));
   std::set<std::string> routes;
   for (const Route& route : m_routes->Config().m_routes) {
@@ -157,6 +161,7 @@
   }
   // Runners write their entries again.
   m_runners.RecordListFailure(LoopNow());
+  m_suspicionStore.RecordNewEra();
   for (const auto& feed : SharedFeeds()) {
     feed->ObserveEra(aEra);
   }
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -18,6 +18,7 @@
 #include "gateway/peers_p.h"
 #include "gateway/recent_deliveries_p.h"
 #include "gateway/route_index_p.h"
+#include "gateway/suspicion_store_p.h"
 #include "net/datagrams_p.h"
 #include "net/http_server_p.h"
 #include "net/tick_delay_p.h"
@@ -104,6 +105,9 @@
   bool ConfigIsSuperseded() const;
   // Whether it is known which places are evacuated, if they can be at all.
   bool KnowsEvacuations() const;
+  // Whether what crashes runners has been read from the store, or has not come
+  // within the time that callers are kept waiting for it.
+  bool KnowsSuspicions() const;
   // Whether the costs of a service's requests are learned: its routes have
   // different priorities.
   bool LearnsCosts(const std::string& aService) const;
@@ -361,6 +365,8 @@
   RouteDurations m_durations;
   SuspicionExchange m_suspicions;
   CrashWatch m_crashes{ m_loop, m_suspicions };
+  SuspicionStore m_suspicionStore;
+  std::optional<MonotonicTime> m_firstConfigAt;
   // The last report of a stager in this region.
   struct ReceivedRunnerReport
   {
--- a/src/gateway/suspicion_exchange.cpp
+++ b/src/gateway/suspicion_exchange.cpp
@@ -225,6 +225,45 @@
   m_parts.Merge(aSuspicion, aNow);
 }
 
+SuspicionRecord
+SuspicionExchange::RecordToStore(MonotonicTime aNow) const
+{
+  SuspicionRecord record;
+  std::set<PromptPart> parts = m_suspectedParts;
+  parts.insert(m_storedParts.begin(), m_storedParts.end());
+  for (const PromptPart part : parts) {
+    if (m_parts.CrashCount(part) > 0 &&
+        record.m_parts.size() < kMaxRecordedParts) {
+      record.m_parts.push_back(m_parts.Export(part, aNow));
+    }
+  }
+  for (const std::uint64_t fingerprint : m_quarantined) {
+    const auto suspicion = m_requests.Find(fingerprint);
+    if (suspicion && record.m_requests.size() < kMaxRecordedRequests) {
+      record.m_requests.push_back(*suspicion);
+    }
+  }
+  return record;
+}
+
+void
+SuspicionExchange::MergeStored(const SuspicionRecord& aRecord,
+                               MonotonicTime aNow)
+{
+  m_storedParts.clear();
+  for (const v1::PartSuspicion& part : aRecord.m_parts) {
+    if (part.crashes_size() > 0) {
+      m_storedParts.insert(part.part());
+      m_parts.Merge(part, aNow);
+    }
+  }
+  for (const wire::Suspicion& request : aRecord.m_requests) {
+    m_requests.Merge(request);
+  }
+  UpdateQuarantined(aNow);
+  UpdateSuspectedParts();
+}
+
 void
 SuspicionExchange::UpdateQuarantined(MonotonicTime aNow)
 {
--- a/src/gateway/suspicion_exchange_p.h
+++ b/src/gateway/suspicion_exchange_p.h
@@ -4,6 +4,7 @@
 // advertised. Does no I/O; the caller passes the time.
 
 #include "gateway/advertising_turns_p.h"
+#include "gateway/suspicion_record_p.h"
 #include "quarantine/prompt_part_table_p.h"
 #include "siskindeal/clock.h"
 #include "siskindeal/quarantine.h"
@@ -67,6 +68,11 @@
   void Merge(const wire::Suspicion& aSuspicion);
   void Merge(const v1::PartSuspicion& aSuspicion, MonotonicTime aNow);
 
+  // What is suspected, as of the last call of SuspicionsToAdvertise and
+  // PartsToAdvertise, and what was stored and hasn't been cleared since.
+  SuspicionRecord RecordToStore(MonotonicTime aNow) const;
+  void MergeStored(const SuspicionRecord& aRecord, MonotonicTime aNow);
+
   // Returns nullopt for a request that was in flight at no known crash.
   std::optional<SuspicionListing> ListingOf(std::uint64_t aFingerprint) const
   {
@@ -113,6 +119,8 @@
   std::set<PromptPart> m_suspectedParts; // when last advertised
   std::uint64_t m_partsNumber = 0;       // the table's, when last advertised
   AdvertisingTurns m_partTurns{ kAdvertisePeriod, kMaxPartsAdvertised };
+
+  std::set<PromptPart> m_storedParts; // by any gateway, when last merged
 };
 
 } // namespace siskindeal
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -49,6 +49,13 @@
     return socket.ReadAll();
   }
 
+  // The number of parts or requests in the store.
+  std::size_t StoredSuspicions(const std::string& aList)
+  {
+    const nlohmann::json spec = m_site.SpecOf("suspicions", "main");
+    return spec.is_object() ? spec.at(aList).size() : 0;
+  }
+
   // Whether the gateway has noticed every crash of this test.
   bool AllCrashesRecorded() const
   {
@@ -226,6 +233,66 @@
   EXPECT_GE(refused, kRequests - kMaxCrashes);
 }
 
+// Guards against a part of prompts that crashes more runners after all gateways
+// were killed: what they had found was lost with them.
+TEST_F(CrashingRunnersTest, SuspicionsOutlastAllGateways)
+{
+  constexpr int kRunners = 24;
+  AddRunners(kRunners);
+  StartAndAwaitReady();
+  const std::string poison = Request("GET", "/get/poison");
+  (void)SendRequest(poison);
+  ASSERT_TRUE(Eventually([&] { return StoredSuspicions("requests") > 0; }));
+  bool isRefused = false;
+  for (int i = 0; i < kRunners / 2 && !isRefused; ++i) {
+    const std::string answer = SendRequest(Request(
+      "GET", "/get/poison" + std::to_string(i), PromptField("dead", i)));
+    isRefused = answer.find(" 503 ") != std::string::npos;
+    ASSERT_TRUE(Eventually([&] { return AllCrashesRecorded(); }));
+    (void)SendRequest(
+      Request("GET", "/get/" + std::to_string(i), PromptField("b0", i)));
+    std::this_thread::sleep_for(PromptPartTable::kEpisode);
+  }
+  ASSERT_TRUE(isRefused);
+  ASSERT_TRUE(Eventually([&] { return StoredSuspicions("parts") > 0; }));
+  const int crashes = m_crashes;
+  TearDown();
+  StartAndAwaitReady();
+  for (int i = 0; i < 3; ++i) {
+    const std::string path = "/get/poison" + std::to_string(kRunners + i);
+    EXPECT_NE(
+      SendRequest(Request("GET", path, PromptField("dead", i))).find(" 503 "),
+      std::string::npos);
+    EXPECT_NE(SendRequest(poison).find(" 503 "), std::string::npos);
+    EXPECT_NE(
+      SendRequest(Request("GET", "/get/a", PromptField("b0", i))).find(" 200 "),
+      std::string::npos);
+  }
+  EXPECT_EQ(m_crashes, crashes);
+}
+
+TEST_F(CrashingRunnersTest, SilentStoreKeepsNoGatewayFromServing)
+{
+  AddRunners(1);
+  m_site.SilenceKind("suspicions");
+  StartAndAwaitReady();
+  EXPECT_NE(SendRequest(Request("GET", "/get/a")).find(" 200 "),
+            std::string::npos);
+}
+
+TEST_F(CrashingRunnersTest, StoreThatGoesBackGetsTheSuspicionsAgain)
+{
+  constexpr int kRunners = 4;
+  AddRunners(kRunners);
+  StartAndAwaitReady();
+  const SiteStandIn::Copy copy = m_site.TakeCopy();
+  (void)SendRequest(Request("GET", "/get/poison"));
+  ASSERT_TRUE(Eventually([&] { return StoredSuspicions("requests") > 0; }));
+  m_site.GoAway();
+  m_site.ComeBack(copy, {});
+  EXPECT_TRUE(Eventually([&] { return StoredSuspicions("requests") > 0; }));
+}
+
 // Accepts one connection and listens no more, like a runner that crashes in the
 // middle of a response without a length.
 class CrashingStreamServer
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -175,6 +175,19 @@
   return found;
 }
 
+json
+SiteStandIn::SpecOf(const std::string& aKind, const std::string& aName)
+{
+  json spec;
+  RunOnLoop([&] {
+    const auto found = m_objects[aKind].find(aName);
+    if (found != m_objects[aKind].end()) {
+      spec = found->second.m_spec;
+    }
+  });
+  return spec;
+}
+
 SiteStandIn::Copy
 SiteStandIn::TakeCopy()
 {
@@ -400,6 +413,12 @@
     Respond(aConnection, 409, "{}");
     return;
   }
+  const json& metadata = body.at("metadata");
+  if (!creates && metadata.contains("rev") &&
+      metadata.at("rev") != m_objects[aKind][aName].m_revision) {
+    Respond(aConnection, 409, "{}");
+    return;
+  }
   ApplyChange(aKind, aName, &body.at("spec"));
   Respond(aConnection, 200, "{}");
 }
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -62,6 +62,8 @@
   // whatever kind it was. Returns false on timeout.
   bool AwaitCaughtUp(const std::string& aKind);
   bool Has(const std::string& aKind, const std::string& aName);
+  // Returns null if there is no such object.
+  nlohmann::json SpecOf(const std::string& aKind, const std::string& aName);
   // Returns how often a kind was listed.
   std::size_t ListCount(const std::string& aKind);
   // Returns how many copies of a kind's objects were sent.
