Placement: cold runners get what they tolerate, divided among the gateways

Nothing read how long a runner is cold and what it tolerates, so placement took a cold runner for an idle one, at each gateway by itself.

ColdRunners keeps which runners are cold: by their entries, new starts that state nothing, places that return, and crashes. What one tolerates is divided among a few gateways of its region as a limit that a runner names. Gateways that were lost or cut off keep their rank for 30 s, so that no two sides of a partition use the whole. Enabled where the service names cold_per_s.

Ruled out: that waiting requests flood a place that returns (nothing waits).

--- a/include/siskindeal/site.h
+++ b/include/siskindeal/site.h
@@ -76,6 +76,10 @@
   std::optional<EngineProfile> m_engine;
   std::optional<Address> m_origin; // source of weights
   std::string m_place;             // of the origin; empty: unknown
+
+  // Requests a second that a cold runner tolerates; 0: as many as others.
+  double m_coldPerSecond = 0;
+  std::chrono::milliseconds m_coldStart{ 0 }; // for which a start is cold
 };
 
 struct SiteTeam
@@ -147,6 +151,8 @@
   std::uint32_t m_slots = 0; // 0: unknown
   bool m_draining = false;
   std::map<std::string, std::uint64_t> m_versions; // weights, by model
+  // How much longer it is cold, when the record was written.
+  std::optional<std::chrono::milliseconds> m_coldFor;
 
   RunnerIncarnation Incarnation() const { return { m_id, m_created, m_born }; }
   bool operator==(const RunnerRecord&) const = default;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -235,7 +235,8 @@
              std::max(kMinRetryAfter, aNotices.RetryAfter(aWaiting, aNow)) +
                jitter };
   }
-  milliseconds delay = aLimits.RetryAfter(aLimited);
+  milliseconds delay =
+    std::min(aLimits.RetryAfter(aLimited), m_cold.RetryAfter(aLimited));
   if (!aWaiting.empty()) {
     delay = std::min(delay, aNotices.RetryAfter(aWaiting, aNow));
   }
@@ -316,7 +317,8 @@
     if (aTried.contains(incarnation)) {
       continue;
     }
-    if (!aLimits.Allows(incarnation, aNow)) {
+    if (!aLimits.Allows(incarnation, aNow) ||
+        !m_cold.Allows(incarnation, aNow)) {
       limited.push_back(incarnation);
       continue;
     }
--- a/src/dispatch/placement_p.h
+++ b/src/dispatch/placement_p.h
@@ -2,6 +2,7 @@
 // Chooses the runner for a request by the predicted time to its first byte, or
 // refuses the request. Does no I/O; the caller passes time and random seed.
 
+#include "dispatch/cold_runners_p.h"
 #include "dispatch/request_shape_p.h"
 #include "dispatch/runner_limits_p.h"
 #include "dispatch/runner_notices_p.h"
@@ -64,7 +65,8 @@
 
   // Chooses among the runners of the request's service, except those outside
   // its home regions, those of evacuated places, those in aTried, those whose
-  // limit is used up, and those that leave or want no requests.
+  // limit is used up, be it since they are cold, and those that leave or want
+  // no requests.
   Decision Place(const RequestShape& aShape,
                  const ServiceRecord& aService,
                  RunnerTable& aRunners,
@@ -97,6 +99,8 @@
     m_evacuatedPlaces = std::move(aPlaces);
   }
 
+  ColdRunners& Cold() { return m_cold; }
+
 private:
   // Why a runner must not get the request, by its place.
   Exclusion ExclusionOf(const RequestShape& aShape,
@@ -161,6 +165,7 @@
   std::map<std::string, std::chrono::milliseconds> m_linkDelays; // by region
   std::map<std::string, Arrivals> m_arrivals;                    // by service
   std::set<std::string> m_evacuatedPlaces;
+  ColdRunners m_cold;
   Random m_random;
 };
 
--- a/src/dispatch/runner_limits.cpp
+++ b/src/dispatch/runner_limits.cpp
@@ -43,7 +43,8 @@
                   MonotonicTime aNow)
 {
   Known& known = m_limits[aRunner];
-  if (known.m_limit.m_perSecond != aLimit.m_perSecond) {
+  if (m_reason == LimitReason::Stated &&
+      known.m_limit.m_perSecond != aLimit.m_perSecond) {
     Log(LogLevel::Warning,
         "runner limit changed",
         { { "runner", aRunner.m_id },
--- a/src/dispatch/runner_limits_p.h
+++ b/src/dispatch/runner_limits_p.h
@@ -22,11 +22,22 @@
   MonotonicTime m_since{};           // when it first named any limit
 };
 
+enum class LimitReason
+{
+  Stated, // by the runner
+  Cold,   // it started or returned lately
+};
+
 // A limit is divided among a few gateways, its holders; the others send the
 // runner nothing. Every gateway is a holder where the limit is large.
 class RunnerLimits
 {
 public:
+  explicit RunnerLimits(LimitReason aReason = LimitReason::Stated)
+    : m_reason(aReason)
+  {
+  }
+
   // This gateway's position among those that serve callers, in an order that
   // all gateways agree on for one runner.
   struct Position
@@ -93,6 +104,7 @@
   static Share BeginShare(const RunnerLimit& aLimit, MonotonicTime aNow);
   static double TokensAt(const Share& aShare, MonotonicTime aNow);
 
+  LimitReason m_reason;
   std::map<RunnerIncarnation, Known> m_limits;
   std::map<RunnerIncarnation, Share> m_shares;
   std::optional<RunnerIncarnation> m_lastAdvertised;
--- a/src/dispatch/runner_table.cpp
+++ b/src/dispatch/runner_table.cpp
@@ -120,6 +120,7 @@
     restarted.m_record = aState.m_record;
     restarted.m_record.m_born = aBorn;
     restarted.m_record.m_versions.clear();
+    restarted.m_record.m_coldFor.reset();
     restarted.m_missingSince = aState.m_missingSince;
     aState = std::move(restarted);
   }
--- a/src/gateway/caller_exchange.cpp
+++ b/src/gateway/caller_exchange.cpp
@@ -352,6 +352,7 @@
   m_latest->m_sentAt = m_latest->m_lastProgress = now;
   m_triedRunners.insert(m_latest->m_runner);
   m_gateway.Limits().RecordSend(m_latest->m_runner, now);
+  m_gateway.RequestPlacer().Cold().RecordSend(m_latest->m_runner, now);
   LogIfSuspect();
   if (m_gateway.Suspicions().IsQuarantined(m_traits.m_fingerprint)) {
     m_gateway.Suspicions().RecordRequestTrial(m_traits.m_fingerprint, now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -265,6 +265,7 @@
   ApplyPeerLoads();
   if (m_ticks % kTicksPerHeartbeat == 0) {
     UpdateLimits();
+    UpdateColdRunners();
     UpdateNotices();
     UpdateAdmission();
     UpdateConfigSources();
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -71,6 +71,7 @@
     routes.insert(route.m_name);
   }
   m_durations.Retain(routes);
+  UpdateColdRunners();
   return true;
 }
 
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -123,6 +123,7 @@
     RunnerState* runner = m_runners.Find(runnerReport.runner());
     if (runner != nullptr &&
         m_runners.RecordStart(*runner, runnerReport.born())) {
+      ObserveCold(runner->m_record);
       ApplyRunnerReport(*runner, runnerReport);
     }
   }
@@ -170,6 +171,7 @@
       !m_runners.RecordStart(*runner, aNotice.born())) {
     return;
   }
+  ObserveCold(runner->m_record);
   v1::RunnerReport report;
   report.set_runner(runner->m_record.m_id);
   report.set_loading(aNotice.turn() == v1::TURN_LOADING);
--- a/src/gateway/gateway_evacuations.cpp
+++ b/src/gateway/gateway_evacuations.cpp
@@ -20,16 +20,16 @@
 constexpr FeedTiming kEvacuationFeedTiming{ milliseconds(1000),
                                             milliseconds(100) };
 
-std::string
+std::set<std::string>
 Difference(const std::set<std::string>& aOf, const std::set<std::string>& aFrom)
 {
-  std::vector<std::string> places;
+  std::set<std::string> places;
   std::set_difference(aOf.begin(),
                       aOf.end(),
                       aFrom.begin(),
                       aFrom.end(),
-                      std::back_inserter(places));
-  return absl::StrJoin(places, ",");
+                      std::inserter(places, places.end()));
+  return places;
 }
 
 } // namespace
@@ -135,14 +135,15 @@
   const std::set<std::string> places = m_evacuations.Places();
   const StorePosition& position = m_evacuations.Known()->m_position;
   m_placer.SetEvacuatedPlaces(places);
+  RecordReturnedPlaces(Difference(aFormer, places));
   SetMetric("siskindeal_gateway_evacuated_places",
             static_cast<double>(places.size()));
   Log(LogLevel::Info,
       "evacuations changed",
       { { "source", aSource },
         { "evacuated", absl::StrJoin(places, ",") },
-        { "begun", Difference(places, aFormer) },
-        { "ended", Difference(aFormer, places) },
+        { "begun", absl::StrJoin(Difference(places, aFormer), ",") },
+        { "ended", absl::StrJoin(Difference(aFormer, places), ",") },
         { "era", position.m_era },
         { "revision", position.m_revision },
         { "runners_excluded", RunnersIn(places) } });
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -280,6 +280,13 @@
   void MergeLimits(
     const google::protobuf::RepeatedPtrField<v1::RunnerLimitReport>& aLimits);
   void UpdateLimits();
+  // Null if the configuration doesn't have the service.
+  const ServiceRecord* ServiceOf(const RunnerRecord& aRunner) const;
+  // Records whether a runner is cold, before any request is placed by what has
+  // changed of it.
+  void ObserveCold(const RunnerRecord& aRunner);
+  void RecordReturnedPlaces(const std::set<std::string>& aPlaces);
+  void UpdateColdRunners();
   std::vector<v1::RunnerLeavingReport> LeavingToAdvertise();
   void MergeLeaving(
     const google::protobuf::RepeatedPtrField<v1::RunnerLeavingReport>&
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -41,6 +41,7 @@
     m_runners.Withdraw(aObject.m_name);
   } else if (m_runnerList.Put(*runner, revision)) {
     m_runners.Put(*runner);
+    ObserveCold(*runner);
   }
 }
 
@@ -54,6 +55,7 @@
   m_runnerList.Replace(
     runners, { StableHash(NewId()), position.m_revision, position.m_era });
   m_runners.Replace(runners, LoopNow());
+  UpdateColdRunners();
   std::set<std::string> usable;
   for (const RunnerRecord& runner : runners) {
     usable.insert(runner.m_id);
@@ -128,11 +130,13 @@
     m_haveRunnerList = true;
     m_runnerList.Replace(aDelta.m_runners, aMark);
     m_runners.Replace(aDelta.m_runners, now);
+    UpdateColdRunners();
     return;
   }
   for (const RunnerRecord& runner : aDelta.m_runners) {
     if (m_runnerList.Put(runner, aMark.m_revision)) {
       m_runners.Put(runner);
+      ObserveCold(runner);
     }
   }
   for (const std::string& id : aDelta.m_removed) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -204,6 +204,35 @@
     }));
 }
 
+RunnerLimits::Position
+GatewayPeers::PositionIn(const std::string& aRegion,
+                         std::uint64_t aKey,
+                         MonotonicTime aNow) const
+{
+  // A gateway that was cut off may go on sending for as long.
+  constexpr std::chrono::seconds kRecent{ 30 };
+  const std::uint64_t own = StableHash(m_ownVm, aKey);
+  RunnerLimits::Position position{ 0, 0 };
+  for (const auto& [vm, peer] : m_peers) {
+    if (peer.m_region != aRegion) {
+      continue;
+    }
+    ++position.m_gateways;
+    if (peer.m_serving && aNow - peer.m_lastSeen < kRecent &&
+        StableHash(vm, aKey) > own) {
+      ++position.m_rank;
+    }
+  }
+  if (aRegion == m_ownRegion) {
+    ++position.m_gateways;
+    return position;
+  }
+  if (position.m_gateways > 0) {
+    return { position.m_gateways, position.m_gateways }; // left to these
+  }
+  return { RankFor(aKey, aNow), Count() };
+}
+
 std::vector<std::string>
 GatewayPeers::RankedGateways(const std::string& aRegion,
                              MonotonicTime aNow) const
--- a/src/gateway/peers_p.h
+++ b/src/gateway/peers_p.h
@@ -3,6 +3,7 @@
 // that they cause. Does no I/O; the caller passes the time.
 
 #include "datagram.pb.h"
+#include "dispatch/runner_limits_p.h"
 #include "dispatch/runner_table_p.h"
 #include "gateway/config_sources_p.h"
 #include "gateway/directory_p.h"
@@ -78,6 +79,13 @@
   // that all gateways agree on for aKey. Each key has an order of its own.
   std::size_t RankFor(std::uint64_t aKey, MonotonicTime aNow) const;
 
+  // The position of this gateway among those of a region that serve callers or
+  // did lately, or among all if none is known there. The number of gateways
+  // includes those that were lost or cut off, which may still use their shares.
+  RunnerLimits::Position PositionIn(const std::string& aRegion,
+                                    std::uint64_t aKey,
+                                    MonotonicTime aNow) const;
+
   // What the live gateways know of the configuration.
   std::vector<ConfigHolder> ConfigHolders(MonotonicTime aNow) const;
 
--- a/src/site/config_relay.cpp
+++ b/src/site/config_relay.cpp
@@ -94,6 +94,9 @@
     entry.set_place(runner.m_place);
     entry.set_slots(runner.m_slots);
     entry.set_draining(runner.m_draining);
+    if (runner.m_coldFor) {
+      entry.set_cold_ms(static_cast<std::uint32_t>(runner.m_coldFor->count()));
+    }
     for (const auto& [model, version] : runner.m_versions) {
       (*entry.mutable_versions())[model] = version;
     }
@@ -119,6 +122,9 @@
     runner.m_place = entry.place();
     runner.m_slots = entry.slots();
     runner.m_draining = entry.draining();
+    if (entry.has_cold_ms()) {
+      runner.m_coldFor = milliseconds(entry.cold_ms());
+    }
     for (const auto& [model, version] : entry.versions()) {
       runner.m_versions[model] = version;
     }
--- a/tests/gateway_places_test.cpp
+++ b/tests/gateway_places_test.cpp
@@ -19,18 +19,45 @@
   }
 
   // Adds a runner that answers everything.
-  void AddRunner(const std::string& aId, const std::string& aPlace)
+  void AddRunner(const std::string& aId,
+                 const std::string& aPlace,
+                 nlohmann::json aExtraFields = nlohmann::json::object())
   {
-    m_site.AddRunner(aId,
-                     "get",
-                     [this, aPlace](const auto& aConnection) {
-                       const std::lock_guard lock(m_mutex);
-                       ++m_arrivals[aPlace];
-                       Answer(aConnection);
-                     },
-                     { { "zone", aPlace } });
+    aExtraFields["zone"] = aPlace;
+    m_site.AddRunner(
+      aId,
+      "get",
+      [this, aPlace](const auto& aConnection) {
+        const std::lock_guard lock(m_mutex);
+        ++m_arrivals[aPlace];
+        Answer(aConnection);
+      },
+      aExtraFields);
   }
 
+  // Has cold runners take almost nothing for longer than a test lasts.
+  void LimitColdRunners()
+  {
+    nlohmann::json config = ConfigJson(2);
+    for (nlohmann::json& service : config["services"]) {
+      service["cold_per_s"] = 0.02;
+      service["cold_start_s"] = 600;
+    }
+    m_site.Put("config", "main", config);
+  }
+
+  // Sends kRequests and returns how many arrived at the runners of a place.
+  int SendMany(const std::string& aPlace)
+  {
+    const int before = Arrivals(aPlace);
+    for (int i = 0; i < kRequests; ++i) {
+      EXPECT_TRUE(IsServed());
+    }
+    return Arrivals(aPlace) - before;
+  }
+
+  static constexpr int kRequests = 40;
+
   void StartWithRunners(std::size_t aRunners)
   {
     StartAndAwaitReady();
@@ -104,6 +131,45 @@
   EXPECT_EQ(Arrivals("far"), 5);
 }
 
+// Guards against cold runners that get all requests at once, as they are idle.
+TEST_F(GatewayPlacesTest, ColdRunnerGetsFewRequests)
+{
+  LimitColdRunners();
+  AddRunner("i-1", "here", { { "cold_remaining_ms", 600000 } });
+  AddRunner("i-2", "far", { { "cold_remaining_ms", 0 } });
+  StartWithRunners(2);
+  EXPECT_LE(SendMany("here"), kRequests / 4);
+}
+
+TEST_F(GatewayPlacesTest, RunnersOfAReturnedPlaceGetFewRequests)
+{
+  LimitColdRunners();
+  AddRunner("i-1", "here", { { "cold_remaining_ms", 0 } });
+  AddRunner("i-2", "far", { { "cold_remaining_ms", 0 } });
+  StartWithRunners(2);
+  EXPECT_EQ(SendMany("here"), kRequests);
+  m_site.Put("evacuations", "here", nlohmann::json::object());
+  ASSERT_TRUE(m_site.AwaitWatched("evacuations"));
+  EXPECT_EQ(SendMany("here"), 0);
+  m_site.Remove("evacuations", "here");
+  ASSERT_TRUE(m_site.AwaitWatched("evacuations"));
+  EXPECT_LE(SendMany("here"), kRequests / 4);
+}
+
+TEST_F(GatewayPlacesTest, RunnerThatBecomesColdAgainGetsFewRequests)
+{
+  LimitColdRunners();
+  AddRunner("i-1", "here", { { "cold_remaining_ms", 0 } });
+  AddRunner("i-2", "far", { { "cold_remaining_ms", 0 } });
+  StartWithRunners(2);
+  EXPECT_EQ(SendMany("here"), kRequests);
+  nlohmann::json entry = m_site.SpecOf("servers", "i-1");
+  entry["cold_remaining_ms"] = 600000;
+  m_site.Put("servers", "i-1", entry);
+  ASSERT_TRUE(m_site.AwaitWatched("servers"));
+  EXPECT_LE(SendMany("here"), kRequests / 4);
+}
+
 // Malformed entries of other writers must not empty a place.
 TEST_F(GatewayPlacesTest, MalformedEvacuationsChangeNothing)
 {
