HTTP client: a response without a length isn't complete after a reset

A runner answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. The kernel reports a reset once: the pending write got it, HttpConnection dropped it since a read was pending, and the read then saw an orderly end.

Such a response now is complete only if no write of its request has failed, the peer's system has acknowledged the whole request, and the connection wasn't reset. Else the call fails as one that may have run.

Ruled out: that the read loses the error.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -83,6 +85,8 @@
   m_inCall = true;
   m_reusable = false;
   m_sentAny = false;
+  m_writeError.clear();
+  m_awaitsUpload = false;
   m_paused = false;
   m_evidence = { m_calls,
                  std::chrono::duration_cast<milliseconds>(
@@ -178,10 +182,17 @@
       // After an error the request stays unwritten, so that the connection
       // isn't reused if its response ends first.
       self->m_writing = static_cast<bool>(aError);
-      // A response may arrive before the body is written, so a write error
-      // fails the call only while no read is pending.
-      if (aError && self->m_inCall && !self->m_closed && !self->m_reading) {
-        self->Fail("write: " + aError.message());
+      if (!self->m_inCall || self->m_closed) {
+        return;
+      }
+      if (aError) {
+        self->m_writeError = aError.message();
+      }
+      if (self->m_awaitsUpload) {
+        self->OnEndOfStream();
+      } else if (aError && !self->m_reading) {
+        // While a read is pending, the rest of the response may arrive.
+        self->Fail("write: " + self->m_writeError);
       }
     });
 }
@@ -231,13 +242,54 @@
     boost::beast::error_code error;
     m_parser->put_eof(error);
     if (!error && m_parser->is_done()) {
-      OnEnd();
+      OnEndOfStream();
       return;
     }
   }
   Fail("read: " + aError.message());
 }
 
+void
+HttpConnection::OnEndOfStream()
+{
+  constexpr milliseconds kCheckInterval{ 10 };
+  if (!m_writeError.empty() || WasReset()) {
+    Fail("reset at the end of the response; write: " + m_writeError);
+    return;
+  }
+  if (!m_writing && IsAcknowledged()) {
+    OnEnd();
+    return;
+  }
+  // Until the peer has all of the request, it may still reset the connection.
+  m_awaitsUpload = true;
+  m_timer.expires_after(kCheckInterval);
+  m_timer.async_wait([self = shared_from_this()](const NetError& aError) {
+    if (!aError && !self->m_closed && self->m_awaitsUpload) {
+      self->OnEndOfStream();
+    }
+  });
+}
+
+bool
+HttpConnection::WasReset()
+{
+  // After an orderly end, the state is CLOSE_WAIT.
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(
+        m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+      info.tcpi_state == TCP_CLOSE) {
+    return true;
+  }
+  int error = 0;
+  size = sizeof(error);
+  return ::getsockopt(
+           m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) ==
+           0 &&
+         error != 0;
+}
+
 void
 HttpConnection::NewParser()
 {
@@ -439,6 +491,7 @@
                     !m_writing && !m_evidence.m_hasStrayResponse &&
                     !m_call.m_isLast && m_idleLimit > milliseconds(0);
   m_inCall = false;
+  m_awaitsUpload = false;
   ++m_calls;
   m_paused = false;
   m_reusable = keep;
--- a/src/net/http_connection_p.h
+++ b/src/net/http_connection_p.h
@@ -123,6 +123,10 @@
   void Write();
   void Read();
   void OnRead(const NetError& aError);
+  // The peer has ended a response without a length. It is complete unless the
+  // connection was reset, which only the write of the request may have seen.
+  void OnEndOfStream();
+  bool WasReset();
   void Parse();
   // Passes on what the parser has of the body. Keeps no buffer for the next
   // part.
@@ -158,6 +162,10 @@
   bool m_reading = false;
   bool m_writing = false;
   bool m_sentAny = false;
+  std::string m_writeError; // of the present request
+  // The response has ended with the connection, but the request is not sent
+  // and acknowledged yet.
+  bool m_awaitsUpload = false;
   bool m_paused = false;
   bool m_reusable = false;
   bool m_discardResponse = false; // informational, or of an earlier call
