Stager: an answer counts for the load that asked for it

OnLoadOrderReply applied a late answer to whatever load was under way, which would let the next version's pieces into the staging area too soon; now that several pieces are read at once, a late reading could count for a later load likewise.

--- a/src/stager/stager_load.cpp
+++ b/src/stager/stager_load.cpp
@@ -197,7 +197,8 @@
 void
 Stager::BeginLoad()
 {
-  m_load = Load{ m_pieces,
+  m_load = Load{ ++m_loads,
+                 m_pieces,
                  m_listText,
                  PieceVerification(m_pieces.m_digests.size()),
                  LoadStage::Staged,
@@ -269,14 +270,16 @@
 void
 Stager::VerifyPiece(std::size_t aPiece)
 {
-  CallRunner("GET",
-             dialect::StageGetPath(m_model, aPiece),
-             {},
-             [this, aPiece](const BufferedResponse& aAnswer) {
-               if (m_load && m_load->m_stage == LoadStage::Verifying) {
-                 OnPieceVerified(aPiece, aAnswer);
-               }
-             });
+  CallRunner(
+    "GET",
+    dialect::StageGetPath(m_model, aPiece),
+    {},
+    [this, aPiece, load = m_load->m_id](const BufferedResponse& aAnswer) {
+      if (m_load && m_load->m_id == load &&
+          m_load->m_stage == LoadStage::Verifying) {
+        OnPieceVerified(aPiece, aAnswer);
+      }
+    });
 }
 
 void
@@ -315,12 +318,14 @@
                              m_requestsRepeatable
                                ? dialect::RunningWork::Cut
                                : dialect::RunningWork::Finish),
-    [this](const BufferedResponse& aAnswer) { OnLoadOrderReply(aAnswer); },
+    [this, load = m_load->m_id](const BufferedResponse& aAnswer) {
+      OnLoadOrderReply(load, aAnswer);
+    },
     expiresAt);
 }
 
 void
-Stager::OnLoadOrderReply(const BufferedResponse& aAnswer)
+Stager::OnLoadOrderReply(std::uint64_t aLoad, const BufferedResponse& aAnswer)
 {
   Log(LogLevel::Info,
       "load ordered",
@@ -330,7 +335,7 @@
         { "reason", aAnswer.m_failure } });
   CountMetric("siskindeal_stager_orders_total",
               { { "status", std::to_string(aAnswer.m_status) } });
-  if (m_load) {
+  if (m_load && m_load->m_id == aLoad) {
     m_load->m_ordered = aAnswer.m_status / 100 == 2;
   }
 }
--- a/src/stager/stager_p.h
+++ b/src/stager/stager_p.h
@@ -66,6 +66,7 @@
   // m_buffer until the runner accepts the load order.
   struct Load
   {
+    std::uint64_t m_id = 0; // differs for each load
     PieceList m_pieces;
     std::string m_listText;
     PieceVerification m_verification;
@@ -161,7 +162,8 @@
   void OnPieceStored(const PieceFetch& aFetch, bool aStored);
   void MaybeTakeTurn();
   void SendLoadOrder();
-  void OnLoadOrderReply(const BufferedResponse& aAnswer);
+  // aLoad: the load that the order was for.
+  void OnLoadOrderReply(std::uint64_t aLoad, const BufferedResponse& aAnswer);
   void ServeRequest(const std::shared_ptr<ServerConnection>& aConnection);
   void ServePieceList(const std::shared_ptr<ServerConnection>& aConnection);
   void ServePiece(const std::shared_ptr<ServerConnection>& aConnection);
@@ -221,6 +223,7 @@
   std::uint32_t m_corruptPieces = 0;
   MonotonicTime m_fetchStageAt{};
   std::optional<Load> m_load;
+  std::uint64_t m_loads = 0; // begun so far
   // Pieces of m_target by number, until they can be stored at the runner.
   std::map<std::size_t, std::string> m_buffer;
   bool m_storing = false; // a buffered piece is being stored
