Gateways: a runner's limit outlasts its entry in the list

RunnerLimits forgot the limits of runners that aren't listed, though the same start may come back. They are kept for ten minutes now, as what runners say of leaving is, and aren't told to others meanwhile.

--- a/src/dispatch/runner_limits.cpp
+++ b/src/dispatch/runner_limits.cpp
@@ -51,7 +51,7 @@
           { "limited", aLimit.m_perSecond.has_value() },
           { "per_second", aLimit.m_perSecond.value_or(0) } });
   }
-  known = { aLimit, aNow + kEndedPeriod };
+  known = { aLimit, aNow + kEndedPeriod, aNow };
   if (!aLimit.m_perSecond) {
     m_shares.erase(aRunner);
     return;
@@ -110,6 +110,36 @@
   }
 }
 
+void
+RunnerLimits::Forget(
+  const std::function<bool(const RunnerIncarnation&)>& aIsKnown,
+  MonotonicTime aNow)
+{
+  const milliseconds memory =
+    m_reason == LimitReason::Stated ? milliseconds(kMemory) : milliseconds(0);
+  for (auto& [runner, known] : m_limits) {
+    known.m_isKnown = aIsKnown(runner);
+    if (known.m_isKnown) {
+      known.m_lastKnown = aNow;
+    }
+  }
+  std::erase_if(m_limits, [&](const auto& aEntry) {
+    return !aEntry.second.m_isKnown &&
+           aNow - aEntry.second.m_lastKnown >= memory;
+  });
+  while (m_limits.size() > kMaxLimits) {
+    m_limits.erase(std::min_element(m_limits.begin(),
+                                    m_limits.end(),
+                                    [](const auto& aOne, const auto& aOther) {
+                                      return aOne.second.m_lastKnown <
+                                             aOther.second.m_lastKnown;
+                                    }));
+  }
+  std::erase_if(m_shares, [&](const auto& aEntry) {
+    return !m_limits.contains(aEntry.first);
+  });
+}
+
 RunnerLimits::Share
 RunnerLimits::BeginShare(const RunnerLimit& aLimit, MonotonicTime aNow)
 {
@@ -128,11 +158,7 @@
   const std::function<bool(const RunnerIncarnation&)>& aIsKnown,
   MonotonicTime aNow)
 {
-  std::erase_if(m_limits,
-                [&](const auto& aEntry) { return !aIsKnown(aEntry.first); });
-  std::erase_if(m_shares, [&](const auto& aEntry) {
-    return !m_limits.contains(aEntry.first);
-  });
+  Forget(aIsKnown, aNow);
   for (auto& [runner, share] : m_shares) {
     const RunnerLimit& limit = m_limits.at(runner).m_limit;
     const double perSecond = limit.m_perSecond.value_or(0);
@@ -204,8 +230,9 @@
 {
   std::vector<std::pair<RunnerIncarnation, RunnerLimit>> advertised;
   const auto take = [&](const RunnerIncarnation& aRunner, const Known& aKnown) {
-    const bool due =
-      aKnown.m_limit.m_perSecond || aNow < aKnown.m_advertiseUntil;
+    // Gateways would otherwise remind each other of runners that left for ever.
+    const bool due = aKnown.m_isKnown && (aKnown.m_limit.m_perSecond ||
+                                          aNow < aKnown.m_advertiseUntil);
     if (due) {
       advertised.emplace_back(aRunner, aKnown.m_limit);
     }
--- a/src/dispatch/runner_limits_p.h
+++ b/src/dispatch/runner_limits_p.h
@@ -58,8 +58,9 @@
   void Merge(const RunnerIncarnation& aRunner,
              const RunnerLimit& aLimit,
              MonotonicTime aNow);
-  // Updates which limits this gateway holds, and forgets those of runners for
-  // which aIsKnown is false.
+  // Updates which limits this gateway holds. Limits of runners for which
+  // aIsKnown is false are kept for kMemory, since a runner that lives may be
+  // missing from the list for a while; those of cold runners are forgotten.
   void Update(const PositionOf& aPositionOf,
               const std::function<bool(const RunnerIncarnation&)>& aIsKnown,
               MonotonicTime aNow);
@@ -74,14 +75,16 @@
 
   // Returns nullopt for a runner without a limit.
   std::optional<double> LimitOf(const RunnerIncarnation& aRunner) const;
-  // Limits to tell other gateways: those in force, and those that ended lately.
-  // Bounded; successive calls take turns.
+  // Limits of known runners to tell other gateways: those in force, and those
+  // that ended lately. Bounded; successive calls take turns.
   std::vector<std::pair<RunnerIncarnation, RunnerLimit>> Advertise(
     MonotonicTime aNow);
 
   // Requests a second to a runner whose limit is zero or unreadable, to learn
   // when that changes.
   static constexpr double kTrialRate = 0.2;
+  static constexpr std::chrono::minutes kMemory{ 10 };
+  static constexpr std::size_t kMaxLimits = 4096;
 
 private:
   // This gateway's part of one limit: a token bucket that holds one request.
@@ -96,11 +99,15 @@
   {
     RunnerLimit m_limit;
     MonotonicTime m_advertiseUntil{}; // applies to limits that ended
+    MonotonicTime m_lastKnown{};      // that the runner was
+    bool m_isKnown = true;
   };
 
   void Set(const RunnerIncarnation& aRunner,
            const RunnerLimit& aLimit,
            MonotonicTime aNow);
+  void Forget(const std::function<bool(const RunnerIncarnation&)>& aIsKnown,
+              MonotonicTime aNow);
   static Share BeginShare(const RunnerLimit& aLimit, MonotonicTime aNow);
   static double TokensAt(const Share& aShare, MonotonicTime aNow);
 
--- a/tests/runner_limits_test.cpp
+++ b/tests/runner_limits_test.cpp
@@ -127,6 +127,31 @@
   EXPECT_TRUE(limits.Allows({ kRunner.m_id, kRunner.m_created + 1 }, kStart));
 }
 
+// Guards against a runner in need that is taken for an idle one, as its entry
+// lapsed and came back.
+TEST(RunnerLimits, LimitOutlastsAnAbsenceFromTheList)
+{
+  constexpr double kLimit = 0.5;
+  constexpr milliseconds kAbsence{ 5000 };
+  const auto isUnknown = [](const RunnerIncarnation&) { return false; };
+  RunnerLimits limits;
+  limits.RecordResponse(kRunner, kLimit, kStart, kStart);
+  MonotonicTime now = kStart;
+  SendsWithin(milliseconds(4000), limits, At(0, 2), now);
+  const MonotonicTime returnsAt = now + kAbsence;
+  for (; now < returnsAt; now += milliseconds(100)) {
+    limits.Update(At(0, 2), isUnknown, now);
+    EXPECT_TRUE(limits.Advertise(now).empty());
+  }
+  EXPECT_EQ(limits.LimitOf(kRunner), kLimit);
+  EXPECT_LE(SendsWithin(milliseconds(4000), limits, At(0, 2), now),
+            AllowedInWindow(kLimit));
+  EXPECT_EQ(limits.Advertise(now).size(), 1U);
+  // A runner that doesn't come back is forgotten.
+  limits.Update(At(0, 2), isUnknown, now + RunnerLimits::kMemory);
+  EXPECT_EQ(limits.LimitOf(kRunner), std::nullopt);
+}
+
 TEST(RunnerLimits, OlderKnowledgeDoesNotUndoNewer)
 {
   RunnerLimits limits;
