Gateways: a gap that another gateway did not have is no outage of the store

A gateway that passes the list on now says for how long all changes were known soon; a gap within that time is no outage.

--- a/src/gateway/config_server.cpp
+++ b/src/gateway/config_server.cpp
@@ -78,6 +78,10 @@
       EncodeRunnerList(m_runners, *aQuestion.m_runners);
     reply.mutable_runners()->set_known_until_ms(
       (m_snapshot.m_runnersKnownUntil - aQuestion.m_arrivedAt).count());
+    const milliseconds withoutGap =
+      m_snapshot.m_runnersKnownUntil - m_snapshot.m_runnersWithoutGapSince;
+    reply.mutable_runners()->set_without_gap_ms(static_cast<std::uint64_t>(
+      std::max(withoutGap, milliseconds(0)).count()));
   }
   CountMetric("siskindeal_gateway_config_bytes_total",
               { { "kind", "config" } },
--- a/src/gateway/config_server_p.h
+++ b/src/gateway/config_server_p.h
@@ -26,6 +26,8 @@
   // Likewise, of the list of runners.
   std::chrono::milliseconds m_runnersKnownUntil{ 0 };
   std::uint64_t m_storedVersion = 0; // that the store holds at m_position
+  // Boot time since which the list of runners was known without a gap.
+  std::chrono::milliseconds m_runnersWithoutGapSince{ 0 };
 
   // Up to when everything that is passed on is known.
   std::chrono::milliseconds KnownUntil() const
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -260,14 +260,14 @@
   const auto runnersKnown = m_runnerFeed->KnownUntil();
   if (m_routes && m_configKnownUntil && runnersKnown) {
     const StorePosition& position = m_configFeed->Position();
-    m_configServer.Update({ m_routes->Config().m_version,
-                            position,
-                            *m_configKnownUntil,
-                            m_configSpec,
-                            *runnersKnown,
-                            m_storedConfig.m_era == position.m_era
-                              ? m_storedConfig.m_version
-                              : 0 });
+    m_configServer.Update(
+      { m_routes->Config().m_version,
+        position,
+        *m_configKnownUntil,
+        m_configSpec,
+        *runnersKnown,
+        m_storedConfig.m_era == position.m_era ? m_storedConfig.m_version : 0,
+        m_runnerOutage.WithoutGapSince() });
   }
 }
 
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -187,8 +187,10 @@
   void OnRunners(const std::vector<SiteObject>& aObjects);
   // Runners may expire from the list during an outage of the store, which shows
   // as a gap in what is known of them, from whatever source. Failed reads of
-  // this gateway alone leave none.
-  void CheckForRunnerOutage(std::chrono::milliseconds aKnownUntil);
+  // this gateway alone leave none, and neither does a source that had no gap.
+  void CheckForRunnerOutage(
+    std::chrono::milliseconds aKnownUntil,
+    std::optional<std::chrono::milliseconds> aSourceWithoutGapSince = {});
   void OnRunnerListReply(const v1::RunnerListReply& aReply,
                          std::chrono::milliseconds aKnownUntil,
                          const std::string& aPeer);
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -68,9 +68,12 @@
 }
 
 void
-Gateway::CheckForRunnerOutage(milliseconds aKnownUntil)
+Gateway::CheckForRunnerOutage(
+  milliseconds aKnownUntil,
+  std::optional<milliseconds> aSourceWithoutGapSince)
 {
-  if (m_runnerOutage.RecordKnown(aKnownUntil, BootTime())) {
+  if (m_runnerOutage.RecordKnown(
+        aKnownUntil, BootTime(), aSourceWithoutGapSince)) {
     m_runners.RecordListFailure(LoopNow());
   }
 }
@@ -101,7 +104,11 @@
   try {
     const RunnerListDelta delta = DecodeRunnerList(aReply);
     OnStoreEra(mark.m_era);
-    CheckForRunnerOutage(aKnownUntil);
+    CheckForRunnerOutage(
+      aKnownUntil,
+      aReply.has_without_gap_ms()
+        ? std::optional(aKnownUntil - MillisFromWire(aReply.without_gap_ms()))
+        : std::nullopt);
     ApplyRunnerDelta(delta, mark);
   } catch (const std::invalid_argument& error) {
     Log(LogLevel::Warning,
--- a/tests/list_outage_test.cpp
+++ b/tests/list_outage_test.cpp
@@ -69,6 +69,61 @@
   EXPECT_FALSE(outage.RecordKnown(woken, woken));
 }
 
+// Guards against runners that left and are kept in use, since the gateway that
+// passed the list on was turned away and the next one had to take over.
+TEST(ListOutage, GapOfOneGatewayIsNotTakenForAnOutage)
+{
+  constexpr milliseconds kGap{ 3000 };
+  ListOutage reader;
+  for (milliseconds now = kStart; now <= kStart + kGap; now += kTick) {
+    EXPECT_FALSE(reader.RecordKnown(now, now));
+  }
+  EXPECT_EQ(reader.WithoutGapSince(), kStart);
+  ListOutage follower;
+  EXPECT_FALSE(follower.RecordKnown(kStart + milliseconds(100),
+                                    kStart + milliseconds(100)));
+  const milliseconds later = kStart + kGap;
+  RunProcess(follower, kStart + milliseconds(100), later);
+  EXPECT_FALSE(follower.RecordKnown(later, later, reader.WithoutGapSince()));
+  // It passes on what it was told.
+  ListOutage third;
+  EXPECT_FALSE(third.RecordKnown(kStart + milliseconds(200), kStart));
+  RunProcess(third, kStart, later);
+  EXPECT_FALSE(third.RecordKnown(later, later, follower.WithoutGapSince()));
+}
+
+TEST(ListOutage, GapOfAllGatewaysIsAnOutage)
+{
+  constexpr milliseconds kGap{ 3000 };
+  ListOutage reader;
+  EXPECT_FALSE(reader.RecordKnown(kStart, kStart));
+  ListOutage follower;
+  EXPECT_FALSE(follower.RecordKnown(kStart, kStart, reader.WithoutGapSince()));
+  const milliseconds later = kStart + kGap;
+  RunProcess(reader, kStart, later);
+  RunProcess(follower, kStart, later);
+  EXPECT_TRUE(reader.RecordKnown(later, later));
+  EXPECT_EQ(reader.WithoutGapSince(), later);
+  EXPECT_TRUE(follower.RecordKnown(later, later, reader.WithoutGapSince()));
+  // One that has just started can't say what was before.
+  ListOutage newcomer;
+  EXPECT_FALSE(newcomer.RecordKnown(later, later));
+  ListOutage other;
+  EXPECT_FALSE(other.RecordKnown(kStart, kStart));
+  RunProcess(other, kStart, later);
+  EXPECT_TRUE(other.RecordKnown(later, later, newcomer.WithoutGapSince()));
+}
+
+TEST(ListOutage, PausedGatewayDoesNotVouchForThePause)
+{
+  ListOutage paused;
+  EXPECT_FALSE(paused.RecordKnown(kStart, kStart));
+  RunProcess(paused, kStart, kStart + milliseconds(100));
+  const milliseconds woken = kStart + milliseconds(5000);
+  EXPECT_FALSE(paused.RecordKnown(woken, woken));
+  EXPECT_EQ(paused.WithoutGapSince(), woken);
+}
+
 } // namespace
 
 } // namespace siskindeal
