Gateways: a request at an unlisted runner is withdrawn before its weights are due

MayBeginOutdated took a runner that the table lacks for one that needs no withdrawal; the weights that it held when the request was placed count now.

--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -89,9 +89,12 @@
   const bool hasBegun = !aAttempt.m_promptCounted;
   const bool isGuarded =
     aAttempt.m_requiredVersion && aAttempt.m_heldVersion >= aOverdue;
-  const RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner.m_id);
-  return !hasBegun && !isGuarded && runner != nullptr &&
-         runner->VersionOf(m_shape.m_model) < aOverdue;
+  // A runner whose entry has left the list may still begin the request.
+  const RunnerState* runner = m_gateway.Runners().Find(aAttempt.m_runner);
+  const std::uint64_t held = runner == nullptr
+                               ? aAttempt.m_heldVersion
+                               : runner->VersionOf(m_shape.m_model);
+  return !hasBegun && !isGuarded && held < aOverdue;
 }
 
 void
--- a/tests/gateway_runs_test.cpp
+++ b/tests/gateway_runs_test.cpp
@@ -1,5 +1,6 @@
 // Tests how a gateway handles responses and failures of runners.
 
+#include "siskindeal/metrics.h"
 #include "support/gateway_fixture.h"
 
 namespace siskindeal {
@@ -361,6 +362,44 @@
   EXPECT_NE(answer.find("data: a"), std::string::npos) << answer;
 }
 
+// Guards against a request that begins on overdue weights at a runner that was
+// silent for so long that its entry has left the list.
+TEST_F(GatewayTest, RequestAtAnUnlistedRunnerIsWithdrawn)
+{
+  constexpr std::string_view kWithdrawn =
+    "\nsiskindeal_gateway_withdrawn_requests_total ";
+  const auto countWithdrawn = [&] {
+    const std::string metrics = MetricsText();
+    const auto at = metrics.find(kWithdrawn);
+    return at == std::string::npos
+             ? 0
+             : std::atoi(metrics.c_str() + at + kWithdrawn.size());
+  };
+  m_versionWithin = std::chrono::milliseconds(1100);
+  std::vector<std::shared_ptr<ServerConnection>> silent;
+  std::atomic<bool> received = false;
+  m_site.AddRunner(
+    "i-1",
+    "chat",
+    [&](const auto& aConnection) {
+      silent.push_back(aConnection);
+      received = true;
+    },
+    json{ { "models", { { { "name", "m" }, { "version", 1 } } } } });
+  StartAndAwaitReady();
+  const int before = countWithdrawn();
+  std::thread caller([&] {
+    SendRequest(Request("POST", "/chat/a", "X-Siskindeal-Model: m\r\n"));
+  });
+  EXPECT_TRUE(Eventually([&] { return received.load(); }));
+  m_site.Remove("servers", "i-1");
+  EXPECT_TRUE(Eventually([&] { return RunnerCount() == 0; }));
+  m_site.Put("versions", "m", { { "model", "m" }, { "version", 2 } });
+  caller.join();
+  EXPECT_EQ(countWithdrawn() - before, 1);
+  m_site.RunOnLoop([&] { silent.clear(); });
+}
+
 TEST_F(GatewayTest, RequestThatMayHaveBegunIsNotWithdrawn)
 {
   m_versionWithin = std::chrono::milliseconds(1100);
