--- a/src/gateway/gateway_cold.cpp
+++ b/src/gateway/gateway_cold.cpp
@@ -40,10 +40,13 @@
 {
   const MonotonicTime now = LoopNow();
   for (const auto& [id, state] : m_runners.All()) {
-    ObserveCold(state.m_record);
-    const RunnerIncarnation runner = state.m_record.Incarnation();
     const ServiceRecord* service = ServiceOf(state.m_record);
-    if (service != nullptr && m_crashes.HasCrashed(runner)) {
+    if (service == nullptr || service->m_coldPerSecond <= 0) {
+      continue;
+    }
+    m_placer.Cold().Observe(state.m_record, *service, now);
+    const RunnerIncarnation runner = state.m_record.Incarnation();
+    if (m_crashes.HasCrashed(runner)) {
       m_placer.Cold().RecordCrash(runner, *service, now);
     }
   }
