--- a/tests/suspicion_record_test.cpp
+++ b/tests/suspicion_record_test.cpp
@@ -124,8 +124,9 @@
   };
   for (const char* entry : entries) {
     SCOPED_TRACE(entry);
-    const SuspicionRecord record =
-      Decode(writtenAt + R"(,"parts":[)" + entry + "," + sound + "]}", kNow, 1);
+    std::string text = writtenAt + R"(,"parts":[)";
+    text.append(entry).append(",").append(sound).append("]}");
+    const SuspicionRecord record = Decode(text, kNow, 1);
     ASSERT_EQ(record.m_parts.size(), 1U);
     EXPECT_EQ(record.m_parts[0].part(), kPoisonPart);
   }
