Runner limits: a default constructor that isn't explicit

clang rejects {} for a parameter of a class whose default constructor is explicit (three places in tests; gcc takes it), so that the linter failed. No behaviour changes.

--- a/src/dispatch/runner_limits_p.h
+++ b/src/dispatch/runner_limits_p.h
@@ -33,7 +33,8 @@
 class RunnerLimits
 {
 public:
-  explicit RunnerLimits(LimitReason aReason = LimitReason::Stated)
+  RunnerLimits() = default;
+  explicit RunnerLimits(LimitReason aReason)
     : m_reason(aReason)
   {
   }
@@ -111,7 +112,7 @@
   static Share BeginShare(const RunnerLimit& aLimit, MonotonicTime aNow);
   static double TokensAt(const Share& aShare, MonotonicTime aNow);
 
-  LimitReason m_reason;
+  LimitReason m_reason = LimitReason::Stated;
   std::map<RunnerIncarnation, Known> m_limits;
   std::map<RunnerIncarnation, Share> m_shares;
   std::optional<RunnerIncarnation> m_lastAdvertised;
