An answer that lies unread after a pause is read before its deadline ends it

Cause: a tick that was due before the pause ran before the sockets were read after it; no head had been read, so the runner counted as silent.

Unread bytes on a connected attempt now defer the deadline, for at most 100 ms, whether the head has been read or not.

--- a/src/gateway/caller_exchange_hedging.cpp
+++ b/src/gateway/caller_exchange_hedging.cpp
@@ -56,8 +56,7 @@
          std::any_of(m_openAttempts.begin(),
                      m_openAttempts.end(),
                      [](const RunnerAttemptPtr& aAttempt) {
-                       return aAttempt->m_head.m_status != 0 &&
-                              !aAttempt->m_isPaused &&
+                       return !aAttempt->m_isPaused &&
                               aAttempt->m_connection->HasUnreadInput();
                      });
 }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -142,6 +142,9 @@
 bool
 HttpConnection::HasUnreadInput()
 {
+  if (!m_connected) {
+    return false;
+  }
   char byte = 0;
   const auto received = ::recv(
     m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
--- a/tests/unanswered_requests_test.cpp
+++ b/tests/unanswered_requests_test.cpp
@@ -3,6 +3,8 @@
 
 #include "support/gateway_fixture.h"
 
+#include <boost/asio/post.hpp>
+
 #include <pthread.h>
 
 #include <cstdio>
@@ -308,6 +310,32 @@
   EXPECT_TRUE(IsReady());
 }
 
+// Guards against an answer that is given up unread, because a tick that was due
+// before the pause runs before the sockets are read after it.
+TEST_F(UnansweredRequestsTest, AnswerIsReadBeforeATickThatWasDueBeforeAPause)
+{
+  AddWaitingRunner("post");
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+  RawSocket socket(m_gateway->CallersPort());
+  std::string request = Request("POST", "/post/a");
+  request.replace(request.find("3000"), 4, "2000");
+  socket.Send(request);
+  ASSERT_TRUE(Eventually([&] { return m_begun == 1; }));
+  Loop& loop = m_gateway->EventLoop();
+  boost::asio::post(loop, [&] {
+    // The loop's next poll finds the tick due and queues it behind the pause.
+    boost::asio::post(loop, [&] {
+      AnswerAll();
+      std::this_thread::sleep_for(milliseconds(2500));
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+  });
+  const std::string answer = socket.ReadAll();
+  EXPECT_NE(answer.find(" 200 "), std::string::npos) << answer;
+  EXPECT_TRUE(IsWhole(answer));
+}
+
 TEST_F(UnansweredRequestsTest, AnswerThatArrivedInAPauseIsDelivered)
 {
   std::signal(SIGUSR1, Pause);
