Gateways: any gateway that knew the list of runners rules out its outage

Heartbeats and region reports now say for how long some gateway has known all changes soon. Spans of several gateways are joined if they overlap. A gap within them is no outage; heard late, it undoes the decision and drops the runners that were kept. Ages that a report passes on grow by the time that they were held.

--- a/src/dispatch/list_outage_p.h
+++ b/src/dispatch/list_outage_p.h
@@ -1,9 +1,9 @@
 #pragma once
 // Tells an outage of the platform's list of runners from a gap of this process.
-// Runners may expire from the list during an outage; during a pause, or while
-// its source changes, only this process missed what changed. Does no I/O; the
-// caller passes the time. Times are boot times, which keep counting while the
-// machine is suspended.
+// Runners may expire from the list during an outage; during a pause, while its
+// source changes, or while the store turns some gateways away, only this
+// process missed what changed. Does no I/O; the caller passes the time. Times
+// are boot times, which keep counting while the machine is suspended.
 
 #include <algorithm>
 #include <chrono>
@@ -37,24 +37,57 @@
     const std::chrono::milliseconds before = m_knownUntil.value_or(aKnownUntil);
     m_knownUntil = std::max(before, aKnownUntil);
     std::chrono::milliseconds paused{ 0 };
-    for (const Pause& pause : m_pauses) {
+    for (const Span& pause : m_pauses) {
       paused += std::max(std::chrono::milliseconds(0),
                          std::min(pause.m_to, *m_knownUntil) -
                            std::max(pause.m_from, before));
     }
-    std::erase_if(m_pauses, [&](const Pause& aPause) {
+    std::erase_if(m_pauses, [&](const Span& aPause) {
       return aPause.m_to <= *m_knownUntil;
     });
-    const std::chrono::milliseconds gap = *m_knownUntil - before;
+    const Span gap{ before, *m_knownUntil };
     // If another gateway was told of all changes meanwhile, the list was there.
     if (aSourceWithoutGapSince && *aSourceWithoutGapSince <= before) {
       m_withoutGapSince = isFirst ? *aSourceWithoutGapSince : m_withoutGapSince;
       return false;
     }
-    if (isFirst || gap > kMinOutage) {
+    if (!isFirst && OthersKnew(gap)) {
+      return false;
+    }
+    if (isFirst || gap.Duration() > kMinOutage) {
       m_withoutGapSince = aSourceWithoutGapSince.value_or(*m_knownUntil);
     }
-    return gap - paused > kMinOutage;
+    if (gap.Duration() - paused <= kMinOutage) {
+      return false;
+    }
+    m_assumedOutage = gap;
+    return true;
+  }
+
+  // Records that other gateways knew all changes soon from aFrom to aTo.
+  // Returns true if the last outage that was assumed wasn't one.
+  bool RecordOthersKnown(std::chrono::milliseconds aFrom,
+                         std::chrono::milliseconds aTo)
+  {
+    const Span known{ aFrom, std::max(aFrom, aTo) };
+    if (!m_othersKnown || m_othersKnown->m_to < known.m_from) {
+      m_othersKnown = known;
+    } else if (m_othersKnown->m_from <= known.m_to) {
+      m_othersKnown->m_from = std::min(m_othersKnown->m_from, known.m_from);
+      m_othersKnown->m_to = std::max(m_othersKnown->m_to, known.m_to);
+    }
+    if (!m_assumedOutage || !OthersKnew(*m_assumedOutage)) {
+      return false;
+    }
+    m_withoutGapSince = std::min(m_withoutGapSince, m_othersKnown->m_from);
+    m_assumedOutage.reset();
+    return true;
+  }
+
+  // How long the last outage was that was assumed and not ruled out; else zero.
+  std::chrono::milliseconds AssumedOutage() const
+  {
+    return m_assumedOutage.value_or(Span{}).Duration();
   }
 
   // Since when all changes were known soon, by this process or by those that
@@ -65,12 +98,22 @@
   }
 
 private:
-  struct Pause
+  struct Span
   {
     std::chrono::milliseconds m_from{ 0 };
     std::chrono::milliseconds m_to{ 0 };
+
+    std::chrono::milliseconds Duration() const { return m_to - m_from; }
   };
 
+  // Whether other gateways knew of all changes in a gap of this one. What was
+  // last heard of them may be a little older than its end.
+  bool OthersKnew(const Span& aGap) const
+  {
+    return m_othersKnown && m_othersKnown->m_from <= aGap.m_from &&
+           aGap.m_to - m_othersKnown->m_to <= kMinOutage;
+  }
+
   // Runners expire from the list after three heartbeats of 1.2 s, so in an
   // outage of the store that is shorter none does.
   static constexpr std::chrono::milliseconds kMinOutage{ 2000 };
@@ -79,7 +122,9 @@
   std::optional<std::chrono::milliseconds> m_knownUntil;
   std::chrono::milliseconds m_withoutGapSince{ 0 };
   std::optional<std::chrono::milliseconds> m_aliveAt;
-  std::vector<Pause> m_pauses; // that ended after m_knownUntil
+  std::vector<Span> m_pauses;          // that ended after m_knownUntil
+  std::optional<Span> m_othersKnown;   // the last one without a gap
+  std::optional<Span> m_assumedOutage; // the last one
 };
 
 } // namespace siskindeal
--- a/src/dispatch/runner_table.cpp
+++ b/src/dispatch/runner_table.cpp
@@ -23,7 +23,10 @@
 bool
 RunnerTable::MayHaveExpired(MonotonicTime aNow) const
 {
-  return m_lastListFailure && aNow - *m_lastListFailure < kRelistTime;
+  const auto isRecent = [&](const std::optional<MonotonicTime>& aTime) {
+    return aTime && aNow - *aTime < kRelistTime;
+  };
+  return isRecent(m_lastListFailure) || isRecent(m_lastListRebuilt);
 }
 
 void
@@ -32,6 +35,19 @@
   m_lastListFailure = std::max(m_lastListFailure.value_or(aNow), aNow);
 }
 
+void
+RunnerTable::ForgetListFailure(MonotonicTime aNow)
+{
+  m_lastListFailure.reset();
+  Sweep(aNow);
+}
+
+void
+RunnerTable::RecordListRebuilt(MonotonicTime aNow)
+{
+  m_lastListRebuilt = std::max(m_lastListRebuilt.value_or(aNow), aNow);
+}
+
 void
 RunnerTable::Replace(const std::vector<RunnerRecord>& aRunners,
                      MonotonicTime aNow)
--- a/src/dispatch/runner_table_p.h
+++ b/src/dispatch/runner_table_p.h
@@ -139,6 +139,12 @@
   // Records that reading the list failed. Runners may expire from it during an
   // outage and are listed again after it, so missing ones are kept until then.
   void RecordListFailure(MonotonicTime aNow);
+  // Records that what was taken for a failure of the list was none, and drops
+  // missing runners.
+  void ForgetListFailure(MonotonicTime aNow);
+  // Records that the store came back from a copy; runners write their entries
+  // again.
+  void RecordListRebuilt(MonotonicTime aNow);
   // Drops missing runners once they can no longer be listed again, and takes
   // over entries of earlier starts that have lasted.
   void Sweep(MonotonicTime aNow);
@@ -168,6 +174,7 @@
 
   std::map<std::string, RunnerState> m_runners; // by id
   std::optional<MonotonicTime> m_lastListFailure;
+  std::optional<MonotonicTime> m_lastListRebuilt;
   std::vector<RunnerIncarnation> m_replacedStarts;
 };
 
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -161,7 +161,7 @@
     return;
   }
   // Runners write their entries again.
-  m_runners.RecordListFailure(LoopNow());
+  m_runners.RecordListRebuilt(LoopNow());
   m_suspicionStore.RecordNewEra();
   for (const auto& feed : SharedFeeds()) {
     feed->ObserveEra(aEra);
--- a/src/gateway/gateway_datagrams.cpp
+++ b/src/gateway/gateway_datagrams.cpp
@@ -5,6 +5,9 @@
 #include "siskindeal/metrics.h"
 #include "siskindeal/wire_values.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace siskindeal {
 
 namespace {
@@ -87,6 +90,7 @@
     MergeEvacuations(aBeacon.evacuations());
   }
   if (m_peers.OnBeacon(aBeacon, aFrom, LoopNow())) {
+    MergeRunnersKnown(aBeacon.config());
     UpdateGatewayCount();
     MergePaces(aBeacon.loads());
     MergeDemand(aBeacon.vm(), aBeacon.demand());
@@ -103,6 +107,9 @@
   if (!m_peers.OnRegionReport(report, LoopNow())) {
     return;
   }
+  for (const v1::GatewayBeacon& beacon : report.gateways()) {
+    MergeRunnersKnown(beacon.config());
+  }
   RecordLinkDelays(report);
   MergePaces(report.loads());
   MergeRegionDemand(report);
@@ -315,6 +322,29 @@
     aBeacon.mutable_config()->set_age_ms(
       static_cast<std::uint32_t>(own.m_age->count()));
     aBeacon.mutable_config()->set_port(AdminPort());
+    const milliseconds withoutGap =
+      BootTime() - *own.m_age - m_runnerOutage.WithoutGapSince();
+    aBeacon.mutable_config()->set_runners_without_gap_ms(
+      static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        withoutGap.count(), 0, std::numeric_limits<std::uint32_t>::max())));
+  }
+}
+
+void
+Gateway::MergeRunnersKnown(const v1::ConfigState& aState)
+{
+  if (!aState.has_runners_without_gap_ms()) {
+    return;
+  }
+  const milliseconds to = BootTime() - MillisFromWire(aState.age_ms());
+  const milliseconds from =
+    to - MillisFromWire(aState.runners_without_gap_ms());
+  if (m_runnerOutage.RecordOthersKnown(from, to)) {
+    Log(LogLevel::Info,
+        "runner list outage ruled out",
+        { { "others_known_ms", (to - from).count() },
+          { "age_ms", aState.age_ms() } });
+    m_runners.ForgetListFailure(LoopNow());
   }
 }
 
--- a/src/gateway/gateway_p.h
+++ b/src/gateway/gateway_p.h
@@ -299,6 +299,8 @@
   bool IsListed(const RunnerIncarnation& aRunner);
   void AppendRegionLoads(v1::RegionReport& aReport);
   void AppendConfigState(v1::GatewayBeacon& aBeacon) const;
+  // Takes over that another gateway knew all changes of the list of runners.
+  void MergeRunnersKnown(const v1::ConfigState& aState);
   void SendToStagers();
   void ApplyPeerLoads();
   void Tick();
--- a/src/gateway/gateway_site.cpp
+++ b/src/gateway/gateway_site.cpp
@@ -74,6 +74,10 @@
 {
   if (m_runnerOutage.RecordKnown(
         aKnownUntil, BootTime(), aSourceWithoutGapSince)) {
+    Log(LogLevel::Info,
+        "runner list outage assumed",
+        { { "gap_ms", m_runnerOutage.AssumedOutage().count() },
+          { "age_ms", (BootTime() - aKnownUntil).count() } });
     m_runners.RecordListFailure(LoopNow());
   }
 }
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -102,6 +102,7 @@
   }
   if (aBeacon.has_config()) { // only in heartbeats
     peer.m_config = aBeacon.config();
+    peer.m_configReceivedAt = aNow;
   }
   peer.m_loads.clear();
   for (const auto& load : aBeacon.loads()) {
@@ -306,6 +307,11 @@
     beacon.set_region(peer.m_region);
     if (peer.m_config) {
       *beacon.mutable_config() = *peer.m_config;
+      const auto heldFor =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+          aNow - peer.m_configReceivedAt);
+      beacon.mutable_config()->set_age_ms(
+        peer.m_config->age_ms() + static_cast<std::uint32_t>(heldFor.count()));
     }
   }
   return gateways;
--- a/src/gateway/peers_p.h
+++ b/src/gateway/peers_p.h
@@ -103,6 +103,7 @@
     MonotonicTime m_lastSeen{};
     RunnerLoads m_loads;
     std::optional<v1::ConfigState> m_config;
+    MonotonicTime m_configReceivedAt{};
   };
 
   struct Region
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -91,6 +91,23 @@
   EXPECT_EQ(table.Usable("caddie").front()->m_record.m_id, "a");
 }
 
+TEST(RunnerTable, DropsMissingRunnersOnceAListFailureIsRuledOut)
+{
+  for (const bool isRebuilt : { false, true }) {
+    SCOPED_TRACE(isRebuilt);
+    RunnerTable table;
+    table.Replace({ Runner("a"), Runner("b") }, kStart);
+    if (isRebuilt) {
+      table.RecordListRebuilt(kStart);
+    }
+    table.RecordListFailure(kStart);
+    table.Remove("a", kStart + milliseconds(100));
+    EXPECT_EQ(table.Usable("caddie").size(), 2U);
+    table.ForgetListFailure(kStart + milliseconds(200));
+    EXPECT_EQ(table.Usable("caddie").size(), isRebuilt ? 2U : 1U);
+  }
+}
+
 TEST(RunnerTable, DrainingRunnerIsNotUsable)
 {
   RunnerTable table;
--- a/tests/gateway_regions_test.cpp
+++ b/tests/gateway_regions_test.cpp
@@ -5,6 +5,8 @@
 
 #include <absl/cleanup/cleanup.h>
 
+#include <set>
+
 namespace siskindeal {
 
 namespace {
@@ -61,17 +63,48 @@
     });
   }
 
-  // The weights that the gateway believes its first runner to hold, by model.
-  nlohmann::json Weights()
+  // Sends a report of region "far", where all changes of the list of runners
+  // were known for a minute.
+  void SendRunnersKnown()
+  {
+    v1::Datagram datagram;
+    v1::RegionReport& report = *datagram.mutable_region();
+    report.set_region("far");
+    v1::GatewayBeacon& beacon = *report.add_gateways();
+    beacon.set_vm("far-1");
+    beacon.set_incarnation(1);
+    beacon.set_region("far");
+    beacon.set_callers("127.0.0.1:9");
+    beacon.set_datagrams(m_remote.LocalAddress().ToString());
+    beacon.mutable_config()->set_version(1);
+    beacon.mutable_config()->set_runners_without_gap_ms(60000);
+    m_remote.Send(datagram, m_gateway->DatagramPort());
+  }
+
+  // The ids of the gateway's runners.
+  std::set<std::string> RunnerIds()
+  {
+    std::set<std::string> ids;
+    const nlohmann::json state = State();
+    for (const nlohmann::json& runner : state.at("runners")) {
+      ids.insert(runner.at("id").get<std::string>());
+    }
+    return ids;
+  }
+
+  nlohmann::json State()
   {
     RawSocket socket(m_gateway->AdminPort());
     socket.Send("GET /state HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     const std::string answer = socket.ReadAll();
     const auto body = answer.find("\r\n\r\n");
-    return nlohmann::json::parse(answer.substr(body + 4))
-      .at("runners")
-      .at(0)
-      .at("versions");
+    return nlohmann::json::parse(answer.substr(body + 4));
+  }
+
+  // The weights that the gateway believes its first runner to hold, by model.
+  nlohmann::json Weights()
+  {
+    return State().at("runners").at(0).at("versions");
   }
 
   // Returns whether the next datagram is a report of this region with the state
@@ -230,6 +263,34 @@
   }
 }
 
+// Guards against requests at a runner that left while the store turned the
+// gateways of a region away.
+TEST_F(GatewayRegionsTest, RunnerThatLeftIsNotKeptIfAnotherRegionHadTheList)
+{
+  // Longer than the shortest outage in which a runner may expire.
+  constexpr std::chrono::milliseconds kGap{ 4000 };
+  const auto ignore = [](const auto& aConnection) { Answer(aConnection); };
+  m_site.AddRunner("i-1", "get", ignore);
+  StartAndAwaitReady();
+  ASSERT_TRUE(Eventually([&] { return RunnerCount() == 1; }));
+  m_site.SetSilent(true);
+  const auto end = std::chrono::steady_clock::now() + kGap;
+  while (std::chrono::steady_clock::now() < end) {
+    SendRunnersKnown();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  m_site.Remove("servers", "i-1");
+  m_site.AddRunner("i-2", "get", ignore);
+  m_site.SetSilent(false);
+  std::set<std::string> ids;
+  ASSERT_TRUE(Eventually([&] {
+    SendRunnersKnown();
+    ids = RunnerIds();
+    return ids.count("i-2") > 0;
+  }));
+  EXPECT_EQ(ids.count("i-1"), 0U);
+}
+
 TEST_F(GatewayRegionsTest, WeightsOfARunnersFormerStartAreNotBelieved)
 {
   constexpr std::uint64_t kBorn = 1764793000000;
--- a/tests/list_outage_test.cpp
+++ b/tests/list_outage_test.cpp
@@ -92,6 +92,75 @@
   EXPECT_FALSE(third.RecordKnown(later, later, follower.WithoutGapSince()));
 }
 
+struct OthersCase
+{
+  const char* m_name;
+  int m_knownFromMs; // by others, after what was known last
+  int m_knownToMs;
+  bool m_isOutage;
+};
+
+// Guards against runners that left and are kept in use by a gateway that takes
+// over as its region's reader, which no gateway passes the list on to.
+TEST(ListOutage, GapInWhichOthersKnewAllIsNotTakenForAnOutage)
+{
+  constexpr milliseconds kGap{ 5000 };
+  const OthersCase cases[] = {
+    { "known throughout", -1000, 5000, false },
+    { "known until a little before", -1000, 3500, false },
+    { "known from the start only", -1000, 1000, true },
+    { "known since a moment within", 1000, 5000, true },
+    { "known up to it", -1000, 0, true },
+  };
+  for (const OthersCase& othersCase : cases) {
+    SCOPED_TRACE(othersCase.m_name);
+    const milliseconds from = kStart + milliseconds(othersCase.m_knownFromMs);
+    const milliseconds to = kStart + milliseconds(othersCase.m_knownToMs);
+    for (const bool isToldBefore : { true, false }) {
+      SCOPED_TRACE(isToldBefore);
+      ListOutage outage;
+      EXPECT_FALSE(
+        outage.RecordKnown(kStart - kGap, kStart - kGap, std::nullopt));
+      for (milliseconds now = kStart - kGap; now <= kStart; now += kTick) {
+        EXPECT_FALSE(outage.RecordKnown(now, now));
+      }
+      RunProcess(outage, kStart, kStart + kGap);
+      if (isToldBefore) {
+        EXPECT_FALSE(outage.RecordOthersKnown(from, to));
+      }
+      EXPECT_EQ(outage.RecordKnown(kStart + kGap, kStart + kGap),
+                othersCase.m_isOutage || !isToldBefore);
+      if (!isToldBefore) {
+        EXPECT_EQ(outage.AssumedOutage(), kGap);
+        EXPECT_EQ(outage.RecordOthersKnown(from, to), !othersCase.m_isOutage);
+      }
+      EXPECT_EQ(outage.AssumedOutage(),
+                othersCase.m_isOutage ? kGap : milliseconds(0));
+      EXPECT_EQ(outage.WithoutGapSince() > kStart, othersCase.m_isOutage);
+    }
+  }
+}
+
+TEST(ListOutage, SpansOfOthersAreJoinedOnlyIfTheyOverlap)
+{
+  for (const int secondFromMs : { 1500, 2500 }) {
+    SCOPED_TRACE(secondFromMs);
+    ListOutage outage;
+    EXPECT_FALSE(outage.RecordKnown(kStart, kStart));
+    RunProcess(outage, kStart, kStart + milliseconds(6000));
+    outage.RecordOthersKnown(kStart - milliseconds(1000),
+                             kStart + milliseconds(2000));
+    outage.RecordOthersKnown(kStart + milliseconds(secondFromMs),
+                             kStart + milliseconds(6000));
+    // Late, and of what is known already.
+    outage.RecordOthersKnown(kStart - milliseconds(3000),
+                             kStart - milliseconds(2000));
+    EXPECT_EQ(outage.RecordKnown(kStart + milliseconds(6000),
+                                 kStart + milliseconds(6000)),
+              secondFromMs > 2000);
+  }
+}
+
 TEST(ListOutage, GapOfAllGatewaysIsAnOutage)
 {
   constexpr milliseconds kGap{ 3000 };
