The memory budget counts header fields with what they allocate

A gateway to which runners sent endless short header fields outgrew its VM: up to 238 MB where 160 are allowed. Cause: a field counted as the length of its name and value, 2 bytes where it takes 64 and more; fields of callers' requests weren't counted at all.

HttpFields::MemoryBytes replaces Bytes, and both sides count it.

--- a/src/net/http_connection_responses.cpp
+++ b/src/net/http_connection_responses.cpp
@@ -140,7 +140,8 @@
     m_in = {};
   }
   constexpr std::size_t kFieldCopies = 2; // the parser's and the receiver's
-  m_memory->Set(m_in.capacity() + m_parser->m_fields.Bytes() * kFieldCopies);
+  m_memory->Set(m_in.capacity() +
+                m_parser->m_fields.MemoryBytes() * kFieldCopies);
 }
 
 void
--- a/src/net/http_fields.cpp
+++ b/src/net/http_fields.cpp
@@ -38,6 +38,18 @@
   return nullptr;
 }
 
+std::size_t
+HttpFields::MemoryBytes() const
+{
+  const std::size_t inPlace = std::string().capacity(); // needs no allocation
+  std::size_t bytes = m_fields.capacity() * sizeof(Field);
+  for (const auto& [name, value] : m_fields) {
+    bytes += name.capacity() > inPlace ? name.capacity() : 0;
+    bytes += value.capacity() > inPlace ? value.capacity() : 0;
+  }
+  return bytes;
+}
+
 bool
 SameName(std::string_view aFirst, std::string_view aSecond)
 {
--- a/src/net/http_fields_p.h
+++ b/src/net/http_fields_p.h
@@ -25,18 +25,14 @@
     return m_fields;
   }
 
-  // Total length of names and values.
-  std::size_t Bytes() const
-  {
-    std::size_t bytes = 0;
-    for (const auto& [name, value] : m_fields) {
-      bytes += name.size() + value.size();
-    }
-    return bytes;
-  }
+  // Bytes of memory that the fields take. Many times the length of names and
+  // values, if these are short.
+  std::size_t MemoryBytes() const;
 
 private:
-  std::vector<std::pair<std::string, std::string>> m_fields;
+  using Field = std::pair<std::string, std::string>;
+
+  std::vector<Field> m_fields;
 };
 
 // Whether a response may have this status. Others have no meaning to a caller.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -145,9 +145,13 @@
   if (m_in.empty()) {
     m_in = {};
   }
-  const std::size_t arriving = m_parser ? m_parser->m_body.capacity() : 0;
-  m_memory->Set(m_in.capacity() + m_out.capacity() + m_outWriting.capacity() +
-                arriving + m_request.m_body.size() * kBodyCopies);
+  std::size_t bytes =
+    m_in.capacity() + m_out.capacity() + m_outWriting.capacity() +
+    m_request.m_fields.MemoryBytes() + m_request.m_body.size() * kBodyCopies;
+  if (m_parser) {
+    bytes += m_parser->m_fields.MemoryBytes() + m_parser->m_body.capacity();
+  }
+  m_memory->Set(bytes);
 }
 
 bool
--- a/tests/http_connection_test.cpp
+++ b/tests/http_connection_test.cpp
@@ -2,8 +2,10 @@
 
 #include "net/http_connection_p.h"
 #include "net/http_server_p.h"
+#include "net/memory_budget_p.h"
 #include "support/raw_socket.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
@@ -209,6 +211,84 @@
   }
 }
 
+constexpr std::size_t kShortFields = 5000;
+
+std::string
+ShortFields()
+{
+  std::string fields;
+  for (std::size_t i = 0; i < kShortFields; ++i) {
+    fields += "A: b\r\n";
+  }
+  return fields;
+}
+
+// Runs the loop until it counts the memory of all short fields. Returns false
+// on timeout.
+bool
+CountsShortFields(Loop& aLoop)
+{
+  constexpr std::size_t kFieldBytes =
+    sizeof(std::pair<std::string, std::string>);
+  const auto until =
+    std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (MemoryBudget::Of(aLoop).Held() < kShortFields * kFieldBytes) {
+    if (std::chrono::steady_clock::now() >= until) {
+      return false;
+    }
+    aLoop.run_for(milliseconds(10));
+    aLoop.restart();
+  }
+  return true;
+}
+
+// Guards against many short fields that take far more memory than is counted,
+// so that the process outgrows its VM.
+TEST(HttpConnection, ShortFieldsInArrivalAreCountedWithTheirMemory)
+{
+  Loop loop{ 1 };
+  std::atomic<bool> isAsked = false;
+  std::promise<void> maySend;
+  std::promise<void> hasSent;
+  std::promise<void> over;
+  const RawServer server([&](RawSocket& aSocket, int) {
+    aSocket.ReadUntil("\r\n\r\n");
+    isAsked = true;
+    maySend.get_future().wait();
+    aSocket.Send("HTTP/1.1 200 OK\r\n" + ShortFields());
+    aSocket.AwaitAcknowledged();
+    hasSent.set_value();
+    over.get_future().wait();
+  });
+  const absl::Cleanup end = [&] { over.set_value(); };
+  const auto connection = std::make_shared<HttpConnection>(
+    loop, EndpointOf({ "127.0.0.1", server.Port() }));
+  OutgoingCall call;
+  call.m_head = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  connection->Begin(call, std::chrono::seconds(10), [](const CallEvent&) {});
+  while (!isAsked) {
+    loop.run_for(milliseconds(10));
+    loop.restart();
+  }
+  // Only what one read brings is parsed before the head is complete.
+  maySend.set_value();
+  hasSent.get_future().wait();
+  EXPECT_TRUE(CountsShortFields(loop)) << MemoryBudget::Of(loop).Held();
+  connection->Abort();
+}
+
+TEST(HttpServer, ShortFieldsInArrivalAreCountedWithTheirMemory)
+{
+  Loop loop{ 1 };
+  HttpListener listener(loop, { "127.0.0.1", 0 }, [](const auto&) {});
+  listener.m_limits.m_headerTimeout = std::chrono::minutes(1);
+  listener.m_limits.m_headerBytes = 1 << 20;
+  RawSocket caller(listener.Port());
+  caller.Send("GET /a HTTP/1.1\r\n" + ShortFields());
+  caller.AwaitAcknowledged();
+  EXPECT_TRUE(CountsShortFields(loop)) << MemoryBudget::Of(loop).Held();
+}
+
 TEST(HttpServer, RequestWithoutAnEndIsRejected)
 {
   Loop loop{ 1 };
