Test of an idle stager: tell its one listing of pieces from idling

StagerTest.IdleStagerDoesNotReadTheListOfRunners expected the stage "resting" during a second in which the stager may list, once, the pieces that it can give to peers; it failed once beside load. The test was wrong, not the stager: it has to list them, or it could serve no peer.

--- a/tests/stager_test.cpp
+++ b/tests/stager_test.cpp
@@ -125,7 +125,20 @@
            state.value("target", 0U) == 0 && state.value("load", "") == "none";
   }));
   std::this_thread::sleep_for(4 * kTick);
-  const std::size_t before = m_site.ListCount("servers");
+  std::size_t before = m_site.ListCount("servers");
+  // Once it has had time to hear of peers, it lists the pieces that it can give
+  // to them.
+  ASSERT_TRUE(Eventually([&] {
+    const std::size_t lists = m_site.ListCount("servers");
+    const nlohmann::json state = QueryState(0);
+    const bool isResting = state.value("stage", "") == "resting";
+    const auto target = state.value("target", 0U);
+    if (isResting && target == 0) {
+      EXPECT_EQ(lists, before);
+    }
+    return isResting && target == 1;
+  }));
+  before = m_site.ListCount("servers");
   for (int i = 0; i < kQueries; ++i) {
     EXPECT_EQ(QueryState(0).value("stage", ""), "resting");
     std::this_thread::sleep_for(kTick);
