--- a/tests/gateway_regions_test.cpp
+++ b/tests/gateway_regions_test.cpp
@@ -63,19 +63,27 @@
     });
   }
 
-  // Sends a report of region "far", where all changes of the list of runners
-  // were known for a minute.
-  void SendRunnersKnown()
+  // Makes a report one of region "far", with a gateway whose datagrams this
+  // test receives.
+  v1::GatewayBeacon& AddRemoteGateway(v1::RegionReport& aReport)
   {
-    v1::Datagram datagram;
-    v1::RegionReport& report = *datagram.mutable_region();
-    report.set_region("far");
-    v1::GatewayBeacon& beacon = *report.add_gateways();
+    aReport.set_region("far");
+    v1::GatewayBeacon& beacon = *aReport.add_gateways();
     beacon.set_vm("far-1");
     beacon.set_incarnation(1);
     beacon.set_region("far");
     beacon.set_callers("127.0.0.1:9");
     beacon.set_datagrams(m_remote.LocalAddress().ToString());
+    return beacon;
+  }
+
+  // Sends a report of region "far", where all changes of the list of runners
+  // were known for a minute.
+  void SendRunnersKnown()
+  {
+    v1::Datagram datagram;
+    v1::RegionReport& report = *datagram.mutable_region();
+    v1::GatewayBeacon& beacon = AddRemoteGateway(report);
     beacon.mutable_config()->set_version(1);
     beacon.mutable_config()->set_runners_without_gap_ms(60000);
     m_remote.Send(datagram, m_gateway->DatagramPort());
@@ -131,13 +139,7 @@
   {
     v1::Datagram datagram;
     v1::RegionReport& report = *datagram.mutable_region();
-    report.set_region("far");
-    v1::GatewayBeacon& beacon = *report.add_gateways();
-    beacon.set_vm("far-1");
-    beacon.set_incarnation(1);
-    beacon.set_region("far");
-    beacon.set_callers("127.0.0.1:9");
-    beacon.set_datagrams(m_remote.LocalAddress().ToString());
+    AddRemoteGateway(report);
     report.set_sent_at_ms(
       static_cast<std::uint64_t>((BootTime() - aQueued).count()));
     v1::LinkDelay& delay = *report.add_link_delays();
