Review case 11: a stream cut by a runner's crash is passed on as complete

Cause: where a runner's response has neither a length nor chunks, the gateway takes the connection's end for the stream's and sends its caller the last chunk before its own probe tells that the runner has crashed. Change: a script with six runners, one of which is killed, and stand-ins.

--- /dev/null
+++ b/review/standin-3/unframed.cpp
@@ -0,0 +1,236 @@
+// Case 11: runners whose responses have neither a length nor chunks; one of
+// them crashes.
+
+#include "cases.h"
+#include "site.h"
+
+#include <csignal>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+namespace review {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int kGateways = 2;
+constexpr int kRunners = 6;
+constexpr int kCallers = 12;
+constexpr int kEvents = 24;
+constexpr milliseconds kEventInterval{ 50 };
+// Between the starts of two callers, so that they aren't in step.
+constexpr milliseconds kCallerOffset{ 100 };
+constexpr milliseconds kTrafficTime{ 16000 };
+constexpr milliseconds kCrashAt{ 5000 };
+constexpr milliseconds kEntryLapse{ 3600 }; // three heartbeats
+constexpr milliseconds kDownTime{ 4500 };
+const std::string kLookUpBody = "{\"tee\":\"07:40\",\"free\":true}";
+
+std::string
+EventText(int aNumber)
+{
+  const std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: {\"n\":" + number + "}\n\n";
+}
+
+void
+AppendLine(const std::string& aFile, const std::string& aLine)
+{
+  std::ofstream(aFile, std::ios::app) << aLine + "\n";
+}
+
+json
+Route(const char* aName, const char* aPrefix, const char* aKind)
+{
+  return { { "name", aName },
+           { "host", "club.example" },
+           { "path_prefix", aPrefix },
+           { "kind", aKind },
+           { "timeout_ms", 6000 },
+           { "target_latency_ms", 400 },
+           { "target_gap_ms", 300 },
+           { "priority", 1 },
+           { "service", "chat" },
+           { "max_attempts", 2 },
+           { "anonymous", false },
+           { "resumable", std::string(aKind) == "streaming" } };
+}
+
+// What the callers have seen.
+struct Seen
+{
+  std::mutex m_mutex;
+  int m_streams = 0;
+  int m_lookUps = 0;
+  int m_brokenOff = 0;
+  int m_shortStreams = 0; // complete for the caller, but events are missing
+  int m_shortLookUps = 0; // a success with another body than the whole one
+};
+
+void
+SendOne(const Site& aSite,
+        Record& aRecord,
+        Seen& aSeen,
+        const std::string& aId,
+        int aGateway,
+        bool aIsStream)
+{
+  const std::string head =
+    std::string(aIsStream ? "POST /chat/1" : "GET /look/1") +
+    " HTTP/1.1\r\nHost: club.example\r\nX-Siskindeal-Attempt-Id: " + aId +
+    "\r\nX-Siskindeal-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n";
+  const Response response =
+    Call(aSite.Host(1 + aGateway), kFrontPort, head, {}, milliseconds(8000));
+  std::string whole;
+  for (int i = 1; i <= kEvents; ++i) {
+    whole += EventText(i);
+  }
+  const std::string& expected = aIsStream ? whole : kLookUpBody;
+  const bool claimsWhole = response.m_status == 200 && response.m_isComplete;
+  const bool isShort = claimsWhole && response.m_body != expected;
+  aRecord.Write(aId + (aIsStream ? " stream" : " look-up") + " at gateway " +
+                std::to_string(aGateway) + ": status " +
+                std::to_string(response.m_status) + ", " +
+                std::to_string(response.m_body.size()) + " of " +
+                std::to_string(expected.size()) + " bytes, " +
+                (response.m_isComplete ? "complete" : "broken off") +
+                (isShort ? "  <- complete for the caller, but not whole" : ""));
+  const std::lock_guard lock(aSeen.m_mutex);
+  ++(aIsStream ? aSeen.m_streams : aSeen.m_lookUps);
+  aSeen.m_brokenOff += response.m_isComplete ? 0 : 1;
+  if (isShort) {
+    ++(aIsStream ? aSeen.m_shortStreams : aSeen.m_shortLookUps);
+  }
+}
+
+void
+Call(const Site& aSite, Record& aRecord, Seen& aSeen, int aCaller)
+{
+  const auto end = aRecord.Elapsed() + kTrafficTime;
+  std::this_thread::sleep_for(kCallerOffset * aCaller);
+  for (int i = 0; aRecord.Elapsed() < end; ++i) {
+    char id[32];
+    std::snprintf(id, sizeof(id), "%08x%08x", aCaller + 1, i + 1);
+    SendOne(aSite,
+            aRecord,
+            aSeen,
+            id,
+            1 + (aCaller + i) % kGateways,
+            (aCaller + i) % 4 != 3);
+  }
+}
+
+void
+Crash(Site& aSite, Record& aRecord)
+{
+  std::this_thread::sleep_for(kCrashAt);
+  aSite.KillRunner(1);
+  std::this_thread::sleep_for(kEntryLapse);
+  aSite.RemoveEntry(1);
+  std::this_thread::sleep_for(kDownTime - kEntryLapse);
+  aSite.StartRunner(1, "chat", "unframed");
+  aRecord.Write("the runner is back");
+}
+
+} // namespace
+
+void
+RunUnframedRunner(const std::string& aHost,
+                  const std::string& aId,
+                  const std::string& aRuns)
+{
+  const Server server(
+    aHost, kRunnerPort, [&](const Request& aRequest, Peer& aPeer) {
+      const std::string attempt = aRequest.Field("x-siskindeal-attempt-id");
+      if (aRequest.Field("x-siskindeal-expect-instance") != aId) {
+        aPeer.Answer(421, { { "x-siskindeal-attempt-id", attempt } }, {});
+        return;
+      }
+      const bool isStream = aRequest.m_path.rfind("/chat/", 0) == 0;
+      AppendLine(aRuns, "runs " + attempt);
+      aPeer.CloseAfter();
+      aPeer.Send(
+        "HTTP/1.1 200 OK\r\nContent-Type: " +
+        std::string(isStream ? "text/event-stream" : "application/json") +
+        "\r\nConnection: close\r\nX-Siskindeal-Attempt-Id: " + attempt +
+        "\r\nX-Siskindeal-Runner-Signature: s." + attempt + "\r\n\r\n");
+      if (!isStream) {
+        const std::size_t half = kLookUpBody.size() / 2;
+        aPeer.Send(kLookUpBody.substr(0, half));
+        std::this_thread::sleep_for(kEventInterval * 8);
+        aPeer.Send(kLookUpBody.substr(half));
+        return;
+      }
+      const std::string last = aRequest.Field("last-event-id");
+      for (int i = last.empty() ? 1 : std::stoi(last) + 1; i <= kEvents; ++i) {
+        if (aPeer.HasLeft() || !aPeer.Send(EventText(i))) {
+          AppendLine(aRuns, "left " + attempt);
+          return;
+        }
+        std::this_thread::sleep_for(kEventInterval);
+      }
+      AppendLine(aRuns, "ends " + attempt);
+    });
+  pause();
+}
+
+int
+RunUnframedCase(const std::string& aSelf, Record& aRecord, bool aTrouble)
+{
+  Site site(aSelf, aRecord);
+  site.Objects().Put("config",
+                     "main",
+                     { { "version", 1 },
+                       { "routes",
+                         { Route("chat", "/chat/", "streaming"),
+                           Route("look", "/look/", "idempotent") } },
+                       { "services",
+                         { { { "name", "chat" },
+                             { "health_path", "/healthz" },
+                             { "max_conns", 434 },
+                             { "protocol", "h1" },
+                             { "tls", false } } } },
+                       { "limits",
+                         { { "max_header_bytes", 16384 },
+                           { "max_body_bytes", 4194304 },
+                           { "header_timeout_ms", 5000 },
+                           { "idle_timeout_ms", 30000 } } } });
+  for (int i = 1; i <= kRunners; ++i) {
+    site.StartRunner(i, "chat", "unframed");
+  }
+  for (int i = 1; i <= kGateways; ++i) {
+    site.StartGateway(i);
+  }
+  if (!site.AwaitReady(std::chrono::seconds(20))) {
+    aRecord.Write("the gateways didn't get ready");
+    return kCouldNotRun;
+  }
+  Seen seen;
+  std::vector<std::thread> threads;
+  threads.reserve(kCallers + 1);
+  for (int i = 0; i < kCallers; ++i) {
+    threads.emplace_back([&, i] { Call(site, aRecord, seen, i); });
+  }
+  if (aTrouble) {
+    threads.emplace_back([&] { Crash(site, aRecord); });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (int i = 1; i <= kRunners; ++i) {
+    aRecord.Write("runs of " + Site::RunnerId(i) + ":\n" + site.RunnerLog(i));
+  }
+  aRecord.Write(std::to_string(seen.m_streams) + " streams, " +
+                std::to_string(seen.m_lookUps) + " look-ups, " +
+                std::to_string(seen.m_brokenOff) +
+                " visibly broken off; complete for the "
+                "caller but not whole: " +
+                std::to_string(seen.m_shortStreams) + " streams (ORDER), " +
+                std::to_string(seen.m_shortLookUps) + " look-ups (MIXED)");
+  return seen.m_shortStreams + seen.m_shortLookUps > 0 ? kBroken : kHeld;
+}
+
+} // namespace review
