Review case 12: a booking's answer cut by a runner's crash is passed on as whole

Cause: a body without a length counts as whole at each end of its connection that isn't a reset; a killed runner's system ends it in order. Change: the stand-in of case 11 also plays bookings; case 11 has streams alone, and its callers are out of step.

--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -13,7 +13,10 @@
 inline constexpr int kCouldNotRun = 2;
 
 int
-RunUnframedCase(const std::string& aSelf, Record& aRecord, bool aTrouble);
+RunUnframedCase(const std::string& aSelf,
+                Record& aRecord,
+                bool aTrouble,
+                bool aIsStream);
 void
 RunUnframedRunner(const std::string& aHost,
                   const std::string& aId,
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -28,8 +28,8 @@
     const bool isTroubled = trouble == nullptr || std::string(trouble) != "0";
     const std::string self = std::filesystem::read_symlink("/proc/self/exe");
     Record record(words[2]);
-    if (words[1] == "unframed") {
-      return RunUnframedCase(self, record, isTroubled);
+    if (words[1] == "stream" || words[1] == "booking") {
+      return RunUnframedCase(self, record, isTroubled, words[1] == "stream");
     }
     std::cerr << "no such case\n";
   } catch (const std::exception& error) {
--- a/review/standin-3/unframed.cpp
+++ b/review/standin-3/unframed.cpp
@@ -1,5 +1,5 @@
-// Case 11: runners whose responses have neither a length nor chunks; one of
-// them crashes.
+// Cases 11 and 12: runners whose responses have neither a length nor chunks;
+// one of them crashes. Case 11 has streams, case 12 bookings.
 
 #include "cases.h"
 #include "site.h"
@@ -27,7 +27,7 @@
 constexpr milliseconds kCrashAt{ 5000 };
 constexpr milliseconds kEntryLapse{ 3600 }; // three heartbeats
 constexpr milliseconds kDownTime{ 4500 };
-const std::string kLookUpBody = "{\"tee\":\"07:40\",\"free\":true}";
+constexpr int kParts = 8; // of a booking's response
 
 std::string
 EventText(int aNumber)
@@ -36,6 +36,28 @@
   return "id: " + number + "\ndata: {\"n\":" + number + "}\n\n";
 }
 
+// The whole response to a booking, 800 bytes as on the users' sheets.
+std::string
+BookingText(int aPart)
+{
+  constexpr std::size_t kPartBytes = 100;
+  std::string text = (aPart == 1 ? "{" : "") + std::string("\"part") +
+                     std::to_string(aPart) + "\":\"";
+  const std::string end = aPart == kParts ? "\"}" : "\",";
+  text.append(kPartBytes - text.size() - end.size(), 'b');
+  return text + end;
+}
+
+std::string
+WholeBody(bool aIsStream)
+{
+  std::string whole;
+  for (int i = 1; i <= (aIsStream ? kEvents : kParts); ++i) {
+    whole += aIsStream ? EventText(i) : BookingText(i);
+  }
+  return whole;
+}
+
 void
 AppendLine(const std::string& aFile, const std::string& aLine)
 {
@@ -63,11 +85,10 @@
 struct Seen
 {
   std::mutex m_mutex;
-  int m_streams = 0;
-  int m_lookUps = 0;
+  int m_answers = 0;
   int m_brokenOff = 0;
-  int m_shortStreams = 0; // complete for the caller, but events are missing
-  int m_shortLookUps = 0; // a success with another body than the whole one
+  int m_failures = 0;
+  int m_short = 0; // complete for the caller, but not the runner's whole body
 };
 
 void
@@ -79,19 +100,15 @@
         bool aIsStream)
 {
   const std::string head =
-    std::string(aIsStream ? "POST /chat/1" : "GET /look/1") +
+    std::string(aIsStream ? "POST /chat/1" : "POST /book/1") +
     " HTTP/1.1\r\nHost: club.example\r\nX-Siskindeal-Attempt-Id: " + aId +
     "\r\nX-Siskindeal-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n";
   const Response response =
     Call(aSite.Host(1 + aGateway), kFrontPort, head, {}, milliseconds(8000));
-  std::string whole;
-  for (int i = 1; i <= kEvents; ++i) {
-    whole += EventText(i);
-  }
-  const std::string& expected = aIsStream ? whole : kLookUpBody;
+  const std::string expected = WholeBody(aIsStream);
   const bool claimsWhole = response.m_status == 200 && response.m_isComplete;
   const bool isShort = claimsWhole && response.m_body != expected;
-  aRecord.Write(aId + (aIsStream ? " stream" : " look-up") + " at gateway " +
+  aRecord.Write(aId + (aIsStream ? " stream" : " booking") + " at gateway " +
                 std::to_string(aGateway) + ": status " +
                 std::to_string(response.m_status) + ", " +
                 std::to_string(response.m_body.size()) + " of " +
@@ -99,27 +116,26 @@
                 (response.m_isComplete ? "complete" : "broken off") +
                 (isShort ? "  <- complete for the caller, but not whole" : ""));
   const std::lock_guard lock(aSeen.m_mutex);
-  ++(aIsStream ? aSeen.m_streams : aSeen.m_lookUps);
+  ++aSeen.m_answers;
   aSeen.m_brokenOff += response.m_isComplete ? 0 : 1;
-  if (isShort) {
-    ++(aIsStream ? aSeen.m_shortStreams : aSeen.m_shortLookUps);
-  }
+  aSeen.m_failures += response.m_status == 200 ? 0 : 1;
+  aSeen.m_short += isShort ? 1 : 0;
 }
 
 void
-Call(const Site& aSite, Record& aRecord, Seen& aSeen, int aCaller)
+Call(const Site& aSite,
+     Record& aRecord,
+     Seen& aSeen,
+     int aCaller,
+     bool aIsStream)
 {
   const auto end = aRecord.Elapsed() + kTrafficTime;
   std::this_thread::sleep_for(kCallerOffset * aCaller);
   for (int i = 0; aRecord.Elapsed() < end; ++i) {
     char id[32];
     std::snprintf(id, sizeof(id), "%08x%08x", aCaller + 1, i + 1);
-    SendOne(aSite,
-            aRecord,
-            aSeen,
-            id,
-            1 + (aCaller + i) % kGateways,
-            (aCaller + i) % 4 != 3);
+    SendOne(
+      aSite, aRecord, aSeen, id, 1 + (aCaller + i) % kGateways, aIsStream);
   }
 }
 
@@ -157,16 +173,11 @@
         std::string(isStream ? "text/event-stream" : "application/json") +
         "\r\nConnection: close\r\nX-Siskindeal-Attempt-Id: " + attempt +
         "\r\nX-Siskindeal-Runner-Signature: s." + attempt + "\r\n\r\n");
-      if (!isStream) {
-        const std::size_t half = kLookUpBody.size() / 2;
-        aPeer.Send(kLookUpBody.substr(0, half));
-        std::this_thread::sleep_for(kEventInterval * 8);
-        aPeer.Send(kLookUpBody.substr(half));
-        return;
-      }
       const std::string last = aRequest.Field("last-event-id");
-      for (int i = last.empty() ? 1 : std::stoi(last) + 1; i <= kEvents; ++i) {
-        if (aPeer.HasLeft() || !aPeer.Send(EventText(i))) {
+      const int first = last.empty() ? 1 : std::stoi(last) + 1;
+      for (int i = first; i <= (isStream ? kEvents : kParts); ++i) {
+        if (aPeer.HasLeft() ||
+            !aPeer.Send(isStream ? EventText(i) : BookingText(i))) {
           AppendLine(aRuns, "left " + attempt);
           return;
         }
@@ -178,7 +189,10 @@
 }
 
 int
-RunUnframedCase(const std::string& aSelf, Record& aRecord, bool aTrouble)
+RunUnframedCase(const std::string& aSelf,
+                Record& aRecord,
+                bool aTrouble,
+                bool aIsStream)
 {
   Site site(aSelf, aRecord);
   site.Objects().Put("config",
@@ -186,7 +200,7 @@
                      { { "version", 1 },
                        { "routes",
                          { Route("chat", "/chat/", "streaming"),
-                           Route("look", "/look/", "idempotent") } },
+                           Route("book", "/book/", "non_idempotent") } },
                        { "services",
                          { { { "name", "chat" },
                              { "health_path", "/healthz" },
@@ -212,7 +226,7 @@
   std::vector<std::thread> threads;
   threads.reserve(kCallers + 1);
   for (int i = 0; i < kCallers; ++i) {
-    threads.emplace_back([&, i] { Call(site, aRecord, seen, i); });
+    threads.emplace_back([&, i] { Call(site, aRecord, seen, i, aIsStream); });
   }
   if (aTrouble) {
     threads.emplace_back([&] { Crash(site, aRecord); });
@@ -223,14 +237,14 @@
   for (int i = 1; i <= kRunners; ++i) {
     aRecord.Write("runs of " + Site::RunnerId(i) + ":\n" + site.RunnerLog(i));
   }
-  aRecord.Write(std::to_string(seen.m_streams) + " streams, " +
-                std::to_string(seen.m_lookUps) + " look-ups, " +
-                std::to_string(seen.m_brokenOff) +
-                " visibly broken off; complete for the "
-                "caller but not whole: " +
-                std::to_string(seen.m_shortStreams) + " streams (ORDER), " +
-                std::to_string(seen.m_shortLookUps) + " look-ups (MIXED)");
-  return seen.m_shortStreams + seen.m_shortLookUps > 0 ? kBroken : kHeld;
+  aRecord.Write(std::to_string(seen.m_answers) +
+                (aIsStream ? " streams, " : " bookings, ") +
+                std::to_string(seen.m_brokenOff) + " visibly broken off, " +
+                std::to_string(seen.m_failures) +
+                " not answered with 200; complete for the caller but not "
+                "whole: " +
+                std::to_string(seen.m_short));
+  return seen.m_short > 0 ? kBroken : kHeld;
 }
 
 } // namespace review
