Review case 13: a crash behind half of a response without a length counts as completion

Cause: OnCompleteAnswer clears a request from suspicion for each body that has ended with its connection, without asking whether its runner listens. Change: a script with a request that crashes its runners, and its stand-in.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -31,6 +31,15 @@
     if (words[1] == "stream" || words[1] == "booking") {
       return RunUnframedCase(self, record, isTroubled, words[1] == "stream");
     }
+    if (words[1] == "deadly") {
+      return RunDeadlyCase(self, record, isTroubled, kDeadlyPath);
+    }
+    if (words[1] == "deadly-stream") {
+      return RunDeadlyCase(self, record, isTroubled, kDeadlyStreamPath);
+    }
+    if (words[1] == "dark") {
+      return RunDarkCase(self, record, isTroubled);
+    }
     std::cerr << "no such case\n";
   } catch (const std::exception& error) {
     std::cerr << "lab: " << error.what() << '\n';
--- a/review/standin-3/site.cpp
+++ b/review/standin-3/site.cpp
@@ -59,14 +59,6 @@
   }
 }
 
-std::int64_t
-UnixMillis()
-{
-  return std::chrono::duration_cast<milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 // A network of loopback whose first host has a free port for the store.
 std::string
 ChooseNetwork()
@@ -78,6 +70,14 @@
 
 } // namespace
 
+std::int64_t
+UnixMillis()
+{
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 milliseconds
 Record::Elapsed() const
 {
@@ -135,6 +135,14 @@
   return m_id < 0;
 }
 
+bool
+Process::TakeStopped()
+{
+  int status = 0;
+  return m_id > 0 && waitpid(m_id, &status, WNOHANG | WUNTRACED) == m_id &&
+         WIFSTOPPED(status);
+}
+
 void
 Process::End(int aSignal)
 {
@@ -235,22 +243,25 @@
 }
 
 std::string
-Site::RunnerId(int aNumber)
+Site::RunnerId(int aNumber, int aStart)
 {
-  return "i-runner" + std::to_string(aNumber);
+  const std::string id = "i-runner" + std::to_string(aNumber);
+  return aStart == 0 ? id : id + "-" + std::to_string(aStart);
 }
 
 void
 Site::StartRunner(int aNumber,
                   const std::string& aService,
-                  const std::string& aMode)
+                  const std::string& aMode,
+                  int aStart)
 {
   const std::string host = Host(kFirstRunnerHost + aNumber);
-  const std::string id = RunnerId(aNumber);
+  const std::string id = RunnerId(aNumber, aStart);
+  const std::string files = m_folder + "/" + RunnerId(aNumber);
   m_runners[aNumber] = std::make_unique<Process>(
     std::vector<std::string>{
-      m_self, "runner", aMode, host, id, m_folder + "/" + id + ".runs" },
-    m_folder + "/" + id + ".log");
+      m_self, "runner", aMode, host, id, files + ".runs" },
+    files + ".log");
   m_record.Write("starts runner " + id);
   m_store->Put("servers",
                id,
@@ -272,11 +283,24 @@
   m_runners.at(aNumber)->End(SIGKILL);
 }
 
+bool
+Site::RunnerHasEnded(int aNumber)
+{
+  return m_runners.at(aNumber)->HasEnded();
+}
+
+bool
+Site::TakeRunnerStopped(int aNumber)
+{
+  return m_runners.at(aNumber)->TakeStopped();
+}
+
 void
-Site::RemoveEntry(int aNumber)
+Site::RemoveEntry(int aNumber, int aStart)
 {
-  m_record.Write("the store removes the entry of " + RunnerId(aNumber));
-  m_store->Remove("servers", RunnerId(aNumber));
+  const std::string id = RunnerId(aNumber, aStart);
+  m_record.Write("the store removes the entry of " + id);
+  m_store->Remove("servers", id);
 }
 
 std::string
--- a/review/standin-3/site.h
+++ b/review/standin-3/site.h
@@ -19,6 +19,9 @@
 inline constexpr int kFrontPort = 8005;
 inline constexpr int kRunnerPort = 8001;
 
+std::int64_t
+UnixMillis();
+
 // Lines with the time since the start, written by several threads.
 class Record
 {
@@ -49,6 +52,8 @@
   void Signal(int aSignal) const;
   // Whether it has ended by itself.
   bool HasEnded();
+  // Whether it has been stopped, as by SIGSTOP, since the last call.
+  bool TakeStopped();
   // Sends the signal and waits for the end, for which it gets some seconds.
   void End(int aSignal);
 
@@ -75,13 +80,17 @@
   bool AwaitReady(std::chrono::seconds aTimeout) const;
 
   // Starts a runner that registers under the service. aMode is what it plays.
+  // aStart tells starts apart that have ids of their own; 0: the first one.
   void StartRunner(int aNumber,
                    const std::string& aService,
-                   const std::string& aMode);
+                   const std::string& aMode,
+                   int aStart = 0);
   // Kills a runner. Its entry stays, as after a crash.
   void KillRunner(int aNumber);
-  void RemoveEntry(int aNumber);
-  static std::string RunnerId(int aNumber);
+  bool RunnerHasEnded(int aNumber);
+  bool TakeRunnerStopped(int aNumber);
+  void RemoveEntry(int aNumber, int aStart = 0);
+  static std::string RunnerId(int aNumber, int aStart = 0);
   // What a runner has written of its runs.
   std::string RunnerLog(int aNumber) const;
 
--- a/review/standin-3/unframed.cpp
+++ b/review/standin-3/unframed.cpp
@@ -1,5 +1,6 @@
-// Cases 11 and 12: runners whose responses have neither a length nor chunks;
-// one of them crashes. Case 11 has streams, case 12 bookings.
+// Cases 11 to 13: runners whose responses have neither a length nor chunks;
+// one of them crashes. Case 11 has streams, case 12 bookings;
+// deadly.cpp has case 13.
 
 #include "cases.h"
 #include "site.h"
@@ -7,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 namespace review {
@@ -61,7 +63,8 @@
 void
 AppendLine(const std::string& aFile, const std::string& aLine)
 {
-  std::ofstream(aFile, std::ios::app) << aLine + "\n";
+  const std::string time = std::to_string(UnixMillis());
+  std::ofstream(aFile, std::ios::app) << time + " " + aLine + "\n";
 }
 
 json
@@ -151,8 +154,50 @@
   aRecord.Write("the runner is back");
 }
 
+// Writes a part of a stream in chunks, a line of its crash, and ends.
+[[noreturn]] void
+CrashInStream(Peer& aPeer,
+              const std::string& aAttempt,
+              const std::string& aRuns)
+{
+  const auto chunk = [](const std::string& aText) {
+    std::ostringstream text;
+    text << std::hex << aText.size() << "\r\n" << aText << "\r\n";
+    return text.str();
+  };
+  AppendLine(aRuns, "runs " + aAttempt);
+  aPeer.Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\nX-Siskindeal-Attempt-Id: " +
+             aAttempt + "\r\nX-Siskindeal-Runner-Signature: s." + aAttempt +
+             "\r\n\r\n" + chunk(EventText(1)));
+  std::this_thread::sleep_for(kEventInterval);
+  aPeer.Send(chunk("Fatal: out of memory in decode()\n\n"));
+  AppendLine(aRuns, "crashes " + aAttempt);
+  std::_Exit(1);
+}
+
 } // namespace
 
+json
+ClubConfig()
+{
+  return { { "version", 1 },
+           { "routes",
+             { Route("chat", "/chat/", "streaming"),
+               Route("book", "/book/", "non_idempotent") } },
+           { "services",
+             { { { "name", "chat" },
+                 { "health_path", "/healthz" },
+                 { "max_conns", 434 },
+                 { "protocol", "h1" },
+                 { "tls", false } } } },
+           { "limits",
+             { { "max_header_bytes", 16384 },
+               { "max_body_bytes", 4194304 },
+               { "header_timeout_ms", 5000 },
+               { "idle_timeout_ms", 30000 } } } };
+}
+
 void
 RunUnframedRunner(const std::string& aHost,
                   const std::string& aId,
@@ -166,6 +211,13 @@
         return;
       }
       const bool isStream = aRequest.m_path.rfind("/chat/", 0) == 0;
+      if (aRequest.m_path == kDarkPath) {
+        AppendLine(aRuns, "runs " + attempt);
+        std::raise(SIGSTOP); // silent until it is killed
+      }
+      if (aRequest.m_path == kDeadlyStreamPath) {
+        CrashInStream(aPeer, attempt, aRuns);
+      }
       AppendLine(aRuns, "runs " + attempt);
       aPeer.CloseAfter();
       aPeer.Send(
@@ -173,6 +225,7 @@
         std::string(isStream ? "text/event-stream" : "application/json") +
         "\r\nConnection: close\r\nX-Siskindeal-Attempt-Id: " + attempt +
         "\r\nX-Siskindeal-Runner-Signature: s." + attempt + "\r\n\r\n");
+      const bool isDeadly = aRequest.m_path == kDeadlyPath;
       const std::string last = aRequest.Field("last-event-id");
       const int first = last.empty() ? 1 : std::stoi(last) + 1;
       for (int i = first; i <= (isStream ? kEvents : kParts); ++i) {
@@ -182,6 +235,10 @@
           return;
         }
         std::this_thread::sleep_for(kEventInterval);
+        if (isDeadly) {
+          AppendLine(aRuns, "crashes " + attempt);
+          std::_Exit(1);
+        }
       }
       AppendLine(aRuns, "ends " + attempt);
     });
@@ -195,23 +252,7 @@
                 bool aIsStream)
 {
   Site site(aSelf, aRecord);
-  site.Objects().Put("config",
-                     "main",
-                     { { "version", 1 },
-                       { "routes",
-                         { Route("chat", "/chat/", "streaming"),
-                           Route("book", "/book/", "non_idempotent") } },
-                       { "services",
-                         { { { "name", "chat" },
-                             { "health_path", "/healthz" },
-                             { "max_conns", 434 },
-                             { "protocol", "h1" },
-                             { "tls", false } } } },
-                       { "limits",
-                         { { "max_header_bytes", 16384 },
-                           { "max_body_bytes", 4194304 },
-                           { "header_timeout_ms", 5000 },
-                           { "idle_timeout_ms", 30000 } } } });
+  site.Objects().Put("config", "main", ClubConfig());
   for (int i = 1; i <= kRunners; ++i) {
     site.StartRunner(i, "chat", "unframed");
   }
