--- a/review/standin-3/unframed.cpp
+++ b/review/standin-3/unframed.cpp
@@ -20,11 +20,11 @@
 
 constexpr int kGateways = 2;
 constexpr int kRunners = 6;
-constexpr int kCallers = 12;
+constexpr int kCallers = 30;
 constexpr int kEvents = 24;
 constexpr milliseconds kEventInterval{ 50 };
 // Between the starts of two callers, so that they aren't in step.
-constexpr milliseconds kCallerOffset{ 100 };
+constexpr milliseconds kCallerOffset{ 40 };
 constexpr milliseconds kTrafficTime{ 16000 };
 constexpr milliseconds kCrashAt{ 5000 };
 constexpr milliseconds kEntryLapse{ 3600 }; // three heartbeats
