--- a/review/standin-3/deadly.cpp
+++ b/review/standin-3/deadly.cpp
@@ -122,19 +122,30 @@
     aSite.Host(1 + aGateway), kFrontPort, head, "body", milliseconds(4000));
 }
 
+void
+RecordAnswer(Record& aRecord,
+             const std::string& aId,
+             int aGateway,
+             const Response& aResponse)
+{
+  aRecord.Write(aId + " at gateway " + std::to_string(aGateway) + ": status " +
+                std::to_string(aResponse.m_status) + ", " +
+                std::to_string(aResponse.m_body.size()) + " bytes");
+}
+
 // Sound bookings.
 void
-SendSound(const Site& aSite,
-          const Record& aRecord,
-          int aCaller,
-          milliseconds aTime)
+SendSound(const Site& aSite, Record& aRecord, int aCaller, milliseconds aTime)
 {
   const auto end = aRecord.Elapsed() + aTime;
   for (int i = 0; aRecord.Elapsed() < end; ++i) {
-    Book(aSite,
-         "50" + std::to_string(aCaller) + "x" + std::to_string(i),
-         1 + i % kGateways,
-         "/book/" + std::to_string(i));
+    const std::string id =
+      "50" + std::to_string(aCaller) + "x" + std::to_string(i);
+    const int gateway = 1 + i % kGateways;
+    RecordAnswer(aRecord,
+                 id,
+                 gateway,
+                 Book(aSite, id, gateway, "/book/" + std::to_string(i)));
   }
 }
 
@@ -149,10 +160,7 @@
   for (int i = 0; aRecord.Elapsed() < end; ++i) {
     const std::string id = kDeadlyPrefix + std::to_string(i);
     const int gateway = 1 + i % kGateways;
-    const Response response = Book(aSite, id, gateway, aPath);
-    aRecord.Write(id + " at gateway " + std::to_string(gateway) + ": status " +
-                  std::to_string(response.m_status) + ", " +
-                  std::to_string(response.m_body.size()) + " bytes");
+    RecordAnswer(aRecord, id, gateway, Book(aSite, id, gateway, aPath));
     std::this_thread::sleep_for(kDeadlyInterval);
   }
 }
@@ -163,6 +171,7 @@
 {
   int late = 0;
   for (int i = 1; i <= kRunners; ++i) {
+    aRecord.Write("runs of " + Site::RunnerId(i) + ":\n" + aSite.RunnerLog(i));
     std::istringstream log(aSite.RunnerLog(i));
     std::int64_t time = 0;
     std::string what;
